--- /dev/null
+++ b/src/daleroad/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m daleroad``."""
+
+from daleroad.cli import main
+
+main()
--- /dev/null
+++ b/src/daleroad/cli.py
@@ -0,0 +1,325 @@
+"""The command line.
+
+Exit codes: 0 done, 1 refused or failed, 2 wrong usage. Errors are one line on standard error.
+"""
+
+import logging as standard_logging
+import sys
+from collections.abc import Callable
+
+import anyio
+import fire
+import httpx
+import orjson
+from absl import logging
+from fire.core import FireExit
+
+from daleroad.batching import EngineShape
+from daleroad.caller import Caller, Token, Whole
+from daleroad.control import found
+from daleroad.demo import run_demo
+from daleroad.engine import Engine, EngineOptions
+from daleroad.errors import DaleroadError, Failure
+from daleroad.events import Event, log_event
+from daleroad.operating import OperatorClient
+from daleroad.plain import PlainOptions, PlainService
+from daleroad.process import move_damaged, run_process, serve
+from daleroad.security import hash_token
+from daleroad.settings import load_settings, parse_settings
+
+_FAILED = 1
+
+
+class Standin:
+    """Stand-in upstreams, for trials."""
+
+    def engine(
+        self,
+        name: str,
+        service: str,
+        address: str,
+        entries: str,
+        token: str,
+        models: str,
+        zone: str = "",
+        capacity: int = 16_000,
+        slots: int = 32,
+        speed: float = 1.0,
+        checks_fencing: bool = True,
+    ) -> None:
+        """Run a stand-in engine until stopped.
+
+        Args:
+            name: its name, unique for each start.
+            service: the service it belongs to.
+            address: IP:PORT to listen on.
+            entries: base URLs of entries, separated by commas.
+            token: the upstream token.
+            models: loaded model versions, separated by commas.
+            zone: its availability zone.
+            capacity: memory in tokens.
+            slots: largest batch.
+            speed: how many times faster than usual it decodes.
+            checks_fencing: whether it refuses orders with an old fencing number.
+        """
+        options = EngineOptions(
+            name,
+            service,
+            zone,
+            address,
+            tuple(_split(entries)),
+            token,
+            tuple(_split(models)),
+            EngineShape(capacity=capacity, slots=slots),
+            checks_fencing,
+            speed,
+        )
+        engine = Engine(options)
+        anyio.run(run_process, engine.run, engine.drain, engine.stop)
+
+    def plain(
+        self, name: str, service: str, address: str, entries: str, token: str, zone: str = ""
+    ) -> None:
+        """Run a stand-in plain service until stopped.
+
+        Args:
+            name: its name, unique for each start.
+            service: the service it belongs to.
+            address: IP:PORT to listen on.
+            entries: base URLs of entries, separated by commas.
+            token: the upstream token.
+            zone: its availability zone.
+        """
+        service_options = PlainOptions(name, service, zone, address, tuple(_split(entries)), token)
+        plain = PlainService(service_options)
+
+        async def drain() -> None:
+            plain.stop()
+
+        anyio.run(run_process, plain.run, drain, plain.stop)
+
+
+class Operate:
+    """Calls of an operator. Each prints its answer as JSON."""
+
+    def __init__(self, control: str, token: str) -> None:
+        """Connect to the control processes.
+
+        Args:
+            control: their base URLs, separated by commas.
+            token: the operator's token.
+        """
+        self._client = OperatorClient(_split(control), token)
+
+    def change(
+        self, kind: str, body: str, base: int = 0, operation: str = "", wait: float = 8.0
+    ) -> None:
+        """Make a change, for example ``change PutOrganisation '{"name": ...}'``.
+
+        Args:
+            kind: Put or Remove before a kind of record.
+            body: the record, or its name, as JSON.
+            base: the version the change is based on; 0 creates.
+            operation: idempotency key, to send the same change again.
+            wait: seconds to wait until it is in force.
+        """
+        text = body if isinstance(body, str) else orjson.dumps(body).decode()
+        answer = self._client.change(kind, text, base, str(operation), wait)
+        if isinstance(answer, Failure):
+            _fail(answer)
+            return
+        print(answer.to_json())
+        if not answer.accepted:
+            sys.exit(_FAILED)
+
+    def read(self, kind: str) -> None:
+        """Read the records of a kind, ``entries`` or ``upstreams``.
+
+        Args:
+            kind: a kind of record, for example Route.
+        """
+        answer = self._client.read(kind)
+        if isinstance(answer, Failure):
+            _fail(answer)
+            return
+        print(answer.body)
+
+    def audit(self, after: int = 0) -> None:
+        """Print the audit trail, a row a line.
+
+        Args:
+            after: log index to start after.
+        """
+        answer = self._client.audit(after)
+        if isinstance(answer, Failure):
+            _fail(answer)
+            return
+        for row in answer.rows:
+            print(row)
+
+
+class Commands:
+    """daleroad serves generations of unknown length on crowded engines."""
+
+    def __init__(self) -> None:
+        self.standin = Standin()
+        self.operate = Operate
+
+    def serve(self, settings: str) -> None:
+        """Run the process that a settings file describes.
+
+        Args:
+            settings: path of the INI file.
+        """
+        anyio.run(serve, load_settings(settings))
+
+    def check(self, settings: str) -> None:
+        """Check a settings file and print each fault.
+
+        Args:
+            settings: path of the INI file.
+        """
+        try:
+            with open(settings, encoding="utf-8") as file:
+                faults = parse_settings(file.read())
+        except OSError as error:
+            print(error, file=sys.stderr)
+            sys.exit(_FAILED)
+        if isinstance(faults, list):
+            for fault in faults:
+                print(fault, file=sys.stderr)
+            sys.exit(_FAILED)
+        print(f"{settings}: no fault")
+
+    def found(self, settings: str) -> None:
+        """Write the founding state of a new site; once for each control process.
+
+        Args:
+            settings: path of a control process's INI file.
+        """
+        found(load_settings(settings))
+        print("founded")
+
+    def repair(self, settings: str) -> None:
+        """Move a damaged data folder's files aside; the leader then fills the disk anew.
+
+        Args:
+            settings: path of a control process's INI file.
+        """
+        for name in move_damaged(load_settings(settings)):
+            print(name)
+
+    def hash(self, token: str) -> None:
+        """Print a token's hash, as records and settings hold it.
+
+        Args:
+            token: the token.
+        """
+        print(hash_token(str(token)))
+
+    def locate(self, entries: str, zone: str = "") -> None:
+        """Print the addresses that a caller should use.
+
+        Args:
+            entries: base URLs of entries, separated by commas.
+            zone: the caller's availability zone.
+        """
+        caller = Caller(_split(entries), "", zone)
+        addresses = anyio.run(caller.locate)
+        if isinstance(addresses, Failure):
+            _fail(addresses)
+            return
+        print("\n".join(addresses))
+
+    def generate(
+        self, entries: str, token: str, route: str, prompt: str, key: str = "", most: int = 0
+    ) -> None:
+        """Ask for a generation and print its tokens as they come.
+
+        Args:
+            entries: base URLs of entries, separated by commas.
+            token: the organisation's token.
+            route: the route.
+            prompt: the prompt.
+            key: idempotency key, to send the same request again.
+            most: limit of the output in tokens.
+        """
+        caller = Caller(_split(entries), token)
+        failure = anyio.run(_print_answer, caller, route, str(prompt), str(key), most)
+        if failure is not None:
+            _fail(failure)
+
+    def status(self, url: str) -> None:
+        """Print the status of a process as JSON.
+
+        Args:
+            url: its base URL.
+        """
+        try:
+            print(httpx.get(f"{url}/status", timeout=5.0, trust_env=False).text)
+        except httpx.HTTPError as error:
+            print(repr(error), file=sys.stderr)
+            sys.exit(_FAILED)
+
+    def demo(self, seconds: float = 20.0, rate: float = 12.0, seed: int = 1) -> None:
+        """Serve a slice of both partners' day on a whole site in this process.
+
+        Args:
+            seconds: how long to ask for work.
+            rate: requests a second.
+            seed: seed of arrivals, kinds and lengths.
+        """
+        if not anyio.run(run_demo, seconds, rate, seed):
+            sys.exit(_FAILED)
+
+
+async def _print_answer(
+    caller: Caller, route: str, prompt: str, key: str, most: int
+) -> Failure | None:
+    async for part in caller.generate(route, prompt, key, most):
+        match part:
+            case Token(_, text):
+                print(text, end="", flush=True)
+            case Whole(generation, tokens):
+                print(f"\n[whole: {tokens} tokens, generation {generation}]")
+            case Failure():
+                print()
+                return part
+    return None
+
+
+def _split(text: str | tuple[str, ...]) -> list[str]:
+    """Return the parts of a list on the command line; fire may have split it already."""
+    parts = text.split(",") if isinstance(text, str) else [str(part) for part in text]
+    return [part.strip() for part in parts if part.strip()]
+
+
+def _fail(failure: Failure) -> None:
+    log_event(Event.COMMAND_FAILED, kind=failure.kind.value, reason=failure.reason)
+    sys.exit(_FAILED)
+
+
+def _run(command: Callable[[], object]) -> int:
+    try:
+        command()
+    except FireExit as stop:
+        return int(stop.code or 0)
+    except DaleroadError as error:
+        _report(error)
+        return _FAILED
+    return 0
+
+
+def _report(error: DaleroadError) -> None:
+    storage = type(error).__name__ == "StorageError"
+    event = Event.STORAGE_REFUSED if storage else Event.SETTINGS_REFUSED
+    log_event(event, kind=error.failure.kind.value, reason=error.failure.reason)
+
+
+def main() -> None:
+    """Run the command line."""
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    for noisy in ("httpx", "httpcore", "hypercorn.error"):
+        standard_logging.getLogger(noisy).setLevel(standard_logging.WARNING)
+    sys.exit(_run(lambda: fire.Fire(Commands, name="daleroad")))
--- /dev/null
+++ b/src/daleroad/control.py
@@ -0,0 +1,543 @@
+"""The control role: members of the replicated logs, and what the leader answers for them."""
+
+import time
+from collections import deque
+from collections.abc import Iterator
+from pathlib import Path
+from random import Random
+from typing import Any, TypeVar
+
+import anyio
+import orjson
+from anyio.abc import TaskGroup
+from connectrpc.code import Code
+from connectrpc.errors import ConnectError
+from connectrpc.request import RequestContext
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+
+from daleroad.catalog import (
+    AuditRow,
+    Catalog,
+    Change,
+    Command,
+    DropEntry,
+    DropUpstream,
+    Outcome,
+    Put,
+    Remove,
+    SetEntry,
+    SetUpstream,
+)
+from daleroad.claims import ClaimJournal, ClaimOutcome
+from daleroad.codec import decode, encode
+from daleroad.consensus import Member
+from daleroad.daleroad_connect import LocatorASGIApplication, OperatorsASGIApplication
+from daleroad.daleroad_pb import (
+    AuditAnswer,
+    AuditRequest,
+    ChangeAnswer,
+    ChangeRequest,
+    LocateAnswer,
+    LocateRequest,
+    ReadAnswer,
+    ReadRequest,
+)
+from daleroad.errors import Failure, FailureKind, Ran
+from daleroad.events import Event, log_event
+from daleroad.group import Group, decode_messages
+from daleroad.links import Links
+from daleroad.location import pick_addresses
+from daleroad.messages import (
+    ClaimRequest,
+    Effective,
+    FollowAnswer,
+    FollowRequest,
+    MembershipAnswer,
+    MembershipRequest,
+)
+from daleroad.records import RECORD_TYPES, Operator, Record
+from daleroad.roster import Roster
+from daleroad.security import get_bearer, hash_token, is_token
+from daleroad.serving import Answer, Request, Response, Router, serve_app
+from daleroad.settings import Settings
+from daleroad.storage import Storage
+
+CATALOG = "catalog"
+_TAIL_MOST = 4096
+_WATCH_SECONDS = 0.2
+_AUDIT_MOST = 1000
+
+T = TypeVar("T")
+
+
+class CatalogMachine:
+    """The catalog as a state driven by a log, with the tail of changes that entries follow."""
+
+    def __init__(self) -> None:
+        self.catalog = Catalog()
+        self.tail: deque[Effective] = deque(maxlen=_TAIL_MOST)
+        self.tail_from = 0
+
+    def apply_payload(self, index: int, payload: str) -> Any:
+        """Apply a committed command given as text.
+
+        :param index: its index in the log.
+        :param payload: the command.
+        """
+        command: Command = decode(Command, payload)
+        outcome = self.catalog.apply(index, command)
+        if self.catalog.changed == index:
+            if len(self.tail) == _TAIL_MOST:
+                self.tail_from = self.tail[0].index
+            self.tail.append(Effective(index, command.change))
+        verdict = outcome.failure.kind.value if outcome.failure else "accepted"
+        if command.operation:
+            log_event(Event.CHANGE_APPLIED, index=index, by=command.operator, outcome=verdict)
+        return outcome
+
+    def dump(self) -> str:
+        """Return the state as text."""
+        return self.catalog.dump()
+
+    def load(self, text: str) -> None:
+        """Replace the state by a dumped one.
+
+        :param text: what :meth:`dump` gave.
+        """
+        self.catalog.load(text)
+        self.tail.clear()
+        self.tail_from = self.catalog.revision
+
+    def list_changes(self, after: int) -> tuple[Effective, ...] | None:
+        """Return the effective changes after a revision, or nothing if the tail is too short.
+
+        :param after: the revision.
+        """
+        if after < self.tail_from:
+            return None
+        return tuple(reversed(list(self._list_newest(after))))
+
+    def _list_newest(self, after: int) -> Iterator[Effective]:
+        for effective in reversed(self.tail):
+            if effective.index <= after:
+                return
+            yield effective
+
+
+def name_claim_group(shard: int) -> str:
+    """Return the name of the group that carries a shard of the claim journal.
+
+    :param shard: number of the shard.
+    """
+    return f"claims-{shard}"
+
+
+def found(settings: Settings) -> None:
+    """Write the founding state of a new site into an empty data folder.
+
+    Each control process's folder is founded once; a folder that was lost is not founded again
+    but filled by the leader.
+
+    :param settings: the settings of one control process.
+    """
+    members = tuple(Member(name, f"founding-{name}") for name in sorted(settings.control))
+    catalog = Catalog(revision=1)
+    for seed in settings.operators:
+        record = Operator(seed.name, seed.partner, seed.token_hash)
+        catalog.store(1, "Operator", seed.name, record)
+    own = f"founding-{settings.name}"
+    for name in list_groups(settings):
+        storage = Storage(Path(settings.data) / f"{name}.db")
+        storage.found(own, members, catalog.dump() if name == CATALOG else "")
+        storage.close()
+
+
+def list_groups(settings: Settings) -> list[str]:
+    """Return the names of all replicated logs.
+
+    :param settings: the settings.
+    """
+    return [CATALOG, *(name_claim_group(shard) for shard in range(settings.claim_shards))]
+
+
+class Control:
+    """One control process.
+
+    :param settings: its settings.
+    :param random: source of election timeouts.
+    """
+
+    def __init__(self, settings: Settings, random: Random) -> None:
+        self.settings = settings
+        self.machine = CatalogMachine()
+        self.links = Links(settings.tls, settings.cluster_secret)
+        self.groups = {name: self._make_group(name, random) for name in list_groups(settings)}
+        self.group = self.groups[CATALOG]
+        self.group.on_applied = self._wake_followers
+        self.roster: Roster | None = None
+        self._news = anyio.Event()
+        self._proposing: set[str] = set()
+        self._random = random
+        self._stop = anyio.Event()
+        self._make_metrics()
+
+    def _make_group(self, name: str, random: Random) -> Group:
+        settings = self.settings
+        urls = {peer: settings.get_control_url(peer) for peer in settings.control}
+        storage = Storage(Path(settings.data) / f"{name}.db")
+        machine = self.machine if name == CATALOG else ClaimJournal()
+        seeded = Random(random.random())
+        return Group(name, settings.name, urls, storage, machine, self.links, seeded)
+
+    def _make_metrics(self) -> None:
+        self.registry = CollectorRegistry()
+        self._follows = Counter("daleroad_follows", "Follow answers", registry=self.registry)
+        self._changes = Counter("daleroad_changes", "Operators' changes", registry=self.registry)
+        revision = Gauge("daleroad_revision", "Applied revision", registry=self.registry)
+        revision.set_function(lambda: self.machine.catalog.revision)
+        leading = Gauge("daleroad_leading", "1 on the leader", registry=self.registry)
+        leading.set_function(lambda: float(self.group.is_leading()))
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        async with anyio.create_task_group() as tasks:
+            for group in self.groups.values():
+                await group.run(tasks)
+            tasks.start_soon(self._watch, tasks)
+            settings = self.settings
+            bind = settings.bind or settings.address
+            await serve_app(self._make_router(), bind, settings.tls, self._stop.wait)
+            tasks.cancel_scope.cancel()
+        await self.links.close()
+
+    def stop(self) -> None:
+        """Stop serving; a leader's followers elect another when its lease runs out."""
+        self._wake_followers()
+        self._stop.set()
+
+    def _make_router(self) -> Router:
+        router = Router(self.settings.body_bytes * 16)
+        router.add("POST", "/peer/", self._serve_peer)
+        router.add("POST", "/follow", self._serve_follow)
+        router.add("POST", "/membership", self._serve_membership)
+        router.add("POST", "/claims/", self._serve_claim)
+        router.add("GET", "/metrics", self._serve_metrics)
+        router.add("GET", "/status", self._serve_status)
+        face = OperatorFace(self)
+        for app in (OperatorsASGIApplication(face), LocatorASGIApplication(face)):
+            router.mount(app.path, app)  # type: ignore[arg-type]
+        return router
+
+    def _check_peer(self, request: Request) -> Failure | None:
+        token = get_bearer(request.headers.get("authorization", ""))
+        if is_token(token, hash_token(self.settings.cluster_secret)):
+            return None
+        return Failure(FailureKind.UNAUTHENTICATED, "not one of our processes")
+
+    async def _serve_peer(self, request: Request) -> Answer:
+        refused = self._check_peer(request)
+        group = self.groups.get(request.tail)
+        messages = decode_messages(request.body)
+        if refused is not None:
+            return refused
+        if group is None or isinstance(messages, Failure):
+            return Failure(FailureKind.BAD_REQUEST, "no such group or wrong messages")
+        group.receive(messages)
+        return Response(204)
+
+    async def _serve_follow(self, request: Request) -> Answer:
+        refused = self._check_peer(request)
+        asked = decode(FollowRequest, request.body)
+        if refused is not None:
+            return refused
+        if isinstance(asked, Failure):
+            return asked
+        if self.roster is None or not self.group.has_served_term():
+            return self.group.refuse()
+        arrived_at = anyio.current_time()
+        joined = await self._join(asked)
+        if isinstance(joined, Failure):
+            return joined
+        await self._wait_news(asked.revision)
+        return self._answer_follow(asked, arrived_at)
+
+    async def _join(self, asked: FollowRequest) -> Failure | None:
+        entry = asked.entry
+        if self.machine.catalog.entries.get(entry.name) == entry:
+            return None
+        log_event(Event.ENTRY_JOINED, name=entry.name, state=entry.state.value)
+        outcome = await self.propose(SetEntry(entry))
+        return outcome if isinstance(outcome, Failure) else None
+
+    async def _wait_news(self, revision: int) -> None:
+        if self.machine.catalog.changed > revision:
+            return
+        with anyio.move_on_after(self.settings.follow):
+            while self.machine.catalog.changed <= revision and not self._stop.is_set():
+                await self._news.wait()
+
+    def _answer_follow(self, asked: FollowRequest, arrived_at: float) -> Answer:
+        # The lease is given only by a leader that has just heard a majority.
+        if self.roster is None or not self.group.is_leading():
+            return self.group.refuse()
+        self._follows.inc()
+        catalog = self.machine.catalog
+        now = anyio.current_time()
+        self.roster.follow(asked.entry.name, asked.revision, now)
+        changes = self.machine.list_changes(asked.revision)
+        lease = self.settings.entry_lease
+        if changes is None or asked.revision > catalog.revision:
+            state = catalog.dump(whole=False)
+            answer = FollowAnswer(catalog.revision, lease, now - arrived_at, (), state)
+        else:
+            answer = FollowAnswer(catalog.revision, lease, now - arrived_at, changes)
+        return Response(200, encode(answer))
+
+    async def _serve_membership(self, request: Request) -> Answer:
+        refused = self._check_peer(request)
+        asked = decode(MembershipRequest, request.body)
+        if refused is not None:
+            return refused
+        if isinstance(asked, Failure):
+            return asked
+        if not self.group.has_served_term():
+            return self.group.refuse()
+        match asked.change:
+            case SetUpstream(upstream):
+                known = self.machine.catalog.upstreams.get(upstream.name)
+                if known == upstream:
+                    return Response(200, encode(MembershipAnswer(self.machine.catalog.revision)))
+                log_event(Event.UPSTREAM_JOINED, name=upstream.name, state=upstream.state.value)
+            case DropUpstream(name):
+                log_event(Event.UPSTREAM_LEFT, name=name)
+            case DropEntry(name):
+                log_event(Event.ENTRY_LEFT, name=name)
+            case _:
+                return Failure(FailureKind.FORBIDDEN, "not a change of the membership")
+        outcome = await self.propose(asked.change)
+        if isinstance(outcome, Failure):
+            return outcome
+        return Response(200, encode(MembershipAnswer(outcome.version)))
+
+    async def _serve_claim(self, request: Request) -> Answer:
+        refused = self._check_peer(request)
+        asked = decode(ClaimRequest, request.body)
+        group = self.groups.get(name_claim_group(int(request.tail or "0")))
+        if refused is not None:
+            return refused
+        if isinstance(asked, Failure) or group is None:
+            return Failure(FailureKind.BAD_REQUEST, "no such shard or a wrong command")
+        outcome = await group.propose(asked.payload)
+        if isinstance(outcome, ClaimOutcome):
+            return Response(200, encode(outcome))
+        return outcome
+
+    async def _serve_metrics(self, request: Request) -> Answer:
+        return Response(200, generate_latest(self.registry), "text/plain; version=0.0.4")
+
+    async def _serve_status(self, request: Request) -> Answer:
+        replica = self.group.replica
+        status = {
+            "name": self.settings.name,
+            "role": replica.role.value,
+            "leader": replica.leader,
+            "leading": self.group.is_leading(),
+            "term": replica.term,
+            "commit": replica.commit,
+            "revision": self.machine.catalog.revision,
+            "members": [f"{m.name}/{m.incarnation[:12]}" for m in replica.members],
+            "votes": Member(replica.name, replica.incarnation) in replica.members,
+            "claims": {
+                name: group.replica.commit for name, group in self.groups.items() if name != CATALOG
+            },
+        }
+        return Response(200, orjson.dumps(status))
+
+    async def propose(self, change: Change, by: Command | None = None) -> Outcome | Failure:
+        """Append a change to the catalog's log.
+
+        :param change: the change.
+        :param by: the whole command, if an operator asked for it.
+        """
+        command = by or Command("", "", "", 0, time.time(), change)
+        return await self.group.propose(encode(command).decode())
+
+    async def wait_in_force(self, revision: int, seconds: float) -> bool:
+        """Wait until a revision is in force on every entry; return whether it is.
+
+        :param revision: the revision.
+        :param seconds: longest wait.
+        """
+        deadline = anyio.current_time() + seconds
+        while not self._is_in_force(revision):
+            if anyio.current_time() >= deadline:
+                return False
+            await anyio.sleep(min(0.02, self.settings.follow))
+        return True
+
+    def _is_in_force(self, revision: int) -> bool:
+        if self.roster is None or not self.group.is_leading():
+            return False
+        names = self.machine.catalog.entries
+        return self.roster.is_in_force(revision, names, anyio.current_time())
+
+    def _wake_followers(self) -> None:
+        self._news.set()
+        self._news = anyio.Event()
+
+    async def _watch(self, tasks: TaskGroup) -> None:
+        """Keep the roster while this member leads, and drop entries whose lease ran out."""
+        while True:
+            await anyio.sleep(_WATCH_SECONDS)
+            if not self.group.is_leading():
+                self.roster = None
+                continue
+            now = anyio.current_time()
+            if self.roster is None:
+                self.roster = Roster(self.settings.entry_lease, now)
+            for name in list(self.roster.list_expired(self.machine.catalog.entries, now)):
+                if name not in self._proposing:
+                    self._proposing.add(name)
+                    tasks.start_soon(self._drop_entry, name)
+
+    async def _drop_entry(self, name: str) -> None:
+        log_event(Event.ENTRY_LEFT, name=name)
+        await self.propose(DropEntry(name))
+        if self.roster is not None:
+            self.roster.forget(name)
+        self._proposing.discard(name)
+
+
+class OperatorFace:
+    """The calls of operators, and locate, as the schema defines them.
+
+    :param control: the control process.
+    """
+
+    def __init__(self, control: Control) -> None:
+        self._control = control
+
+    async def locate(
+        self, request: LocateRequest, ctx: RequestContext[LocateRequest, LocateAnswer], /
+    ) -> LocateAnswer:
+        """Return addresses of entries."""
+        control = self._control
+        if not control.group.is_leading():
+            raise ConnectError(Code.UNAVAILABLE, "ask the leader or an entry")
+        entries = control.machine.catalog.entries.values()
+        addresses = pick_addresses(entries, request.zone, request.most, control._random)
+        keep = control.settings.locate_keep
+        return LocateAnswer(addresses=addresses, keep_seconds=keep)
+
+    async def change(
+        self, request: ChangeRequest, ctx: RequestContext[ChangeRequest, ChangeAnswer], /
+    ) -> ChangeAnswer:
+        """Propose an operator's change and wait until it is in force."""
+        operator = self._authenticate(ctx)
+        if not self._control.group.has_served_term():
+            return _refuse_change(self._control.group.refuse())
+        change = parse_change(request.kind, request.body)
+        if isinstance(change, Failure):
+            return _refuse_change(change)
+        if not request.operation:
+            return _refuse_change(Failure(FailureKind.INVALID, "the operation id is empty"))
+        command = Command(
+            request.operation,
+            operator.name,
+            operator.partner,
+            request.base,
+            time.time(),
+            change,
+        )
+        self._control._changes.inc()
+        outcome = await self._control.propose(change, command)
+        if isinstance(outcome, Failure):
+            return _refuse_change(outcome)
+        return await self._answer_change(outcome, request.wait_seconds)
+
+    async def read(
+        self, request: ReadRequest, ctx: RequestContext[ReadRequest, ReadAnswer], /
+    ) -> ReadAnswer:
+        """Return the operator's own records of a kind; shares and membership are seen by all."""
+        operator = self._authenticate(ctx)
+        catalog = self._control.machine.catalog
+        if not self._control.group.has_served_term():
+            raise ConnectError(Code.UNAVAILABLE, self._control.group.refuse().reason)
+        if request.kind in ("entries", "upstreams"):
+            table = catalog.entries if request.kind == "entries" else catalog.upstreams
+            body = encode(tuple(table.values()))
+            return ReadAnswer(body=body.decode(), revision=catalog.revision)
+        if request.kind not in RECORD_TYPES:
+            known = ", ".join([*RECORD_TYPES, "entries", "upstreams"])
+            raise ConnectError(Code.INVALID_ARGUMENT, f"kinds are {known}")
+        seen = (
+            versioned
+            for versioned in catalog.list_records(request.kind)
+            if request.kind == "Share" or versioned.record.partner == operator.partner
+        )
+        return ReadAnswer(body=encode(tuple(seen)).decode(), revision=catalog.revision)
+
+    async def audit(
+        self, request: AuditRequest, ctx: RequestContext[AuditRequest, AuditAnswer], /
+    ) -> AuditAnswer:
+        """Return rows of the audit trail that concern the operator's partner."""
+        operator = self._authenticate(ctx)
+        if not self._control.group.has_served_term():
+            raise ConnectError(Code.UNAVAILABLE, self._control.group.refuse().reason)
+        rows: Iterator[AuditRow] = (
+            row
+            for row in self._control.machine.catalog.audit
+            if row.partner == operator.partner and row.index > request.after
+        )
+        most = min(request.most or _AUDIT_MOST, _AUDIT_MOST)
+        texts = [encode(row).decode() for row, _ in zip(rows, range(most), strict=False)]
+        return AuditAnswer(rows=texts)
+
+    def _authenticate(self, ctx: RequestContext[Any, Any]) -> Operator:
+        token = get_bearer(ctx.request_headers.get("authorization", ""))
+        for versioned in self._control.machine.catalog.list_records("Operator"):
+            operator = versioned.record
+            assert isinstance(operator, Operator)
+            if is_token(token, operator.token_hash):
+                return operator
+        raise ConnectError(Code.UNAUTHENTICATED, "unknown operator")
+
+    async def _answer_change(self, outcome: Outcome, wait_seconds: float) -> ChangeAnswer:
+        if outcome.failure is not None:
+            current = encode(outcome.current, Record).decode() if outcome.current else ""
+            return ChangeAnswer(
+                accepted=False,
+                failure=outcome.failure.kind.value,
+                reason=outcome.failure.reason,
+                version=outcome.version,
+                current=current,
+            )
+        in_force = await self._control.wait_in_force(outcome.version, wait_seconds)
+        return ChangeAnswer(accepted=True, version=outcome.version, in_force=in_force)
+
+
+def _refuse_change(failure: Failure) -> ChangeAnswer:
+    if failure.ran is Ran.UNKNOWN:
+        reason = f"{failure.reason}; send the same operation again to learn its outcome"
+        return ChangeAnswer(accepted=False, failure=failure.kind.value, reason=reason)
+    return ChangeAnswer(accepted=False, failure=failure.kind.value, reason=failure.reason)
+
+
+def parse_change(kind: str, body: str) -> Change | Failure:
+    """Return the change that an operator's request holds, or a failure.
+
+    :param kind: ``Put`` or ``Remove`` before a record's class name, for example ``PutRoute``.
+    :param body: the record's fields, or its name, as JSON.
+    """
+    verb, type_name = ("Put", kind[3:]) if kind.startswith("Put") else ("Remove", kind[6:])
+    shape = RECORD_TYPES.get(type_name)
+    if shape is None or not kind.startswith(verb):
+        known = ", ".join(f"Put{name}, Remove{name}" for name in RECORD_TYPES)
+        return Failure(FailureKind.INVALID, f"unknown change {kind}; known are {known}")
+    if verb == "Remove":
+        name = decode(dict[str, str], body)
+        if isinstance(name, Failure):
+            return name
+        return Remove(type_name, name.get("name", ""))
+    record = decode(shape, body)
+    return record if isinstance(record, Failure) else Put(record)
--- /dev/null
+++ b/src/daleroad/defaults.py
@@ -0,0 +1,114 @@
+"""Default values and limits, in one place. Times are in seconds, sizes in bytes or tokens."""
+
+TICK_SECONDS = 0.05
+"""Interval of the control loop's timer."""
+
+ELECTION_MIN_SECONDS = 1.0
+ELECTION_MAX_SECONDS = 2.0
+"""Range from which each election timeout is drawn."""
+
+APPEND_SECONDS = 0.25
+"""Interval between a leader's heartbeats."""
+
+LEADER_LEASE_SECONDS = 0.8
+"""A leader serves for so long after it heard a majority; below ELECTION_MIN_SECONDS."""
+
+ENTRY_LEASE_SECONDS = 4.0
+"""An entry serves for so long after it asked a leader that answered."""
+
+FOLLOW_SECONDS = 1.5
+"""A follow request without news is answered after so long."""
+
+REPORT_SECONDS = 0.5
+"""Interval between an upstream's reports to its steward."""
+
+UPSTREAM_LEASE_SECONDS = 3.0
+"""An upstream without a report for so long is taken as gone."""
+
+LOCATE_KEEP_SECONDS = 5.0
+"""How long a caller may keep a locate answer."""
+
+LOCATE_MOST = 4
+"""Addresses in a locate answer when the caller doesn't say."""
+
+PEER_TIMEOUT_SECONDS = 1.0
+"""Limit of one request between control processes."""
+
+CALL_TIMEOUT_SECONDS = 4.0
+"""Limit of a short request between our processes or to an upstream."""
+
+STALL_SECONDS = 5.0
+"""A stream without progress for so long is taken as stalled and resumed."""
+
+RESUME_TRIES = 6
+"""Tries to resume one generation before it ends as partial."""
+
+DEADLINE_SECONDS = 120.0
+"""Deadline to the first token of a request that names none."""
+
+URGENT_DEADLINE_SECONDS = 10.0
+"""The same for urgent routes."""
+
+SNAPSHOT_ENTRIES = 1000
+"""Applied log entries after which a snapshot is taken."""
+
+APPEND_MOST = 256
+"""Log entries in one append message."""
+
+OPERATIONS_KEPT = 20_000
+"""Outcomes kept to answer resent operations."""
+
+AUDIT_KEPT = 20_000
+"""Rows of the audit trail kept in the replicated state."""
+
+CLAIM_SHARDS = 2
+"""Logs over which claims are spread."""
+
+CLAIM_KEEP_SECONDS = 86_400.0
+"""How long a settled claim is remembered."""
+
+CLAIM_MOST = 50_000
+"""Claims one shard remembers; beyond it new claims are refused."""
+
+CLAIM_ANSWER_BYTES = 4096
+"""Largest answer recorded with a claim."""
+
+BODY_BYTES = 1_000_000
+"""Largest request body."""
+
+REQUESTS_MOST = 2_000
+"""Requests one entry serves at a time."""
+
+RETRY_SHARE = 0.1
+"""Retries allowed as a share of first tries."""
+
+RETRY_BURST = 10.0
+"""Retries allowed beyond the share, to start with."""
+
+BACKOFF_SECONDS = 0.05
+BACKOFF_MAX_SECONDS = 2.0
+"""First and largest delay between retries, before jitter."""
+
+URGENT_RESERVE = 0.1
+"""Share of an engine's memory and slots kept for urgent routes."""
+
+QUEUE_MOST = 512
+"""Requests that wait at one upstream."""
+
+AGEING_SECONDS = 20.0
+"""Long work that waited for so long goes before younger urgent work once in a while."""
+
+LENGTH_WINDOW = 512
+"""Output lengths remembered for each route and model version."""
+
+LENGTH_UNKNOWN = 256
+"""Output length assumed with no history, in tokens."""
+
+PERMIT_SECONDS = 10.0
+"""A permit not seen running by the upstream's reports for so long is dropped."""
+
+EJECT_SHARE = 0.34
+"""Largest share of a service's upstreams that may be ejected at a time."""
+
+EJECT_SECONDS = 5.0
+"""First time an upstream stays ejected before it gets a trial request."""
--- /dev/null
+++ b/src/daleroad/directory.py
@@ -0,0 +1,122 @@
+"""Who serves what, derived from the catalog: stewards, upstreams of a service, routes. Pure."""
+
+from collections.abc import Iterable
+
+from xxhash import xxh3_64_intdigest
+
+from daleroad.catalog import Catalog
+from daleroad.records import EntryMember, Organisation, Route, Split, State, Upstream
+
+
+def get_weight(*parts: str) -> int:
+    """Return the rendezvous weight of a combination of names.
+
+    :param parts: the names.
+    """
+    return xxh3_64_intdigest("\x00".join(parts).encode())
+
+
+def pick_steward(entries: Iterable[EntryMember], upstream: Upstream) -> EntryMember | None:
+    """Return the entry that admits work to an upstream, by rendezvous hashing.
+
+    Entries in the upstream's availability zone go first.
+
+    :param entries: the membership.
+    :param upstream: the upstream.
+    """
+    serving = [entry for entry in entries if entry.state is State.SERVING]
+    near = [entry for entry in serving if entry.zone == upstream.zone]
+    choices = near or serving
+    return max(choices, key=lambda e: get_weight(e.name, upstream.name), default=None)
+
+
+def pick_split(splits: tuple[Split, ...], sticky: str) -> str:
+    """Return a route's model version by weight, the same for the same text.
+
+    :param splits: the versions with weights.
+    :param sticky: what the choice sticks to.
+    """
+    total = sum(split.weight for split in splits)
+    point = get_weight("split", sticky) / 2**64 * total
+    for split in splits:
+        point -= split.weight
+        if point < 0:
+            return split.model
+    return splits[-1].model if splits else ""
+
+
+class Directory:
+    """An index of a catalog, rebuilt when the catalog changed.
+
+    :param catalog: the catalog.
+    """
+
+    def __init__(self, catalog: Catalog) -> None:
+        self.catalog = catalog
+        self._indexed = -1
+        self._by_token: dict[str, Organisation] = {}
+        self._by_service: dict[str, list[Upstream]] = {}
+        self._stewards: dict[str, EntryMember | None] = {}
+
+    def refresh(self) -> None:
+        """Rebuild what changes of the catalog made stale."""
+        if self._indexed == self.catalog.revision:
+            return
+        self._indexed = self.catalog.revision
+        self._by_service = {}
+        for upstream in self.catalog.upstreams.values():
+            self._by_service.setdefault(upstream.service, []).append(upstream)
+        self._stewards = {}
+        self._by_token = {
+            v.record.token_hash: v.record
+            for v in self.catalog.list_records("Organisation")
+            if isinstance(v.record, Organisation)
+        }
+
+    def get_steward(self, upstream: str) -> EntryMember | None:
+        """Return the steward of an upstream in the membership.
+
+        :param upstream: its name.
+        """
+        self.refresh()
+        if upstream not in self._stewards:
+            found = self.catalog.upstreams.get(upstream)
+            self._stewards[upstream] = self.pick_steward_of(found) if found else None
+        return self._stewards[upstream]
+
+    def pick_steward_of(self, upstream: Upstream) -> EntryMember | None:
+        """Return the steward that an upstream gets, in the membership or not.
+
+        :param upstream: the upstream.
+        """
+        return pick_steward(self.catalog.entries.values(), upstream)
+
+    def find_organisation(self, token_hash: str) -> Organisation | None:
+        """Return the organisation whose token has a hash.
+
+        :param token_hash: the hash.
+        """
+        self.refresh()
+        return self._by_token.get(token_hash)
+
+    def get_route(self, name: str, partner: str) -> Route | None:
+        """Return a partner's route or nothing.
+
+        :param name: the route.
+        :param partner: the partner.
+        """
+        route = self.catalog.get("Route", name)
+        return route if isinstance(route, Route) and route.partner == partner else None
+
+    def list_upstreams(self, service: str, model: str) -> list[Upstream]:
+        """Return the serving upstreams of a service that have a model version loaded.
+
+        :param service: the service.
+        :param model: the model version, or empty for any.
+        """
+        self.refresh()
+        return [
+            upstream
+            for upstream in self._by_service.get(service, ())
+            if upstream.state is State.SERVING and (not model or model in upstream.models)
+        ]
--- /dev/null
+++ b/src/daleroad/entry.py
@@ -0,0 +1,242 @@
+"""The entry role: serves callers and is steward of a few upstreams."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+
+import anyio
+import orjson
+from connectrpc.code import Code
+from connectrpc.errors import ConnectError
+from connectrpc.request import RequestContext
+from prometheus_client import generate_latest
+
+from daleroad.admission import Load
+from daleroad.codec import decode, encode
+from daleroad.daleroad_connect import LocatorASGIApplication, RegistryASGIApplication
+from daleroad.daleroad_pb import (
+    AnnounceAnswer,
+    Announcement,
+    LocateAnswer,
+    LocateRequest,
+    Report,
+    ReportAnswer,
+)
+from daleroad.environment import Environment
+from daleroad.errors import Failure, FailureKind
+from daleroad.events import Event, log_event
+from daleroad.generations import Generations
+from daleroad.links import Links
+from daleroad.location import pick_addresses
+from daleroad.messages import Handover, PermitAnswer, PermitEnd, PermitRequest
+from daleroad.records import State, Upstream
+from daleroad.security import get_bearer, hash_token, is_token
+from daleroad.services import PlainCalls
+from daleroad.serving import Answer, Request, Response, Router, serve_app
+from daleroad.settings import OnLostControl, Settings
+from daleroad.stewardship import Stewardship
+
+_DRAIN_CHECK_SECONDS = 0.1
+
+
+class Entry:
+    """One entry process.
+
+    :param settings: its settings.
+    :param random: source of choices between equals.
+    """
+
+    def __init__(self, settings: Settings, random: Random) -> None:
+        links = Links(settings.tls, settings.cluster_secret)
+        self.env = Environment(settings, links, random)
+        self.stewardship = Stewardship(self.env)
+        self.env.follower.on_change = self.stewardship.refresh
+        self._generations = Generations(self.env, self.stewardship)
+        self._plain = PlainCalls(self.env)
+        self._requests = 0
+        self._accepting = True
+        self._stop = anyio.Event()
+
+    async def run(self) -> None:
+        """Serve until stopped and drained."""
+        settings = self.env.settings
+        async with anyio.create_task_group() as tasks:
+            self.env.tasks = tasks
+            tasks.start_soon(self.env.follower.run)
+            tasks.start_soon(self.stewardship.run)
+            bind = settings.bind or settings.address
+            await serve_app(self._make_router(), bind, settings.tls, self._stop.wait)
+            await self.env.follower.leave()
+            tasks.cancel_scope.cancel()
+        await self.env.links.close()
+
+    async def drain(self) -> None:
+        """Leave without cutting off a request.
+
+        New requests are accepted until the locate answers given out have expired.
+        """
+        log_event(Event.STOPPING, name=self.env.settings.name, requests=self._requests)
+        self.env.follower.state = State.DRAINING
+        await anyio.sleep(self.env.settings.locate_keep + self.env.settings.follow)
+        self._accepting = False
+        while self._requests or self.env.inflight:
+            await anyio.sleep(_DRAIN_CHECK_SECONDS)
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop serving without waiting for requests."""
+        self._stop.set()
+
+    def _make_router(self) -> Router:
+        router = Router(self.env.settings.body_bytes)
+        router.add("POST", "/v1/completions", self._guard(self._generations.serve))
+        router.add("*", "/services/", self._guard(self._plain.serve))
+        router.add("POST", "/permits", self._serve_permit)
+        router.add("POST", "/permits/end", self._serve_permit_end)
+        router.add("POST", "/permits/restore", self._serve_restore)
+        router.add("GET", "/metrics", self._serve_metrics)
+        router.add("GET", "/status", self._serve_status)
+        face = EntryFace(self)
+        for app in (LocatorASGIApplication(face), RegistryASGIApplication(face)):
+            router.mount(app.path, app)  # type: ignore[arg-type]
+        return router
+
+    def _guard(
+        self, handler: Callable[[Request], Awaitable[Answer]]
+    ) -> Callable[[Request], Awaitable[Answer]]:
+        """Return a handler that refuses what this entry may not or can't take on."""
+
+        async def handle(request: Request) -> Answer:
+            refused = self._find_refusal()
+            if refused is not None:
+                return refused
+            self._requests += 1
+            try:
+                return await handler(request)
+            finally:
+                self._requests -= 1
+
+        return handle
+
+    def _find_refusal(self) -> Failure | None:
+        settings = self.env.settings
+        if not self._accepting:
+            return Failure(FailureKind.DRAINING, "this entry is leaving", retry_after=0.1)
+        refuses = settings.on_lost_control is OnLostControl.REFUSE
+        if refuses and not self.env.follower.has_lease():
+            reason = "this entry has no configuration lease; use another"
+            return Failure(FailureKind.NO_LEASE, reason, retry_after=1.0)
+        if self._requests + len(self.env.inflight) >= settings.requests_most:
+            return Failure(FailureKind.OVERLOADED, "too many requests here", retry_after=1.0)
+        return None
+
+    def _check_peer(self, request: Request) -> Failure | None:
+        token = get_bearer(request.headers.get("authorization", ""))
+        if is_token(token, hash_token(self.env.settings.cluster_secret)):
+            return None
+        return Failure(FailureKind.UNAUTHENTICATED, "not one of our processes")
+
+    def _parse_peer(self, request: Request, shape: Any) -> Any:
+        return self._check_peer(request) or decode(shape, request.body)
+
+    async def _serve_permit(self, request: Request) -> Answer:
+        asked = self._parse_peer(request, PermitRequest)
+        if isinstance(asked, Failure):
+            return asked
+        answer = await self.stewardship.decide(asked)
+        if isinstance(answer, PermitAnswer):
+            return Response(200, encode(answer))
+        return answer
+
+    async def _serve_permit_end(self, request: Request) -> Answer:
+        end = self._parse_peer(request, PermitEnd)
+        if isinstance(end, Failure):
+            return end
+        self.stewardship.end_locally(end)
+        return Response(204)
+
+    async def _serve_restore(self, request: Request) -> Answer:
+        handover = self._parse_peer(request, Handover)
+        if isinstance(handover, Failure):
+            return handover
+        self.stewardship.restore(handover)
+        return Response(204)
+
+    async def _serve_metrics(self, request: Request) -> Answer:
+        body = generate_latest(self.env.metrics.registry)
+        return Response(200, body, "text/plain; version=0.0.4")
+
+    async def _serve_status(self, request: Request) -> Answer:
+        env = self.env
+        status = {
+            "name": env.settings.name,
+            "lease": env.follower.has_lease(),
+            "state": env.follower.state.value,
+            "revision": env.catalog.revision,
+            "entries": len(env.catalog.entries),
+            "upstreams": sorted(env.catalog.upstreams),
+            "requests": self._requests,
+            "inflight": len(env.inflight),
+        }
+        return Response(200, orjson.dumps(status))
+
+
+class EntryFace:
+    """Locate and announce, as the schema defines them.
+
+    :param entry: the entry.
+    """
+
+    def __init__(self, entry: Entry) -> None:
+        self._entry = entry
+
+    async def locate(
+        self, request: LocateRequest, ctx: RequestContext[LocateRequest, LocateAnswer], /
+    ) -> LocateAnswer:
+        """Return addresses of entries."""
+        env = self._entry.env
+        if not env.follower.has_lease():
+            raise ConnectError(Code.UNAVAILABLE, "this entry has no lease; ask another")
+        entries = env.catalog.entries.values()
+        addresses = pick_addresses(entries, request.zone, request.most, env.random)
+        return LocateAnswer(addresses=addresses, keep_seconds=env.settings.locate_keep)
+
+    async def announce(
+        self, request: Announcement, ctx: RequestContext[Announcement, AnnounceAnswer], /
+    ) -> AnnounceAnswer:
+        """Take an upstream's announcement or name the steward that does."""
+        self._authenticate(ctx)
+        env = self._entry.env
+        if not request.upstream or "/" in request.upstream:
+            raise ConnectError(Code.INVALID_ARGUMENT, "the upstream's name is empty or has a /")
+        upstream = Upstream(
+            request.upstream,
+            request.address,
+            request.service,
+            request.zone,
+            request.capacity,
+            request.slots,
+            tuple(request.models),
+            request.checks_fencing,
+        )
+        steward = self._entry.stewardship.announce(upstream)
+        if steward is None:
+            raise ConnectError(Code.UNAVAILABLE, "no steward is known yet")
+        return AnnounceAnswer(steward=steward, report_seconds=env.settings.report)
+
+    async def tell(
+        self, request: Report, ctx: RequestContext[Report, ReportAnswer], /
+    ) -> ReportAnswer:
+        """Take an upstream's report."""
+        self._authenticate(ctx)
+        produced = {work.generation: work.produced for work in request.running}
+        load = Load(request.used, request.preemptions, produced)
+        known = self._entry.stewardship.tell(
+            request.upstream, load, request.draining, request.left, list(request.models)
+        )
+        return ReportAnswer(announce_again=not known)
+
+    def _authenticate(self, ctx: RequestContext[Any, Any]) -> None:
+        token = get_bearer(ctx.request_headers.get("authorization", ""))
+        if not is_token(token, hash_token(self._entry.env.settings.upstream_token)):
+            raise ConnectError(Code.UNAUTHENTICATED, "not an upstream's token")
--- /dev/null
+++ b/src/daleroad/links.py
@@ -0,0 +1,90 @@
+"""HTTP connections to other processes: one pool for short calls, one for streams."""
+
+import ssl
+from collections.abc import Mapping
+from typing import Any
+
+import httpx
+
+from daleroad.codec import decode
+from daleroad.defaults import CALL_TIMEOUT_SECONDS
+from daleroad.errors import Failure, FailureKind, Ran
+from daleroad.settings import Tls
+
+_CONNECT_SECONDS = 2.0
+_UNLIMITED = httpx.Limits(max_connections=None, max_keepalive_connections=64, keepalive_expiry=30)
+
+
+def make_client(tls: Tls, read_seconds: float | None) -> httpx.AsyncClient:
+    """Return a client without the library's default limits.
+
+    :param tls: key files; with an authority, servers are checked against it.
+    :param read_seconds: longest silence of a response, or no limit.
+    """
+    timeout = httpx.Timeout(
+        connect=_CONNECT_SECONDS, read=read_seconds, write=_CONNECT_SECONDS, pool=None
+    )
+    verify: ssl.SSLContext | bool = False
+    if tls.authority:
+        verify = ssl.create_default_context(cafile=tls.authority)
+    return httpx.AsyncClient(verify=verify, limits=_UNLIMITED, timeout=timeout, trust_env=False)
+
+
+class Links:
+    """The clients of one process.
+
+    :param tls: key files.
+    :param token: shown to our own processes.
+    """
+
+    def __init__(self, tls: Tls, token: str) -> None:
+        self.short = make_client(tls, CALL_TIMEOUT_SECONDS)
+        self.urgent = make_client(tls, None)
+        self.long = make_client(tls, None)
+        self._headers = {"authorization": f"Bearer {token}"}
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for client in (self.short, self.urgent, self.long):
+            await client.aclose()
+
+    async def call(
+        self, url: str, body: bytes, shape: Any, read_seconds: float | None = None
+    ) -> Any:
+        """POST a message to one of our processes and return the typed answer or a failure.
+
+        :param url: the whole URL.
+        :param body: the message as JSON.
+        :param shape: the type of the answer.
+        :param read_seconds: longest wait for the answer, if not the default.
+        """
+        timeout: Any = httpx.USE_CLIENT_DEFAULT
+        if read_seconds is not None:
+            timeout = httpx.Timeout(
+                connect=_CONNECT_SECONDS, read=read_seconds, write=_CONNECT_SECONDS, pool=None
+            )
+        try:
+            response = await self.short.post(
+                url, content=body, headers=self._headers, timeout=timeout
+            )
+        except httpx.HTTPError as error:
+            return Failure(FailureKind.UNREACHABLE, f"{url}: {error!r}")
+        if response.status_code >= 400:
+            return parse_problem(response.content)
+        return decode(shape, response.content) if response.content else None
+
+
+def parse_problem(body: bytes) -> Failure:
+    """Return the failure in a problem document.
+
+    :param body: the document.
+    """
+    found = decode(Mapping[str, Any], body)
+    if isinstance(found, Failure):
+        return Failure(FailureKind.UNREACHABLE, "an error without a problem document")
+    try:
+        kind = FailureKind(str(found.get("title")))
+        ran = Ran(str(found.get("ran", "unknown")))
+    except ValueError:
+        return Failure(FailureKind.UNREACHABLE, "an unknown problem document", Ran.UNKNOWN)
+    return Failure(kind, str(found.get("detail", "")), ran, found.get("retry_after"))
--- /dev/null
+++ b/src/daleroad/services.py
@@ -0,0 +1,188 @@
+"""Calls to plain services: any method below /services/NAME/, repeated only where allowed."""
+
+import base64
+
+import anyio
+import httpx
+import orjson
+from xxhash import xxh3_128_hexdigest
+
+from daleroad.claiming import Claims
+from daleroad.claims import Claim, ClaimState
+from daleroad.defaults import CLAIM_ANSWER_BYTES
+from daleroad.environment import Environment
+from daleroad.errors import Failure, FailureKind, Ran
+from daleroad.jobs import get_key, identify, parse_deadline
+from daleroad.placement import rank_candidates
+from daleroad.records import Organisation, Route, Upstream
+from daleroad.retries import get_backoff
+from daleroad.security import make_generation
+from daleroad.serving import Answer, Request, Response
+
+_IDEMPOTENT = ("GET", "HEAD", "OPTIONS")
+_TRIES = 4
+_DROPPED_HEADERS = ("host", "authorization", "content-length", "connection", "transfer-encoding")
+
+
+class PlainCalls:
+    """Serves calls to plain services.
+
+    :param env: the entry's environment.
+    """
+
+    def __init__(self, env: Environment) -> None:
+        self._env = env
+        self._claims = Claims(env)
+
+    async def serve(self, request: Request) -> Answer:
+        """Answer one call; its path is ``/services/ROUTE/...``.
+
+        :param request: the request.
+        """
+        env = self._env
+        organisation = identify(env.directory, request)
+        if isinstance(organisation, Failure):
+            return organisation
+        name, _, rest = request.tail.partition("/")
+        route = env.directory.get_route(name, organisation.partner)
+        if route is None or route.models:
+            return Failure(FailureKind.UNKNOWN_ROUTE, f"no plain route {name}")
+        deadline = parse_deadline(request, route, anyio.current_time())
+        if isinstance(deadline, Failure):
+            return deadline
+        if route.repeatable or request.method in _IDEMPOTENT:
+            return await self._call_repeatable(request, route, rest, deadline)
+        key = get_key(request, route)
+        if isinstance(key, Failure):
+            return key
+        return await self._call_once(request, route, rest, organisation, key, deadline)
+
+    async def _call_repeatable(
+        self, request: Request, route: Route, rest: str, deadline: float
+    ) -> Answer:
+        self._env.budget.note_try()
+        answer: Answer = _no_upstream(route)
+        ran = Ran.NO
+        for attempt in range(_TRIES):
+            upstream = self._pick(route, attempt)
+            if upstream is None:
+                return answer
+            answer = await self._send(request, upstream, rest, deadline)
+            if not isinstance(answer, Failure):
+                return answer
+            ran = answer.ran if answer.ran is not Ran.NO else ran
+            late = anyio.current_time() >= deadline
+            if late or not self._env.budget.take():
+                break
+            await anyio.sleep(get_backoff(attempt, self._env.random))
+        assert isinstance(answer, Failure)
+        return Failure(answer.kind, answer.reason, ran, answer.retry_after)
+
+    async def _call_once(
+        self,
+        request: Request,
+        route: Route,
+        rest: str,
+        organisation: Organisation,
+        key: str,
+        deadline: float,
+    ) -> Answer:
+        upstream = self._pick(route, 0)
+        if upstream is None:
+            return _no_upstream(route)
+        secret = self._env.settings.cluster_secret
+        generation = make_generation(upstream.name, organisation.name, secret)
+        digest = xxh3_128_hexdigest(request.path.encode() + b"\x00" + request.body)
+        name = organisation.name
+        outcome = await self._claims.acquire(name, key, digest, upstream.name, generation)
+        refused = outcome if isinstance(outcome, Failure) else outcome.failure
+        if refused is not None:
+            return Failure(refused.kind, refused.reason, Ran.NO, refused.retry_after)
+        assert not isinstance(outcome, Failure)
+        if not outcome.acquired and outcome.claim is not None:
+            return _answer_claimed(outcome.claim)
+        answer = await self._send(request, upstream, rest, deadline)
+        await self._settle(answer, name, key, generation)
+        return answer
+
+    async def _settle(self, answer: Answer, name: str, key: str, generation: str) -> None:
+        if isinstance(answer, Failure) and answer.ran is Ran.NO:
+            await self._claims.release(name, key, generation)
+            return
+        if isinstance(answer, Response):
+            kept = _record(answer)
+            self._env.spawn(self._claims.settle, name, key, generation, ClaimState.DONE, kept)
+            return
+        await self._claims.settle(name, key, generation, ClaimState.UNKNOWN, "")
+
+    def _pick(self, route: Route, attempt: int) -> Upstream | None:
+        env = self._env
+        now = anyio.current_time()
+        known = env.directory.list_upstreams(route.service, "")
+        healthy = [u for u in known if env.ejector.is_open(u.name, now)] or known
+
+        def get_load(name: str) -> float:
+            return env.loads.get(name, 0.0)
+
+        ranked = rank_candidates(healthy, "", get_load, env.random)
+        return ranked[attempt % len(ranked)] if ranked else None
+
+    async def _send(
+        self, request: Request, upstream: Upstream, rest: str, deadline: float
+    ) -> Answer:
+        env = self._env
+        query = f"?{request.query}" if request.query else ""
+        url = f"{upstream.address}/{rest}{query}"
+        headers = {k: v for k, v in request.headers.items() if k not in _DROPPED_HEADERS}
+        limit = max(0.05, deadline - anyio.current_time())
+        failure: Failure
+        env.ejector.take_trial(upstream.name, anyio.current_time())
+        try:
+            with anyio.fail_after(limit):
+                response = await env.links.urgent.request(
+                    request.method, url, content=request.body, headers=headers
+                )
+            self._note(upstream, response.status_code < 500)
+            content_type = response.headers.get("content-type", "application/octet-stream")
+            return Response(response.status_code, response.content, content_type)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            failure = Failure(FailureKind.UPSTREAM_LOST, f"{error!r}", Ran.NO, 1.0)
+        except TimeoutError:
+            failure = Failure(FailureKind.DEADLINE, "no answer in time", Ran.UNKNOWN, 1.0)
+        except httpx.HTTPError as error:
+            failure = Failure(FailureKind.UPSTREAM_LOST, f"{error!r}", Ran.UNKNOWN, 1.0)
+        self._note(upstream, False)
+        return failure
+
+    def _note(self, upstream: Upstream, ok: bool) -> None:
+        env = self._env
+        among = len(env.directory.list_upstreams(upstream.service, ""))
+        env.ejector.note(upstream.name, ok, among, anyio.current_time())
+
+
+def _no_upstream(route: Route) -> Failure:
+    reason = f"no upstream of {route.service}"
+    return Failure(FailureKind.NO_UPSTREAM, reason, retry_after=2.0)
+
+
+def _record(response: Response) -> str:
+    """Return a response as text for the claim journal, or nothing if it is too large."""
+    if len(response.body) > CLAIM_ANSWER_BYTES // 2:
+        return ""
+    body = base64.b64encode(response.body).decode()
+    return orjson.dumps([response.status, body, response.content_type]).decode()
+
+
+def _answer_claimed(claim: Claim) -> Answer:
+    """Answer a call whose key was claimed by an earlier try."""
+    if claim.state is ClaimState.DONE and claim.answer:
+        status, body, content_type = orjson.loads(claim.answer)
+        return Response(status, base64.b64decode(body), content_type)
+    if claim.state is ClaimState.DONE:
+        reason = "an earlier try ran; its answer is not kept"
+        return Failure(FailureKind.ALREADY_RAN, reason, Ran.YES)
+    if claim.state is ClaimState.UNKNOWN:
+        reason = "an earlier try was lost; it is not known whether it ran"
+        return Failure(FailureKind.ALREADY_RAN, reason, Ran.UNKNOWN)
+    reason = "an earlier try holds this key"
+    return Failure(FailureKind.KEY_RUNNING, reason, Ran.UNKNOWN, 1.0)
--- /dev/null
+++ b/src/daleroad/serving.py
@@ -0,0 +1,300 @@
+"""The HTTP face: a small router as an ASGI application, served by hypercorn."""
+
+from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
+from contextlib import aclosing
+from dataclasses import dataclass, field
+from typing import Any, TypeAlias
+
+import anyio
+import orjson
+import sniffio
+from hypercorn.asyncio import serve as serve_asyncio
+from hypercorn.config import Config
+from hypercorn.trio import serve as serve_trio
+
+from daleroad.errors import DaleroadError, Failure, FailureKind
+from daleroad.settings import Tls
+
+_STATUS: dict[FailureKind, int] = {
+    FailureKind.BAD_REQUEST: 400,
+    FailureKind.INVALID: 400,
+    FailureKind.UNAUTHENTICATED: 401,
+    FailureKind.FORBIDDEN: 403,
+    FailureKind.UNKNOWN_ROUTE: 404,
+    FailureKind.NOT_FOUND: 404,
+    FailureKind.CONFLICT: 409,
+    FailureKind.KEY_CONFLICT: 409,
+    FailureKind.KEY_RUNNING: 409,
+    FailureKind.ALREADY_RAN: 409,
+    FailureKind.TOO_LARGE: 413,
+    FailureKind.NOT_LEADER: 421,
+    FailureKind.LIMIT: 429,
+    FailureKind.UPSTREAM_LOST: 502,
+    FailureKind.UPSTREAM_REFUSED: 502,
+    FailureKind.STALLED: 504,
+    FailureKind.DEADLINE: 504,
+}
+
+_UNAVAILABLE = 503
+_CANCELLED_SECONDS = 0.2
+
+Headers = list[tuple[bytes, bytes]]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+SendEvent = Callable[[dict[str, Any]], Awaitable[None]]
+AsgiApp = Callable[[dict[str, Any], Receive, SendEvent], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class Request:
+    """A request with its body. ``tail`` is the path behind the route's prefix."""
+
+    method: str
+    path: str
+    tail: str
+    query: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Response:
+    """A response whose body is whole."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True)
+class Stream:
+    """A response whose body comes in pieces. The first piece is waited for before the head."""
+
+    pieces: AsyncGenerator[bytes, None]
+    content_type: str = "text/event-stream"
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+Answer: TypeAlias = Response | Stream | Failure
+Handler = Callable[[Request], Awaitable[Answer]]
+
+
+@dataclass
+class Router:
+    """Dispatches requests by method and path prefix.
+
+    :param body_bytes: the largest body that is accepted.
+    """
+
+    body_bytes: int
+    routes: dict[tuple[str, str], Handler] = field(default_factory=dict)
+    mounts: dict[str, AsgiApp] = field(default_factory=dict)
+
+    def add(self, method: str, path: str, handler: Handler) -> None:
+        """Add a handler.
+
+        :param method: the HTTP method, or ``*`` for any.
+        :param path: a whole path, or a prefix that ends in ``/``.
+        :param handler: what answers.
+        """
+        self.routes[method, path] = handler
+
+    def mount(self, path: str, app: AsgiApp) -> None:
+        """Let an ASGI application answer all below a path.
+
+        :param path: the path prefix.
+        :param app: the application.
+        """
+        self.mounts[path] = app
+
+    async def __call__(self, scope: dict[str, Any], receive: Receive, send: SendEvent) -> None:
+        """Answer one ASGI connection."""
+        if scope["type"] == "lifespan":
+            await _answer_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        for path, app in self.mounts.items():
+            if scope["path"].startswith(path):
+                await app(scope, receive, send)
+                return
+        await _send_answer(await self._answer(scope, receive), receive, send)
+
+    async def _answer(self, scope: dict[str, Any], receive: Receive) -> Answer:
+        found = self._find(scope["method"], scope["path"])
+        if isinstance(found, Failure):
+            return found
+        handler, tail = found
+        body = await self._read_body(receive)
+        if isinstance(body, Failure):
+            return body
+        headers = {k.decode("latin-1").lower(): v.decode("latin-1") for k, v in scope["headers"]}
+        query = scope.get("query_string", b"").decode("latin-1")
+        request = Request(scope["method"], scope["path"], tail, query, headers, body)
+        try:
+            return await handler(request)
+        except DaleroadError as error:
+            return error.failure
+
+    def _find(self, method: str, path: str) -> tuple[Handler, str] | Failure:
+        best = ""
+        for known_method, known in self.routes:
+            fits = path == known or (known.endswith("/") and path.startswith(known))
+            if fits and known_method in (method, "*") and len(known) > len(best):
+                best = known
+        if not best:
+            return Failure(FailureKind.NOT_FOUND, f"nothing at {method} {path}")
+        handler = self.routes.get((method, best)) or self.routes["*", best]
+        return handler, path[len(best) :]
+
+    async def _read_body(self, receive: Receive) -> bytes | Failure:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await receive()
+            if event["type"] == "http.disconnect":
+                return Failure(FailureKind.BAD_REQUEST, "the caller went away")
+            part = event.get("body", b"")
+            size += len(part)
+            if size > self.body_bytes:
+                reason = f"the body is larger than {self.body_bytes} bytes"
+                return Failure(FailureKind.TOO_LARGE, reason)
+            parts.append(part)
+            if not event.get("more_body", False):
+                return b"".join(parts)
+
+
+def make_problem(failure: Failure) -> dict[str, object]:
+    """Return a failure as the members of an RFC 9457 problem document.
+
+    :param failure: the failure.
+    """
+    return {
+        "type": f"urn:daleroad:{failure.kind.value}",
+        "title": failure.kind.value,
+        "detail": failure.reason,
+        "ran": failure.ran.value,
+        "retry_after": failure.retry_after,
+    }
+
+
+def make_response(failure: Failure) -> Response:
+    """Return a failure as an HTTP response.
+
+    :param failure: the failure.
+    """
+    headers: tuple[tuple[str, str], ...] = ()
+    if failure.retry_after is not None:
+        headers = (("retry-after", str(max(1, round(failure.retry_after + 0.5)))),)
+    status = _STATUS.get(failure.kind, _UNAVAILABLE)
+    body = orjson.dumps(make_problem(failure))
+    return Response(status, body, "application/problem+json", headers)
+
+
+async def _answer_lifespan(receive: Receive, send: SendEvent) -> None:
+    while True:
+        event = await receive()
+        await send({"type": f"{event['type']}.complete"})
+        if event["type"] == "lifespan.shutdown":
+            return
+
+
+async def _send_answer(answer: Answer, receive: Receive, send: SendEvent) -> None:
+    match answer:
+        case Failure():
+            await _send_response(make_response(answer), send)
+        case Response():
+            await _send_response(answer, send)
+        case Stream():
+            await _send_while_connected(answer, receive, send)
+
+
+async def _send_response(response: Response, send: SendEvent) -> None:
+    headers = _make_headers(response.content_type, response.headers)
+    headers.append((b"content-length", str(len(response.body)).encode()))
+    await send({"type": "http.response.start", "status": response.status, "headers": headers})
+    await send({"type": "http.response.body", "body": response.body})
+
+
+async def _send_while_connected(stream: Stream, receive: Receive, send: SendEvent) -> None:
+    """Send a stream, but stop when the caller goes away."""
+
+    async def watch() -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        tasks.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch)
+        async with aclosing(stream.pieces):
+            await _send_stream(stream, send)
+        tasks.cancel_scope.cancel()
+
+
+async def _send_stream(stream: Stream, send: SendEvent) -> None:
+    headers = _make_headers(stream.content_type, stream.headers)
+    started = False
+    async for piece in stream.pieces:
+        if not started:
+            await send({"type": "http.response.start", "status": 200, "headers": headers})
+            started = True
+        await send({"type": "http.response.body", "body": piece, "more_body": True})
+    if not started:
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": b""})
+
+
+def _make_headers(content_type: str, extra: tuple[tuple[str, str], ...]) -> Headers:
+    headers = [(b"content-type", content_type.encode())]
+    headers.extend((name.encode(), value.encode()) for name, value in extra)
+    return headers
+
+
+def _make_config(bind: str, tls: Tls) -> Config:
+    config = Config()
+    config.bind = [bind]
+    config.accesslog = None
+    config.errorlog = None
+    # The application drains by itself; the server's own limit would cut long streams.
+    config.graceful_timeout = 3600.0
+    config.shutdown_timeout = 3600.0
+    config.keep_alive_timeout = 75.0
+    config.keep_alive_max_requests = 1_000_000
+    config.h2_max_concurrent_streams = 1000
+    config.backlog = 1024
+    config.include_server_header = False
+    if tls.certificate:
+        config.certfile = tls.certificate
+        config.keyfile = tls.key
+    return config
+
+
+async def serve_app(
+    app: AsgiApp, bind: str, tls: Tls, wait_stop: Callable[[], Awaitable[None]]
+) -> None:
+    """Serve an application until told to stop, then until open requests ended.
+
+    :param app: the application.
+    :param bind: IP:PORT to listen on.
+    :param tls: key files.
+    :param wait_stop: returns when serving should stop.
+    """
+    serve = serve_trio if sniffio.current_async_library() == "trio" else serve_asyncio
+    config = _make_config(bind, tls)
+    stopping = anyio.Event()
+
+    async def watch() -> None:
+        try:
+            await wait_stop()
+        except anyio.get_cancelled_exc_class():
+            config.graceful_timeout = _CANCELLED_SECONDS
+            raise
+        finally:
+            stopping.set()
+
+    # The server does not bear cancellation: a cancelled one is told to stop at once instead.
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch)
+        with anyio.CancelScope(shield=True):
+            await serve(app, config, shutdown_trigger=stopping.wait)  # type: ignore
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each module of the package."""
