Test the path through real processes; refuse JSON values of the wrong type

Cause: the converter turned a number into text, so a route of 1 was an unknown route and not a bad request, and a list for a body raised AttributeError; hooks now accept exact types only. A demo hung in stopping since proposals waited for a group whose loop had ended; a stopping group now ends its proposals, and control gives open requests 3 s. Ruled out: the server's keep-alive connections (they close when it stops).

--- a/src/daleroad/codec.py
+++ b/src/daleroad/codec.py
@@ -14,6 +14,26 @@
 _converter = make_converter(forbid_extra_keys=True)
 
 
+def _register_exact(shape: type, accepted: tuple[type, ...]) -> None:
+    """Accept only JSON values of the right type; the library would convert others."""
+
+    def check(value: Any, target: Any) -> Any:
+        # Enumerations of texts derive from str and keep their own conversion.
+        if target is not shape:
+            return target(value)
+        if type(value) not in accepted:
+            raise TypeError(f"expected {shape.__name__}, found {type(value).__name__}")
+        return shape(value)
+
+    _converter.register_structure_hook(shape, check)
+
+
+_register_exact(str, (str,))
+_register_exact(int, (int,))
+_register_exact(float, (float, int))
+_register_exact(bool, (bool,))
+
+
 def register_union(union: Any) -> None:
     """Let values of a union of data classes travel under a ``kind`` tag.
 
@@ -43,7 +63,7 @@
         return Failure(FailureKind.BAD_REQUEST, f"not JSON: {error}")
     except BaseValidationError as error:
         return Failure(FailureKind.BAD_REQUEST, _describe(error))
-    except (TypeError, ValueError, KeyError) as error:
+    except (TypeError, ValueError, KeyError, AttributeError) as error:
         return Failure(FailureKind.BAD_REQUEST, f"wrong shape: {error!r}")
 
 
--- a/src/daleroad/control.py
+++ b/src/daleroad/control.py
@@ -66,6 +66,7 @@
 _TAIL_MOST = 4096
 _WATCH_SECONDS = 0.2
 _AUDIT_MOST = 1000
+_GRACE_SECONDS = 3.0
 
 T = TypeVar("T")
 
@@ -206,14 +207,18 @@
             tasks.start_soon(self._watch, tasks)
             settings = self.settings
             bind = settings.bind or settings.address
-            await serve_app(self._make_router(), bind, settings.tls, self._stop.wait)
+            await serve_app(
+                self._make_router(), bind, settings.tls, self._stop.wait, _GRACE_SECONDS
+            )
             tasks.cancel_scope.cancel()
         await self.links.close()
 
     def stop(self) -> None:
         """Stop serving; a leader's followers elect another when its lease runs out."""
-        self._wake_followers()
+        for group in self.groups.values():
+            group.stop()
         self._stop.set()
+        self._wake_followers()
 
     def _make_router(self) -> Router:
         router = Router(self.settings.body_bytes * 16)
--- a/src/daleroad/group.py
+++ b/src/daleroad/group.py
@@ -97,6 +97,7 @@
         self._waiting: dict[int, _Proposal] = {}
         self._proposals: list[_Proposal] = []
         self._inbox: list[_Received] = []
+        self._stopped = False
         self._wake = anyio.Event()
         self._outboxes: dict[str, list[Message]] = {}
         self._outbox_wakes: dict[str, anyio.Event] = {}
@@ -158,7 +159,7 @@
 
         :param payload: the change as text.
         """
-        if not self.is_leading():
+        if not self.is_leading() or self._stopped:
             return self.refuse()
         proposal = _Proposal(payload)
         self._proposals.append(proposal)
@@ -166,6 +167,14 @@
         await proposal.done.wait()
         return proposal.outcome
 
+    def stop(self) -> None:
+        """Take no more proposals, and end those under way without their outcome."""
+        self._stopped = True
+        for proposal in (*self._waiting.values(), *self._proposals):
+            self._finish(proposal, _lost())
+        self._waiting = {}
+        self._proposals = []
+
     async def _loop(self) -> None:
         while True:
             with anyio.move_on_after(TICK_SECONDS):
--- a/src/daleroad/serving.py
+++ b/src/daleroad/serving.py
@@ -3,14 +3,13 @@
 from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
 from contextlib import aclosing
 from dataclasses import dataclass, field
+from importlib import import_module
 from typing import Any, TypeAlias
 
 import anyio
 import orjson
 import sniffio
-from hypercorn.asyncio import serve as serve_asyncio
 from hypercorn.config import Config
-from hypercorn.trio import serve as serve_trio
 
 from daleroad.errors import DaleroadError, Failure, FailureKind
 from daleroad.settings import Tls
@@ -38,6 +37,9 @@
 _UNAVAILABLE = 503
 _CANCELLED_SECONDS = 0.2
 
+# The server's default of a few seconds would cut long streams.
+_GRACE_SECONDS = 3600.0
+
 Headers = list[tuple[bytes, bytes]]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 SendEvent = Callable[[dict[str, Any]], Awaitable[None]]
@@ -255,9 +257,6 @@
     config.bind = [bind]
     config.accesslog = None
     config.errorlog = None
-    # The application drains by itself; the server's own limit would cut long streams.
-    config.graceful_timeout = 3600.0
-    config.shutdown_timeout = 3600.0
     config.keep_alive_timeout = 75.0
     config.keep_alive_max_requests = 1_000_000
     config.h2_max_concurrent_streams = 1000
@@ -269,8 +268,18 @@
     return config
 
 
+def _get_server() -> Any:
+    """Return the server for the event loop that runs; only that one is imported."""
+    name = sniffio.current_async_library()
+    return import_module(f"hypercorn.{name}").serve
+
+
 async def serve_app(
-    app: AsgiApp, bind: str, tls: Tls, wait_stop: Callable[[], Awaitable[None]]
+    app: AsgiApp,
+    bind: str,
+    tls: Tls,
+    wait_stop: Callable[[], Awaitable[None]],
+    grace: float = _GRACE_SECONDS,
 ) -> None:
     """Serve an application until told to stop, then until open requests ended.
 
@@ -278,9 +287,10 @@
     :param bind: IP:PORT to listen on.
     :param tls: key files.
     :param wait_stop: returns when serving should stop.
+    :param grace: seconds that open requests get to end.
     """
-    serve = serve_trio if sniffio.current_async_library() == "trio" else serve_asyncio
     config = _make_config(bind, tls)
+    config.graceful_timeout = grace
     stopping = anyio.Event()
 
     async def watch() -> None:
@@ -296,5 +306,5 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch)
         with anyio.CancelScope(shield=True):
-            await serve(app, config, shutdown_trigger=stopping.wait)  # type: ignore
+            await _get_server()(app, config, shutdown_trigger=stopping.wait)
         tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,160 @@
+"""The whole path through separate processes, and its first failures."""
+
+import anyio
+import httpx
+
+from daleroad.caller import CallerPart, Token
+from daleroad.loopback import get_token
+from tests.harness import SiteTest, generate, get_failure, get_json
+
+
+class PathTest(SiteTest):
+    SPEED = 4.0
+
+    def test_each_token_once_and_in_order(self) -> None:
+        parts = generate(self.make_caller("danube-barges"), "bulletin", "a #tokens=200")
+        generation = self.check_whole(parts, 200)
+        record = self.get_record()["generations"][generation]
+        texts = [part.text for part in parts if isinstance(part, Token)]
+        self.assertEqual(texts, record["tokens"])
+
+    def test_a_caller_resumes_elsewhere_when_its_entry_is_killed(self) -> None:
+        caller = self.make_caller("danube-barges")
+        killed: list[str] = []
+
+        async def ask() -> list[CallerPart]:
+            parts: list[CallerPart] = []
+            async for part in caller.generate("bulletin", "a #tokens=300"):
+                parts.append(part)
+                if len(parts) == 50 and not killed:
+                    killed.append(self.kill_serving_entry())
+            await caller.close()
+            return parts
+
+        self.check_whole(anyio.run(ask), 300)
+        self.assertGreaterEqual(caller.resumes, 1)
+        self.assertEqual(len(killed), 1)
+        self.assertEqual(len(self.get_record()["runs"]), 1)
+
+    def kill_serving_entry(self) -> str:
+        for settings in self.site.entries:
+            if get_json(f"{settings.url}/status")["inflight"]:
+                self.processes.kill(settings.name)
+                return settings.name
+        raise AssertionError("no entry serves the stream")
+
+    def test_bad_requests_get_typed_refusals_and_the_process_goes_on(self) -> None:
+        url = f"{self.site.entries[0].url}/v1/completions"
+        token = {"authorization": f"Bearer {get_token('danube-barges')}"}
+        good = {"route": "bulletin", "prompt": "x"}
+        cases = (
+            ("bad-request", {"content": b"{", "headers": token}),
+            ("bad-request", {"json": {"route": 1, "prompt": "x"}, "headers": token}),
+            ("bad-request", {"json": {"route": "bulletin", "prompt": ""}, "headers": token}),
+            ("bad-request", {"json": {**good, "colour": 1}, "headers": token}),
+            ("too-large", {"content": b"x" * 1_200_000, "headers": token}),
+            ("unauthenticated", {"json": good}),
+            ("unauthenticated", {"json": good, "headers": {"authorization": "Bearer wrong"}}),
+            ("unknown-route", {"json": {**good, "route": "nowhere"}, "headers": token}),
+            ("unknown-route", {"json": {**good, "route": "ledger-draft"}, "headers": token}),
+            ("deadline-passed", {"json": good, "headers": {**token, "x-deadline-seconds": "0"}}),
+            ("bad-request", {"json": good, "headers": {**token, "last-event-id": "a.b.c:1"}}),
+        )
+        for title, arguments in cases:
+            response = httpx.post(url, trust_env=False, timeout=10, **arguments)
+            problem = response.json()
+            self.assertEqual(response.headers["content-type"], "application/problem+json")
+            self.assertEqual((problem["title"], problem["ran"]), (title, "no"), arguments)
+        self.assertEqual(self.get_record()["runs"], [])
+        self.check_whole(generate(self.make_caller("danube-barges"), "bulletin", "#tokens=5"), 5)
+
+    def test_work_that_may_not_be_repeated_needs_a_key(self) -> None:
+        url = f"{self.site.entries[0].url}/v1/completions"
+        token = {"authorization": f"Bearer {get_token('herders')}"}
+        body = {"route": "gate-check-in", "prompt": "x"}
+        response = httpx.post(url, trust_env=False, json=body, headers=token)
+        self.assertEqual(response.json()["title"], "bad-request")
+
+    def test_an_organisation_cannot_resume_another_ones_generation(self) -> None:
+        parts = generate(self.make_caller("danube-barges"), "bulletin", "#tokens=5")
+        generation = self.check_whole(parts, 5)
+        url = f"{self.site.entries[0].url}/v1/completions"
+        headers = {
+            "authorization": f"Bearer {get_token('thracian-orchards')}",
+            "last-event-id": f"{generation}:2",
+        }
+        response = httpx.post(url, trust_env=False, json={}, headers=headers)
+        self.assertEqual(response.json()["title"], "bad-request")
+
+    def test_plain_services(self) -> None:
+        url = f"{self.site.entries[0].url}/services/weather/stations/7?full=1"
+        token = {"authorization": f"Bearer {get_token('pass-depots')}"}
+        answer = httpx.get(url, trust_env=False, headers=token).json()
+        self.assertEqual(answer["path"], "/stations/7")
+
+    def test_a_call_that_may_not_be_repeated_runs_once_under_one_key(self) -> None:
+        token = {"authorization": f"Bearer {get_token('herders')}", "idempotency-key": "k1"}
+        answers = [
+            httpx.post(
+                f"{settings.url}/services/check-in/gate", trust_env=False, headers=token, json={}
+            )
+            for settings in self.site.entries
+        ]
+        self.assertEqual(len({answer.text for answer in answers}), 1)
+        plain = next(p for p in self.site.plain if p.service == "herder-app")
+        self.assertEqual(get_json(f"http://{plain.address}/record")["calls"], ["k1"])
+
+    def test_one_key_at_three_entries_at_once_runs_once(self) -> None:
+        async def ask_all() -> list[list[CallerPart]]:
+            results: list[list[CallerPart]] = []
+
+            async def ask(place: int) -> None:
+                caller = self.make_caller("herders", place)
+                parts = [p async for p in caller.generate("gate-check-in", "#tokens=9", "key-1")]
+                await caller.close()
+                results.append(parts)
+
+            async with anyio.create_task_group() as tasks:
+                for place in range(3):
+                    tasks.start_soon(ask, place)
+            return results
+
+        generations = {self.check_whole(parts, 9) for parts in anyio.run(ask_all)}
+        self.assertEqual(len(generations), 1)
+        runs = self.get_record(1)["runs"]
+        self.assertEqual(len(runs), 1)
+
+    def test_the_same_key_with_another_request_conflicts(self) -> None:
+        caller = self.make_caller("herders")
+        self.check_whole(generate(caller, "gate-check-in", "#tokens=4", "key-2"), 4)
+        parts = generate(self.make_caller("herders"), "gate-check-in", "#tokens=5", "key-2")
+        self.assertEqual(get_failure(parts).kind.value, "key-conflict")
+
+
+class FaultyEngineTest(SiteTest):
+    SPEED = 4.0
+
+    def ask(self, length: int = 60) -> None:
+        parts = generate(self.make_caller("danube-barges"), "bulletin", f"#tokens={length}")
+        self.check_whole(parts, length)
+
+    def test_doubled_and_crossed_frames(self) -> None:
+        self.set_faults(0, double=True, cross=True)
+        self.ask()
+
+    def test_a_frame_left_out(self) -> None:
+        self.set_faults(0, skip=20)
+        self.ask()
+
+    def test_a_cut_stream(self) -> None:
+        self.set_faults(0, cut=0)
+        self.ask()
+        self.set_faults(0, cut=30)
+        self.ask()
+        self.assertEqual(len(self.get_record()["runs"]), 2)
+
+    def test_an_engine_that_forgets_all_in_the_middle_ends_the_stream_typed(self) -> None:
+        self.set_faults(0, die=20)
+        parts = generate(self.make_caller("danube-barges"), "bulletin", "#tokens=60")
+        failure = get_failure(parts)
+        self.assertEqual(failure.ran.value, "partial")
