--- a/src/daleroad/consensus.py
+++ b/src/daleroad/consensus.py
@@ -75,11 +75,16 @@
 
 @dataclass(frozen=True)
 class Durable:
-    """What a member has on its disk when it starts."""
+    """What a member has on its disk when it starts.
+
+    :param settled: index up to which the log was known as committed when a change of the
+        membership was last settled.
+    """
 
     incarnation: str
     term: int = 0
     vote: str = ""
+    settled: int = 0
     snapshot: Snapshot = Snapshot(0, 0, (), "")
     log: tuple[LogEntry, ...] = ()
 
@@ -152,6 +157,13 @@
     vote: str
 
 
+@dataclass(frozen=True)
+class SaveSettled:
+    """Save that the log is committed up to an index, and so which membership counts alone."""
+
+    index: int
+
+
 @dataclass(frozen=True)
 class SaveEntries:
     """Remove all saved entries from ``first`` on, then save these."""
@@ -183,7 +195,7 @@
     entries: tuple[LogEntry, ...]
 
 
-Effect = SaveVote | SaveEntries | SaveSnapshot | Send | Commit
+Effect = SaveVote | SaveSettled | SaveEntries | SaveSnapshot | Send | Commit
 
 
 @dataclass
@@ -229,6 +241,9 @@
         self.snapshot = self.durable.snapshot
         self.log = list(self.durable.log)
         self.commit = self.snapshot.index
+        settled = min(self.durable.settled, self.last_index)
+        if settled > self.commit:
+            self._commit_to(settled)
         # A restarted member forgot whom it heard last, so it waits as if it had just heard one.
         self._heard_leader = self.now
         self._set_election_time()
@@ -248,6 +263,11 @@
         """The newest membership, committed or not."""
         return self._memberships()[-1]
 
+    def get_settled_members(self) -> tuple[Member, ...]:
+        """Return the membership if no change of it is under way, else nothing."""
+        found = self._memberships()
+        return found[0] if len(found) == 1 else ()
+
     def has_lease(self, now: float) -> bool:
         """Return whether this leader heard a majority lately enough to speak for the group.
 
@@ -581,9 +601,12 @@
         self.commit = index
         entries = tuple(self.log[first : index - self.snapshot.index])
         self._effects.append(Commit(entries))
-        changed = any(entry.kind is EntryKind.MEMBERS for entry in entries)
-        if changed and self.role is Role.LEADER:
-            # Until the others know it committed, they need majorities of both memberships.
+        if not any(entry.kind is EntryKind.MEMBERS for entry in entries):
+            return
+        # Until a member knows that the change is committed, also after a restart, it needs
+        # majorities of both memberships, and the old one may have lost a disk.
+        self._effects.append(SaveSettled(index))
+        if self.role is Role.LEADER:
             self._send_appends(force=True)
 
     # Following.
--- a/src/daleroad/group.py
+++ b/src/daleroad/group.py
@@ -114,6 +114,7 @@
         if durable.snapshot.state:
             self.machine.load(durable.snapshot.state)
         self.applied = durable.snapshot.index
+        await self._carry_out(self.replica.take())
         for peer in self._urls:
             if peer != self.member:
                 self._outboxes[peer] = []
--- a/src/daleroad/storage.py
+++ b/src/daleroad/storage.py
@@ -13,12 +13,15 @@
     LogEntry,
     Member,
     SaveEntries,
+    SaveSettled,
     SaveSnapshot,
     SaveVote,
     Snapshot,
 )
 from daleroad.errors import Failure, FailureKind, StorageError
 
+_LAST_INDEX = 2**63 - 1
+
 _SCHEMA = """
 CREATE TABLE IF NOT EXISTS meta (key TEXT PRIMARY KEY, value TEXT NOT NULL);
 CREATE TABLE IF NOT EXISTS log (
@@ -68,7 +71,9 @@
         expected = range(snapshot.index + 1, snapshot.index + 1 + len(log))
         if [entry.index for entry in log] != list(expected):
             raise StorageError(self._describe_damage("the log has a gap"))
-        return Durable(meta["incarnation"], int(meta["term"]), meta["vote"], snapshot, log)
+        settled = int(meta.get("settled", "0"))
+        term = int(meta["term"])
+        return Durable(meta["incarnation"], term, meta["vote"], settled, snapshot, log)
 
     def found(self, incarnation: str, members: tuple[Member, ...], state: str) -> None:
         """Write the founding state of a new group into an empty file.
@@ -95,13 +100,15 @@
             match effect:
                 case SaveVote(term, vote):
                     self._write_meta({"term": str(term), "vote": vote})
+                case SaveSettled(index):
+                    self._write_meta({"settled": str(index)})
                 case SaveEntries(first, entries):
                     self._db.execute("DELETE FROM log WHERE idx >= ?", (first,))
                     self._insert(entries)
                 case SaveSnapshot(snapshot, install):
                     self._save_snapshot(snapshot)
-                    kept_from = snapshot.index if not install else sqlite_max()
-                    self._db.execute("DELETE FROM log WHERE idx <= ?", (kept_from,))
+                    last = _LAST_INDEX if install else snapshot.index
+                    self._db.execute("DELETE FROM log WHERE idx <= ?", (last,))
         self._db.execute("COMMIT")
 
     def close(self) -> None:
@@ -131,11 +138,6 @@
             yield LogEntry(index, term, EntryKind(kind), payload, _parse(members))
 
 
-def sqlite_max() -> int:
-    """Return the largest integer that a column can hold."""
-    return 2**63 - 1
-
-
 def _dump(members: tuple[Member, ...]) -> str:
     return encode(members).decode()
 
