Test the control group as real processes under kills, cuts and lost disks

Cause: the log was proved only in virtual time. Relays between each pair of control processes stall bytes one way or both ways without closing connections. Ruled out as enough: frozen processes alone, since they can't act on stale state.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -106,6 +106,10 @@
         for name in list(self.running):
             self.kill(name)
 
+    def run_command(self, command: str, settings: Settings) -> str:
+        made = self._make_command(command, settings)
+        return subprocess.run(made, check=True, capture_output=True, text=True).stdout
+
     def read_log(self, name: str) -> str:
         return (self.folder / f"{name}.log").read_text()
 
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,285 @@
+"""The control group as real processes: kills, freezes, isolation, lost disks, restarts."""
+
+import shutil
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from pathlib import Path
+
+import orjson
+from anyio.from_thread import start_blocking_portal
+
+from daleroad.control import found
+from daleroad.daleroad_pb import ChangeAnswer
+from daleroad.errors import Failure
+from daleroad.loopback import Site, find_ports
+from daleroad.operating import OperatorClient
+from daleroad.records import Organisation
+from daleroad.security import hash_token
+from daleroad.settings import Settings
+from tests.harness import Relay, SiteTest, get_json, wait_for
+
+TAMARACK = "tamarack"
+
+
+def make_organisation(number: int, weight: float = 1.0) -> Organisation:
+    return Organisation(f"herd-{number}", TAMARACK, hash_token(f"t{number}"), weight)
+
+
+class ControlTest(SiteTest):
+    """Control processes and entries without upstreams."""
+
+    ENTRIES = 1
+
+    def change_site(self, site: Site) -> Site:
+        return replace(site, engines=(), plain=())
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.operator = self.make_operator(TAMARACK)
+
+    def put(self, number: int, base: int = 0, operation: str = "", wait: float = 8.0):
+        answer = self.operator.put(make_organisation(number), base, operation, wait)
+        self.assertIsInstance(answer, ChangeAnswer, answer)
+        return answer
+
+    def list_names(self) -> set[str]:
+        answer = self.operator.read("Organisation")
+        self.assertNotIsInstance(answer, Failure)
+        return {v["record"]["name"] for v in orjson.loads(answer.body)}
+
+    def get_status(self, settings: Settings) -> dict:
+        return get_json(f"{settings.url}/status")
+
+    def wait_caught_up(self, settings: Settings) -> None:
+        def is_level() -> bool:
+            leader = self.get_status(self.find_leader())
+            own = self.get_status(settings)
+            return own["revision"] == leader["revision"]
+
+        wait_for(is_level, f"{settings.name} caught up")
+
+    def wait_voting(self, settings: Settings) -> None:
+        wait_for(lambda: self.get_status(settings)["votes"], f"{settings.name} votes")
+
+
+class FailoverTest(ControlTest):
+    def test_a_killed_leader_loses_nothing_and_a_resend_gets_the_first_answer(self) -> None:
+        first = self.put(1, operation="op-1")
+        self.assertTrue(first.accepted and first.in_force)
+        self.processes.kill(self.find_leader().name)
+        again = self.put(1, operation="op-1")
+        self.assertEqual((again.accepted, again.version), (True, first.version))
+        self.assertTrue(self.put(2).in_force)
+        self.assertLessEqual({"herd-1", "herd-2"}, self.list_names())
+
+    def test_a_frozen_and_thawed_leader_takes_nothing_back(self) -> None:
+        old = self.find_leader()
+        self.put(1)
+        self.processes.freeze(old.name)
+        try:
+            second = self.put(2)
+            self.assertTrue(second.accepted)
+        finally:
+            self.processes.thaw(old.name)
+        self.wait_caught_up(old)
+        self.assertFalse(self.get_status(old)["leading"])
+        self.assertLessEqual({"herd-1", "herd-2"}, self.list_names())
+        self.assertTrue(self.put(3).in_force)
+
+    def test_a_lost_majority_refuses_and_comes_back(self) -> None:
+        leader = self.find_leader()
+        for settings in self.site.control:
+            if settings.name != leader.name:
+                self.processes.kill(settings.name)
+        wait_for(lambda: not self.get_status(leader)["leading"], "the leader stepped down")
+        impatient = OperatorClient([leader.url], "operator-tamarack-token", 2.0)
+        self.addCleanup(impatient.close)
+        answer = impatient.put(make_organisation(1), 0)
+        self.assertIsInstance(answer, Failure)
+        entry = self.site.entries[0]
+        wait_for(lambda: not self.get_status(entry)["lease"], "the entry's lease ran out")
+        for settings in self.site.control:
+            if settings.name != leader.name:
+                self.processes.start(settings)
+        self.assertTrue(self.put(2).in_force)
+        wait_for(lambda: self.get_status(entry)["lease"], "the entry's lease")
+
+    def test_restart_of_all_after_500_changes(self) -> None:
+        with ThreadPoolExecutor(8) as pool:
+            answers = list(pool.map(lambda n: self.put(n, wait=0.0), range(500)))
+        self.assertTrue(all(answer.accepted for answer in answers))
+        for settings in self.site.control:
+            self.processes.kill(settings.name)
+        for settings in self.site.control:
+            self.processes.start(settings)
+        names = self.list_names()
+        self.assertLessEqual({f"herd-{n}" for n in range(500)}, names)
+        audit = self.operator.audit(most=1000)
+        self.assertNotIsInstance(audit, Failure)
+        rows = [orjson.loads(row) for row in audit.rows]
+        self.assertGreaterEqual(sum(row["outcome"] == "accepted" for row in rows), 500)
+
+
+class OperatorsTest(ControlTest):
+    def test_operators_racing_on_equal_versions(self) -> None:
+        version = self.put(1).version
+        barrier = threading.Barrier(6)
+
+        def race(weight: int) -> ChangeAnswer | Failure:
+            client = self.make_operator(TAMARACK)
+            barrier.wait()
+            return client.put(make_organisation(1, 1.0 + weight), version)
+
+        with ThreadPoolExecutor(6) as pool:
+            answers = list(pool.map(race, range(6)))
+        won = [a for a in answers if a.accepted]
+        lost = [a for a in answers if not a.accepted]
+        self.assertEqual(len(won), 1)
+        self.assertEqual({a.failure for a in lost}, {"version-conflict"})
+        current = {orjson.loads(a.current)["weight"] for a in lost}
+        self.assertEqual(len(current), 1)
+        rows = [orjson.loads(row) for row in self.operator.audit().rows]
+        conflicts = [row for row in rows if row["outcome"] == "version-conflict"]
+        self.assertEqual(len(conflicts), 5)
+
+    def test_partners_cannot_touch_each_other(self) -> None:
+        self.put(1)
+        other = self.make_operator("stoyanov")
+        for answer in (
+            other.put(make_organisation(1), 0),
+            other.put(replace(make_organisation(9), partner="tamarack"), 0),
+            other.change("RemoveOrganisation", '{"name": "herd-1"}', 1),
+        ):
+            self.assertEqual((answer.accepted, answer.failure), (False, "forbidden"))
+        self.assertNotIn("herd-1", other.read("Organisation").body)
+        self.assertIn("herd-1", self.list_names())
+
+    def test_wrong_changes_are_refused_with_a_type(self) -> None:
+        for kind, body in (
+            ("PutRoute", '{"name": "r", "partner": "tamarack", "service": "none"}'),
+            ("PutRoute", '{"name": "r"}'),
+            ("PutHerd", "{}"),
+            ("PutShare", '{"name": "s2", "partner": "tamarack", "share": 0.9}'),
+            ("RemoveService", '{"name": "drafting-models"}'),
+        ):
+            answer = self.operator.change(kind, body, 0)
+            self.assertFalse(answer.accepted, kind)
+            self.assertTrue(answer.failure)
+        wrong = OperatorClient([s.url for s in self.site.control], "nobody", 5.0)
+        self.addCleanup(wrong.close)
+        self.assertEqual(wrong.read("Organisation").kind.value, "unauthenticated")
+
+
+class DiskTest(ControlTest):
+    def wipe(self, settings: Settings) -> None:
+        self.processes.kill(settings.name)
+        shutil.rmtree(settings.data)
+
+    def get_follower(self) -> Settings:
+        leader = self.find_leader()
+        return next(s for s in self.site.control if s.name != leader.name)
+
+    def test_a_second_vm_lost_right_after_a_repair(self) -> None:
+        self.put(1)
+        repaired = self.get_follower()
+        self.wipe(repaired)
+        self.put(2)
+        self.processes.start(repaired)
+        self.wait_voting(repaired)
+        self.wait_caught_up(repaired)
+        second = self.find_leader()
+        self.wipe(second)
+        self.assertLessEqual({"herd-1", "herd-2"}, self.list_names())
+        self.assertTrue(self.put(3).accepted)
+
+    def test_a_damaged_file_refuses_to_start_and_repair_brings_it_back(self) -> None:
+        self.put(1)
+        damaged = self.get_follower()
+        self.processes.kill(damaged.name)
+        path = Path(damaged.data) / "catalog.db"
+        for file in path.parent.glob("catalog.db-*"):
+            file.unlink()
+        content = bytearray(path.read_bytes())
+        content[: len(content) // 2] = b"x" * (len(content) // 2)
+        path.write_bytes(content)
+        self.processes.start(damaged)
+        process = self.processes.running[damaged.name]
+        self.assertEqual(process.wait(60), 1)
+        log = self.processes.read_log(damaged.name)
+        self.assertIn("daleroad repair", log)
+        self.assertIn("D111 STORAGE_REFUSED", log)
+        self.processes.run_command("repair", damaged)
+        self.processes.start(damaged)
+        self.wait_voting(damaged)
+        self.wait_caught_up(damaged)
+
+    def test_founding_twice_is_refused(self) -> None:
+        with self.assertRaises(Exception) as caught:
+            found(self.site.control[0])
+        self.assertIn("in use", str(caught.exception))
+
+
+class IsolationTest(ControlTest):
+    """Each control process reaches each other one through a relay of its own."""
+
+    def change_site(self, site: Site) -> Site:
+        site = super().change_site(site)
+        names = [s.name for s in site.control]
+        pairs = [(a, b) for a in names for b in names if a != b]
+        ports = find_ports(len(pairs))
+        self.relays = {
+            pair: (Relay(site.control[0].control[pair[1]]), f"127.0.0.1:{port}")
+            for pair, port in zip(pairs, ports, strict=True)
+        }
+        portal = self.enterContext(start_blocking_portal())
+        for relay, address in self.relays.values():
+            future, _ = portal.start_task(relay.run, address)
+            self.addCleanup(future.cancel)
+        controls = []
+        for settings in site.control:
+            control = dict(settings.control)
+            for name in names:
+                if name != settings.name:
+                    control[name] = self.relays[settings.name, name][1]
+            controls.append(replace(settings, control=control))
+        self.real = site.control
+        return replace(site, control=tuple(controls))
+
+    def isolate(self, name: str, isolated: bool, ways: tuple[str, ...] = ("to", "from")) -> None:
+        """Stall all bytes from and to a member; connections stay open."""
+        for (a, b), (relay, _) in self.relays.items():
+            if name == a:
+                relay.stalled["to"] = isolated and "from" in ways
+                relay.stalled["from"] = isolated and "to" in ways
+            if name == b:
+                relay.stalled["to"] = isolated and "to" in ways
+                relay.stalled["from"] = isolated and "from" in ways
+
+    def test_a_silently_isolated_leader_accepts_nothing_and_catches_up(self) -> None:
+        self.put(1)
+        old = self.find_leader()
+        self.isolate(old.name, True)
+        alone = OperatorClient([old.url], "operator-tamarack-token", 3.0)
+        self.addCleanup(alone.close)
+        answer = alone.put(make_organisation(7), 0, "op-alone", 0.0)
+        self.assertTrue(isinstance(answer, Failure) or not answer.accepted)
+        for number in range(10, 40):
+            self.assertTrue(self.put(number, wait=0.0).accepted)
+        self.assertFalse(self.get_status(old)["leading"])
+        term = self.get_status(self.find_leader())["term"]
+        self.isolate(old.name, False)
+        self.wait_caught_up(old)
+        self.assertEqual(self.get_status(self.find_leader())["term"], term)
+        self.assertLessEqual({f"herd-{n}" for n in range(10, 40)}, self.list_names())
+
+    def test_a_member_cut_one_way_does_not_disturb_the_others(self) -> None:
+        self.put(1)
+        leader = self.find_leader()
+        deaf = next(s for s in self.site.control if s.name != leader.name)
+        self.isolate(deaf.name, True, ("to",))
+        for number in range(10, 20):
+            self.assertTrue(self.put(number, wait=0.0).accepted)
+        self.isolate(deaf.name, False)
+        self.wait_caught_up(deaf)
+        self.assertEqual(self.find_leader().name, leader.name)
