Prove the request path under faults; never answer 'not run' for a key that may have run

Cause, each found by a test that failed first: (1) a request gave up after eight tries while its dead steward was being replaced, though its deadline had not come; it now tries until the deadline. (2) A steward that took over dropped upstreams before they could find it; it now waits an entry lease longer. (4) A drained process ended with exit code 1, since the server changed its task's count of cancellations; it now has a task of its own.

--- a/src/daleroad/caller.py
+++ b/src/daleroad/caller.py
@@ -168,6 +168,7 @@
         FailureKind.UNREACHABLE,
         FailureKind.NO_LEASE,
         FailureKind.NO_MAJORITY,
+        FailureKind.NO_UPSTREAM,
         FailureKind.DRAINING,
         FailureKind.KEY_RUNNING,
     )
--- a/src/daleroad/claiming.py
+++ b/src/daleroad/claiming.py
@@ -10,18 +10,20 @@
     ClaimCommand,
     ClaimOutcome,
     ClaimState,
+    Look,
     Release,
     Settle,
 )
 from daleroad.codec import encode
 from daleroad.environment import Environment
-from daleroad.errors import Failure
+from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.leader import LeaderClient
 from daleroad.messages import ClaimRequest
 
 _READ_SECONDS = 1.5
 _ACQUIRE_SECONDS = 3.0
 _SETTLE_SECONDS = 30.0
+_LOOK_SECONDS = 1.0
 
 
 class Claims:
@@ -50,6 +52,15 @@
         claim = Claim(organisation, key, digest, entry, upstream, generation, time.time())
         return await self._call(organisation, key, Acquire(claim), _ACQUIRE_SECONDS)
 
+    async def look(self, organisation: str, key: str, digest: str) -> ClaimOutcome | Failure:
+        """Return the claim that stands for a key, if any.
+
+        :param organisation: whose key.
+        :param key: the key.
+        :param digest: hash of the request.
+        """
+        return await self._call(organisation, key, Look(organisation, key, digest), _LOOK_SECONDS)
+
     async def settle(
         self, organisation: str, key: str, generation: str, state: ClaimState, answer: str
     ) -> ClaimOutcome | Failure:
@@ -82,3 +93,18 @@
         body = encode(ClaimRequest(payload))
         path = f"/claims/{shard}"
         return await self._leaders[shard].call(path, body, ClaimOutcome, _READ_SECONDS, limit)
+
+
+def refuse_unclaimed(failure: Failure) -> Failure:
+    """Return the answer to a request whose key could not be claimed.
+
+    This try was not sent. Whether an earlier one under the same key ran is known only if the
+    journal answered.
+
+    :param failure: why there is no claim.
+    """
+    answered = (FailureKind.KEY_CONFLICT, FailureKind.OVERLOADED)
+    if failure.kind in answered:
+        return Failure(failure.kind, failure.reason, Ran.NO, failure.retry_after)
+    reason = f"{failure.reason}; this try was not sent, an earlier one may have been"
+    return Failure(failure.kind, reason, Ran.UNKNOWN, failure.retry_after)
--- a/src/daleroad/claims.py
+++ b/src/daleroad/claims.py
@@ -69,7 +69,16 @@
     generation: str
 
 
-ClaimCommand = Acquire | Settle | Release
+@dataclass(frozen=True)
+class Look:
+    """Ask for the claim that stands, without any change."""
+
+    organisation: str
+    key: str
+    digest: str
+
+
+ClaimCommand = Acquire | Settle | Release | Look
 
 
 @dataclass(frozen=True)
@@ -122,6 +131,8 @@
                 return self._settle(command)
             case Release():
                 return self._release(command)
+            case Look():
+                return self._look(command)
 
     def dump(self) -> str:
         """Return the claims as text."""
@@ -146,10 +157,15 @@
             self.claims[slot] = claim
             return ClaimOutcome(True, claim)
         if known.digest != claim.digest:
-            reason = "this key was used for another request"
-            return ClaimOutcome(False, None, Failure(FailureKind.KEY_CONFLICT, reason))
+            return _conflict()
         return ClaimOutcome(known.generation == claim.generation, known)
 
+    def _look(self, command: Look) -> ClaimOutcome:
+        known = self.claims.get((command.organisation, command.key))
+        if known is not None and known.digest != command.digest:
+            return _conflict()
+        return ClaimOutcome(False, known)
+
     def _settle(self, command: Settle) -> ClaimOutcome:
         slot = (command.organisation, command.key)
         known = self.claims.get(slot)
@@ -183,3 +199,8 @@
             if oldest.at + keep > now:
                 return
             del self.claims[slot]
+
+
+def _conflict() -> ClaimOutcome:
+    reason = "this key was used for another request"
+    return ClaimOutcome(False, None, Failure(FailureKind.KEY_CONFLICT, reason))
--- a/src/daleroad/cli.py
+++ b/src/daleroad/cli.py
@@ -5,6 +5,7 @@
 
 import logging as standard_logging
 import sys
+import warnings
 from collections.abc import Callable
 from pathlib import Path
 
@@ -50,6 +51,7 @@
         slots: int = 32,
         speed: float = 1.0,
         checks_fencing: bool = True,
+        advertise: str = "",
     ) -> None:
         """Run a stand-in engine until stopped.
 
@@ -65,6 +67,7 @@
             slots: largest batch.
             speed: how many times faster than usual it decodes.
             checks_fencing: whether it refuses orders with an old fencing number.
+            advertise: IP:PORT to announce, if not the address.
         """
         options = EngineOptions(
             name,
@@ -77,12 +80,20 @@
             EngineShape(capacity=capacity, slots=slots),
             checks_fencing,
             speed,
+            advertise=advertise,
         )
         engine = Engine(options)
         anyio.run(run_process, engine.run, engine.drain, engine.stop)
 
     def plain(
-        self, name: str, service: str, address: str, entries: str, token: str, zone: str = ""
+        self,
+        name: str,
+        service: str,
+        address: str,
+        entries: str,
+        token: str,
+        zone: str = "",
+        advertise: str = "",
     ) -> None:
         """Run a stand-in plain service until stopped.
 
@@ -93,6 +104,7 @@
             entries: base URLs of entries, separated by commas.
             token: the upstream token.
             zone: its availability zone.
+            advertise: IP:PORT to announce, if not the address.
         """
         service_options = PlainOptions(name, service, zone, address, tuple(_split(entries)), token)
         plain = PlainService(service_options)
@@ -301,11 +313,8 @@
         """
         wanted = tuple(float(part) for part in _split(rates))
         print(f"{'detector':<15}{'rate':>6}{'ejected':>9}{'after':>9}")
-        for found in compare_detectors(wanted, seed):
-            print(
-                f"{found.detector:<15}{found.failure_rate:>6}{found.ejected:>9.3f}"
-                f"{found.delay:>9.1f}"
-            )
+        for row in compare_detectors(wanted, seed):
+            print(f"{row.detector:<15}{row.failure_rate:>6}{row.ejected:>9.3f}{row.delay:>9.1f}")
 
     def demo(self, seconds: float = 20.0, rate: float = 12.0, seed: int = 1) -> None:
         """Serve a slice of both partners' day on a whole site in this process.
@@ -364,6 +373,8 @@
 
 def main() -> None:
     """Run the command line."""
+    # fire reads arguments as literals where it can, and warns of those that only look like one.
+    warnings.filterwarnings("ignore", category=SyntaxWarning)
     # The command line is fire's; absl only has to know that there are no flags of its own.
     flags.FLAGS(["daleroad"])
     logging.set_verbosity(logging.INFO)
--- a/src/daleroad/control.py
+++ b/src/daleroad/control.py
@@ -28,7 +28,7 @@
     SetEntry,
     SetUpstream,
 )
-from daleroad.claims import ClaimJournal, ClaimOutcome
+from daleroad.claims import ClaimCommand, ClaimJournal, ClaimOutcome, Look
 from daleroad.codec import decode, encode
 from daleroad.consensus import Member
 from daleroad.daleroad_connect import LocatorASGIApplication, OperatorsASGIApplication
@@ -332,11 +332,25 @@
             return refused
         if isinstance(asked, Failure) or group is None:
             return Failure(FailureKind.BAD_REQUEST, "no such shard or a wrong command")
-        outcome = await group.propose(asked.payload)
+        command = decode(ClaimCommand, asked.payload)
+        if isinstance(command, Failure):
+            return command
+        outcome: ClaimOutcome | Failure
+        if isinstance(command, Look):
+            outcome = self._look(group, command)
+        else:
+            outcome = await group.propose(asked.payload)
         if isinstance(outcome, ClaimOutcome):
             return Response(200, encode(outcome))
         return outcome
 
+    def _look(self, group: Group, command: Look) -> ClaimOutcome | Failure:
+        """Read the journal at a leader that has just heard a majority; nothing is appended."""
+        journal = group.machine
+        if not group.has_served_term() or not isinstance(journal, ClaimJournal):
+            return group.refuse()
+        return journal.apply(command)
+
     async def _serve_metrics(self, request: Request) -> Answer:
         return Response(200, generate_latest(self.registry), "text/plain; version=0.0.4")
 
--- a/src/daleroad/engine.py
+++ b/src/daleroad/engine.py
@@ -93,6 +93,7 @@
     lag_reports: int = 1
     lose_events: float = 0.05
     seed: int = 0
+    advertise: str = ""
 
 
 class Engine:
@@ -358,7 +359,7 @@
         options = self.options
         return Announcement(
             upstream=options.name,
-            address=f"http://{options.address}",
+            address=f"http://{options.advertise or options.address}",
             service=options.service,
             zone=options.zone,
             capacity=options.shape.capacity,
--- a/src/daleroad/generations.py
+++ b/src/daleroad/generations.py
@@ -7,7 +7,7 @@
 import anyio
 import orjson
 
-from daleroad.claiming import Claims
+from daleroad.claiming import Claims, refuse_unclaimed
 from daleroad.claims import Claim, ClaimState
 from daleroad.defaults import CLAIM_ANSWER_BYTES
 from daleroad.delivery import Delivery
@@ -25,7 +25,7 @@
 from daleroad.stewardship import Stewardship
 
 _TRY_MOST = 3
-_MISPLACED_TRIES = 8
+_PASSING = (FailureKind.CONFLICT, FailureKind.UNREACHABLE, FailureKind.DRAINING)
 _GENERATION_HEADER = "x-generation"
 
 
@@ -100,7 +100,7 @@
         while True:
             placed = await self._place(job, avoid)
             if isinstance(placed, Failure):
-                return _worsen(placed, ran)
+                return await self._refuse_unplaced(job, _worsen(placed, ran))
             flow = await self._dispatch(job, placed)
             if isinstance(flow, Flow):
                 return flow
@@ -119,19 +119,18 @@
             attempt += 1
 
     async def _place(self, job: Job, avoid: set[str]) -> Placed | Failure:
-        """Find an upstream and get a permit for it."""
-        for attempt in range(_MISPLACED_TRIES):
+        """Find an upstream and get a permit for it, while the membership settles if need be."""
+        attempt = 0
+        while True:
             placed = await self._place_once(job, avoid)
-            if isinstance(placed, Placed):
-                return placed
             # The steward changed or is not reached: the membership will tell of another.
-            passing = (FailureKind.CONFLICT, FailureKind.UNREACHABLE, FailureKind.DRAINING)
-            if placed.kind not in passing:
+            if isinstance(placed, Placed) or placed.kind not in _PASSING:
                 return placed
             if anyio.current_time() >= job.deadline_at:
-                return placed
-            await anyio.sleep(get_backoff(attempt + 1, self._env.random))
-        return Failure(FailureKind.NO_UPSTREAM, "no steward answered", retry_after=1.0)
+                reason = f"no steward answered: {placed.reason}"
+                return Failure(FailureKind.NO_UPSTREAM, reason, retry_after=1.0)
+            attempt += 1
+            await anyio.sleep(get_backoff(attempt, self._env.random))
 
     async def _place_once(self, job: Job, avoid: set[str]) -> Placed | Failure:
         candidates = self._rank(job, avoid)
@@ -183,8 +182,7 @@
         refused = outcome if isinstance(outcome, Failure) else outcome.failure
         if refused is not None:
             await self._end(placed, 0, started=False, ok=False)
-            # Nothing was sent, whatever became of the claim.
-            return Failure(refused.kind, refused.reason, Ran.NO, refused.retry_after)
+            return refuse_unclaimed(refused)
         assert not isinstance(outcome, Failure)
         if not outcome.acquired and outcome.claim is not None:
             await self._end(placed, 0, started=False, ok=False)
@@ -194,6 +192,18 @@
             return await self._settle_failed(job, placed, flow)
         return flow
 
+    async def _refuse_unplaced(self, job: Job, failure: Failure) -> Flow | Failure:
+        """Refuse work without a permit; an earlier try under its key may have run, though."""
+        if job.route.repeatable:
+            return failure
+        outcome = await self._claims.look(job.organisation.name, job.key, job.digest)
+        if isinstance(outcome, Failure):
+            reason = f"{failure.reason}; whether an earlier try ran is not known"
+            return Failure(failure.kind, reason, Ran.UNKNOWN, failure.retry_after)
+        if outcome.failure is not None:
+            return outcome.failure
+        return await self._attach(job, outcome.claim) if outcome.claim else failure
+
     async def _open(self, job: Job, placed: Placed) -> Flow | Failure:
         work, upstream = placed.work, placed.upstream
         order = EngineCompletion(
--- a/src/daleroad/plain.py
+++ b/src/daleroad/plain.py
@@ -25,6 +25,7 @@
     entries: tuple[str, ...]
     token: str
     delay: float = 0.002
+    advertise: str = ""
 
 
 class PlainService:
@@ -71,7 +72,7 @@
         options = self.options
         return Announcement(
             upstream=options.name,
-            address=f"http://{options.address}",
+            address=f"http://{options.advertise or options.address}",
             service=options.service,
             zone=options.zone,
             slots=_SLOTS,
--- a/src/daleroad/services.py
+++ b/src/daleroad/services.py
@@ -7,7 +7,7 @@
 import orjson
 from xxhash import xxh3_128_hexdigest
 
-from daleroad.claiming import Claims
+from daleroad.claiming import Claims, refuse_unclaimed
 from daleroad.claims import Claim, ClaimState
 from daleroad.defaults import CLAIM_ANSWER_BYTES
 from daleroad.environment import Environment
@@ -89,15 +89,15 @@
     ) -> Answer:
         upstream = self._pick(route, 0)
         if upstream is None:
-            return _no_upstream(route)
+            return await self._refuse_unplaced(request, route, organisation, key)
         secret = self._env.settings.cluster_secret
         generation = make_generation(upstream.name, organisation.name, secret)
-        digest = xxh3_128_hexdigest(request.path.encode() + b"\x00" + request.body)
+        digest = _hash(request)
         name = organisation.name
         outcome = await self._claims.acquire(name, key, digest, upstream.name, generation)
         refused = outcome if isinstance(outcome, Failure) else outcome.failure
         if refused is not None:
-            return Failure(refused.kind, refused.reason, Ran.NO, refused.retry_after)
+            return refuse_unclaimed(refused)
         assert not isinstance(outcome, Failure)
         if not outcome.acquired and outcome.claim is not None:
             return _answer_claimed(outcome.claim)
@@ -105,6 +105,17 @@
         await self._settle(answer, name, key, generation)
         return answer
 
+    async def _refuse_unplaced(
+        self, request: Request, route: Route, organisation: Organisation, key: str
+    ) -> Answer:
+        """Refuse a call without an upstream; an earlier try under its key may have run."""
+        outcome = await self._claims.look(organisation.name, key, _hash(request))
+        if isinstance(outcome, Failure):
+            return refuse_unclaimed(outcome)
+        if outcome.failure is not None:
+            return outcome.failure
+        return _answer_claimed(outcome.claim) if outcome.claim else _no_upstream(route)
+
     async def _settle(self, answer: Answer, name: str, key: str, generation: str) -> None:
         if isinstance(answer, Failure) and answer.ran is Ran.NO:
             await self._claims.release(name, key, generation)
@@ -160,6 +171,12 @@
         env.ejector.note(upstream.name, ok, among, anyio.current_time())
 
 
+def _hash(request: Request) -> str:
+    """Return what tells a call from another one under the same key."""
+    text = f"{request.method} {request.path}?{request.query}\x00"
+    return xxh3_128_hexdigest(text.encode() + request.body)
+
+
 def _no_upstream(route: Route) -> Failure:
     reason = f"no upstream of {route.service}"
     return Failure(FailureKind.NO_UPSTREAM, reason, retry_after=2.0)
--- a/src/daleroad/serving.py
+++ b/src/daleroad/serving.py
@@ -302,9 +302,13 @@
         finally:
             stopping.set()
 
-    # The server does not bear cancellation: a cancelled one is told to stop at once instead.
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(watch)
+    async def serve() -> None:
+        # The server does not bear cancellation: a cancelled one is told to stop at once instead.
         with anyio.CancelScope(shield=True):
             await _get_server()(app, config, shutdown_trigger=stopping.wait)
         tasks.cancel_scope.cancel()
+
+    # In a task of its own, since the server leaves its task's count of cancellations changed.
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch)
+        tasks.start_soon(serve)
--- a/src/daleroad/standin.py
+++ b/src/daleroad/standin.py
@@ -16,6 +16,7 @@
 
 _REGISTRY = "/daleroad.v1.Registry"
 _RETRY_SECONDS = 0.2
+_ANSWER_SECONDS = 1.0
 
 
 class Announcer:
@@ -37,7 +38,7 @@
         self._entries = list(entries)
         self._announce = announce
         self._report = report
-        self._client = make_client(Tls(), 2.0)
+        self._client = make_client(Tls(), _ANSWER_SECONDS)
         self._headers = {
             "authorization": f"Bearer {token}",
             "content-type": "application/json",
--- a/src/daleroad/stewardship.py
+++ b/src/daleroad/stewardship.py
@@ -265,9 +265,9 @@
 
     def _keep(self, upstream: Upstream, is_new: bool) -> None:
         now = anyio.current_time()
+        settings = self._env.settings
         kept = self._kept.get(upstream.name)
         if kept is None:
-            settings = self._env.settings
             admission = Admission(
                 upstream.capacity,
                 upstream.slots,
@@ -280,7 +280,8 @@
             kept = _Kept(upstream, admission, now, ready_at)
             admission.rebuilding = now < ready_at
             self._kept[upstream.name] = kept
-        kept.heard_at = now
+        # An upstream that comes from another steward gets time to find this one.
+        kept.heard_at = now if is_new else now + settings.entry_lease
 
     def _give_up(self, name: str) -> None:
         kept = self._kept.pop(name)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -14,17 +14,18 @@
 
 import anyio
 import httpx
-from anyio.abc import SocketStream, TaskGroup
+from anyio.from_thread import start_blocking_portal
 
 from daleroad.caller import Caller, CallerPart, Token, Whole
 from daleroad.control import found
 from daleroad.demo import write_records
 from daleroad.engine import EngineOptions, make_token
 from daleroad.errors import Failure
-from daleroad.loopback import Site, format_settings, get_token, make_site
+from daleroad.loopback import Site, find_ports, format_settings, get_token, make_site
 from daleroad.operating import OperatorClient
 from daleroad.plain import PlainOptions
 from daleroad.settings import Settings
+from tests.relay import Relay
 
 PATIENCE_SECONDS = 60.0
 
@@ -76,6 +77,7 @@
             *(",".join(options.entries), options.token, ",".join(options.models)),
             *("--zone", options.zone, "--capacity", str(options.shape.capacity)),
             *("--speed", str(options.speed), "--checks_fencing", str(options.checks_fencing)),
+            *("--advertise", options.advertise),
         ]
         self._spawn(options.name, [sys.executable, "-m", "daleroad", *command])
 
@@ -83,6 +85,7 @@
         command = [
             *("standin", "plain", options.name, options.service, options.address),
             *(",".join(options.entries), options.token, "--zone", options.zone),
+            *("--advertise", options.advertise),
         ]
         self._spawn(options.name, [sys.executable, "-m", "daleroad", *command])
 
@@ -130,6 +133,7 @@
     ENGINES = 1
     ENTRIES = 3
     SPEED = 1.0
+    portal = None
 
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory(prefix="daleroad-test-")
@@ -147,6 +151,17 @@
         engines = tuple(replace(e, speed=self.SPEED) for e in site.engines)
         return replace(site, engines=engines)
 
+    def start_relay(self, target: str) -> tuple[Relay, str]:
+        """Start a relay to an address; return it with the address it listens on."""
+        if self.portal is None:
+            self.portal = self.enterContext(start_blocking_portal())
+        relay = Relay(target)
+        (port,) = find_ports(1)
+        address = f"127.0.0.1:{port}"
+        future, _ = self.portal.start_task(relay.run, address)
+        self.addCleanup(future.cancel)
+        return relay, address
+
     def wait_ready(self) -> None:
         names = {e.name for e in self.site.engines} | {p.name for p in self.site.plain}
         for settings in self.site.entries:
@@ -216,45 +231,3 @@
     failures = [part for part in parts if isinstance(part, Failure)]
     assert failures, f"no failure in {parts[-1]}"
     return failures[-1]
-
-
-class Relay:
-    """A TCP relay that can delay, stall or cut, each way by itself."""
-
-    def __init__(self, target: str) -> None:
-        self.host, _, port = target.rpartition(":")
-        self.port = int(port)
-        self.stalled = {"to": False, "from": False}
-        self.refusing = False
-        self.delay = 0.0
-
-    async def run(self, address: str, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
-        host, _, port = address.rpartition(":")
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
-        async with listener:
-            task_status.started()
-            await listener.serve(self._serve)
-
-    async def _serve(self, near: SocketStream) -> None:
-        if self.refusing:
-            await near.aclose()
-            return
-        far = await anyio.connect_tcp(self.host, self.port)
-        async with near, far, anyio.create_task_group() as tasks:
-            tasks.start_soon(self._copy, near, far, "to", tasks)
-            tasks.start_soon(self._copy, far, near, "from", tasks)
-
-    async def _copy(
-        self, source: SocketStream, sink: SocketStream, way: str, tasks: TaskGroup
-    ) -> None:
-        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError, OSError):
-            while True:
-                data = await source.receive()
-                while self.stalled[way]:
-                    await anyio.sleep(0.02)
-                if self.refusing:
-                    break
-                if self.delay:
-                    await anyio.sleep(self.delay)
-                await sink.send(data)
-        tasks.cancel_scope.cancel()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,17 +7,16 @@
 from pathlib import Path
 
 import orjson
-from anyio.from_thread import start_blocking_portal
 
 from daleroad.control import found
 from daleroad.daleroad_pb import ChangeAnswer
 from daleroad.errors import Failure
-from daleroad.loopback import Site, find_ports
+from daleroad.loopback import Site
 from daleroad.operating import OperatorClient
 from daleroad.records import Organisation
 from daleroad.security import hash_token
 from daleroad.settings import Settings
-from tests.harness import Relay, SiteTest, get_json, wait_for
+from tests.harness import SiteTest, get_json, wait_for
 
 TAMARACK = "tamarack"
 
@@ -227,15 +226,7 @@
         site = super().change_site(site)
         names = [s.name for s in site.control]
         pairs = [(a, b) for a in names for b in names if a != b]
-        ports = find_ports(len(pairs))
-        self.relays = {
-            pair: (Relay(site.control[0].control[pair[1]]), f"127.0.0.1:{port}")
-            for pair, port in zip(pairs, ports, strict=True)
-        }
-        portal = self.enterContext(start_blocking_portal())
-        for relay, address in self.relays.values():
-            future, _ = portal.start_task(relay.run, address)
-            self.addCleanup(future.cancel)
+        self.relays = {pair: self.start_relay(site.control[0].control[pair[1]]) for pair in pairs}
         controls = []
         for settings in site.control:
             control = dict(settings.control)
@@ -243,7 +234,6 @@
                 if name != settings.name:
                     control[name] = self.relays[settings.name, name][1]
             controls.append(replace(settings, control=control))
-        self.real = site.control
         return replace(site, control=tuple(controls))
 
     def isolate(self, name: str, isolated: bool, ways: tuple[str, ...] = ("to", "from")) -> None:
