Order engines to load model versions, with fencing and read-back

Cause: nothing carried the platform's orders. The leader sends them with the log index as fencing number, waits out its predecessor's lease first, keeps one open for each engine and reads the state back until it matches; loads obey a bucket that starts empty, so that a new leader can't exceed the weight store's limit. Ruled out: trusting the number alone, since some engines ignore it; an old order to such an engine is put right again, which a test shows.

--- a/src/daleroad/control.py
+++ b/src/daleroad/control.py
@@ -55,6 +55,7 @@
     MembershipAnswer,
     MembershipRequest,
 )
+from daleroad.ordering import Ordering
 from daleroad.records import RECORD_TYPES, Operator, Record
 from daleroad.roster import Roster
 from daleroad.security import get_bearer, hash_token, is_token
@@ -405,7 +406,8 @@
         self._news = anyio.Event()
 
     async def _watch(self, tasks: TaskGroup) -> None:
-        """Keep the roster while this member leads, and drop entries whose lease ran out."""
+        """Keep roster and orders while this member leads; drop entries whose lease ran out."""
+        ordering = Ordering(self.settings, self.links, self.machine.catalog, 0.0)
         while True:
             await anyio.sleep(_WATCH_SECONDS)
             if not self.group.is_leading():
@@ -414,6 +416,8 @@
             now = anyio.current_time()
             if self.roster is None:
                 self.roster = Roster(self.settings.entry_lease, now)
+                ordering = Ordering(self.settings, self.links, self.machine.catalog, now)
+            ordering.send_due(tasks, now)
             for name in list(self.roster.list_expired(self.machine.catalog.entries, now)):
                 if name not in self._proposing:
                     self._proposing.add(name)
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -112,3 +112,9 @@
 
 EJECT_SECONDS = 5.0
 """First time an upstream stays ejected before it gets a trial request."""
+
+LOAD_RATE = 0.2
+"""Loads from the weight store a second."""
+
+LOAD_BURST = 2.0
+"""Loads from the weight store at once after quiet."""
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -44,6 +44,7 @@
     STREAM_ENDED = Kind(323, logging.WARNING, "A generation ended before it was whole.")
     ORDER_SENT = Kind(330, logging.INFO, "An order was sent to an engine.")
     ORDER_SETTLED = Kind(331, logging.INFO, "An engine's state was read back as ordered.")
+    ORDER_FAILED = Kind(332, logging.WARNING, "An engine did not answer an order.")
     HANDLER_FAILED = Kind(400, logging.ERROR, "A request handler failed unexpectedly.")
 
 
--- a/src/daleroad/loopback.py
+++ b/src/daleroad/loopback.py
@@ -218,6 +218,8 @@
     lines += ["", "[limits]", f"stall = {settings.stall:g}"]
     lines.append(f"requests_most = {settings.requests_most}")
     lines.append(f"queue_most = {settings.queue_most}")
+    lines.append(f"load_rate = {settings.load_rate:g}")
+    lines.append(f"load_burst = {settings.load_burst:g}")
     lines += ["", "[operators]"]
     for seed in settings.operators:
         lines.append(f"{seed.name} = {seed.partner} {seed.token_hash}")
--- a/src/daleroad/records.py
+++ b/src/daleroad/records.py
@@ -89,10 +89,20 @@
     share: float
 
 
-Record = Operator | Organisation | Service | ModelVersion | Route | Share
+@dataclass(frozen=True)
+class Order:
+    """What an engine should have loaded; its name is the upstream's."""
+
+    name: str
+    partner: str
+    models: tuple[str, ...]
+
+
+Record = Operator | Organisation | Service | ModelVersion | Route | Share | Order
 
 RECORD_TYPES: dict[str, type] = {
-    kind.__name__: kind for kind in (Operator, Organisation, Service, ModelVersion, Route, Share)
+    kind.__name__: kind
+    for kind in (Operator, Organisation, Service, ModelVersion, Route, Share, Order)
 }
 
 
--- a/src/daleroad/rules.py
+++ b/src/daleroad/rules.py
@@ -6,6 +6,7 @@
 from daleroad.errors import Failure, FailureKind
 from daleroad.records import (
     ModelVersion,
+    Order,
     Organisation,
     Record,
     Route,
@@ -50,6 +51,8 @@
             return _check_organisation(records, new)
         case Share():
             return _check_share(records, new)
+        case Order():
+            return _check_order(records, new)
         case _:
             return None
 
@@ -106,6 +109,14 @@
     return None
 
 
+def _check_order(records: _Records, order: Order) -> Failure | None:
+    for name in order.models:
+        model = records.get("ModelVersion", name)
+        if not isinstance(model, ModelVersion) or model.partner != order.partner:
+            return _fault(f"no model version {name} of this partner")
+    return None
+
+
 def _check_share(records: _Records, share: Share) -> Failure | None:
     if not 0 <= share.share <= 1:
         return _fault("a share lies between 0 and 1")
--- a/src/daleroad/settings.py
+++ b/src/daleroad/settings.py
@@ -79,6 +79,8 @@
     body_bytes: int = defaults.BODY_BYTES
     requests_most: int = defaults.REQUESTS_MOST
     queue_most: int = defaults.QUEUE_MOST
+    load_rate: float = defaults.LOAD_RATE
+    load_burst: float = defaults.LOAD_BURST
     stall: float = defaults.STALL_SECONDS
     tls: Tls = Tls()
     operators: tuple[OperatorSeed, ...] = ()
@@ -130,6 +132,8 @@
         "body_bytes": _COUNT,
         "requests_most": _COUNT,
         "queue_most": _COUNT,
+        "load_rate": "loads from the weight store a second, above 0",
+        "load_burst": "loads from the weight store at once, above 0",
         "stall": _SECONDS,
         "on_lost_control": "refuse or serve",
     },
@@ -264,6 +268,8 @@
         ),
         body_bytes=reader.get_count("limits", "body_bytes", defaults.BODY_BYTES),
         requests_most=reader.get_count("limits", "requests_most", defaults.REQUESTS_MOST),
+        load_rate=reader.get_number("limits", "load_rate", defaults.LOAD_RATE),
+        load_burst=reader.get_number("limits", "load_burst", defaults.LOAD_BURST),
         queue_most=reader.get_count("limits", "queue_most", defaults.QUEUE_MOST),
         stall=reader.get_number("limits", "stall", defaults.STALL_SECONDS),
         tls=Tls(
