Index organisations and stewards as changes come, not anew

Cause: each change of the catalog rebuilt an index of all organisations, and each steward was picked out of all entries. Both grow with the fleet. Ruled out: dropping the index (a token would be searched among 24,000).

--- a/src/daleroad/catalog.py
+++ b/src/daleroad/catalog.py
@@ -10,7 +10,7 @@
 from daleroad.codec import decode, encode, register_union
 from daleroad.defaults import AUDIT_KEPT, OPERATIONS_KEPT
 from daleroad.errors import Failure, FailureKind
-from daleroad.records import EntryMember, Record, Upstream
+from daleroad.records import EntryMember, Organisation, Record, Upstream
 from daleroad.rules import find_fault
 
 
@@ -104,7 +104,7 @@
     outcome: str
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Versioned:
     """A record with the log index that last changed it."""
 
@@ -142,12 +142,15 @@
     """The state and the rules by which commands change it.
 
     ``revision`` is the index of the last command, ``changed`` that of the last one that had an
-    effect, and ``epoch`` that of the last change of the entries in the membership.
+    effect, ``epoch`` that of the last change of the entries in the membership, and ``placed``
+    that of the last change of the upstreams. ``by_token`` finds organisations by token hash.
     """
 
     revision: int = 0
     changed: int = 0
     epoch: int = 0
+    placed: int = 0
+    by_token: dict[str, Organisation] = field(default_factory=dict)
     records: dict[str, dict[str, Versioned]] = field(default_factory=dict)
     entries: dict[str, EntryMember] = field(default_factory=dict)
     upstreams: dict[str, Upstream] = field(default_factory=dict)
@@ -230,11 +233,16 @@
         """
         state: CatalogState = decode(CatalogState, text)
         self.revision = state.revision
+        self.changed = state.revision
         self.epoch = state.epoch
+        self.placed = state.revision
         self.records = {}
+        self.by_token = {}
         for versioned in state.records:
-            kind = type(versioned.record).__name__
-            self.records.setdefault(kind, {})[versioned.record.name] = versioned
+            record = versioned.record
+            self.records.setdefault(type(record).__name__, {})[record.name] = versioned
+            if isinstance(record, Organisation):
+                self.by_token[record.token_hash] = record
         self.entries = {entry.name: entry for entry in state.entries}
         self.upstreams = {upstream.name: upstream for upstream in state.upstreams}
         self.answered = {answered.operation: answered for answered in state.answered}
@@ -250,8 +258,10 @@
                 self.epoch = index
                 self.entries.pop(name, None)
             case SetUpstream(upstream):
+                self.placed = index
                 self.upstreams[upstream.name] = upstream
             case DropUpstream(name):
+                self.placed = index
                 self.upstreams.pop(name, None)
         return Outcome(index)
 
@@ -290,6 +300,11 @@
         """
         self.changed = index
         table = self.records.setdefault(type_name, {})
+        known = table.get(name)
+        if known is not None and isinstance(known.record, Organisation):
+            self.by_token.pop(known.record.token_hash, None)
+        if isinstance(record, Organisation):
+            self.by_token[record.token_hash] = record
         if record is None:
             table.pop(name, None)
         else:
--- a/src/daleroad/directory.py
+++ b/src/daleroad/directory.py
@@ -24,10 +24,28 @@
     :param entries: the membership.
     :param upstream: the upstream.
     """
-    serving = [entry for entry in entries if entry.state is State.SERVING]
-    near = [entry for entry in serving if entry.zone == upstream.zone]
-    choices = near or serving
-    return max(choices, key=lambda e: get_weight(e.name, upstream.name), default=None)
+    return Stewards(entries).pick(upstream)
+
+
+class Stewards:
+    """The entries that may be stewards, by availability zone.
+
+    :param entries: the membership.
+    """
+
+    def __init__(self, entries: Iterable[EntryMember]) -> None:
+        self._serving = [entry for entry in entries if entry.state is State.SERVING]
+        self._by_zone: dict[str, list[EntryMember]] = {}
+        for entry in self._serving:
+            self._by_zone.setdefault(entry.zone, []).append(entry)
+
+    def pick(self, upstream: Upstream) -> EntryMember | None:
+        """Return the steward of an upstream, or nothing without entries.
+
+        :param upstream: the upstream.
+        """
+        choices = self._by_zone.get(upstream.zone) or self._serving
+        return max(choices, key=lambda e: get_weight(e.name, upstream.name), default=None)
 
 
 def pick_split(splits: tuple[Split, ...], sticky: str) -> str:
@@ -46,32 +64,29 @@
 
 
 class Directory:
-    """An index of a catalog, rebuilt when the catalog changed.
+    """An index of a catalog's membership, rebuilt when that changed.
 
     :param catalog: the catalog.
     """
 
     def __init__(self, catalog: Catalog) -> None:
         self.catalog = catalog
-        self._indexed = -1
-        self._by_token: dict[str, Organisation] = {}
+        self._indexed = (-1, -1)
+        self._choices = Stewards(())
         self._by_service: dict[str, list[Upstream]] = {}
         self._stewards: dict[str, EntryMember | None] = {}
 
     def refresh(self) -> None:
-        """Rebuild what changes of the catalog made stale."""
-        if self._indexed == self.catalog.revision:
+        """Rebuild what changes of the membership made stale."""
+        current = (self.catalog.epoch, self.catalog.placed)
+        if self._indexed == current:
             return
-        self._indexed = self.catalog.revision
+        self._indexed = current
+        self._choices = Stewards(self.catalog.entries.values())
+        self._stewards = {}
         self._by_service = {}
         for upstream in self.catalog.upstreams.values():
             self._by_service.setdefault(upstream.service, []).append(upstream)
-        self._stewards = {}
-        self._by_token = {
-            v.record.token_hash: v.record
-            for v in self.catalog.list_records("Organisation")
-            if isinstance(v.record, Organisation)
-        }
 
     def get_steward(self, upstream: str) -> EntryMember | None:
         """Return the steward of an upstream in the membership.
@@ -89,15 +104,15 @@
 
         :param upstream: the upstream.
         """
-        return pick_steward(self.catalog.entries.values(), upstream)
+        self.refresh()
+        return self._choices.pick(upstream)
 
     def find_organisation(self, token_hash: str) -> Organisation | None:
         """Return the organisation whose token has a hash.
 
         :param token_hash: the hash.
         """
-        self.refresh()
-        return self._by_token.get(token_hash)
+        return self.catalog.by_token.get(token_hash)
 
     def get_route(self, name: str, partner: str) -> Route | None:
         """Return a partner's route or nothing.
--- a/src/daleroad/records.py
+++ b/src/daleroad/records.py
@@ -20,7 +20,7 @@
     DRAINING = "draining"
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Operator:
     """Somebody who may change a partner's records; ``token_hash`` is SHA-256 in hex."""
 
@@ -29,7 +29,7 @@
     token_hash: str
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Organisation:
     """A customer of a partner. ``most_running`` limits its requests; 0 sets no limit."""
 
@@ -40,7 +40,7 @@
     most_running: int = 0
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Service:
     """A group of upstreams that serve the same work."""
 
@@ -49,7 +49,7 @@
     type: ServiceType
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class ModelVersion:
     """A version of a model that a service can load."""
 
@@ -58,7 +58,7 @@
     service: str
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Split:
     """A model version's part of a route, by weight."""
 
@@ -66,7 +66,7 @@
     weight: float
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Route:
     """A kind of work: where it goes and how it may be treated. Times are in seconds."""
 
@@ -80,7 +80,7 @@
     deadline: float = 0.0
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Share:
     """A partner's share of the pool, from 0 to 1."""
 
@@ -89,7 +89,7 @@
     share: float
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Order:
     """What an engine should have loaded; its name is the upstream's."""
 
@@ -106,7 +106,7 @@
 }
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class EntryMember:
     """An entry in the membership."""
 
@@ -117,7 +117,7 @@
     state: State = State.SERVING
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Upstream:
     """An upstream that announced itself. ``capacity`` is in tokens of memory."""
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,20 +1,22 @@
 """Tests of the smaller decisions: lengths, fairness, placement, health, retries, location."""
 
 import unittest
+from dataclasses import replace
 from random import Random
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from daleroad.catalog import Catalog, DropUpstream, Put, SetUpstream
 from daleroad.defaults import LENGTH_UNKNOWN
 from daleroad.detection import compare_detectors
-from daleroad.directory import pick_split, pick_steward
+from daleroad.directory import Directory, pick_split, pick_steward
 from daleroad.fairness import FairQueue
 from daleroad.health import Consecutive, Ejector, Evidence, Sequential
 from daleroad.lengths import Lengths, LengthWindow
 from daleroad.location import pick_addresses
 from daleroad.placement import rank_candidates
-from daleroad.records import EntryMember, Split, State, Upstream
+from daleroad.records import EntryMember, Organisation, Split, State, Upstream
 from daleroad.retries import RetryBudget, get_backoff
 from daleroad.roster import Roster
 
@@ -245,3 +247,36 @@
             sequential, counting = found["sequential", rate], found["consecutive 5", rate]
             self.assertEqual(sequential.ejected, 1.0)
             self.assertLess(3 * sequential.delay, counting.delay)
+
+
+class DirectoryTest(unittest.TestCase):
+    def test_tokens_follow_changes_and_removals(self) -> None:
+        catalog = Catalog()
+        directory = Directory(catalog)
+        catalog.store(1, "Organisation", "o", Organisation("o", "p", "h1"))
+        self.assertEqual(directory.find_organisation("h1").name, "o")
+        catalog.store(2, "Organisation", "o", Organisation("o", "p", "h2"))
+        self.assertIsNone(directory.find_organisation("h1"))
+        other = Catalog()
+        other.load(catalog.dump())
+        self.assertEqual(Directory(other).find_organisation("h2").name, "o")
+        catalog.store(3, "Organisation", "o", None)
+        self.assertIsNone(directory.find_organisation("h2"))
+
+    def test_upstreams_follow_the_membership(self) -> None:
+        catalog = Catalog()
+        directory = Directory(catalog)
+        (upstream,) = make_upstreams(1)
+        self.assertEqual(directory.list_upstreams("s", ""), [])
+        catalog.follow(1, SetUpstream(upstream))
+        self.assertEqual(directory.list_upstreams("s", ""), [upstream])
+        catalog.follow(2, SetUpstream(replace(upstream, state=State.DRAINING)))
+        self.assertEqual(directory.list_upstreams("s", ""), [])
+        catalog.follow(3, DropUpstream(upstream.name))
+        self.assertIsNone(directory.get_steward(upstream.name))
+
+    def test_an_older_change_takes_nothing_back(self) -> None:
+        catalog = Catalog()
+        catalog.follow(5, Put(Organisation("o", "p", "new")))
+        catalog.follow(4, Put(Organisation("o", "p", "old")))
+        self.assertEqual(catalog.get("Organisation", "o").token_hash, "new")
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -342,8 +342,20 @@
 
         def refresh() -> None:
             catalog.revision += 1
+            record = Organisation("organisation-1", "p", hash_token("new"))
+            catalog.store(catalog.revision, "Organisation", record.name, record)
             directory.refresh()
 
+        def rejoin() -> None:
+            catalog.placed += 1
+            directory.refresh()
+            directory.list_upstreams("s1", "m1")
+
+        def move() -> None:
+            catalog.epoch += 1
+            for name in catalog.upstreams:
+                directory.get_steward(name)
+
         def locate() -> None:
             pick_addresses(catalog.entries.values(), "z1", 4, random)
 
@@ -358,7 +370,9 @@
                     lambda: directory.pick_steward_of(catalog.upstreams["u1"]), 200
                 ),
                 "identify_us": time_call(lambda: directory.find_organisation(hash_token("7")), 500),
-                "refresh_after_change_us": time_call(refresh, 20),
+                "all_stewards_us": time_call(move, 10),
+                "apply_change_us": time_call(refresh, 200),
+                "apply_upstream_change_us": time_call(rejoin, 200),
             }
         )
     for running in (4, 16, 32, 64):
