Sharpen three tests that passed with their mechanism switched off

Cause: with a mechanism removed in a scratch copy, three tests still passed. Crossed frames came behind the right ones and so looked like duplicates; one prefix never chose the leaving engine, and what it refused was not recorded; a wiped pair of members had no membership to elect by.

--- a/src/daleroad/engine.py
+++ b/src/daleroad/engine.py
@@ -109,6 +109,7 @@
         self.fencing = 0
         self.faults = EngineFaults()
         self.draining = False
+        self.late_asks = 0
         self.runs: list[tuple[str, str]] = []
         self._generations: OrderedDict[str, _Generation] = OrderedDict()
         self._forbidden: OrderedDict[str, None] = OrderedDict()
@@ -189,6 +190,7 @@
         if asked.model and asked.model not in self.models:
             return Failure(FailureKind.UPSTREAM_REFUSED, f"{asked.model} is not loaded")
         if self.draining:
+            self.late_asks += 1
             return Failure(FailureKind.DRAINING, "the engine is leaving")
         return None
 
@@ -236,6 +238,7 @@
         record = {
             "runs": self.runs,
             "preemptions": self.batch.preemptions,
+            "late_asks": self.late_asks,
             "generations": {
                 g.name: {"state": g.state.value, "tokens": g.tokens, "prompt": g.prompt_digest}
                 for g in self._generations.values()
@@ -352,7 +355,7 @@
         if faults.double:
             frame += frame
         if faults.cross:
-            frame += make_frame(f"{self.options.name}.other.0", index, "crossed ")
+            frame = make_frame(f"{self.options.name}.other.0", index, "crossed ") + frame
         return frame
 
     def _make_announcement(self) -> Announcement:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -282,6 +282,24 @@
             world.step(faulty=False)
         self.assertIsNone(world.get_leader())
 
+    def test_a_wiped_member_cannot_help_a_lagging_one_to_lead(self) -> None:
+        world = make_world(3)
+        leader = world.settle(100)
+        wiped, lagging = (n for n in NAMES if n != leader.name)
+        world.crash(lagging)
+        self.commit_some(world, 5)
+        world.crash(leader.name)
+        world.wipe(wiped)
+        world.start(wiped)
+        world.start(lagging)
+        for _ in range(400):
+            world.step(faulty=False)
+        self.assertIsNone(world.get_leader())
+        world.start(leader.name)
+        for _ in range(400):
+            world.step(faulty=False)
+        self.assertGreaterEqual(world.get_leader().commit, max(world.committed))
+
     def test_an_isolated_leader_loses_its_lease_and_rejoins_without_an_election(self) -> None:
         world = make_world(5)
         old = world.settle(100)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -193,8 +193,8 @@
 
     ENGINES = 2
 
-    def ask(self, length: int = 40, entry: int = 0) -> list[CallerPart]:
-        prompt = f"#tokens={length}"
+    def ask(self, length: int = 40, entry: int = 0, prefix: str = "") -> list[CallerPart]:
+        prompt = f"{prefix}#tokens={length}"
         return self.submit("danube-barges", "bulletin", prompt, entry=entry).result(90)
 
     def test_engine_killed_before_the_first_token_moves_the_request(self) -> None:
@@ -276,9 +276,12 @@
         url = f"http://{leaving.address}"
         httpx.post(f"{url}/drain", trust_env=False)
         time.sleep(3.0)
-        before = len(get_json(f"{url}/record")["runs"])
-        later = [self.ask(20, entry) for entry in (0, 1, 2, 0, 1, 2)]
-        self.assertEqual(len(get_json(f"{url}/record")["runs"]), before)
+        before = get_json(f"{url}/record")
+        # Many prefixes, so that affinity would choose the leaving engine for some.
+        later = [self.ask(20, number % 3, f"{number} ") for number in range(12)]
+        after = get_json(f"{url}/record")
+        self.assertEqual(after["runs"], before["runs"])
+        self.assertEqual(after["late_asks"], before["late_asks"])
         for parts in later:
             self.check_whole(parts, 20)
         for future in futures:
