Keep organisations' limits across entries

Cause: most_running was a field of the record that nothing kept. One entry counts for each organisation, picked by rendezvous; slots are leased and asserted each second, and a new counter learns the held ones before it gives new ones. Ruled out: a share of the limit at each entry (a limit of 2 over 350 entries has no shares). Before: 9 of 9 requests over 3 entries ran at a limit of 2 (nothing counted). After: 2 run and 7 are refused with 429, and the slots come back.

--- a/src/daleroad/entry.py
+++ b/src/daleroad/entry.py
@@ -26,9 +26,18 @@
 from daleroad.errors import Failure, FailureKind
 from daleroad.events import Event, log_event
 from daleroad.generations import Generations
+from daleroad.limiting import Limits
 from daleroad.links import Links
 from daleroad.location import pick_addresses
-from daleroad.messages import Handover, PermitAnswer, PermitEnd, PermitRequest
+from daleroad.messages import (
+    Handover,
+    PermitAnswer,
+    PermitEnd,
+    PermitRequest,
+    SlotEnd,
+    SlotHold,
+    SlotRequest,
+)
 from daleroad.records import State, Upstream
 from daleroad.security import get_bearer, hash_token, is_token
 from daleroad.services import PlainCalls
@@ -50,8 +59,9 @@
         links = Links(settings.tls, settings.cluster_secret)
         self.env = Environment(settings, links, random)
         self.stewardship = Stewardship(self.env)
-        self.env.follower.on_change = self.stewardship.refresh
-        self._generations = Generations(self.env, self.stewardship)
+        self.limits = Limits(self.env)
+        self.env.follower.on_change = self._refresh
+        self._generations = Generations(self.env, self.stewardship, self.limits)
         self._plain = PlainCalls(self.env)
         self._requests = 0
         self._accepting = True
@@ -64,6 +74,7 @@
             self.env.tasks = tasks
             tasks.start_soon(self.env.follower.run)
             tasks.start_soon(self.stewardship.run)
+            tasks.start_soon(self.limits.run)
             bind = settings.bind or settings.address
             await serve_app(self._make_router(), bind, settings.tls, self._stop.wait)
             await self.env.follower.leave()
@@ -87,6 +98,10 @@
         """Stop serving without waiting for requests."""
         self._stop.set()
 
+    def _refresh(self) -> None:
+        self.stewardship.refresh()
+        self.limits.refresh()
+
     def _make_router(self) -> Router:
         router = Router(self.env.settings.body_bytes)
         router.add("POST", "/v1/completions", self._guard(self._generations.serve))
@@ -94,6 +109,9 @@
         router.add("POST", "/permits", self._serve_permit)
         router.add("POST", "/permits/end", self._serve_permit_end)
         router.add("POST", "/permits/restore", self._serve_restore)
+        router.add("POST", "/limits/take", self._serve_slot)
+        router.add("POST", "/limits/hold", self._serve_slot_hold)
+        router.add("POST", "/limits/end", self._serve_slot_end)
         router.add("GET", "/metrics", self._serve_metrics)
         router.add("GET", "/status", self._serve_status)
         face = EntryFace(self)
@@ -162,6 +180,28 @@
         self.stewardship.restore(handover)
         return Response(204)
 
+    async def _serve_slot(self, request: Request) -> Answer:
+        asked = self._parse_peer(request, SlotRequest)
+        if isinstance(asked, Failure):
+            return asked
+        now = anyio.current_time()
+        refused = self.limits.quota.take(asked.organisation, asked.request, asked.most, now)
+        return refused or Response(204)
+
+    async def _serve_slot_hold(self, request: Request) -> Answer:
+        hold = self._parse_peer(request, SlotHold)
+        if isinstance(hold, Failure):
+            return hold
+        self.limits.quota.hold(hold.organisation, hold.requests, anyio.current_time())
+        return Response(204)
+
+    async def _serve_slot_end(self, request: Request) -> Answer:
+        end = self._parse_peer(request, SlotEnd)
+        if isinstance(end, Failure):
+            return end
+        self.limits.quota.release(end.organisation, end.request)
+        return Response(204)
+
     async def _serve_metrics(self, request: Request) -> Answer:
         body = generate_latest(self.env.metrics.registry)
         return Response(200, body, "text/plain; version=0.0.4")
--- a/src/daleroad/generations.py
+++ b/src/daleroad/generations.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing
 from dataclasses import dataclass, field
+from uuid import uuid4
 
 import anyio
 import orjson
@@ -15,6 +16,7 @@
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
 from daleroad.jobs import Job, identify, make_work, parse_job
+from daleroad.limiting import Limits
 from daleroad.messages import EngineCompletion, PermitAnswer, PermitEnd, Work
 from daleroad.placement import rank_candidates
 from daleroad.records import Organisation, Upstream
@@ -50,6 +52,7 @@
     relay: Relay
     placed: Placed | None = None
     job: Job | None = None
+    slot: str = ""
     answer: list[bytes] = field(default_factory=list)
 
 
@@ -58,10 +61,12 @@
 
     :param env: the entry's environment.
     :param stewardship: gives permits.
+    :param limits: keeps the limits of organisations.
     """
 
-    def __init__(self, env: Environment, stewardship: Stewardship) -> None:
+    def __init__(self, env: Environment, stewardship: Stewardship, limits: Limits) -> None:
         self._env = env
+        self._limits = limits
         self._stewardship = stewardship
         self._claims = Claims(env)
 
@@ -77,13 +82,29 @@
         job = parse_job(self._env.directory, request, now)
         if isinstance(job, Failure):
             return self._refuse("", job)
-        flow = await self._start(job)
+        slot = uuid4().hex
+        refused = await self._limits.take(job.organisation, slot)
+        if refused is not None:
+            return await self._refuse_limited(job, refused)
+        flow: Flow | Failure = Failure(FailureKind.UNREACHABLE, "ended early", Ran.UNKNOWN)
+        try:
+            flow = await self._start(job)
+        finally:
+            if isinstance(flow, Failure):
+                self._env.spawn(self._limits.release, job.organisation, slot)
         if isinstance(flow, Failure):
             return self._refuse(job.route.name, flow)
+        flow.slot = slot
         waited = anyio.current_time() - now
         self._env.metrics.first_token.labels(str(job.route.urgent)).observe(waited)
         return await self._deliver(flow, job.completion.stream)
 
+    async def _refuse_limited(self, job: Job, refused: Failure) -> Answer:
+        found = await self._refuse_unplaced(job, refused)
+        if isinstance(found, Failure):
+            return self._refuse(job.route.name, found)
+        return await self._deliver(found, job.completion.stream)
+
     def _refuse(self, route: str, failure: Failure) -> Failure:
         self._env.metrics.accepted.labels(route, failure.kind.value).inc()
         log_event(Event.REQUEST_REFUSED, route=route, kind=failure.kind, ran=failure.ran)
@@ -369,6 +390,8 @@
     async def _finish(self, flow: Flow, last: Part) -> None:
         """Give the permit back, settle the claim, note the evidence."""
         job = flow.job
+        if job is not None:
+            await self._limits.release(job.organisation, flow.slot)
         tokens = flow.relay.delivery.next_index
         whole = isinstance(last, Ended)
         end = "whole" if whole else "broken" if isinstance(last, Broken) else "left"
--- a/src/daleroad/messages.py
+++ b/src/daleroad/messages.py
@@ -173,3 +173,28 @@
 
     fencing: int
     models: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class SlotRequest:
+    """An entry asks for a slot of a limited organisation."""
+
+    organisation: str
+    request: str
+    most: int
+
+
+@dataclass(frozen=True)
+class SlotHold:
+    """An entry asserts the slots it holds."""
+
+    organisation: str
+    requests: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class SlotEnd:
+    """An entry gives a slot back."""
+
+    organisation: str
+    request: str
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -11,11 +11,13 @@
 from daleroad.defaults import LENGTH_UNKNOWN
 from daleroad.detection import compare_detectors
 from daleroad.directory import Directory, pick_split, pick_steward
+from daleroad.errors import FailureKind
 from daleroad.fairness import FairQueue
 from daleroad.health import Consecutive, Ejector, Evidence, Sequential
 from daleroad.lengths import Lengths, LengthWindow
 from daleroad.location import pick_addresses
 from daleroad.placement import rank_candidates
+from daleroad.quota import Quota
 from daleroad.records import EntryMember, Organisation, Split, State, Upstream
 from daleroad.retries import RetryBudget, get_backoff
 from daleroad.roster import Roster
@@ -224,6 +226,32 @@
         self.assertTrue(ejector.is_open("a", 6.3))
 
 
+class QuotaTest(unittest.TestCase):
+    def test_a_limit_holds_and_slots_come_back(self) -> None:
+        quota = Quota()
+        self.assertIsNone(quota.take("o", "a", 2, 0.0))
+        self.assertIsNone(quota.take("o", "b", 2, 0.0))
+        self.assertIsNone(quota.take("o", "a", 2, 0.0))
+        self.assertIs(quota.take("o", "c", 2, 0.0).kind, FailureKind.LIMIT)
+        quota.release("o", "a")
+        self.assertIsNone(quota.take("o", "c", 2, 0.0))
+
+    def test_slots_of_a_lost_entry_come_free_and_held_ones_stay(self) -> None:
+        quota = Quota()
+        quota.take("o", "lost", 2, 0.0)
+        quota.take("o", "held", 2, 0.0)
+        quota.hold("o", ["held"], 3.0)
+        self.assertIsNone(quota.take("o", "new", 2, 4.5))
+        self.assertIsNotNone(quota.take("o", "more", 2, 4.5))
+
+    def test_a_new_counter_learns_the_held_slots_first(self) -> None:
+        quota = Quota()
+        quota.note_change(10.0)
+        self.assertIsNotNone(quota.take("o", "new", 1, 10.5))
+        quota.hold("o", ["old"], 11.0)
+        self.assertIsNotNone(quota.take("o", "new", 1, 12.5))
+
+
 class RetryTest(unittest.TestCase):
     def test_retries_are_a_share_of_first_tries(self) -> None:
         budget = RetryBudget(0.1, 3)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,7 +5,9 @@
 
 from daleroad.caller import CallerPart, Token
 from daleroad.loopback import get_token
-from tests.harness import SiteTest, generate, get_failure, get_json
+from daleroad.records import Organisation
+from daleroad.security import hash_token
+from tests.harness import SiteTest, generate, get_failure, get_json, wait_for
 
 
 class PathTest(SiteTest):
@@ -124,6 +126,31 @@
         runs = self.get_record(1)["runs"]
         self.assertEqual(len(runs), 1)
 
+    def test_an_organisations_limit_holds_across_entries(self) -> None:
+        operator = self.make_operator("stoyanov")
+        token = hash_token("limited-token")
+        record = Organisation("limited", "stoyanov", token, most_running=2)
+        self.assertTrue(operator.put(record, 0).in_force)
+        headers = {"authorization": "Bearer limited-token"}
+
+        async def ask_all() -> list[int]:
+            statuses: list[int] = []
+
+            async def ask(number: int) -> None:
+                url = f"{self.site.entries[number % 3].url}/v1/completions"
+                body = {"route": "bulletin", "prompt": f"{number} #tokens=300", "stream": False}
+                async with httpx.AsyncClient(timeout=60, trust_env=False) as client:
+                    response = await client.post(url, json=body, headers=headers)
+                statuses.append(response.status_code)
+
+            async with anyio.create_task_group() as tasks:
+                for number in range(9):
+                    tasks.start_soon(ask, number)
+            return statuses
+
+        self.assertEqual(sorted(anyio.run(ask_all)), [200] * 2 + [429] * 7)
+        wait_for(lambda: anyio.run(ask_all).count(200) == 2, "the slots to come back")
+
     def test_the_same_key_with_another_request_conflicts(self) -> None:
         caller = self.make_caller("herders")
         self.check_whole(generate(caller, "gate-check-in", "#tokens=4", "key-2"), 4)
