--- a/src/daleroad/control.py
+++ b/src/daleroad/control.py
@@ -41,6 +41,7 @@
     ReadAnswer,
     ReadRequest,
 )
+from daleroad.defaults import GATHER_SECONDS
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
 from daleroad.group import Group, decode_messages
@@ -266,6 +267,8 @@
         joined = await self._join(asked)
         if isinstance(joined, Failure):
             return joined
+        if self.roster is not None:
+            self.roster.note_applied(asked.entry.name, asked.revision)
         await self._wait_news(asked.revision)
         return self._answer_follow(asked, arrived_at)
 
@@ -283,6 +286,9 @@
         with anyio.move_on_after(self.settings.follow):
             while self.machine.catalog.changed <= revision and not self._stop.is_set():
                 await self._news.wait()
+        # Each change wakes all entries, so changes that come together are told together: the
+        # leader's answers a second are bounded however many entries join at once.
+        await anyio.sleep(len(self.machine.catalog.entries) * GATHER_SECONDS)
 
     def _answer_follow(self, asked: FollowRequest, arrived_at: float) -> Answer:
         # The lease is given only by a leader that has just heard a majority.
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -19,6 +19,9 @@
 FOLLOW_SECONDS = 1.5
 """A follow request without news is answered after so long."""
 
+GATHER_SECONDS = 0.003
+"""For each entry, how long the leader gathers changes before it tells them."""
+
 REPORT_SECONDS = 0.5
 """Interval between an upstream's reports to its steward."""
 
--- a/src/daleroad/follower.py
+++ b/src/daleroad/follower.py
@@ -6,6 +6,7 @@
 
 from daleroad.catalog import Catalog, DropEntry
 from daleroad.codec import encode
+from daleroad.defaults import GATHER_SECONDS
 from daleroad.errors import Failure
 from daleroad.events import Event, log_event
 from daleroad.leader import LeaderClient
@@ -59,7 +60,8 @@
         revision = self.catalog.revision
         body = encode(FollowRequest(self.make_member(), revision))
         sent_at = anyio.current_time()
-        wait = self._settings.follow + _ANSWER_SECONDS
+        gather = len(self.catalog.entries) * GATHER_SECONDS
+        wait = self._settings.follow + gather + _ANSWER_SECONDS
         # One attempt a turn: the lease counts from the attempt that was answered.
         answer = await self._leader.call("/follow", body, FollowAnswer, wait, 0.0)
         if isinstance(answer, Failure):
--- a/src/daleroad/roster.py
+++ b/src/daleroad/roster.py
@@ -32,6 +32,15 @@
         """
         self._seen[name] = _Seen(revision, now)
 
+    def note_applied(self, name: str, revision: int) -> None:
+        """Note what an entry says it has applied, without renewing its lease.
+
+        :param name: the entry.
+        :param revision: what it has applied.
+        """
+        seen = self._seen.get(name)
+        self._seen[name] = _Seen(revision, seen.at if seen else self.since)
+
     def forget(self, name: str) -> None:
         """Forget an entry that left.
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -191,6 +191,12 @@
         self.assertTrue(roster.is_in_force(5, ["a", "b"], 15.0))
         self.assertEqual(list(roster.list_expired(["a", "b", "c"], 14.5)), ["c"])
 
+    def test_what_an_entry_says_counts_at_once_but_renews_no_lease(self) -> None:
+        roster = Roster(4.0, since=10.0)
+        roster.note_applied("a", 5)
+        self.assertTrue(roster.is_in_force(5, ["a"], 10.1))
+        self.assertEqual(list(roster.list_expired(["a"], 14.0)), ["a"])
+
     def test_a_new_leader_waits_out_leases_of_its_predecessor(self) -> None:
         roster = Roster(4.0, since=10.0)
         self.assertEqual(list(roster.list_expired(["a"], 13.9)), [])
