Ask for limited slots until the counter has learned the held ones

Cause: in a whole run the limit test asked within the 2 s in which a new counter gives no slot, and all 9 requests were refused, as documented. Ruled out: a lost slot (nothing had been taken). The test still allows no more than 2 of 9 in any round, and needs exactly 2 in two rounds.

--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -148,8 +148,15 @@
                     tasks.start_soon(ask, number)
             return statuses
 
-        self.assertEqual(sorted(anyio.run(ask_all)), [200] * 2 + [429] * 7)
-        wait_for(lambda: anyio.run(ask_all).count(200) == 2, "the slots to come back")
+        def ask_round() -> bool:
+            statuses = anyio.run(ask_all)
+            self.assertLessEqual(set(statuses), {200, 429})
+            self.assertLessEqual(statuses.count(200), 2)
+            return statuses.count(200) == 2
+
+        # A new counter gives no slot until it has learned those that are held.
+        wait_for(ask_round, "two slots")
+        wait_for(ask_round, "the slots to come back")
 
     def test_the_same_key_with_another_request_conflicts(self) -> None:
         caller = self.make_caller("herders")
