Check our own processes' token in one place; drop a dead variable

Cause: control and entry each had the same check, and the relay bound a scope only to delete it. Behaviour is the same.

--- a/src/daleroad/control.py
+++ b/src/daleroad/control.py
@@ -61,7 +61,7 @@
 from daleroad.ordering import Ordering
 from daleroad.records import RECORD_TYPES, Operator, Record
 from daleroad.roster import Roster
-from daleroad.security import get_bearer, hash_token, is_token
+from daleroad.security import check_peer, get_bearer, is_token
 from daleroad.serving import Answer, Request, Response, Router, serve_app
 from daleroad.settings import Settings
 from daleroad.storage import Storage
@@ -238,10 +238,7 @@
         return router
 
     def _check_peer(self, request: Request) -> Failure | None:
-        token = get_bearer(request.headers.get("authorization", ""))
-        if is_token(token, hash_token(self.settings.cluster_secret)):
-            return None
-        return Failure(FailureKind.UNAUTHENTICATED, "not one of our processes")
+        return check_peer(request.headers, self.settings.cluster_secret)
 
     async def _serve_peer(self, request: Request) -> Answer:
         refused = self._check_peer(request)
--- a/src/daleroad/entry.py
+++ b/src/daleroad/entry.py
@@ -39,7 +39,7 @@
     SlotRequest,
 )
 from daleroad.records import State, Upstream
-from daleroad.security import get_bearer, hash_token, is_token
+from daleroad.security import check_peer, get_bearer, hash_token, is_token
 from daleroad.services import PlainCalls
 from daleroad.serving import Answer, Request, Response, Router, serve_app
 from daleroad.settings import OnLostControl, Settings
@@ -149,10 +149,7 @@
         return None
 
     def _check_peer(self, request: Request) -> Failure | None:
-        token = get_bearer(request.headers.get("authorization", ""))
-        if is_token(token, hash_token(self.env.settings.cluster_secret)):
-            return None
-        return Failure(FailureKind.UNAUTHENTICATED, "not one of our processes")
+        return check_peer(request.headers, self.env.settings.cluster_secret)
 
     def _parse_peer(self, request: Request, shape: Any) -> Any:
         return self._check_peer(request) or decode(shape, request.body)
--- a/src/daleroad/relay.py
+++ b/src/daleroad/relay.py
@@ -156,7 +156,7 @@
         """Yield the chunks of one response, then how it was cut if it was."""
         client = self.links.urgent if self.urgent else self.links.long
         try:
-            with anyio.fail_after(self.stall) as scope:
+            with anyio.fail_after(self.stall):
                 request = client.build_request(method, self.address + path, content=body)
                 response = await client.send(request, stream=True)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
@@ -167,7 +167,6 @@
         except (httpx.HTTPError, TimeoutError) as error:
             yield _Cut(Failure(FailureKind.UPSTREAM_LOST, f"{error!r}", Ran.UNKNOWN))
             return
-        del scope
         try:
             if response.status_code >= 400:
                 yield await self._parse_refusal(response, method)
--- a/src/daleroad/security.py
+++ b/src/daleroad/security.py
@@ -3,6 +3,9 @@
 import hashlib
 import hmac
 import secrets
+from collections.abc import Mapping
+
+from daleroad.errors import Failure, FailureKind
 
 _MAC_HEX = 16
 
@@ -33,6 +36,18 @@
     return token.strip() if scheme.lower() == "bearer" else ""
 
 
+def check_peer(headers: Mapping[str, str], secret: str) -> Failure | None:
+    """Return why a request is not one of our own processes', or nothing if it is.
+
+    :param headers: the request's headers, names in lower case.
+    :param secret: the cluster's secret.
+    """
+    token = get_bearer(headers.get("authorization", ""))
+    if is_token(token, hash_token(secret)):
+        return None
+    return Failure(FailureKind.UNAUTHENTICATED, "not one of our processes")
+
+
 def make_generation(upstream: str, organisation: str, secret: str) -> str:
     """Return a new generation id: upstream, random part and authentication code.
 
