Run on the platform: opaque requests through gateways and coordinators

Cause: daleroad's own interface serves generations of its own protocol; the platform's clients, engines and operators speak another, and its processes are told three seeds instead of a list of control processes.

--- a/src/daleroad/__init__.py
+++ b/src/daleroad/__init__.py
@@ -1,18 +1,34 @@
 """daleroad: serving of generations of unknown length on crowded engines."""
 
-from daleroad.admission import Admission as Admission
-from daleroad.caller import Caller as Caller
-from daleroad.caller import Token as Token
-from daleroad.caller import Whole as Whole
-from daleroad.consensus import Replica as Replica
-from daleroad.control import Control as Control
-from daleroad.entry import Entry as Entry
-from daleroad.errors import DaleroadError as DaleroadError
-from daleroad.errors import Failure as Failure
-from daleroad.errors import FailureKind as FailureKind
-from daleroad.errors import Ran as Ran
-from daleroad.errors import SettingsError as SettingsError
-from daleroad.errors import StorageError as StorageError
-from daleroad.operating import OperatorClient as OperatorClient
-from daleroad.settings import Settings as Settings
-from daleroad.settings import load_settings as load_settings
+from importlib import import_module
+from typing import Any
+
+_HOMES = {
+    "Admission": "admission",
+    "Caller": "caller",
+    "Control": "control",
+    "DaleroadError": "errors",
+    "Entry": "entry",
+    "Failure": "errors",
+    "FailureKind": "errors",
+    "OperatorClient": "operating",
+    "Ran": "errors",
+    "Replica": "consensus",
+    "Settings": "settings",
+    "SettingsError": "errors",
+    "StorageError": "errors",
+    "Token": "caller",
+    "Whole": "caller",
+    "load_settings": "settings",
+}
+"""Modules of the public names; each is imported when it is first asked for, since processes on
+small VMs need few of them."""
+
+__all__ = list(_HOMES)
+
+
+def __getattr__(name: str) -> Any:
+    """Import a public name from its module."""
+    if name not in _HOMES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{_HOMES[name]}"), name)
--- a/src/daleroad/consensus.py
+++ b/src/daleroad/consensus.py
@@ -83,7 +83,7 @@
     """A member's volatile and durable state, with the rules that move it.
 
     :param name: this member's name.
-    :param peers: the names of all members that may be reached, this one included.
+    :param peers: the names of members that are sent the log beside those in the membership.
     :param durable: what the disk held.
     :param now: the time in seconds on a clock that never goes back.
     :param random: the source of election timeouts.
@@ -141,6 +141,40 @@
         """The newest membership, committed or not."""
         return self._memberships()[-1]
 
+    def set_learners(self, names: Iterable[str]) -> None:
+        """Replace the members that are sent the log without a vote.
+
+        :param names: members beside the membership, for example new ones that catch up.
+        """
+        self.peers = tuple(sorted(set(names)))
+        if self.role is not Role.LEADER:
+            return
+        wanted = set(self._list_peers())
+        for name in wanted - set(self._progress):
+            self._progress[name] = _Progress(self.last_index + 1)
+        for name in set(self._progress) - wanted:
+            del self._progress[name]
+
+    def list_caught_up(self) -> list[Member]:
+        """Return the members, as their disks are now, that hold all that is committed."""
+        return [
+            Member(name, progress.incarnation)
+            for name, progress in self._progress.items()
+            if progress.incarnation and progress.match >= self.commit
+        ]
+
+    def list_heard(self, since: float) -> set[str]:
+        """Return the names of the members that answered this leader after a time.
+
+        :param since: the time.
+        """
+        return {name for name, progress in self._progress.items() if progress.heard >= since}
+
+    def _list_peers(self) -> list[str]:
+        """Return the names of all others: those with a vote and those without."""
+        voters = {member.name for members in self._memberships() for member in members}
+        return sorted((voters | set(self.peers)) - {self.name})
+
     def get_settled_members(self) -> tuple[Member, ...]:
         """Return the membership if no change of it is under way, else nothing."""
         found = self._memberships()
@@ -364,7 +398,7 @@
         request = VoteRequest(
             term, self.name, self.standing, self.last_index, self.last_term, trial
         )
-        self._effects.extend(Send(peer, request) for peer in self.peers if peer != self.name)
+        self._effects.extend(Send(peer, request) for peer in self._list_peers())
         self._count_votes()
 
     def _count_votes(self) -> None:
@@ -441,8 +475,7 @@
         incarnations = {m.name: m.incarnation for m in self._votes}
         self._progress = {
             peer: _Progress(self.last_index + 1, incarnation=incarnations.get(peer, ""))
-            for peer in self.peers
-            if peer != self.name
+            for peer in self._list_peers()
         }
         self._led_since = self.now
         self._append(EntryKind.EMPTY, [""])
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -55,6 +55,12 @@
 SNAPSHOT_ENTRIES = 1000
 """Applied log entries after which a snapshot is taken."""
 
+SNAPSHOT_BYTES = 1_000_000
+"""Applied bytes after which a snapshot is taken; a hundred large changes fit a disk of 64 MB."""
+
+STORAGE_RETRY_SECONDS = 0.3
+"""Pause before a disk that refused a write is tried again; well below an election timeout."""
+
 APPEND_MOST = 256
 """Log entries in one append message."""
 
@@ -127,3 +133,73 @@
 
 LOAD_BURST = 2.0
 """Loads from the weight store at once after quiet."""
+
+BUDGET_SAFETY = 0.7
+"""Part of a shared retry budget that is used; others' views of who shares it may be late."""
+
+COORDINATOR_CALL_SECONDS = 0.5
+"""Limit of a call between coordinators; some round trips and a disk's sync."""
+
+COORDINATOR_TURN_SECONDS = 0.1
+"""Interval of a coordinator's housekeeping, and pause before another leader is looked for."""
+
+FOUNDING_CALL_SECONDS = 1.0
+FOUNDING_PAUSE_SECONDS = 0.1
+"""Limit of a call to another founder, and pause before the next."""
+
+JOIN_SECONDS = 0.4
+"""Interval at which a coordinator without a vote asks for the log."""
+
+STANDBY_SILENT_SECONDS = 3.0
+"""A coordinator not heard for so long is not named to others any more; several shares."""
+
+GATEWAY_SILENT_SECONDS = 2.0
+"""A gateway not heard for so long gets no new clients; two of its slowest questions."""
+
+LEADER_WAIT_SECONDS = 0.85
+"""How long a coordinator looks for a leader; callers wait for one second."""
+
+LEAVE_TOLD_SECONDS = 0.4
+"""How long an upstream's leave waits for other coordinators; its caller waits for one second."""
+
+SHARE_SECONDS = 0.3
+"""Interval at which coordinators tell each other who they heard; well below a heartbeat."""
+
+WATCHES = 3
+"""Coordinators that a gateway watches; two may be lost."""
+
+WATCH_FAST_SECONDS = 0.25
+"""Interval at which a gateway exchanges loads with the leading coordinator."""
+
+WATCH_SLOW_SECONDS = 1.0
+"""How long the other coordinators keep a gateway's question without news."""
+
+WATCH_SLACK_SECONDS = 0.6
+"""Time beyond its wait after which a watch counts as failed."""
+
+WATCH_PAUSE_SECONDS = 0.1
+"""Pause after a watch that failed."""
+
+LATE_HEARTBEATS = 2.6
+"""Heartbeats missed before an upstream is used only where no other is; some come seconds late."""
+
+CONNECT_SECONDS = 0.4
+"""Limit of a connection to an upstream; a hundred round trips within a region."""
+
+PLAIN_RETRY_AFTER_SECONDS = 0.15
+"""When to come back to a plain service that refused; a few of its requests long."""
+
+ENGINE_RETRY_AFTER_SECONDS = 0.4
+"""When to come back to engines that are full; about one prompt's reading."""
+
+SPARE_SECONDS = 0.02
+"""Time kept back from a request's deadline for the way of its answer."""
+
+MOVE_RETRY_SECONDS = 0.15
+"""Pause before a generation that has not begun is tried to be moved again."""
+
+MOVE_WORTH_SECONDS = 0.8
+"""A generation that should end sooner stays on an engine that leaves; notices are seconds."""
+
+TOKEN_SECONDS = 0.008
+"""Time of one token on a half-full engine, to guess how long a generation goes on."""
--- /dev/null
+++ b/src/daleroad/dispatch.py
@@ -0,0 +1,178 @@
+"""What a gateway asks of an upstream and what comes back, without a word on the wire.
+
+A client of upstreams implements :class:`Dispatcher`; the product decides, it only carries out.
+"""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Protocol
+
+from daleroad.fleet import Instance
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True)
+class Prompt:
+    """How a request describes its prompt.
+
+    :param parts: the prompt's parts in order, as id and tokens; other requests share the first.
+    :param tokens: tokens of the whole prompt.
+    :param most_output: tokens of output at most.
+    """
+
+    parts: tuple[tuple[str, int], ...]
+    tokens: int
+    most_output: int
+
+
+@dataclass(frozen=True)
+class Job:
+    """One request as a client sent it.
+
+    :param id: the client's id of this attempt.
+    :param target: path and query, untouched.
+    :param path: the path alone.
+    :param headers: those that concern the upstream, in order.
+    :param key: the client's key, or empty.
+    :param received_at: when its head was read.
+    :param deadline: when the client stops waiting; both on the runtime's clock.
+    :param prompt: set where the request describes one.
+    """
+
+    id: str
+    method: str
+    target: bytes
+    host: str
+    path: str
+    headers: Headers
+    body: bytes
+    key: str
+    received_at: float
+    deadline: float
+    prompt: Prompt | None = None
+
+
+@dataclass(frozen=True)
+class Source:
+    """Where a generation's memory is, for an engine that goes on with it.
+
+    :param address: IP:PORT of the engine that keeps the copy's handle.
+    :param handle: names the copy.
+    :param last_event: id of the last event that the client has.
+    """
+
+    address: str
+    handle: str
+    last_event: str
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """One dispatch of a job to one instance.
+
+    :param organisation: name of the sender's organisation, or empty.
+    :param seconds: time left for the answer.
+    :param rank: urgency for an engine, or nothing.
+    :param source: set when a generation goes on from a copy.
+    :param backup: IP:PORT of an engine that should get a running copy, or empty.
+    """
+
+    job: Job
+    instance: Instance
+    organisation: str
+    seconds: float
+    rank: int | None = None
+    source: Source | None = None
+    backup: str = ""
+
+
+@dataclass(frozen=True)
+class NotRun:
+    """The request did not run there and never will.
+
+    :param gone: whether the address belongs to another instance now.
+    :param sent: whether any byte reached the upstream.
+    """
+
+    reason: str
+    gone: bool = False
+    sent: bool = True
+
+
+@dataclass(frozen=True)
+class Lost:
+    """The request may have run; its answer did not arrive whole."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Whole:
+    """A complete answer of an upstream, proved to be its own."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Piece:
+    """One whole event of a stream; ``event`` is its id, or empty."""
+
+    data: bytes
+    event: str
+
+
+class Stream(Protocol):
+    """A stream of events that an upstream has begun."""
+
+    status: int
+    headers: Headers
+
+    def pieces(self) -> AsyncIterator[Piece | Lost]:
+        """Yield whole events; a cut stream ends with :class:`Lost`, a complete one without."""
+
+    async def close(self) -> None:
+        """Close the connection if the stream is not over."""
+
+
+Reply = NotRun | Lost | Whole | Stream
+
+
+@dataclass(frozen=True)
+class Copied:
+    """A generation's memory is at the other engine.
+
+    :param handle: names the copy.
+    :param made: events made so far.
+    """
+
+    handle: str
+    made: int
+
+
+@dataclass(frozen=True)
+class NotCopied:
+    """No copy was made.
+
+    :param absent: whether the engine has no such generation at work.
+    """
+
+    reason: str
+    absent: bool = False
+
+
+class Dispatcher(Protocol):
+    """Carries out what a gateway decided."""
+
+    async def send(self, attempt: Attempt) -> Reply:
+        """Send a request and return its answer, or the stream that it began."""
+
+    async def copy(
+        self, job: Job, source: Instance, destination: Instance, final: bool
+    ) -> Copied | NotCopied:
+        """Copy a running generation's memory; a final copy stops it first."""
+
+    def forget(self, instance: Instance) -> None:
+        """Close the idle connections to an instance that left."""
--- /dev/null
+++ b/src/daleroad/fleet.py
@@ -0,0 +1,200 @@
+"""The upstreams that are alive, as their own heartbeats tell. Pure.
+
+An upstream's process is one *instance* with an id of its own; it counts its heartbeats, so one
+that arrives late changes nothing. An instance that left is remembered for a while, or a late
+heartbeat would bring it back.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+GONE_KEPT_SECONDS = 60.0
+"""How long an instance that left is remembered; heartbeats arrive seconds late, not minutes."""
+
+FORGET_SECONDS = 20.0
+"""An instance without a heartbeat for so long is dropped; many missed heartbeats."""
+
+
+class InstanceState(StrEnum):
+    """How far an instance is on its way; states only go forward."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+_ORDER = list(InstanceState)
+
+
+@dataclass(frozen=True)
+class Instance:
+    """One process of an upstream, as it describes itself.
+
+    :param sequence: number of the heartbeat that said so.
+    :param slots: requests that it works on at a time.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: InstanceState
+    sequence: int
+
+
+@dataclass
+class _Known:
+    instance: Instance
+    heard_at: float
+    warm_at: float
+
+
+@dataclass(frozen=True)
+class Sighting:
+    """An instance as one process tells another of it, with ages instead of times.
+
+    :param age: seconds since its last heartbeat.
+    :param cold: seconds for which it will still be slow after its start.
+    """
+
+    instance: Instance
+    age: float
+    cold: float = 0.0
+
+
+@dataclass
+class Fleet:
+    """All instances known to one process.
+
+    :param revision: grows with each change that those who follow should know.
+    """
+
+    revision: int = 1
+    _known: dict[str, _Known] = field(default_factory=dict)
+
+    def note(self, sighting: Sighting, now: float) -> bool:
+        """Take in news of an instance; return whether it changes what others should know.
+
+        :param sighting: the instance, and how long ago it was heard.
+        :param now: the time.
+        """
+        fresh = sighting.instance
+        heard_at = now - sighting.age
+        known = self._known.get(fresh.id)
+        if known is None:
+            self._known[fresh.id] = _Known(fresh, heard_at, heard_at + sighting.cold)
+            self.revision += 1
+            return True
+        old = known.instance
+        known.heard_at = max(known.heard_at, heard_at)
+        forward = _ORDER.index(fresh.state) > _ORDER.index(old.state)
+        if fresh.sequence < old.sequence and not forward:
+            return False
+        if not forward and fresh.state is not old.state:
+            return False
+        known.instance = fresh
+        known.warm_at = heard_at + sighting.cold
+        changed = (fresh.state, fresh.address, fresh.service) != (
+            old.state,
+            old.address,
+            old.service,
+        )
+        self.revision += int(changed)
+        return changed
+
+    def leave(self, instance_id: str, now: float) -> bool:
+        """Note that an instance is gone; return whether that is news.
+
+        :param instance_id: the instance.
+        :param now: the time.
+        """
+        known = self._known.get(instance_id)
+        if known is None:
+            gone = Instance(instance_id, "", "", "", 0, InstanceState.GONE, 0)
+            return self.note(Sighting(gone, 0.0), now)
+        old = known.instance
+        fields = (old.id, old.service, old.address, old.zone, old.slots)
+        gone = Instance(*fields, InstanceState.GONE, old.sequence)
+        return self.note(Sighting(gone, 0.0), now)
+
+    def get(self, instance_id: str) -> Instance | None:
+        """Return what is known of an instance.
+
+        :param instance_id: its id.
+        """
+        known = self._known.get(instance_id)
+        return known.instance if known else None
+
+    def get_age(self, instance_id: str, now: float) -> float:
+        """Return the seconds since an instance's last heartbeat.
+
+        :param instance_id: its id.
+        :param now: the time.
+        """
+        known = self._known.get(instance_id)
+        return now - known.heard_at if known else float("inf")
+
+    def is_cold(self, instance_id: str, now: float) -> bool:
+        """Return whether an instance is still slow after its start."""
+        known = self._known.get(instance_id)
+        return known is not None and now < known.warm_at
+
+    def list_ready(self, service: str) -> list[Instance]:
+        """Return the instances of a service that take new work.
+
+        :param service: its name.
+        """
+        return [
+            known.instance
+            for known in self._known.values()
+            if known.instance.service == service and known.instance.state is InstanceState.READY
+        ]
+
+    def list_sightings(self, now: float, since: float = float("-inf")) -> Iterator[Sighting]:
+        """Yield all instances, or those heard after a time, as others are told of them.
+
+        :param now: the time.
+        :param since: the time.
+        """
+        for known in self._known.values():
+            if known.heard_at >= since:
+                cold = max(0.0, known.warm_at - now)
+                yield Sighting(known.instance, now - known.heard_at, cold)
+
+    def note_all(self, sightings: Iterable[Sighting], now: float) -> list[Instance]:
+        """Take in news of many instances; return those that changed.
+
+        :param sightings: the news.
+        :param now: the time.
+        """
+        return [s.instance for s in sightings if self.note(s, now)]
+
+    def note_ages(self, ages: dict[str, float], now: float) -> None:
+        """Note when known instances were last heard.
+
+        :param ages: seconds since then by instance.
+        :param now: the time.
+        """
+        for instance_id, age in ages.items():
+            known = self._known.get(instance_id)
+            if known is not None:
+                known.heard_at = max(known.heard_at, now - age)
+
+    def prune(self, now: float) -> list[Instance]:
+        """Drop instances not heard of for long; return those that had not said they leave.
+
+        :param now: the time.
+        """
+        lost = []
+        for instance_id, known in list(self._known.items()):
+            gone = known.instance.state is InstanceState.GONE
+            limit = GONE_KEPT_SECONDS if gone else FORGET_SECONDS
+            if now - known.heard_at <= limit:
+                continue
+            del self._known[instance_id]
+            if not gone:
+                self.revision += 1
+                lost.append(known.instance)
+        return lost
--- /dev/null
+++ b/src/daleroad/forwarding.py
@@ -0,0 +1,257 @@
+"""One request's way through a gateway: route, organisation, upstream, answer.
+
+What may be repeated is decided here alone: a request goes to another upstream when the first one
+surely did not run it, or when it is idempotent, while the shared retry budget and the route's
+limit of attempts allow it.
+"""
+
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from daleroad.defaults import (
+    ENGINE_RETRY_AFTER_SECONDS,
+    PLAIN_RETRY_AFTER_SECONDS,
+    SPARE_SECONDS,
+)
+from daleroad.dispatch import (
+    Attempt,
+    Headers,
+    Job,
+    Lost,
+    NotRun,
+    Prompt,
+    Reply,
+    Whole,
+)
+from daleroad.errors import Failure, FailureKind, Ran
+from daleroad.events import Event, log_event
+from daleroad.fleet import Instance
+from daleroad.gateway import Gateway
+from daleroad.picking import pick_upstream
+from daleroad.routing import Repeat, RouteRule, RoutingTable, ServiceRule
+from daleroad.runs import Run, Runs
+
+_SERVER_ERROR = 500
+_NO_CONFIG_RETRY_SECONDS = 0.5
+
+
+@dataclass(frozen=True)
+class Flow:
+    """A stream for the client: whole events, then nothing more, or a failure at a cut.
+
+    :param deadline: when it must be over.
+    :param close: ends it; must be called in any case.
+    """
+
+    status: int
+    headers: Headers
+    pieces: AsyncGenerator[bytes | Failure, None]
+    deadline: float
+    close: Callable[[], Awaitable[None]]
+
+
+Outcome = Whole | Flow | Failure
+
+
+@dataclass
+class _Way:
+    """What is known of one request on its way."""
+
+    job: Job
+    table: RoutingTable
+    route: RouteRule
+    service: ServiceRule
+    organisation: str
+    rank: int
+    deadline: float
+    tried: set[str] = field(default_factory=set)
+    ran: int = 0
+    sends: int = 0
+    last: Whole | None = None
+
+
+class Forwarder:
+    """Serves requests for a gateway.
+
+    :param gateway: the gateway.
+    :param runs: the streams that it delivers.
+    """
+
+    def __init__(self, gateway: Gateway, runs: Runs) -> None:
+        self._gateway = gateway
+        self._runs = runs
+
+    async def serve(self, job: Job) -> Outcome:
+        """Return the answer to a request.
+
+        :param job: the request.
+        """
+        way = self._prepare(job)
+        if isinstance(way, Failure):
+            self._log_end(job, None, way)
+            return way
+        outcome = await self._find_outcome(way)
+        self._log_end(job, way, outcome)
+        return outcome
+
+    def _prepare(self, job: Job) -> _Way | Failure:
+        gateway = self._gateway
+        table = gateway.table
+        if table is None or gateway.is_outdated():
+            reason = "no current configuration"
+            return Failure(FailureKind.NO_LEASE, reason, Ran.NO, _NO_CONFIG_RETRY_SECONDS)
+        route = table.match(job.host, job.path)
+        if isinstance(route, Failure):
+            return route
+        organisation, rank = "", route.rank
+        if table.config.organisations and not route.public:
+            found = table.identify(job.key)
+            if isinstance(found, Failure):
+                return found
+            organisation = found.name
+            rank = route.rank if found.rank is None else found.rank
+        service = table.services[table.pick_service(route, gateway.random.random())]
+        deadline = min(job.deadline, job.received_at + route.timeout)
+        return _Way(job, table, route, service, organisation, rank, deadline)
+
+    async def _find_outcome(self, way: _Way) -> Outcome:
+        self._gateway.budget.note_first(way.service.name, anyio.current_time())
+        while True:
+            seconds = way.deadline - anyio.current_time() - SPARE_SECONDS
+            if seconds <= 0:
+                return self._give_up(way, "the time is over")
+            candidate = pick_upstream(
+                self._gateway.list_candidates(way.service, count_tokens(way.job.prompt), way.tried),
+                self._gateway.options.zone,
+                self._gateway.random,
+            )
+            if candidate is None:
+                return self._give_up(way, "no upstream is left")
+            way.sends += 1
+            outcome = await self._try(way, candidate.instance, seconds)
+            if outcome is not None:
+                return outcome
+            if not self._may_repeat(way):
+                return self._give_up(way, "no repeat is allowed")
+
+    async def _try(self, way: _Way, instance: Instance, seconds: float) -> Outcome | None:
+        """Send to one instance; return the outcome, or nothing if another may be tried."""
+        gateway = self._gateway
+        way.tried.add(instance.id)
+        gateway.ejector.take_trial(instance.id, anyio.current_time())
+        tokens = count_tokens(way.job.prompt)
+        rank = way.rank if way.service.engine else None
+        attempt = Attempt(way.job, instance, way.organisation, seconds, rank)
+        gateway.add_load(instance, tokens)
+        kept = False
+        try:
+            with anyio.move_on_after(seconds):
+                reply = await gateway.dispatcher.send(attempt)
+                if isinstance(reply, NotRun | Lost | Whole):
+                    return self._judge(way, instance, reply)
+                kept = True
+                return self._start_flow(Run(attempt, reply, way.deadline, tokens))
+            way.ran += 1
+            gateway.note_result(instance, False)
+            way.last = None
+            return Failure(FailureKind.DEADLINE, f"{instance.id} took too long", Ran.UNKNOWN)
+        finally:
+            if not kept:
+                gateway.remove_load(instance, tokens)
+
+    def _judge(self, way: _Way, instance: Instance, reply: Reply) -> Outcome | None:
+        match reply:
+            case NotRun(reason, gone, sent):
+                self._log_try(way, instance, "not run", reason)
+                if gone or not sent:
+                    self._gateway.note_result(instance, False)
+                return None
+            case Lost(reason):
+                way.ran += 1
+                self._log_try(way, instance, "lost", reason)
+                self._gateway.note_result(instance, False)
+                if way.route.repeat is Repeat.IDEMPOTENT:
+                    return None
+                return Failure(FailureKind.UPSTREAM_LOST, reason, Ran.UNKNOWN)
+            case Whole(status):
+                way.ran += 1
+                self._gateway.note_result(instance, status < _SERVER_ERROR)
+                if status < _SERVER_ERROR or way.route.repeat is not Repeat.IDEMPOTENT:
+                    return reply
+                self._log_try(way, instance, "failed", str(status))
+                way.last = reply
+                return None
+        return None
+
+    def _may_repeat(self, way: _Way) -> bool:
+        if way.ran >= max(1, way.route.attempts):
+            return False
+        gateway = self._gateway
+        return gateway.budget.take(way.service.name, gateway.gateways, anyio.current_time())
+
+    def _give_up(self, way: _Way, reason: str) -> Outcome:
+        """Return the final answer of a request that gets no further try."""
+        if way.last is not None:
+            return way.last
+        if way.ran:
+            return Failure(FailureKind.UPSTREAM_LOST, reason, Ran.UNKNOWN)
+        after = ENGINE_RETRY_AFTER_SECONDS if way.service.engine else PLAIN_RETRY_AFTER_SECONDS
+        return Failure(FailureKind.NO_UPSTREAM, reason, Ran.NO, after)
+
+    def _start_flow(self, run: Run) -> Flow:
+        runs = self._runs
+        stream = run.stream
+        runs.open(run)
+
+        async def close() -> None:
+            await runs.close(run)
+
+        return Flow(stream.status, stream.headers, runs.deliver(run), run.deadline, close)
+
+    def _log_try(self, way: _Way, instance: Instance, outcome: str, reason: str) -> None:
+        gateway = self._gateway
+        log_event(
+            Event.ATTEMPT_FAILED,
+            request=way.job.id,
+            route=way.route.name,
+            upstream=instance.id,
+            outcome=outcome,
+            reason=reason,
+            config=way.table.config.version,
+            fleet=gateway.fleet.revision,
+            heartbeat_age=round(gateway.fleet.get_age(instance.id, anyio.current_time()), 3),
+        )
+
+    def _log_end(self, job: Job, way: _Way | None, outcome: Outcome) -> None:
+        fields: dict[str, object] = {
+            "request": job.id,
+            "seconds": round(anyio.current_time() - job.received_at, 4),
+        }
+        if way is not None:
+            fields |= {
+                "route": way.route.name,
+                "service": way.service.name,
+                "sends": way.sends,
+                "config": way.table.config.version,
+            }
+        match outcome:
+            case Failure(kind, reason, ran):
+                fields |= {"failure": kind.value, "reason": reason, "ran": ran.value}
+                heard = round(anyio.current_time() - self._gateway.heard_at, 3)
+                log_event(Event.REQUEST_REFUSED, **fields, heard_age=heard)
+            case Whole(status):
+                log_event(Event.REQUEST_ANSWERED, **fields, status=status)
+            case Flow(status):
+                log_event(Event.STREAM_BEGUN, **fields, status=status)
+
+
+def count_tokens(prompt: Prompt | None) -> int:
+    """Return the memory that a request may take on an engine, in tokens.
+
+    The output's length is not known; half of its limit stands for it.
+
+    :param prompt: the request's prompt, if it has one.
+    """
+    return prompt.tokens + prompt.most_output // 2 if prompt else 0
--- /dev/null
+++ b/src/daleroad/gateway.py
@@ -0,0 +1,205 @@
+"""The central object of a gateway: what it believes, and the parts that act on it."""
+
+from collections.abc import Callable, Coroutine, Iterator
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from daleroad.defaults import LATE_HEARTBEATS
+from daleroad.dispatch import Dispatcher
+from daleroad.fleet import Fleet, Instance, InstanceState
+from daleroad.health import Ejector
+from daleroad.notices import GatewayNotice, Load
+from daleroad.picking import Candidate, estimate_load
+from daleroad.retries import WindowBudget
+from daleroad.routing import RoutingConfig, RoutingTable, ServiceRule
+
+
+@dataclass(frozen=True)
+class GatewayOptions:
+    """What a gateway is told at its start. Times are in seconds.
+
+    :param address: IP:PORT for clients.
+    :param seeds: addresses of coordinators to begin with.
+    :param heartbeat: interval of upstreams' heartbeats.
+    :param retry_ratio: repeats to a service for each request, over all gateways.
+    :param retry_slack: repeats beyond that in a window, over all gateways.
+    :param retry_window: length of that window.
+    :param outdated_after: a gateway that heard no coordinator for so long refuses new work, or
+        nothing where it may serve by what it has.
+    """
+
+    address: str
+    zone: str
+    region: str
+    seeds: tuple[str, ...]
+    heartbeat: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window: float
+    outdated_after: float | None = None
+
+
+@dataclass
+class Gateway:
+    """One gateway.
+
+    :param options: what it is told.
+    :param dispatcher: carries requests to upstreams.
+    :param random: source of choices between equals.
+    """
+
+    options: GatewayOptions
+    dispatcher: Dispatcher
+    random: Random
+    fleet: Fleet = field(default_factory=Fleet)
+    table: RoutingTable | None = None
+    ejector: Ejector = field(default_factory=Ejector)
+    gateways: int = 1
+    heard_at: float = float("-inf")
+    serving: bool = True
+    open_requests: int = 0
+    on_leaving: Callable[[Instance], None] = lambda instance: None
+    _own: dict[str, Load] = field(default_factory=dict)
+    _others: dict[str, Load] = field(default_factory=dict)
+    _tasks: TaskGroup | None = None
+
+    def __post_init__(self) -> None:
+        options = self.options
+        self.budget = WindowBudget(options.retry_ratio, options.retry_slack, options.retry_window)
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Let parts run in the background.
+
+        :param tasks: runs them.
+        """
+        self._tasks = tasks
+
+    def spawn(self, func: Callable[..., Coroutine[Any, Any, Any]], *args: Any) -> None:
+        """Run something in the background for as long as the gateway runs.
+
+        :param func: the coroutine function.
+        :param args: its arguments.
+        """
+        if self._tasks is not None:
+            self._tasks.start_soon(func, *args)
+
+    def make_notice(self) -> GatewayNotice:
+        """Return this gateway as others should know it."""
+        options = self.options
+        return GatewayNotice(options.address, options.zone, options.region, self.is_ready())
+
+    def is_ready(self) -> bool:
+        """Return whether new clients should come here."""
+        return self.serving and self.table is not None
+
+    def is_outdated(self) -> bool:
+        """Return whether the configuration may be too old to serve by."""
+        limit = self.options.outdated_after
+        return limit is not None and anyio.current_time() - self.heard_at > limit
+
+    def replace_config(self, config: RoutingConfig) -> None:
+        """Serve by a newer configuration; an older one changes nothing.
+
+        :param config: the configuration.
+        """
+        if self.table is None or config.version > self.table.config.version:
+            self.table = RoutingTable(config)
+
+    # Load.
+
+    def add_load(self, instance: Instance, tokens: int) -> None:
+        """Note work that begins at an instance.
+
+        :param instance: the instance.
+        :param tokens: tokens of memory that it may take.
+        """
+        self._change_load(instance.id, 1, tokens)
+
+    def remove_load(self, instance: Instance, tokens: int) -> None:
+        """Note work that ended at an instance.
+
+        :param instance: the instance.
+        :param tokens: as given when it began.
+        """
+        self._change_load(instance.id, -1, -tokens)
+
+    def _change_load(self, instance_id: str, runs: int, tokens: int) -> None:
+        old = self._own.get(instance_id, Load(instance_id, 0, 0))
+        fresh = Load(instance_id, old.runs + runs, old.tokens + tokens)
+        if fresh.runs:
+            self._own[instance_id] = fresh
+        else:
+            self._own.pop(instance_id, None)
+
+    def list_loads(self) -> tuple[Load, ...]:
+        """Return this gateway's own work at each instance."""
+        return tuple(self._own.values())
+
+    def replace_other_loads(self, loads: tuple[Load, ...]) -> None:
+        """Take in the work of the other gateways.
+
+        :param loads: their work at each instance.
+        """
+        self._others = {load.instance: load for load in loads}
+
+    def get_load(self, instance_id: str) -> Load:
+        """Return the work of all gateways at an instance.
+
+        :param instance_id: the instance.
+        """
+        own = self._own.get(instance_id, Load(instance_id, 0, 0))
+        others = self._others.get(instance_id, Load(instance_id, 0, 0))
+        return Load(instance_id, own.runs + others.runs, own.tokens + others.tokens)
+
+    # Candidates.
+
+    def list_candidates(
+        self, service: ServiceRule, tokens: int, excluded: set[str]
+    ) -> Iterator[Candidate]:
+        """Yield the upstreams of a service that may get a request.
+
+        :param service: the service.
+        :param tokens: tokens of memory that the request may take.
+        :param excluded: instances that it must not go to.
+        """
+        now = anyio.current_time()
+        late = LATE_HEARTBEATS * self.options.heartbeat
+        memory = service.engine.memory_tokens if service.engine else 0
+        for instance in self.fleet.list_ready(service.name):
+            if instance.id in excluded:
+                continue
+            known = self.get_load(instance.id)
+            load = estimate_load(known.runs + 1, known.tokens + tokens, instance.slots, memory)
+            silent = self.fleet.get_age(instance.id, now) > late
+            closed = not self.ejector.is_open(instance.id, now)
+            cold = self.fleet.is_cold(instance.id, now)
+            yield Candidate(instance, load, silent or closed, cold)
+
+    def note_result(self, instance: Instance, ok: bool) -> None:
+        """Take a request's result as evidence for or against an upstream.
+
+        :param instance: the upstream.
+        :param ok: whether the request went well.
+        """
+        among = len(self.fleet.list_ready(instance.service))
+        self.ejector.note(instance.id, ok, among, anyio.current_time())
+
+    def note_changes(self, changed: list[Instance]) -> None:
+        """Act on instances that are not as they were.
+
+        :param changed: the instances as they are now.
+        """
+        for instance in changed:
+            match instance.state:
+                case InstanceState.READY:
+                    pass
+                case InstanceState.LEAVING:
+                    self.on_leaving(instance)
+                case InstanceState.GONE:
+                    self.on_leaving(instance)
+                    self.ejector.forget(instance.id)
+                    self.dispatcher.forget(instance)
--- a/src/daleroad/group.py
+++ b/src/daleroad/group.py
@@ -1,5 +1,6 @@
 """Runs one member of a replicated log: storage, messages and the state it drives."""
 
+import sqlite3
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -12,7 +13,9 @@
 from daleroad.consensus import Replica, Role
 from daleroad.defaults import (
     PEER_TIMEOUT_SECONDS,
+    SNAPSHOT_BYTES,
     SNAPSHOT_ENTRIES,
+    STORAGE_RETRY_SECONDS,
     TICK_SECONDS,
 )
 from daleroad.errors import Failure, FailureKind, Ran
@@ -72,6 +75,8 @@
     :param machine: the state that the log drives.
     :param links: connections to the others.
     :param random: source of election timeouts.
+    :param locate: returns the base URL of a member that ``urls`` has not; without it members are
+        fixed.
     """
 
     def __init__(
@@ -83,13 +88,17 @@
         machine: Machine,
         links: Links,
         random: Random,
+        locate: Callable[[str], str] | None = None,
     ) -> None:
         self.name = name
         self.member = member
         self.machine = machine
         self.applied = 0
         self.on_applied: Callable[[], None] = lambda: None
-        self._urls = urls
+        self._urls = dict(urls)
+        self._locate = locate
+        self._tasks: TaskGroup | None = None
+        self._logged_bytes = 0
         self._storage = storage
         self._links = links
         self._random = random
@@ -106,20 +115,20 @@
 
         :param tasks: runs this member's tasks.
         """
+        self._tasks = tasks
+        await self._start()
+        tasks.start_soon(self._loop)
+
+    async def _start(self) -> None:
+        """Take part with what the disk holds."""
         durable = self._storage.load()
-        self.replica = Replica(
-            self.member, tuple(self._urls), durable, anyio.current_time(), self._random
-        )
+        peers = tuple(peer for peer in self._urls if peer != self.member)
+        self.replica = Replica(self.member, peers, durable, anyio.current_time(), self._random)
         if durable.snapshot.state:
             self.machine.load(durable.snapshot.state)
         self.applied = durable.snapshot.index
+        self._logged_bytes = sum(len(entry.payload) for entry in durable.log)
         await self._carry_out(self.replica.take())
-        for peer in self._urls:
-            if peer != self.member:
-                self._outboxes[peer] = []
-                self._outbox_wakes[peer] = anyio.Event()
-                tasks.start_soon(self._send_loop, peer)
-        tasks.start_soon(self._loop)
 
     def is_leading(self) -> bool:
         """Return whether this member leads and has heard a majority lately."""
@@ -135,7 +144,12 @@
 
     def get_leader_url(self) -> str | None:
         """Return the base URL of the leader, if one is known."""
-        return self._urls.get(self.replica.leader)
+        return self._find_url(self.replica.leader) if self.replica.leader else None
+
+    def _find_url(self, name: str) -> str | None:
+        if name not in self._urls and self._locate is not None:
+            self._urls[name] = self._locate(name)
+        return self._urls.get(name)
 
     def refuse(self) -> Failure:
         """Return the failure that sends a caller to the leader."""
@@ -180,7 +194,31 @@
             with anyio.move_on_after(TICK_SECONDS):
                 await self._wake.wait()
             self._wake = anyio.Event()
-            await self._step()
+            try:
+                await self._step()
+            except sqlite3.Error as error:
+                await self._restart(str(error))
+
+    async def _restart(self, reason: str) -> None:
+        """Start anew from the disk after it refused a write.
+
+        What was not saved must not be told to anyone, so all that was under way is dropped.
+        """
+        log_event(Event.STORAGE_FAILED, group=self.name, reason=reason)
+        for proposal in (*self._waiting.values(), *self._proposals):
+            self._finish(proposal, _lost())
+        self._waiting = {}
+        self._proposals = []
+        self._inbox = []
+        while True:
+            await anyio.sleep(STORAGE_RETRY_SECONDS)
+            try:
+                self._storage.roll_back()
+                await self._start()
+            except sqlite3.Error:
+                continue
+            log_event(Event.STORAGE_REGAINED, group=self.name, index=self.replica.last_index)
+            return
 
     async def _step(self) -> None:
         was = self.replica.role
@@ -229,6 +267,7 @@
 
     def _apply(self, entry: LogEntry) -> None:
         outcome = None
+        self._logged_bytes += len(entry.payload)
         match entry.kind:
             case EntryKind.CHANGE:
                 outcome = self.machine.apply_payload(entry.index, entry.payload)
@@ -265,21 +304,31 @@
             log_event(Event.LEADER_STEPPED_DOWN, group=self.name, term=self.replica.term)
 
     async def _compact(self) -> None:
-        if self.applied - self.replica.snapshot.index < SNAPSHOT_ENTRIES:
+        many = self.applied - self.replica.snapshot.index >= SNAPSHOT_ENTRIES
+        large = self._logged_bytes >= SNAPSHOT_BYTES and self.applied > self.replica.snapshot.index
+        if not many and not large:
             return
+        self._logged_bytes = 0
         effects = self.replica.compact(self.applied, self.machine.dump())
         await self._carry_out(effects)
         log_event(Event.SNAPSHOT_TAKEN, group=self.name, index=self.applied)
 
     def _post(self, to: str, message: Message) -> None:
-        outbox = self._outboxes[to]
+        outbox = self._open_outbox(to)
         outbox.append(message)
         # The protocol recovers from lost messages, so a slow link loses the oldest.
         del outbox[:-_OUTBOX_MOST]
         self._outbox_wakes[to].set()
 
+    def _open_outbox(self, peer: str) -> list[Message]:
+        if peer not in self._outboxes and self._tasks is not None:
+            self._outboxes[peer] = []
+            self._outbox_wakes[peer] = anyio.Event()
+            self._tasks.start_soon(self._send_loop, peer)
+        return self._outboxes[peer]
+
     async def _send_loop(self, peer: str) -> None:
-        url = f"{self._urls[peer]}/peer/{self.name}"
+        url = f"{self._find_url(peer)}/peer/{self.name}"
         while True:
             await self._outbox_wakes[peer].wait()
             self._outbox_wakes[peer] = anyio.Event()
--- a/src/daleroad/links.py
+++ b/src/daleroad/links.py
@@ -41,6 +41,7 @@
         self.short = make_client(tls, CALL_TIMEOUT_SECONDS)
         self.urgent = make_client(tls, None)
         self.long = make_client(tls, None)
+        self.token = token
         self._headers = {"authorization": f"Bearer {token}"}
 
     async def close(self) -> None:
--- /dev/null
+++ b/src/daleroad/notices.py
@@ -0,0 +1,138 @@
+"""Messages between gateways and coordinators. Ages and waits are in seconds."""
+
+from dataclasses import dataclass
+
+from daleroad.fleet import Sighting
+
+
+@dataclass(frozen=True)
+class GatewayNotice:
+    """A gateway as others are told of it.
+
+    :param address: IP:PORT for clients.
+    :param serving: whether new clients should be sent there.
+    :param age: seconds since it was heard.
+    """
+
+    address: str
+    zone: str
+    region: str
+    serving: bool
+    age: float = 0.0
+
+
+@dataclass(frozen=True)
+class Load:
+    """Work that gateways have under way at one instance.
+
+    :param runs: requests.
+    :param tokens: tokens of memory that they may take in the end.
+    """
+
+    instance: str
+    runs: int
+    tokens: int
+
+
+@dataclass(frozen=True)
+class JoinRequest:
+    """A coordinator asks to be sent the log.
+
+    :param name: its address for the other coordinators.
+    :param disk: whether it has a disk and so may vote.
+    """
+
+    name: str
+    disk: bool
+
+
+@dataclass(frozen=True)
+class IdentifyAnswer:
+    """What a coordinator says of itself while a group is founded."""
+
+    name: str
+    disk: bool
+
+
+@dataclass(frozen=True)
+class ShareRequest:
+    """A coordinator tells another what it heard itself since the last time."""
+
+    sender: str
+    gateways: tuple[GatewayNotice, ...]
+    sightings: tuple[Sighting, ...]
+
+
+@dataclass(frozen=True)
+class ShareAnswer:
+    """Acknowledges a share; names all coordinators that are known."""
+
+    coordinators: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class WatchRequest:
+    """A gateway asks for news and tells of itself.
+
+    :param epoch: the run of the coordinator that ``revision`` counts in.
+    :param revision: the newest revision of the fleet that it has from that run.
+    :param version: the version of the routing configuration that it serves.
+    :param loads: its own work.
+    :param wait: how long the answer may wait for news.
+    """
+
+    gateway: GatewayNotice
+    epoch: str
+    revision: int
+    version: int
+    loads: tuple[Load, ...]
+    wait: float
+
+
+@dataclass(frozen=True)
+class WatchAnswer:
+    """News for a gateway.
+
+    :param leader: address of the leading coordinator, if known.
+    :param document: the routing configuration, when the gateway's is older.
+    :param sightings: all instances, when they changed.
+    :param ages: seconds since each instance was heard.
+    :param loads: the work of all other gateways.
+    :param gateways: how many gateways are alive.
+    """
+
+    epoch: str
+    revision: int
+    coordinators: tuple[str, ...]
+    leader: str
+    version: int
+    document: str | None
+    sightings: tuple[Sighting, ...] | None
+    ages: dict[str, float]
+    loads: tuple[Load, ...]
+    gateways: int
+
+
+@dataclass(frozen=True)
+class SaveRequest:
+    """Asks the leader to commit a routing configuration."""
+
+    document: str
+
+
+@dataclass(frozen=True)
+class SaveAnswer:
+    """The configuration is saved by a majority, or an equal or newer one already was.
+
+    :param version: the newest version.
+    """
+
+    version: int
+
+
+@dataclass(frozen=True)
+class ReadAnswer:
+    """The newest routing configuration, by the word of a leader that just heard a majority."""
+
+    version: int
+    document: str
--- /dev/null
+++ b/src/daleroad/picking.py
@@ -0,0 +1,67 @@
+"""Which upstream a request goes to. Pure.
+
+A gateway knows its own work exactly and that of the others a fraction of a second late, so a
+little noise keeps gateways that see the same figures from choosing the same upstream.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from daleroad.fleet import Instance
+
+NOISE = 0.06
+"""Range of the noise on a load between 0 and 1: about one run of a small engine."""
+
+ZONE_BONUS = 0.05
+"""How much fuller an upstream of the gateway's own zone may be; traffic between zones is paid."""
+
+COLD_PENALTY = 0.25
+"""Load that stands for the slowness of an upstream that has just started."""
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """An upstream with what is known of it.
+
+    :param load: from 0 to 1 when full; above 1 when work waits.
+    :param doubtful: whether its heartbeat is missing or its answers failed of late.
+    """
+
+    instance: Instance
+    load: float
+    doubtful: bool = False
+    cold: bool = False
+
+
+def pick_upstream(candidates: Iterable[Candidate], zone: str, random: Random) -> Candidate | None:
+    """Return the candidate to use, or nothing without any.
+
+    Doubtful ones are used only when no other is there.
+
+    :param candidates: all that may serve the request.
+    :param zone: the gateway's availability zone.
+    :param random: source of noise.
+    """
+    best: Candidate | None = None
+    best_score = (True, 0.0)
+    for candidate in candidates:
+        score = candidate.load + random.uniform(0, NOISE)
+        score -= ZONE_BONUS * (candidate.instance.zone == zone)
+        score += COLD_PENALTY * candidate.cold
+        ranked = (candidate.doubtful, score)
+        if best is None or ranked < best_score:
+            best, best_score = candidate, ranked
+    return best
+
+
+def estimate_load(runs: int, tokens: int, slots: int, memory: int) -> float:
+    """Return how full an upstream is, by the scarcer of slots and memory.
+
+    :param runs: requests there.
+    :param tokens: tokens that they may take.
+    :param slots: requests that it works on at a time.
+    :param memory: tokens that fit, or 0 where memory does not matter.
+    """
+    by_slots = runs / max(1, slots)
+    return max(by_slots, tokens / memory) if memory else by_slots
--- a/src/daleroad/serving.py
+++ b/src/daleroad/serving.py
@@ -252,9 +252,14 @@
     return headers
 
 
-def _make_config(bind: str, tls: Tls) -> Config:
+def make_config(binds: list[str], tls: Tls) -> Config:
+    """Return the server's settings without the library's default limits.
+
+    :param binds: each IP:PORT to listen on.
+    :param tls: key files.
+    """
     config = Config()
-    config.bind = [bind]
+    config.bind = binds
     config.accesslog = None
     config.errorlog = None
     config.keep_alive_timeout = 75.0
@@ -289,8 +294,20 @@
     :param wait_stop: returns when serving should stop.
     :param grace: seconds that open requests get to end.
     """
-    config = _make_config(bind, tls)
+    config = make_config([bind], tls)
     config.graceful_timeout = grace
+    await serve_config(app, config, wait_stop)
+
+
+async def serve_config(
+    app: AsgiApp, config: Config, wait_stop: Callable[[], Awaitable[None]]
+) -> None:
+    """Serve an application by the server's settings until told to stop.
+
+    :param app: the application.
+    :param config: the settings; the idle timeout may change while it serves.
+    :param wait_stop: returns when serving should stop.
+    """
     stopping = anyio.Event()
 
     async def watch() -> None:
--- a/src/daleroad/storage.py
+++ b/src/daleroad/storage.py
@@ -39,14 +39,20 @@
 class Storage:
     """The durable part of a replica.
 
-    :param path: the file; it is created, with a new incarnation, when it is missing.
+    :param path: the file; it is created, with a new incarnation, when it is missing. Without one
+        the state is kept in memory and lost with the process.
     """
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path | None) -> None:
         self.path = path
         try:
-            path.parent.mkdir(parents=True, exist_ok=True)
-            self._db = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
+            if path is not None:
+                path.parent.mkdir(parents=True, exist_ok=True)
+            self._db = sqlite3.connect(
+                path or ":memory:", check_same_thread=False, isolation_level=None
+            )
+            # Exclusive locking keeps the index of the write-ahead log out of shared memory.
+            self._db.execute("PRAGMA locking_mode=EXCLUSIVE")
             self._db.execute("PRAGMA journal_mode=WAL")
             self._db.execute("PRAGMA synchronous=FULL")
             self._check()
@@ -87,7 +93,7 @@
         :param members: the founding membership.
         :param state: the founding state of the group.
         """
-        if self._db.execute("SELECT count(*) FROM meta").fetchone()[0]:
+        if not self.is_new():
             raise StorageError(Failure(FailureKind.CONFLICT, f"{self.path} is in use already"))
         snapshot = Snapshot(1, 0, members, state)
         self._db.execute("BEGIN IMMEDIATE")
@@ -121,6 +127,15 @@
                     self._db.execute("DELETE FROM log WHERE idx <= ?", (last,))
         self._db.execute("COMMIT")
 
+    def roll_back(self) -> None:
+        """End a transaction that failed; the file is as it was before."""
+        if self._db.in_transaction:
+            self._db.execute("ROLLBACK")
+
+    def is_new(self) -> bool:
+        """Return whether nothing was ever saved."""
+        return not self._db.execute("SELECT count(*) FROM meta").fetchone()[0]
+
     def close(self) -> None:
         """Close the file."""
         self._db.close()
--- /dev/null
+++ b/src/daleroad/watching.py
@@ -0,0 +1,184 @@
+"""A gateway watches some coordinators: configuration, fleet, and the others' load.
+
+It watches several at a time, since one may be cut off or gone without a word. Whatever comes is
+merged so that it only goes forward: versions grow, instances that left stay away.
+"""
+
+from collections.abc import Callable
+
+import anyio
+
+from daleroad.codec import encode
+from daleroad.defaults import (
+    WATCH_FAST_SECONDS,
+    WATCH_PAUSE_SECONDS,
+    WATCH_SLACK_SECONDS,
+    WATCH_SLOW_SECONDS,
+    WATCHES,
+)
+from daleroad.errors import Failure
+from daleroad.events import Event, log_event
+from daleroad.fleet import InstanceState
+from daleroad.gateway import Gateway
+from daleroad.links import Links
+from daleroad.notices import WatchAnswer, WatchRequest
+from daleroad.routing import RoutingConfig
+
+Parse = Callable[[bytes], RoutingConfig | Failure]
+
+
+class Watcher:
+    """Keeps a gateway's beliefs up to date.
+
+    :param gateway: the gateway.
+    :param links: connections.
+    :param parse: reads a routing configuration from its document.
+    """
+
+    def __init__(self, gateway: Gateway, links: Links, parse: Parse) -> None:
+        self._gateway = gateway
+        self._links = links
+        self._parse = parse
+        self._seeds = gateway.options.seeds
+        self._known: tuple[str, ...] = ()
+        self._leader = ""
+        self._watched: dict[int, str] = {}
+        self._failed_at: dict[str, float] = {}
+        self._told = anyio.Event()
+
+    def replace_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other addresses to begin with.
+
+        :param seeds: the addresses.
+        """
+        self._seeds = seeds
+
+    def tell_now(self) -> None:
+        """Let the coordinators know at once that this gateway's notice changed."""
+        self._told.set()
+        self._told = anyio.Event()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for slot in range(WATCHES):
+                tasks.start_soon(self._watch_slot, slot)
+
+    async def _watch_slot(self, slot: int) -> None:
+        epoch = ""
+        revision = 0
+        while True:
+            name = self._choose(slot)
+            if name is None:
+                await anyio.sleep(WATCH_SLOW_SECONDS)
+                continue
+            if self._watched.get(slot) != name:
+                epoch, revision = "", 0
+                self._watched[slot] = name
+            answer = await self._ask(name, epoch, revision, slot)
+            if isinstance(answer, Failure):
+                self._note_failed(name, answer)
+                self._watched.pop(slot, None)
+                await anyio.sleep(WATCH_PAUSE_SECONDS)
+                continue
+            if self._failed_at.pop(name, None) is not None:
+                log_event(Event.COORDINATOR_REGAINED, name=name)
+            epoch, revision = answer.epoch, answer.revision
+            self._apply(answer, name)
+
+    def _choose(self, slot: int) -> str | None:
+        """Return the coordinator that a slot should watch; the leader has a slot always."""
+        taken = {name for other, name in self._watched.items() if other != slot}
+        names = [n for n in dict.fromkeys([*self._known, *self._seeds]) if n not in taken]
+        if not names:
+            return None
+        if self._leader in names and self._leader not in self._failed_at:
+            return self._leader
+        current = self._watched.get(slot)
+        if current in names and current not in self._failed_at:
+            return current
+        # Those that failed longest ago come first, and those that never failed before them.
+        return min(names, key=lambda name: self._failed_at.get(name, float("-inf")))
+
+    def _is_fast(self, name: str) -> bool:
+        if self._leader in self._watched.values():
+            return name == self._leader
+        return name == min(self._watched.values())
+
+    async def _ask(self, name: str, epoch: str, revision: int, slot: int) -> WatchAnswer | Failure:
+        gateway = self._gateway
+        fast = self._is_fast(name)
+        wait = WATCH_FAST_SECONDS if fast else WATCH_SLOW_SECONDS
+        version = gateway.table.config.version if gateway.table else 0
+        request = WatchRequest(
+            gateway.make_notice(), epoch, revision, version, gateway.list_loads(), wait
+        )
+        found: list[WatchAnswer | Failure] = []
+
+        async def call() -> None:
+            url = f"http://{name}/site/watch"
+            seconds = wait + WATCH_SLACK_SECONDS
+            found.append(await self._links.call(url, encode(request), WatchAnswer, seconds))
+            tasks.cancel_scope.cancel()
+
+        async def interrupt() -> None:
+            # A changed notice is told by a new question; the old one is dropped.
+            await told.wait()
+            tasks.cancel_scope.cancel()
+
+        told = self._told
+        while not found:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                tasks.start_soon(interrupt)
+            if not found:
+                told = self._told
+                notice = gateway.make_notice()
+                request = WatchRequest(notice, epoch, revision, version, gateway.list_loads(), wait)
+        return found[0]
+
+    def _note_failed(self, name: str, failure: Failure) -> None:
+        if name not in self._failed_at:
+            log_event(Event.COORDINATOR_LOST, name=name, reason=failure.reason)
+        self._failed_at[name] = anyio.current_time()
+
+    def _apply(self, answer: WatchAnswer, name: str) -> None:
+        gateway = self._gateway
+        now = anyio.current_time()
+        gateway.heard_at = now
+        gateway.gateways = max(1, answer.gateways)
+        self._known = answer.coordinators
+        self._leader = answer.leader or self._leader
+        self._failed_at = {n: at for n, at in self._failed_at.items() if n in self._known}
+        if answer.document is not None:
+            self._apply_document(answer, name)
+        if answer.sightings is not None:
+            changed = gateway.fleet.note_all(answer.sightings, now)
+            for instance in changed:
+                self._log_change(instance.id, instance.state, name)
+            gateway.note_changes(changed)
+        gateway.fleet.note_ages(answer.ages, now)
+        if self._is_fast(name):
+            gateway.replace_other_loads(answer.loads)
+        for instance in gateway.fleet.prune(now):
+            log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="age")
+            gateway.dispatcher.forget(instance)
+
+    def _apply_document(self, answer: WatchAnswer, name: str) -> None:
+        gateway = self._gateway
+        config = self._parse((answer.document or "").encode())
+        if isinstance(config, Failure):
+            log_event(Event.DOCUMENT_UNREADABLE, index=answer.version, reason=config.reason)
+            return
+        before = gateway.table.config.version if gateway.table else 0
+        gateway.replace_config(config)
+        if config.version > before:
+            log_event(Event.CONFIG_IN_FORCE, version=config.version, before=before, by=name)
+
+    def _log_change(self, instance_id: str, state: InstanceState, name: str) -> None:
+        event = {
+            InstanceState.READY: Event.UPSTREAM_JOINED,
+            InstanceState.LEAVING: Event.UPSTREAM_DRAINING,
+            InstanceState.GONE: Event.UPSTREAM_LEFT,
+        }[state]
+        log_event(event, id=instance_id, by=name, revision=self._gateway.fleet.revision)
