--- a/src/daleroad/storage.py
+++ b/src/daleroad/storage.py
@@ -58,6 +58,9 @@
             self._check()
             self._db.executescript(_SCHEMA)
         except (sqlite3.Error, OSError) as error:
+            if "locked" in str(error):
+                failure = Failure(FailureKind.CONFLICT, f"{path} is in use by another process")
+                raise StorageError(failure) from error
             raise StorageError(self._describe_damage(str(error))) from error
 
     def _describe_damage(self, reason: str) -> Failure:
