Move generations off a leaving engine by a schedule all gateways share

Cause: copies queue on the leaving engine's link; with five or more runs every final copy stood behind somebody's first one, so all were lost or paused for more than the 180 ms allowed. A cross-zone copy takes twice as long. Now: the engine's own list of runs gives every gateway the same schedule. Also: a run whose engine died was retried until the deadline; it ends at once.

--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -198,8 +198,18 @@
 MOVE_RETRY_SECONDS = 0.15
 """Pause before a generation that has not begun is tried to be moved again."""
 
+MOVE_STOP_SECONDS = 1.2
+"""How long after an engine's notice its generations are stopped for the rest of their copy; the
+shortest notice is 1.7 s, and first copies take a second together."""
+
 MOVE_WORTH_SECONDS = 0.8
 """A generation that should end sooner stays on an engine that leaves; notices are seconds."""
 
 TOKEN_SECONDS = 0.008
 """Time of one token on a half-full engine, to guess how long a generation goes on."""
+
+BACKUP_ROOM = 0.0
+"""How full an engine may get by a backup; the rest is for work that comes."""
+
+BACKUP_WORTH_SECONDS = 2.0
+"""A generation that should be over sooner gets no backup; its copy alone takes a part of that."""
--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -5,8 +5,11 @@
 
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Protocol
 
+from daleroad.errors import Failure
+from daleroad.evacuation import RunSize
 from daleroad.fleet import Instance
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -152,15 +155,34 @@
     made: int
 
 
+class CopyFault(StrEnum):
+    """Why no copy was made."""
+
+    ABSENT = "no such generation is at work there"
+    NO_ROOM = "the destination has no room or can't be reached"
+    UNREACHABLE = "the source can't be reached"
+    NO_TIME = "the source ends too soon"
+    BUSY = "another copy is under way"
+
+
 @dataclass(frozen=True)
 class NotCopied:
-    """No copy was made.
+    """No copy was made."""
+
+    reason: str
+    fault: CopyFault
 
-    :param absent: whether the engine has no such generation at work.
+
+@dataclass(frozen=True)
+class EngineReport:
+    """What an engine says of itself.
+
+    :param leaves_in: seconds until it ends, if it knows.
+    :param runs: the generations at work.
     """
 
-    reason: str
-    absent: bool = False
+    leaves_in: float | None
+    runs: tuple[RunSize, ...]
 
 
 class Dispatcher(Protocol):
@@ -174,5 +196,8 @@
     ) -> Copied | NotCopied:
         """Copy a running generation's memory; a final copy stops it first."""
 
+    async def report(self, instance: Instance) -> EngineReport | Failure:
+        """Ask an engine for its report; each one is paid for."""
+
     def forget(self, instance: Instance) -> None:
         """Close the idle connections to an instance that left."""
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -66,7 +66,7 @@
     organisation: str
     rank: int
     deadline: float
-    tried: set[str] = field(default_factory=set)
+    tried: dict[str, None] = field(default_factory=dict)
     ran: int = 0
     sends: int = 0
     last: Whole | None = None
@@ -139,12 +139,22 @@
     async def _try(self, way: _Way, instance: Instance, seconds: float) -> Outcome | None:
         """Send to one instance; return the outcome, or nothing if another may be tried."""
         gateway = self._gateway
-        way.tried.add(instance.id)
+        way.tried[instance.id] = None
         gateway.ejector.take_trial(instance.id, anyio.current_time())
         tokens = count_tokens(way.job.prompt)
         rank = way.rank if way.service.engine else None
-        attempt = Attempt(way.job, instance, way.organisation, seconds, rank)
-        gateway.add_load(instance, tokens)
+        backup = gateway.pick_backup(instance, tokens, way.job.prompt)
+        attempt = Attempt(
+            way.job,
+            instance,
+            way.organisation,
+            seconds,
+            rank,
+            backup=backup.address if backup else "",
+        )
+        gateway.add_load(instance, 1, tokens)
+        if backup is not None:
+            gateway.add_load(backup, 0, tokens)
         kept = False
         try:
             with anyio.move_on_after(seconds):
@@ -152,14 +162,16 @@
                 if isinstance(reply, NotRun | Lost | Whole):
                     return self._judge(way, instance, reply)
                 kept = True
-                return self._start_flow(Run(attempt, reply, way.deadline, tokens))
+                return self._start_flow(Run(attempt, reply, way.deadline, tokens, backup))
             way.ran += 1
             gateway.note_result(instance, False)
             way.last = None
             return Failure(FailureKind.DEADLINE, f"{instance.id} took too long", Ran.UNKNOWN)
         finally:
             if not kept:
-                gateway.remove_load(instance, tokens)
+                gateway.add_load(instance, -1, -tokens)
+                if backup is not None:
+                    gateway.add_load(backup, 0, -tokens)
 
     def _judge(self, way: _Way, instance: Instance, reply: Reply) -> Outcome | None:
         match reply:
@@ -244,7 +256,8 @@
             case Whole(status):
                 log_event(Event.REQUEST_ANSWERED, **fields, status=status)
             case Flow(status):
-                log_event(Event.STREAM_BEGUN, **fields, status=status)
+                upstream = list(way.tried)[-1] if way else ""
+                log_event(Event.STREAM_BEGUN, **fields, status=status, upstream=upstream)
 
 
 def count_tokens(prompt: Prompt | None) -> int:
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -1,6 +1,6 @@
 """The central object of a gateway: what it believes, and the parts that act on it."""
 
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Container, Coroutine, Iterator
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -8,12 +8,17 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from daleroad.defaults import LATE_HEARTBEATS
-from daleroad.dispatch import Dispatcher
+from daleroad.defaults import (
+    BACKUP_ROOM,
+    BACKUP_WORTH_SECONDS,
+    LATE_HEARTBEATS,
+    TOKEN_SECONDS,
+)
+from daleroad.dispatch import Dispatcher, Prompt
 from daleroad.fleet import Fleet, Instance, InstanceState
 from daleroad.health import Ejector
 from daleroad.notices import GatewayNotice, Load
-from daleroad.picking import Candidate, estimate_load
+from daleroad.picking import Candidate, estimate_load, pick_upstream
 from daleroad.retries import WindowBudget
 from daleroad.routing import RoutingConfig, RoutingTable, ServiceRule
 
@@ -64,6 +69,7 @@
     open_requests: int = 0
     on_leaving: Callable[[Instance], None] = lambda instance: None
     _own: dict[str, Load] = field(default_factory=dict)
+    _leaving_since: dict[str, float] = field(default_factory=dict)
     _others: dict[str, Load] = field(default_factory=dict)
     _tasks: TaskGroup | None = None
 
@@ -111,29 +117,19 @@
 
     # Load.
 
-    def add_load(self, instance: Instance, tokens: int) -> None:
-        """Note work that begins at an instance.
+    def add_load(self, instance: Instance, runs: int, tokens: int) -> None:
+        """Note work that begins at an instance, or with negative figures that it ended.
 
         :param instance: the instance.
+        :param runs: requests; 0 for the backup of a run elsewhere.
         :param tokens: tokens of memory that it may take.
         """
-        self._change_load(instance.id, 1, tokens)
-
-    def remove_load(self, instance: Instance, tokens: int) -> None:
-        """Note work that ended at an instance.
-
-        :param instance: the instance.
-        :param tokens: as given when it began.
-        """
-        self._change_load(instance.id, -1, -tokens)
-
-    def _change_load(self, instance_id: str, runs: int, tokens: int) -> None:
-        old = self._own.get(instance_id, Load(instance_id, 0, 0))
-        fresh = Load(instance_id, old.runs + runs, old.tokens + tokens)
-        if fresh.runs:
-            self._own[instance_id] = fresh
+        old = self._own.get(instance.id, Load(instance.id, 0, 0))
+        fresh = Load(instance.id, old.runs + runs, old.tokens + tokens)
+        if fresh.runs or fresh.tokens:
+            self._own[instance.id] = fresh
         else:
-            self._own.pop(instance_id, None)
+            self._own.pop(instance.id, None)
 
     def list_loads(self) -> tuple[Load, ...]:
         """Return this gateway's own work at each instance."""
@@ -157,8 +153,41 @@
 
     # Candidates.
 
+    def get_service(self, name: str) -> ServiceRule | None:
+        """Return a service of the present configuration.
+
+        :param name: its name.
+        """
+        return self.table.services.get(name) if self.table else None
+
+    def pick_backup(
+        self, instance: Instance, tokens: int, prompt: Prompt | None
+    ) -> Instance | None:
+        """Return an engine with room for a copy of a run, or nothing if there is none to spare.
+
+        :param instance: where the run goes.
+        :param tokens: memory that it may take.
+        :param prompt: what tells how long it may go on.
+        """
+        service = self.get_service(instance.service)
+        if service is None or service.engine is None or not service.engine.backups:
+            return None
+        if prompt is None or prompt.most_output * TOKEN_SECONDS < BACKUP_WORTH_SECONDS:
+            return None
+        candidates = self.list_candidates(service, tokens, {instance.id})
+        room = (c for c in candidates if c.load <= BACKUP_ROOM and not c.doubtful)
+        found = pick_upstream(room, instance.zone, self.random)
+        return found.instance if found else None
+
+    def get_leaving_since(self, instance: Instance) -> float:
+        """Return when this gateway heard that an instance leaves, or now.
+
+        :param instance: the instance.
+        """
+        return self._leaving_since.get(instance.id, anyio.current_time())
+
     def list_candidates(
-        self, service: ServiceRule, tokens: int, excluded: set[str]
+        self, service: ServiceRule, tokens: int, excluded: Container[str]
     ) -> Iterator[Candidate]:
         """Yield the upstreams of a service that may get a request.
 
@@ -198,8 +227,10 @@
                 case InstanceState.READY:
                     pass
                 case InstanceState.LEAVING:
+                    self._leaving_since.setdefault(instance.id, anyio.current_time())
                     self.on_leaving(instance)
                 case InstanceState.GONE:
+                    self._leaving_since.setdefault(instance.id, anyio.current_time())
                     self.on_leaving(instance)
                     self.ejector.forget(instance.id)
                     self.dispatcher.forget(instance)
--- /dev/null
+++ b/src/daleroad/moving.py
@@ -0,0 +1,239 @@
+"""How generations get off an engine that leaves, crashes or resets their connection.
+
+An engine that leaves gives a notice of seconds. A run's memory is copied while it goes on, and
+shortly before the end it is stopped and the rest is copied. An engine that died gives none; then
+only a backup helps, which the engine sent elsewhere all the while.
+"""
+
+from dataclasses import dataclass, field
+
+import anyio
+
+from daleroad.defaults import (
+    MOVE_RETRY_SECONDS,
+    MOVE_STOP_SECONDS,
+    MOVE_WORTH_SECONDS,
+    TOKEN_SECONDS,
+)
+from daleroad.dispatch import Copied, CopyFault, NotCopied, Source
+from daleroad.errors import Failure
+from daleroad.evacuation import (
+    FAR_FACTOR,
+    LINK_SHARE,
+    STOP_MARGIN_SECONDS,
+    Slot,
+    schedule_copies,
+)
+from daleroad.events import Event, log_event
+from daleroad.fleet import Instance, InstanceState
+from daleroad.gateway import Gateway
+from daleroad.picking import COPY_ZONE_BONUS, pick_upstream
+from daleroad.runs import Continuation, Run
+
+
+@dataclass
+class _Plan:
+    """When the runs of an engine that leaves are copied.
+
+    :param stop_at: when a run without a slot is stopped.
+    :param listed: the runs that the engine listed.
+    """
+
+    made_at: float
+    stop_at: float
+    slots: dict[str, Slot] = field(default_factory=dict)
+    listed: frozenset[str] = frozenset()
+    ready: anyio.Event = field(default_factory=anyio.Event)
+
+
+class EngineMover:
+    """Moves the generations of one gateway.
+
+    :param gateway: the gateway.
+    """
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+        self._plans: dict[str, _Plan] = {}
+
+    def begin(self, run: Run) -> None:
+        """Begin to move a run off an engine that leaves.
+
+        :param run: the run.
+        """
+        service = self._gateway.get_service(run.attempt.instance.service)
+        if run.moving or run.ended or service is None or service.engine is None:
+            return
+        if not service.engine.moves:
+            return
+        run.moving = True
+        self._gateway.spawn(self._move, run)
+
+    async def continue_cut(self, run: Run) -> Continuation | None:
+        """Return where a run whose stream was cut can go on, if anywhere.
+
+        :param run: the run.
+        """
+        if run.moving:
+            await run.settled.wait()
+        if run.continuation is not None:
+            return run.continuation
+        return await self._rescue(run)
+
+    async def _rescue(self, run: Run) -> Continuation | None:
+        """Go on after a cut without notice: the engine may be dead, or only the connection.
+
+        An engine that still works is stopped first, or two engines would make one generation.
+        """
+        service = self._gateway.get_service(run.attempt.instance.service)
+        if service is None or service.engine is None or not service.engine.moves:
+            return None
+        backup = self._get_live_backup(run)
+        destination = backup or self._pick_destination(run, {run.attempt.instance.id})
+        if destination is None:
+            return None
+        copied = await self._copy(run, destination, final=True)
+        if isinstance(copied, Copied):
+            return self._make_continuation(run, destination, copied)
+        self._log_not_copied(run, destination.id, copied.reason)
+        if backup is None or copied.fault is CopyFault.BUSY:
+            return None
+        # A backup bears the request's own id as its handle.
+        source = Source(backup.address, run.attempt.job.id, run.last_event)
+        return Continuation(backup, source)
+
+    async def _move(self, run: Run) -> None:
+        try:
+            await self._get_off(run)
+        finally:
+            run.settled.set()
+
+    async def _get_off(self, run: Run) -> None:
+        """Copy while the run goes on; stop it for the rest shortly before its engine ends."""
+        origin = run.attempt.instance
+        plan = await self._get_plan(origin)
+        excluded = {origin.id}
+        while not run.ended and not self._ends_soon(run):
+            destination = self._pick_destination(run, excluded)
+            if destination is None:
+                self._log_not_copied(run, "", "no destination")
+                return
+            copied = await self._copy_twice(run, destination, plan)
+            match copied:
+                case Copied():
+                    run.continuation = self._make_continuation(run, destination, copied)
+                    return
+                case NotCopied(reason, fault):
+                    self._log_not_copied(run, destination.id, reason)
+                    if fault in (CopyFault.UNREACHABLE, CopyFault.NO_TIME):
+                        return
+                    if fault is CopyFault.NO_ROOM:
+                        excluded.add(destination.id)
+            await anyio.sleep(MOVE_RETRY_SECONDS)
+
+    async def _copy_twice(self, run: Run, destination: Instance, plan: _Plan) -> Copied | NotCopied:
+        slot = plan.slots.get(run.attempt.job.id)
+        if slot is None and run.attempt.job.id in plan.listed:
+            return NotCopied("the engine ends before its turn", CopyFault.NO_TIME)
+        self._gateway.add_load(destination, 1, run.tokens)
+        try:
+            if slot is not None:
+                await anyio.sleep_until(plan.made_at + slot.start)
+            first = await self._copy(run, destination, final=False)
+            if isinstance(first, NotCopied):
+                return first
+            await anyio.sleep_until(plan.made_at + slot.stop if slot else plan.stop_at)
+            return await self._copy(run, destination, final=True)
+        finally:
+            self._gateway.add_load(destination, -1, -run.tokens)
+
+    async def _get_plan(self, origin: Instance) -> _Plan:
+        """Return when runs get off an engine; its report is asked for once."""
+        plan = self._plans.get(origin.id)
+        if plan is None:
+            plan = self._plans[origin.id] = _Plan(
+                anyio.current_time(),
+                self._gateway.get_leaving_since(origin) + MOVE_STOP_SECONDS,
+            )
+            await self._fill_plan(plan, origin)
+            plan.ready.set()
+        await plan.ready.wait()
+        return plan
+
+    async def _fill_plan(self, plan: _Plan, origin: Instance) -> None:
+        report = await self._gateway.dispatcher.report(origin)
+        service = self._gateway.get_service(origin.service)
+        if isinstance(report, Failure) or service is None or service.engine is None:
+            reason = report.reason if isinstance(report, Failure) else "no such service"
+            log_event(Event.REPORT_FAILED, upstream=origin.id, reason=reason)
+            return
+        near = self._has_neighbour(origin)
+        seconds = service.engine.token_seconds / LINK_SHARE * (1.0 if near else FAR_FACTOR)
+        plan.made_at = anyio.current_time()
+        if report.leaves_in is not None:
+            plan.stop_at = plan.made_at + report.leaves_in - STOP_MARGIN_SECONDS
+        leaves_in = plan.stop_at - plan.made_at + STOP_MARGIN_SECONDS
+        plan.slots = schedule_copies(report.runs, leaves_in, seconds)
+        plan.listed = frozenset(run.id for run in report.runs)
+        log_event(
+            Event.EVACUATION_PLANNED,
+            upstream=origin.id,
+            leaves_in=report.leaves_in,
+            runs=len(report.runs),
+            slots=len(plan.slots),
+            near=near,
+        )
+
+    def _has_neighbour(self, origin: Instance) -> bool:
+        ready = self._gateway.fleet.list_ready(origin.service)
+        return any(other.zone == origin.zone for other in ready)
+
+    async def _copy(self, run: Run, destination: Instance, final: bool) -> Copied | NotCopied:
+        job = run.attempt.job
+        origin = run.attempt.instance
+        began = anyio.current_time()
+        copied = await self._gateway.dispatcher.copy(job, origin, destination, final)
+        if isinstance(copied, Copied):
+            log_event(
+                Event.STREAM_COPIED,
+                request=job.id,
+                origin=origin.id,
+                to=destination.id,
+                zones=f"{origin.zone}>{destination.zone}",
+                backup=run.backup is not None and run.backup.id == destination.id,
+                final=final,
+                made=copied.made,
+                delivered=run.last_event,
+                seconds=round(anyio.current_time() - began, 3),
+            )
+        return copied
+
+    def _make_continuation(self, run: Run, to: Instance, copied: Copied) -> Continuation:
+        source = Source(run.attempt.instance.address, copied.handle, run.last_event)
+        return Continuation(to, source)
+
+    def _get_live_backup(self, run: Run) -> Instance | None:
+        """Return the engine with a run's backup if it takes work."""
+        if run.backup is None:
+            return None
+        known = self._gateway.fleet.get(run.backup.id)
+        ready = known is not None and known.state is InstanceState.READY
+        return run.backup if ready else None
+
+    def _ends_soon(self, run: Run) -> bool:
+        prompt = run.attempt.job.prompt
+        return prompt is not None and prompt.most_output * TOKEN_SECONDS < MOVE_WORTH_SECONDS
+
+    def _pick_destination(self, run: Run, excluded: set[str]) -> Instance | None:
+        gateway = self._gateway
+        origin = run.attempt.instance
+        service = gateway.get_service(origin.service)
+        if service is None:
+            return None
+        candidates = gateway.list_candidates(service, run.tokens, excluded)
+        # A copy to another availability zone takes twice as long, and time is short.
+        found = pick_upstream(candidates, origin.zone, gateway.random, COPY_ZONE_BONUS)
+        return found.instance if found else None
+
+    def _log_not_copied(self, run: Run, to: str, reason: str) -> None:
+        log_event(Event.MOVE_FAILED, request=run.attempt.job.id, to=to, reason=reason)
--- a/src/daleroad/picking.py
+++ b/src/daleroad/picking.py
@@ -16,6 +16,9 @@
 ZONE_BONUS = 0.05
 """How much fuller an upstream of the gateway's own zone may be; traffic between zones is paid."""
 
+COPY_ZONE_BONUS = 0.5
+"""The same for the engine that a generation moves to: half of its memory."""
+
 COLD_PENALTY = 0.25
 """Load that stands for the slowness of an upstream that has just started."""
 
@@ -34,20 +37,23 @@
     cold: bool = False
 
 
-def pick_upstream(candidates: Iterable[Candidate], zone: str, random: Random) -> Candidate | None:
+def pick_upstream(
+    candidates: Iterable[Candidate], zone: str, random: Random, bonus: float = ZONE_BONUS
+) -> Candidate | None:
     """Return the candidate to use, or nothing without any.
 
     Doubtful ones are used only when no other is there.
 
     :param candidates: all that may serve the request.
-    :param zone: the gateway's availability zone.
+    :param zone: the availability zone to prefer.
     :param random: source of noise.
+    :param bonus: how much fuller an upstream of that availability zone may be.
     """
     best: Candidate | None = None
     best_score = (True, 0.0)
     for candidate in candidates:
         score = candidate.load + random.uniform(0, NOISE)
-        score -= ZONE_BONUS * (candidate.instance.zone == zone)
+        score -= bonus * (candidate.instance.zone == zone)
         score += COLD_PENALTY * candidate.cold
         ranked = (candidate.doubtful, score)
         if best is None or ranked < best_score:
--- a/src/daleroad/routing.py
+++ b/src/daleroad/routing.py
@@ -61,12 +61,14 @@
 
     :param slots: generations at a time.
     :param memory_tokens: tokens that prompts and outputs may take together.
+    :param token_seconds: time of one token's memory on an engine's link.
     :param moves: whether a running generation can be copied to another engine.
     :param backups: whether an engine copies a generation elsewhere while it runs.
     """
 
     slots: int
     memory_tokens: int
+    token_seconds: float
     moves: bool
     backups: bool
 
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -1,32 +1,28 @@
-"""Streams that a gateway delivers, and their way off an engine that leaves.
+"""Streams that a gateway delivers, wherever their generations go on.
 
-A generation belongs to one client and is never made twice: when its engine leaves, its memory is
-copied to another engine while it runs, then once more after it stopped, and the other engine goes
-on from there. The client gets each event once and in order.
+A generation belongs to one client and is never made twice. The client gets each event once and
+in order, also when the generation moves to another engine midway.
 """
 
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field, replace
+from typing import Protocol
 
 import anyio
 
-from daleroad.defaults import MOVE_RETRY_SECONDS, MOVE_WORTH_SECONDS, TOKEN_SECONDS
-from daleroad.dispatch import (
-    Attempt,
-    Copied,
-    Lost,
-    NotCopied,
-    NotRun,
-    Piece,
-    Source,
-    Stream,
-    Whole,
-)
+from daleroad.dispatch import Attempt, Lost, NotRun, Piece, Source, Stream, Whole
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
 from daleroad.fleet import Instance, InstanceState
 from daleroad.gateway import Gateway
-from daleroad.picking import pick_upstream
+
+
+@dataclass(frozen=True)
+class Continuation:
+    """An engine that has a generation's memory, and how to ask it to go on."""
+
+    instance: Instance
+    source: Source
 
 
 @dataclass
@@ -36,31 +32,47 @@
     :param attempt: what was sent, and where.
     :param stream: what comes back.
     :param deadline: when the client or the route's timeout ends it.
-    :param tokens: the load noted for it.
-    :param moved: set once the generation stopped and its copy waits at another engine.
+    :param tokens: memory noted for it, also at its backup.
+    :param backup: an engine that keeps a copy while the generation runs.
+    :param moving: whether it is being moved off its engine.
+    :param continuation: set once it stopped there and its memory is elsewhere.
+    :param settled: set when a move is over, whether it went well or not.
     """
 
     attempt: Attempt
     stream: Stream
     deadline: float
     tokens: int
+    backup: Instance | None = None
     events: int = 0
     last_event: str = ""
     moving: bool = False
-    moved: tuple[Instance, Source] | None = None
+    continuation: Continuation | None = None
     settled: anyio.Event = field(default_factory=anyio.Event)
     ended: bool = False
     outcome: str = "left by the client"
 
 
+class Mover(Protocol):
+    """Moves generations off engines that leave or died."""
+
+    def begin(self, run: Run) -> None:
+        """Begin to move a run off an engine that leaves."""
+
+    async def continue_cut(self, run: Run) -> Continuation | None:
+        """Return where a run whose stream was cut can go on, if anywhere."""
+
+
 class Runs:
     """The streams of one gateway.
 
     :param gateway: the gateway.
+    :param mover: moves generations.
     """
 
-    def __init__(self, gateway: Gateway) -> None:
+    def __init__(self, gateway: Gateway, mover: Mover) -> None:
         self._gateway = gateway
+        self._mover = mover
         self._runs: dict[str, Run] = {}
 
     def count(self) -> int:
@@ -74,7 +86,7 @@
         """
         for run in list(self._runs.values()):
             if run.attempt.instance.id == instance.id:
-                self._begin_move(run)
+                self._mover.begin(run)
 
     def open(self, run: Run) -> None:
         """Take charge of a stream; :meth:`close` must follow.
@@ -82,9 +94,7 @@
         :param run: the stream.
         """
         self._runs[run.attempt.job.id] = run
-        known = self._gateway.fleet.get(run.attempt.instance.id)
-        if known is not None and known.state is not InstanceState.READY:
-            self._begin_move(run)
+        self._move_if_leaving(run)
 
     async def deliver(self, run: Run) -> AsyncGenerator[bytes | Failure, None]:
         """Yield a stream's events, wherever its generation goes on.
@@ -97,7 +107,7 @@
                 if isinstance(piece, Lost):
                     cut = piece
                     break
-                self._note_piece(run, piece)
+                _note_piece(run, piece)
                 yield piece.data
             if cut is None:
                 run.outcome = "whole"
@@ -116,114 +126,71 @@
         run.ended = True
         run.settled.set()
         self._runs.pop(run.attempt.job.id, None)
-        self._gateway.remove_load(run.attempt.instance, run.tokens)
+        self._remove_loads(run)
         with anyio.CancelScope(shield=True):
             await run.stream.close()
         self._log_end(run)
 
-    def _note_piece(self, run: Run, piece: Piece) -> None:
-        run.events += 1
-        if piece.event:
-            run.last_event = piece.event
-
     async def _go_on(self, run: Run, cut: Lost) -> Failure | None:
-        """Continue a stream that was cut, if its generation was moved."""
-        if run.moving and run.moved is None:
-            await run.settled.wait()
-        if run.moved is None:
+        """Continue a stream that was cut, if its generation's memory is anywhere."""
+        cut_at = anyio.current_time()
+        found = await self._mover.continue_cut(run)
+        if found is None:
             self._gateway.note_result(run.attempt.instance, False)
             return Failure(FailureKind.UPSTREAM_LOST, cut.reason, Ran.PARTIAL)
-        instance, source = run.moved
-        run.moved = None
-        run.moving = False
-        run.settled = anyio.Event()
         seconds = run.deadline - anyio.current_time()
         if seconds <= 0:
             return Failure(FailureKind.DEADLINE, "the time is over", Ran.PARTIAL)
-        source = replace(source, last_event=run.last_event)
-        attempt = replace(run.attempt, instance=instance, seconds=seconds, source=source)
+        source = replace(found.source, last_event=run.last_event)
+        backup = self._gateway.pick_backup(found.instance, run.tokens, run.attempt.job.prompt)
+        attempt = replace(
+            run.attempt,
+            instance=found.instance,
+            seconds=seconds,
+            source=source,
+            backup=backup.address if backup else "",
+        )
         reply = await self._gateway.dispatcher.send(attempt)
         if isinstance(reply, NotRun | Lost | Whole):
-            reason = reply.reason if not isinstance(reply, Whole) else f"status {reply.status}"
-            log_event(Event.MOVE_FAILED, request=run.attempt.job.id, to=instance.id, reason=reason)
+            reason = f"status {reply.status}" if isinstance(reply, Whole) else reply.reason
+            to = found.instance.id
+            log_event(Event.MOVE_FAILED, request=run.attempt.job.id, to=to, reason=reason)
             return Failure(FailureKind.UPSTREAM_LOST, reason, Ran.PARTIAL)
         await run.stream.close()
-        self._gateway.remove_load(run.attempt.instance, run.tokens)
-        self._gateway.add_load(instance, run.tokens)
-        run.attempt = attempt
-        run.stream = reply
+        self._remove_loads(run)
+        self._take_over(run, attempt, reply, backup)
         log_event(
             Event.STREAM_MOVED,
             request=run.attempt.job.id,
-            to=instance.id,
+            to=found.instance.id,
             after=run.last_event,
-            seconds=round(seconds, 3),
+            pause=round(anyio.current_time() - cut_at, 3),
         )
-        known = self._gateway.fleet.get(instance.id)
-        if known is not None and known.state is not InstanceState.READY:
-            self._begin_move(run)
+        self._move_if_leaving(run)
         return None
 
-    def _begin_move(self, run: Run) -> None:
-        table = self._gateway.table
-        service = table.services.get(run.attempt.instance.service) if table else None
-        if run.moving or run.ended or service is None or service.engine is None:
-            return
-        if not service.engine.moves:
-            return
-        run.moving = True
+    def _take_over(
+        self, run: Run, attempt: Attempt, stream: Stream, backup: Instance | None
+    ) -> None:
+        run.attempt = attempt
+        run.stream = stream
+        run.backup = backup
+        run.moving = False
+        run.continuation = None
         run.settled = anyio.Event()
-        self._gateway.spawn(self._move, run)
-
-    async def _move(self, run: Run) -> None:
-        """Copy a run's memory elsewhere while it runs, then stop it there."""
-        try:
-            await self._copy_twice(run)
-        finally:
-            if run.moved is None:
-                run.moving = False
-            run.settled.set()
-
-    async def _copy_twice(self, run: Run) -> None:
-        gateway = self._gateway
-        job = run.attempt.job
-        origin = run.attempt.instance
-        while not run.ended and not self._ends_soon(run):
-            destination = self._pick_destination(run)
-            if destination is None:
-                log_event(Event.MOVE_FAILED, request=job.id, to="", reason="no destination")
-                return
-            first = await gateway.dispatcher.copy(job, origin, destination, False)
-            if isinstance(first, Copied):
-                final = await gateway.dispatcher.copy(job, origin, destination, True)
-                if isinstance(final, Copied):
-                    source = Source(origin.address, final.handle, run.last_event)
-                    run.moved = (destination, source)
-                    return
-                first = final
-            assert isinstance(first, NotCopied)
-            log_event(Event.MOVE_FAILED, request=job.id, to=destination.id, reason=first.reason)
-            known = gateway.fleet.get(origin.id)
-            if known is None or known.state is InstanceState.GONE and not first.absent:
-                return
-            await anyio.sleep(MOVE_RETRY_SECONDS)
-
-    def _ends_soon(self, run: Run) -> bool:
-        prompt = run.attempt.job.prompt
-        return prompt is not None and prompt.most_output * TOKEN_SECONDS < MOVE_WORTH_SECONDS
-
-    def _pick_destination(self, run: Run) -> Instance | None:
-        gateway = self._gateway
-        table = gateway.table
-        origin = run.attempt.instance
-        service = table.services.get(origin.service) if table else None
-        if service is None:
-            return None
-        prompt = run.attempt.job.prompt
-        tokens = prompt.tokens + prompt.most_output if prompt else 0
-        candidates = gateway.list_candidates(service, tokens, {origin.id})
-        found = pick_upstream(candidates, origin.zone, gateway.random)
-        return found.instance if found else None
+        self._gateway.add_load(attempt.instance, 1, run.tokens)
+        if backup is not None:
+            self._gateway.add_load(backup, 0, run.tokens)
+
+    def _move_if_leaving(self, run: Run) -> None:
+        known = self._gateway.fleet.get(run.attempt.instance.id)
+        if known is not None and known.state is not InstanceState.READY:
+            self._mover.begin(run)
+
+    def _remove_loads(self, run: Run) -> None:
+        self._gateway.add_load(run.attempt.instance, -1, -run.tokens)
+        if run.backup is not None:
+            self._gateway.add_load(run.backup, 0, -run.tokens)
 
     def _log_end(self, run: Run) -> None:
         log_event(
@@ -234,3 +201,9 @@
             outcome=run.outcome,
             seconds=round(anyio.current_time() - run.attempt.job.received_at, 3),
         )
+
+
+def _note_piece(run: Run, piece: Piece) -> None:
+    run.events += 1
+    if piece.event:
+        run.last_event = piece.event
