Stop runs right after the first copies, and look twice when an engine ends

Cause: the reports are 0.3 to 0.6 s old, so the first one rarely knows of the notice; runs that were stopped late gained nothing by it; runs begun after the notice had no turn. Engines without a neighbour lose runs: far copies take twice. Open: far copies.

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -21,6 +21,7 @@
     COORDINATOR_TURN_SECONDS,
     FOUNDING_CALL_SECONDS,
     FOUNDING_PAUSE_SECONDS,
+    GATEWAY_DOUBTFUL_SECONDS,
     GATEWAY_SILENT_SECONDS,
     JOIN_SECONDS,
     LEADER_WAIT_SECONDS,
@@ -389,14 +390,20 @@
 
         :param zone: the asker's availability zone.
         """
+        alive = self._list_heard(GATEWAY_SILENT_SECONDS)
+        if not alive:
+            alive = self._list_heard(GATEWAY_DOUBTFUL_SECONDS)
+        alive.sort(key=lambda notice: (notice.zone != zone, notice.address))
+        return [notice.address for notice in alive]
+
+    def _list_heard(self, seconds: float) -> list[GatewayNotice]:
+        """Return the gateways that take clients and were heard within some seconds."""
         now = anyio.current_time()
-        alive = [
+        return [
             gateway.notice
             for gateway in self._gateways.values()
-            if gateway.notice.serving and now - gateway.heard_at < GATEWAY_SILENT_SECONDS
+            if gateway.notice.serving and now - gateway.heard_at < seconds
         ]
-        alive.sort(key=lambda notice: (notice.zone != zone, notice.address))
-        return [notice.address for notice in alive]
 
     def _note_gateway(self, notice: GatewayNotice, now: float) -> _Gateway:
         heard_at = now - notice.age
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -3,14 +3,14 @@
 TICK_SECONDS = 0.05
 """Interval of the control loop's timer."""
 
-ELECTION_MIN_SECONDS = 1.0
-ELECTION_MAX_SECONDS = 2.0
+ELECTION_MIN_SECONDS = 0.7
+ELECTION_MAX_SECONDS = 1.4
 """Range from which each election timeout is drawn."""
 
-APPEND_SECONDS = 0.25
+APPEND_SECONDS = 0.18
 """Interval between a leader's heartbeats."""
 
-LEADER_LEASE_SECONDS = 0.8
+LEADER_LEASE_SECONDS = 0.55
 """A leader serves for so long after it heard a majority; below ELECTION_MIN_SECONDS."""
 
 ENTRY_LEASE_SECONDS = 4.0
@@ -153,8 +153,15 @@
 STANDBY_SILENT_SECONDS = 3.0
 """A coordinator not heard for so long is not named to others any more; several shares."""
 
-GATEWAY_SILENT_SECONDS = 2.0
-"""A gateway not heard for so long gets no new clients; two of its slowest questions."""
+GATEWAY_SILENT_SECONDS = 1.3
+"""A gateway not heard for so long gets no new clients; its slowest question and a share."""
+
+GATEWAY_DOUBTFUL_SECONDS = 6.0
+"""A gateway heard within this time is named to clients where no other was heard lately."""
+
+START_SECONDS = 2.5
+"""After so long a gateway that just started has a configuration, when all start at once: an
+election and a watch."""
 
 LEADER_WAIT_SECONDS = 0.85
 """How long a coordinator looks for a leader; callers wait for one second."""
@@ -192,15 +199,23 @@
 ENGINE_RETRY_AFTER_SECONDS = 0.4
 """When to come back to engines that are full; about one prompt's reading."""
 
+NO_CONFIG_RETRY_SECONDS = 0.5
+"""When to come back to a gateway without a configuration; about one more election."""
+
 SPARE_SECONDS = 0.02
 """Time kept back from a request's deadline for the way of its answer."""
 
 MOVE_RETRY_SECONDS = 0.15
 """Pause before a generation that has not begun is tried to be moved again."""
 
-MOVE_STOP_SECONDS = 1.33
-"""How long after an engine's notice its generations are stopped for the rest of their copy; the
-shortest notice seen is 1.54 s, of which the rest's copy takes a part."""
+NOTICE_SECONDS = 1.52
+"""Time from an engine's notice to its end unless it says more; the shortest seen is 1.54 s."""
+
+REPORT_LAG_SECONDS = 0.6
+"""How old an engine's report may be; 0.3 to 0.6 s were seen."""
+
+REPORT_AGAIN_SECONDS = 0.6
+"""How long after a notice a report surely knows of it."""
 
 MOVE_WORTH_SECONDS = 0.8
 """A generation that should end sooner stays on an engine that leaves; notices are seconds."""
--- a/src/daleroad/evacuation.py
+++ b/src/daleroad/evacuation.py
@@ -5,21 +5,24 @@
 stopped while a long copy is under way.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-STOP_MARGIN_SECONDS = 0.2
+STOP_MARGIN_SECONDS = 0.14
 """Time before the engine's end at which its runs are stopped; a rest's copy and a round trip."""
 
+STOP_AFTER_SECONDS = 0.03
+"""Time between the last first copy and the stop, for the link to be free again."""
+
+DIRECT_MARGIN_SECONDS = 0.03
+"""Time before the engine's end at which a copy of a stopped run must be over; a round trip."""
+
 STOP_EACH_SECONDS = 0.012
 """Time that each run's rest takes on the link after it was stopped; measured."""
 
 GROWTH_TOKENS = 400
 """Tokens that a run may still make, for which the engine that it moves to should have room."""
 
-LINK_SHARE = 0.9
-"""Part of the link's speed that is counted on."""
-
 FAR_FACTOR = 2.0
 """A copy to another availability zone takes so many times as long."""
 
@@ -53,10 +56,12 @@
     """Where a run goes, when its first copy starts and when it is stopped.
 
     Times are in seconds from now.
+
+    :param start: nothing for a run that is stopped and copied at once, with a pause for its client.
     """
 
     to: str
-    start: float
+    start: float | None
     stop: float
 
 
@@ -73,21 +78,41 @@
     :param token_seconds: time of one token's memory on the link.
     """
     ranked = sorted(runs, key=lambda run: (run.tokens, run.id))
-    stop = leaves_in - STOP_MARGIN_SECONDS - STOP_EACH_SECONDS * len(ranked)
+    rests = STOP_EACH_SECONDS * len(ranked)
+    latest = leaves_in - STOP_MARGIN_SECONDS - rests
+    placed = list(_place_runs(ranked, list(rooms), token_seconds))
+    starts: dict[str, float] = {}
+    clock = 0.0
+    for run, _, seconds in placed:
+        if clock + seconds > latest:
+            break
+        starts[run.id] = clock
+        clock += seconds
+    stop = clock + STOP_AFTER_SECONDS
+    slots = {r.id: Slot(to, starts[r.id], stop) for r, to, _ in placed if r.id in starts}
+    # What is left of the time goes to runs that pause for their whole copy.
+    clock = stop + rests
+    for run, to, seconds in placed[len(starts) :]:
+        if clock + seconds > leaves_in - DIRECT_MARGIN_SECONDS:
+            break
+        slots[run.id] = Slot(to, None, clock)
+        clock += seconds
+    return slots
+
+
+def _place_runs(
+    ranked: list[RunSize], rooms: list[Room], token_seconds: float
+) -> Iterator[tuple[RunSize, str, float]]:
+    """Yield each run with the engine that it goes to and the seconds of its copy."""
     free = {room.id: room for room in rooms}
-    slots: dict[str, Slot] = {}
-    start = 0.0
     for run in ranked:
         room = _choose_room(free.values(), run.tokens + GROWTH_TOKENS)
         if room is None:
-            break
-        end = start + run.tokens * token_seconds / LINK_SHARE * (1 if room.near else FAR_FACTOR)
-        if end > stop:
-            break
-        slots[run.id] = Slot(room.id, start, stop)
-        free[room.id] = Room(room.id, room.near, room.free - run.tokens - GROWTH_TOKENS)
-        start = end
-    return slots
+            return
+        left = room.free - run.tokens - GROWTH_TOKENS
+        free[room.id] = Room(room.id, room.near, left)
+        factor = 1.0 if room.near else FAR_FACTOR
+        yield run, room.id, run.tokens * token_seconds * factor
 
 
 def _choose_room(rooms: Iterable[Room], tokens: int) -> Room | None:
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -12,8 +12,10 @@
 
 from daleroad.defaults import (
     ENGINE_RETRY_AFTER_SECONDS,
+    NO_CONFIG_RETRY_SECONDS,
     PLAIN_RETRY_AFTER_SECONDS,
     SPARE_SECONDS,
+    START_SECONDS,
 )
 from daleroad.dispatch import (
     Attempt,
@@ -34,7 +36,6 @@
 from daleroad.runs import Run, Runs
 
 _SERVER_ERROR = 500
-_NO_CONFIG_RETRY_SECONDS = 0.5
 
 
 @dataclass(frozen=True)
@@ -82,6 +83,7 @@
     def __init__(self, gateway: Gateway, runs: Runs) -> None:
         self._gateway = gateway
         self._runs = runs
+        self._started_at = anyio.current_time()
 
     async def serve(self, job: Job) -> Outcome:
         """Return the answer to a request.
@@ -101,7 +103,7 @@
         table = gateway.table
         if table is None or gateway.is_outdated():
             reason = "no current configuration"
-            return Failure(FailureKind.NO_LEASE, reason, Ran.NO, _NO_CONFIG_RETRY_SECONDS)
+            return Failure(FailureKind.NO_LEASE, reason, Ran.NO, self._expect_config())
         route = table.match(job.host, job.path)
         if isinstance(route, Failure):
             return route
@@ -116,6 +118,11 @@
         deadline = min(job.deadline, job.received_at + route.timeout)
         return _Way(job, table, route, service, organisation, rank, deadline)
 
+    def _expect_config(self) -> float:
+        """Return the seconds after which this gateway should have a configuration."""
+        uptime = anyio.current_time() - self._started_at
+        return round(max(NO_CONFIG_RETRY_SECONDS, START_SECONDS - uptime), 2)
+
     async def _find_outcome(self, way: _Way) -> Outcome:
         self._gateway.budget.note_first(way.service.name, anyio.current_time())
         while True:
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -1,5 +1,6 @@
 """The central object of a gateway: what it believes, and the parts that act on it."""
 
+from collections import Counter
 from collections.abc import Callable, Container, Coroutine, Iterator
 from dataclasses import dataclass, field
 from random import Random
@@ -200,7 +201,9 @@
         now = anyio.current_time()
         late = LATE_HEARTBEATS * self.options.heartbeat
         memory = service.engine.memory_tokens if service.engine else 0
-        for instance in self.fleet.list_ready(service.name):
+        ready = self.fleet.list_ready(service.name)
+        zones = Counter(instance.zone for instance in ready)
+        for instance in ready:
             if instance.id in excluded:
                 continue
             known = self.get_load(instance.id)
@@ -209,7 +212,8 @@
             silent = self.fleet.get_age(instance.id, now) > late
             closed = not self.ejector.is_open(instance.id, now)
             cold = self.fleet.is_cold(instance.id, now)
-            yield Candidate(instance, load, silent or closed, cold)
+            lone = bool(memory) and zones[instance.zone] == 1
+            yield Candidate(instance, load, silent or closed, cold, lone)
 
     def note_result(self, instance: Instance, ok: bool) -> None:
         """Take a request's result as evidence for or against an upstream.
--- a/src/daleroad/moving.py
+++ b/src/daleroad/moving.py
@@ -12,15 +12,18 @@
 
 from daleroad.defaults import (
     MOVE_RETRY_SECONDS,
-    MOVE_STOP_SECONDS,
     MOVE_WORTH_SECONDS,
+    NOTICE_SECONDS,
+    REPORT_AGAIN_SECONDS,
+    REPORT_LAG_SECONDS,
     TOKEN_SECONDS,
 )
-from daleroad.dispatch import Copied, CopyFault, NotCopied, Source
+from daleroad.dispatch import Copied, CopyFault, EngineReport, NotCopied, Source
 from daleroad.errors import Failure
 from daleroad.evacuation import (
     STOP_MARGIN_SECONDS,
     Room,
+    RunSize,
     Slot,
     schedule_copies,
 )
@@ -34,17 +37,66 @@
 
 @dataclass
 class _Plan:
-    """When the runs of an engine that leaves are copied.
+    """When the runs of an engine that leaves are copied. Times are on the runtime's clock.
 
-    :param stop_at: when a run without a slot is stopped.
-    :param listed: the runs that the engine listed.
+    :param made_at: what the slots count from.
+    :param noticed_at: when the notice was heard.
+    :param ends_at: when the engine is expected to end.
     """
 
     made_at: float
-    stop_at: float
+    noticed_at: float
+    ends_at: float = 0.0
+    runs: tuple[RunSize, ...] = ()
+    rooms: tuple[Room, ...] = ()
+    token_seconds: float = 0.0
     slots: dict[str, Slot] = field(default_factory=dict)
-    listed: frozenset[str] = frozenset()
     ready: anyio.Event = field(default_factory=anyio.Event)
+    extended: anyio.Event = field(default_factory=anyio.Event)
+
+    def __post_init__(self) -> None:
+        self.ends_at = self.noticed_at + NOTICE_SECONDS
+
+    def note_leaves_in(self, leaves_in: float | None, now: float) -> None:
+        """Take in an engine's word of its end, which was true some time ago.
+
+        :param leaves_in: seconds until then, if it knows.
+        :param now: the time.
+        """
+        if leaves_in is not None:
+            self.ends_at = max(self.ends_at, now + leaves_in - REPORT_LAG_SECONDS)
+
+    def schedule(self) -> None:
+        """Give turns to the runs; earlier turns stay as they were."""
+        seconds = self.ends_at - self.made_at
+        self.slots = schedule_copies(self.runs, self.rooms, seconds, self.token_seconds)
+
+    def is_listed(self, run_id: str) -> bool:
+        """Return whether the engine listed a run; one that began later has no turn.
+
+        :param run_id: the run.
+        """
+        return any(run.id == run_id for run in self.runs)
+
+    def get_start(self, run_id: str) -> float:
+        """Return when a run's first copy starts; one that began later comes after the others.
+
+        :param run_id: the run.
+        """
+        slot = self.slots.get(run_id)
+        if slot is not None and slot.start is not None:
+            return self.made_at + slot.start
+        return self.made_at + max((s.stop for s in self.slots.values()), default=0.0)
+
+    def get_stop(self, run_id: str) -> float:
+        """Return when a run is stopped.
+
+        :param run_id: the run.
+        """
+        slot = self.slots.get(run_id)
+        if slot is not None:
+            return self.made_at + slot.stop
+        return self.ends_at - STOP_MARGIN_SECONDS
 
 
 class EngineMover:
@@ -134,31 +186,36 @@
             await anyio.sleep(MOVE_RETRY_SECONDS)
 
     async def _copy_twice(self, run: Run, destination: Instance, plan: _Plan) -> Copied | NotCopied:
-        slot = plan.slots.get(run.attempt.job.id)
-        if slot is None and run.attempt.job.id in plan.listed:
-            return NotCopied("the engine ends before its turn", CopyFault.NO_TIME)
+        """Copy in the run's turn, then stop it; without a turn, copy only after the others."""
+        job = run.attempt.job
         self._gateway.add_load(destination, 1, run.tokens)
         try:
-            if slot is not None:
-                await anyio.sleep_until(plan.made_at + slot.start)
-            first = await self._copy(run, destination, final=False)
-            if isinstance(first, NotCopied):
-                return first
-            await anyio.sleep_until(plan.made_at + slot.stop if slot else plan.stop_at)
+            if plan.is_listed(job.id) and job.id not in plan.slots:
+                await plan.extended.wait()
+            slot = plan.slots.get(job.id)
+            if slot is None and plan.is_listed(job.id):
+                return NotCopied("the engine ends before its turn", CopyFault.NO_TIME)
+            if slot is None or slot.start is not None:
+                await anyio.sleep_until(plan.get_start(job.id))
+                first = await self._copy(run, destination, final=False)
+                if isinstance(first, NotCopied):
+                    return first
+                await plan.extended.wait()
+            await anyio.sleep_until(plan.get_stop(job.id))
             return await self._copy(run, destination, final=True)
         finally:
             self._gateway.add_load(destination, -1, -run.tokens)
 
     async def _get_plan(self, origin: Instance) -> _Plan:
-        """Return when runs get off an engine; its report is asked for once."""
+        """Return when runs get off an engine; it is made once."""
         plan = self._plans.get(origin.id)
         if plan is None:
             plan = self._plans[origin.id] = _Plan(
-                anyio.current_time(),
-                self._gateway.get_leaving_since(origin) + MOVE_STOP_SECONDS,
+                anyio.current_time(), self._gateway.get_leaving_since(origin)
             )
             await self._fill_plan(plan, origin)
             plan.ready.set()
+            self._gateway.spawn(self._extend_plan, plan, origin)
         await plan.ready.wait()
         return plan
 
@@ -170,20 +227,39 @@
             log_event(Event.REPORT_FAILED, upstream=origin.id, reason=reason)
             return
         plan.made_at = anyio.current_time()
-        if report.leaves_in is not None:
-            plan.stop_at = plan.made_at + report.leaves_in - STOP_MARGIN_SECONDS
-        leaves_in = plan.stop_at - plan.made_at + STOP_MARGIN_SECONDS
-        rooms = list(self._list_rooms(origin, service))
-        seconds = service.engine.token_seconds
-        plan.slots = schedule_copies(report.runs, rooms, leaves_in, seconds)
-        plan.listed = frozenset(run.id for run in report.runs)
+        plan.runs = report.runs
+        plan.rooms = tuple(self._list_rooms(origin, service))
+        plan.token_seconds = service.engine.token_seconds
+        plan.note_leaves_in(report.leaves_in, plan.made_at)
+        plan.schedule()
+        self._log_plan(plan, origin, report)
+
+    async def _extend_plan(self, plan: _Plan, origin: Instance) -> None:
+        """Ask once more when the engine ends, if not all runs have a turn; reports are stale."""
+        try:
+            if len(plan.slots) < len(plan.runs):
+                await anyio.sleep_until(plan.noticed_at + REPORT_AGAIN_SECONDS)
+                report = await self._gateway.dispatcher.report(origin)
+                if isinstance(report, Failure):
+                    reason = report.reason
+                    log_event(Event.REPORT_FAILED, upstream=origin.id, reason=reason)
+                    return
+                plan.note_leaves_in(report.leaves_in, anyio.current_time())
+                plan.schedule()
+                self._log_plan(plan, origin, report)
+        finally:
+            plan.extended.set()
+
+    def _log_plan(self, plan: _Plan, origin: Instance, report: EngineReport) -> None:
         log_event(
             Event.EVACUATION_PLANNED,
             upstream=origin.id,
             leaves_in=report.leaves_in,
-            runs=len(report.runs),
+            ends_in=round(plan.ends_at - anyio.current_time(), 3),
+            notice_age=round(anyio.current_time() - plan.noticed_at, 3),
+            runs=len(plan.runs),
             slots=len(plan.slots),
-            rooms=[(room.id, room.near, int(room.free)) for room in rooms],
+            rooms=[(room.id, room.near, int(room.free)) for room in plan.rooms],
         )
 
     def _list_rooms(self, origin: Instance, service: ServiceRule) -> Iterator[Room]:
--- a/src/daleroad/picking.py
+++ b/src/daleroad/picking.py
@@ -28,11 +28,17 @@
 """Load that stands for the slowness of an upstream that has just started."""
 
 
+LONE_PENALTY = 0.12
+"""Load that stands for having no neighbour in the availability zone: when such an engine leaves,
+its generations move far, which takes twice as long, and fewer of them get off in time."""
+
+
 @dataclass(frozen=True)
 class Candidate:
     """An upstream with what is known of it.
 
     :param load: from 0 to 1 when full; above 1 when work waits.
+    :param lone: whether generations there would have to move far.
     :param doubtful: whether its heartbeat is missing or its answers failed of late.
     """
 
@@ -40,6 +46,7 @@
     load: float
     doubtful: bool = False
     cold: bool = False
+    lone: bool = False
 
 
 def pick_upstream(
@@ -59,7 +66,7 @@
     for candidate in candidates:
         score = candidate.load + random.uniform(0, NOISE)
         score -= bonus * (candidate.instance.zone == zone)
-        score += COLD_PENALTY * candidate.cold
+        score += COLD_PENALTY * candidate.cold + LONE_PENALTY * candidate.lone
         ranked = (candidate.doubtful, score)
         if best is None or ranked < best_score:
             best, best_score = candidate, ranked
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -198,6 +198,8 @@
             request=run.attempt.job.id,
             upstream=run.attempt.instance.id,
             events=run.events,
+            prompt=run.attempt.job.prompt.tokens if run.attempt.job.prompt else 0,
+            most=run.attempt.job.prompt.most_output if run.attempt.job.prompt else 0,
             outcome=run.outcome,
             seconds=round(anyio.current_time() - run.attempt.job.received_at, 3),
         )
