Log JSON to standard output, bounded and never waited for; serve metrics

Cause: on-call engineers have only logs and metrics; lines were free text on standard error without a bound. Engines without a neighbour get fewer runs.

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -130,6 +130,14 @@
         tasks.start_soon(self._share_loop)
         tasks.start_soon(self._lead_loop)
 
+    def is_leading(self) -> float:
+        """Return 1 while this coordinator leads."""
+        return float(self._ready and self.group.is_leading())
+
+    def get_version(self) -> int:
+        """Return the newest version that is committed here."""
+        return self.record.document.version
+
     def replace_seeds(self, seeds: tuple[str, ...]) -> None:
         """Take other addresses to begin with.
 
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -1,10 +1,16 @@
 """Numbered log events. docs/EVENTS.md is the catalogue; a test compares the two."""
 
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
 from absl import logging
 
+from daleroad.logs import LineBudget, make_line
+
+_LEVELS = {logging.INFO: "info", logging.WARNING: "warning", logging.ERROR: "error"}
+
 
 @dataclass(frozen=True)
 class Kind:
@@ -72,12 +78,31 @@
     HANDLER_FAILED = Kind(400, logging.ERROR, "A request handler failed unexpectedly.")
 
 
+_budget = LineBudget()
+_observers: list[Callable[["Event"], None]] = []
+
+
+def observe_events(observer: Callable[["Event"], None]) -> None:
+    """Let something know of each event, also of those whose line is left out.
+
+    :param observer: called with the event.
+    """
+    _observers.append(observer)
+
+
 def log_event(event: Event, **fields: object) -> None:
-    """Log one event as ``D123 NAME field=value ...``.
+    """Log one event as a line of JSON, unless there were too many of its kind.
 
     :param event: the event.
     :param fields: what to say of it; no secrets.
     """
-    text = " ".join(f"{name}={value!r}" for name, value in fields.items())
+    for observer in _observers:
+        observer(event)
+    left_out = _budget.take(event.name, time.monotonic())
+    if left_out is None:
+        return
+    if left_out:
+        fields["left_out_before"] = left_out
     kind = event.value
-    logging.log(kind.level, "D%d %s %s", kind.number, event.name, text)
+    line = make_line(kind.number, event.name, _LEVELS[kind.level], fields)
+    logging.log(kind.level, "%s", line)
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -119,6 +119,10 @@
         gone = Instance(*fields, InstanceState.GONE, old.sequence)
         return self.note(Sighting(gone, 0.0), now)
 
+    def count(self) -> int:
+        """Return how many instances are known."""
+        return len(self._known)
+
     def get(self, instance_id: str) -> Instance | None:
         """Return what is known of an instance.
 
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -31,6 +31,7 @@
 from daleroad.events import Event, log_event
 from daleroad.fleet import Instance
 from daleroad.gateway import Gateway
+from daleroad.metrics import RequestMetrics
 from daleroad.picking import pick_upstream
 from daleroad.routing import Repeat, RouteRule, RoutingTable, ServiceRule
 from daleroad.runs import Run, Runs
@@ -78,10 +79,12 @@
 
     :param gateway: the gateway.
     :param runs: the streams that it delivers.
+    :param metrics: counts requests.
     """
 
-    def __init__(self, gateway: Gateway, runs: Runs) -> None:
+    def __init__(self, gateway: Gateway, runs: Runs, metrics: RequestMetrics) -> None:
         self._gateway = gateway
+        self._metrics = metrics
         self._runs = runs
         self._started_at = anyio.current_time()
 
@@ -257,6 +260,10 @@
                 "sends": way.sends,
                 "config": way.table.config.version,
             }
+        kind_of_route = way.route.repeat.value if way else "unrouted"
+        end = outcome.kind.value if isinstance(outcome, Failure) else str(outcome.status)
+        sends = way.sends if way else 0
+        self._metrics.note_end(kind_of_route, end, sends, job.received_at)
         match outcome:
             case Failure(kind, reason, ran):
                 fields |= {"failure": kind.value, "reason": reason, "ran": ran.value}
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -106,7 +106,7 @@
     def is_outdated(self) -> bool:
         """Return whether the configuration may be too old to serve by."""
         limit = self.options.outdated_after
-        return limit is not None and anyio.current_time() - self.heard_at > limit
+        return limit is not None and self.get_heard_age() > limit
 
     def replace_config(self, config: RoutingConfig) -> None:
         """Serve by a newer configuration; an older one changes nothing.
@@ -116,6 +116,14 @@
         if self.table is None or config.version > self.table.config.version:
             self.table = RoutingTable(config)
 
+    def get_version(self) -> int:
+        """Return the version of the configuration in force, 0 for none."""
+        return self.table.config.version if self.table else 0
+
+    def get_heard_age(self) -> float:
+        """Return the seconds since a coordinator was heard."""
+        return anyio.current_time() - self.heard_at
+
     # Load.
 
     def add_load(self, instance: Instance, runs: int, tokens: int, unread: int = 0) -> None:
--- a/src/daleroad/picking.py
+++ b/src/daleroad/picking.py
@@ -28,7 +28,7 @@
 """Load that stands for the slowness of an upstream that has just started."""
 
 
-LONE_PENALTY = 0.12
+LONE_PENALTY = 0.3
 """Load that stands for having no neighbour in the availability zone: when such an engine leaves,
 its generations move far, which takes twice as long, and fewer of them get off in time."""
 
--- a/src/daleroad/process.py
+++ b/src/daleroad/process.py
@@ -12,6 +12,7 @@
 from daleroad.control import Control
 from daleroad.entry import Entry
 from daleroad.events import Event, log_event
+from daleroad.logs import set_up_logs
 from daleroad.settings import NodeRole, Settings
 
 AsyncCall: TypeAlias = Callable[[], Coroutine[Any, Any, None]]
@@ -52,6 +53,7 @@
 
     :param settings: the settings.
     """
+    set_up_logs()
     random = Random()
     log_event(Event.STARTED, name=settings.name, role=settings.role.value)
     match settings.role:
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -109,7 +109,7 @@
         gateway = self._gateway
         fast = self._is_fast(name)
         wait = WATCH_FAST_SECONDS if fast else WATCH_SLOW_SECONDS
-        version = gateway.table.config.version if gateway.table else 0
+        version = gateway.get_version()
         request = WatchRequest(
             gateway.make_notice(), epoch, revision, version, gateway.list_loads(), wait
         )
@@ -170,7 +170,7 @@
         if isinstance(config, Failure):
             log_event(Event.DOCUMENT_UNREADABLE, index=answer.version, reason=config.reason)
             return
-        before = gateway.table.config.version if gateway.table else 0
+        before = gateway.get_version()
         gateway.replace_config(config)
         if config.version > before:
             log_event(Event.CONFIG_IN_FORCE, version=config.version, before=before, by=name)
