Let late runs follow the others, sample upstreams on large sites

Cause: runs begun after a notice made schedules of their own and pushed the rests' copies past the engine's end, so all that was copied was lost. After a start of everything a configuration comes after 1.1 s, not 2.5 s. Not measured yet: the sample.

--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -159,9 +159,9 @@
 GATEWAY_DOUBTFUL_SECONDS = 6.0
 """A gateway heard within this time is named to clients where no other was heard lately."""
 
-START_SECONDS = 2.5
+START_SECONDS = 1.6
 """After so long a gateway that just started has a configuration, when all start at once: an
-election and a watch."""
+election and a watch; 1.1 s was measured."""
 
 LEADER_WAIT_SECONDS = 0.85
 """How long a coordinator looks for a leader; callers wait for one second."""
@@ -211,6 +211,9 @@
 NOTICE_SECONDS = 1.52
 """Time from an engine's notice to its end unless it says more; the shortest seen is 1.54 s."""
 
+LATE_PLAN_SECONDS = 0.25
+"""How long after a notice a schedule still agrees with those of the other gateways."""
+
 REPORT_LAG_SECONDS = 0.6
 """How old an engine's report may be; 0.3 to 0.6 s were seen."""
 
--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -161,7 +161,6 @@
     ABSENT = "no such generation is at work there"
     NO_ROOM = "the destination has no room or can't be reached"
     UNREACHABLE = "the source can't be reached"
-    NO_TIME = "the source ends too soon"
     BUSY = "another copy is under way"
 
 
--- a/src/daleroad/evacuation.py
+++ b/src/daleroad/evacuation.py
@@ -8,8 +8,9 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-STOP_MARGIN_SECONDS = 0.14
-"""Time before the engine's end at which its runs are stopped; a rest's copy and a round trip."""
+STOP_MARGIN_SECONDS = 0.28
+"""Time before the engine's end at which its runs are stopped at the latest: the rests' copies, and
+one far copy that came between. When the rests miss the end, all that was copied is lost."""
 
 STOP_AFTER_SECONDS = 0.03
 """Time between the last first copy and the stop, for the link to be free again."""
@@ -100,6 +101,16 @@
     return slots
 
 
+def sum_seconds(runs: Iterable[RunSize], rooms: Iterable[Room], token_seconds: float) -> float:
+    """Return how long the first copies of runs take one after the other.
+
+    :param runs: the runs.
+    :param rooms: the engines they may move to.
+    :param token_seconds: time of one token's memory on the link.
+    """
+    return sum(seconds for _, _, seconds in _place_runs(list(runs), list(rooms), token_seconds))
+
+
 def _place_runs(
     ranked: list[RunSize], rooms: list[Room], token_seconds: float
 ) -> Iterator[tuple[RunSize, str, float]]:
--- a/src/daleroad/moving.py
+++ b/src/daleroad/moving.py
@@ -11,6 +11,7 @@
 import anyio
 
 from daleroad.defaults import (
+    LATE_PLAN_SECONDS,
     MOVE_RETRY_SECONDS,
     MOVE_WORTH_SECONDS,
     NOTICE_SECONDS,
@@ -26,6 +27,7 @@
     RunSize,
     Slot,
     schedule_copies,
+    sum_seconds,
 )
 from daleroad.events import Event, log_event
 from daleroad.fleet import Instance, InstanceState
@@ -42,6 +44,7 @@
     :param made_at: what the slots count from.
     :param noticed_at: when the notice was heard.
     :param ends_at: when the engine is expected to end.
+    :param busy_until: until when its link is busy with the runs that have turns.
     """
 
     made_at: float
@@ -51,6 +54,7 @@
     rooms: tuple[Room, ...] = ()
     token_seconds: float = 0.0
     slots: dict[str, Slot] = field(default_factory=dict)
+    busy_until: float = 0.0
     ready: anyio.Event = field(default_factory=anyio.Event)
     extended: anyio.Event = field(default_factory=anyio.Event)
 
@@ -70,23 +74,32 @@
         """Give turns to the runs; earlier turns stay as they were."""
         seconds = self.ends_at - self.made_at
         self.slots = schedule_copies(self.runs, self.rooms, seconds, self.token_seconds)
+        stops = (slot.stop for slot in self.slots.values())
+        self.busy_until = self.made_at + max(stops, default=0.0)
 
-    def is_listed(self, run_id: str) -> bool:
-        """Return whether the engine listed a run; one that began later has no turn.
+    def follow_others(self, own: str) -> None:
+        """Give no turns: the other gateways have begun theirs long ago.
 
-        :param run_id: the run.
+        :param own: a run that began after the notice.
         """
-        return any(run.id == run_id for run in self.runs)
+        others = [run for run in self.runs if run.id != own]
+        seconds = sum_seconds(others, self.rooms, self.token_seconds)
+        self.busy_until = self.noticed_at + seconds
 
     def get_start(self, run_id: str) -> float:
-        """Return when a run's first copy starts; one that began later comes after the others.
+        """Return when a run's first copy starts.
+
+        One without a turn comes after the others, if that may be in time; else only once the
+        engine turns out to live longer than expected, so that it takes no time from the others.
 
         :param run_id: the run.
         """
         slot = self.slots.get(run_id)
         if slot is not None and slot.start is not None:
             return self.made_at + slot.start
-        return self.made_at + max((s.stop for s in self.slots.values()), default=0.0)
+        if self.busy_until + STOP_MARGIN_SECONDS < self.ends_at - STOP_MARGIN_SECONDS:
+            return self.busy_until
+        return self.ends_at
 
     def get_stop(self, run_id: str) -> float:
         """Return when a run is stopped.
@@ -96,7 +109,7 @@
         slot = self.slots.get(run_id)
         if slot is not None:
             return self.made_at + slot.stop
-        return self.ends_at - STOP_MARGIN_SECONDS
+        return self.busy_until
 
 
 class EngineMover:
@@ -164,7 +177,7 @@
     async def _get_off(self, run: Run) -> None:
         """Copy while the run goes on; stop it for the rest shortly before its engine ends."""
         origin = run.attempt.instance
-        plan = await self._get_plan(origin)
+        plan = await self._get_plan(origin, run.attempt.job.id)
         excluded = {origin.id}
         while not run.ended and not self._ends_soon(run):
             destination = self._get_planned(run, plan, excluded)
@@ -179,7 +192,7 @@
                     return
                 case NotCopied(reason, fault):
                     self._log_not_copied(run, destination.id, reason)
-                    if fault in (CopyFault.UNREACHABLE, CopyFault.NO_TIME):
+                    if fault is CopyFault.UNREACHABLE:
                         return
                     if fault is CopyFault.NO_ROOM:
                         excluded.add(destination.id)
@@ -190,11 +203,9 @@
         job = run.attempt.job
         self._gateway.add_load(destination, 1, run.tokens)
         try:
-            if plan.is_listed(job.id) and job.id not in plan.slots:
+            if job.id not in plan.slots:
                 await plan.extended.wait()
             slot = plan.slots.get(job.id)
-            if slot is None and plan.is_listed(job.id):
-                return NotCopied("the engine ends before its turn", CopyFault.NO_TIME)
             if slot is None or slot.start is not None:
                 await anyio.sleep_until(plan.get_start(job.id))
                 first = await self._copy(run, destination, final=False)
@@ -206,20 +217,20 @@
         finally:
             self._gateway.add_load(destination, -1, -run.tokens)
 
-    async def _get_plan(self, origin: Instance) -> _Plan:
+    async def _get_plan(self, origin: Instance, run_id: str) -> _Plan:
         """Return when runs get off an engine; it is made once."""
         plan = self._plans.get(origin.id)
         if plan is None:
             plan = self._plans[origin.id] = _Plan(
                 anyio.current_time(), self._gateway.get_leaving_since(origin)
             )
-            await self._fill_plan(plan, origin)
+            await self._fill_plan(plan, origin, run_id)
             plan.ready.set()
             self._gateway.spawn(self._extend_plan, plan, origin)
         await plan.ready.wait()
         return plan
 
-    async def _fill_plan(self, plan: _Plan, origin: Instance) -> None:
+    async def _fill_plan(self, plan: _Plan, origin: Instance, run_id: str) -> None:
         report = await self._gateway.dispatcher.report(origin)
         service = self._gateway.get_service(origin.service)
         if isinstance(report, Failure) or service is None or service.engine is None:
@@ -231,13 +242,16 @@
         plan.rooms = tuple(self._list_rooms(origin, service))
         plan.token_seconds = service.engine.token_seconds
         plan.note_leaves_in(report.leaves_in, plan.made_at)
-        plan.schedule()
+        if plan.made_at - plan.noticed_at < LATE_PLAN_SECONDS:
+            plan.schedule()
+        else:
+            plan.follow_others(run_id)
         self._log_plan(plan, origin, report)
 
     async def _extend_plan(self, plan: _Plan, origin: Instance) -> None:
         """Ask once more when the engine ends, if not all runs have a turn; reports are stale."""
         try:
-            if len(plan.slots) < len(plan.runs):
+            if plan.slots and len(plan.slots) < len(plan.runs):
                 await anyio.sleep_until(plan.noticed_at + REPORT_AGAIN_SECONDS)
                 report = await self._gateway.dispatcher.report(origin)
                 if isinstance(report, Failure):
--- a/src/daleroad/picking.py
+++ b/src/daleroad/picking.py
@@ -33,6 +33,14 @@
 its generations move far, which takes twice as long, and fewer of them get off in time."""
 
 
+FRESH_GATEWAYS = 12
+"""Gateways whose choices between two exchanges of load are few enough to look at all upstreams; of
+more gateways each looks at a random part, or all would choose the same upstream."""
+
+SAMPLE_LEAST = 2
+"""Upstreams that are compared at least; one would be no choice."""
+
+
 @dataclass(frozen=True)
 class Candidate:
     """An upstream with what is known of it.
@@ -73,6 +81,20 @@
     return best
 
 
+def draw_sample(candidates: Iterable[Candidate], gateways: int, random: Random) -> list[Candidate]:
+    """Return the candidates that one of many gateways should compare.
+
+    :param candidates: all that may serve the request.
+    :param gateways: gateways that choose by the same late figures.
+    :param random: draws the part.
+    """
+    found = list(candidates)
+    sound = [candidate for candidate in found if not candidate.doubtful]
+    pool = sound or found
+    size = max(SAMPLE_LEAST, round(len(pool) * FRESH_GATEWAYS / max(1, gateways)))
+    return pool if size >= len(pool) else random.sample(pool, size)
+
+
 def estimate_load(load: Load, slots: int, memory: int) -> float:
     """Return how full an upstream is: by the scarcer of slots and memory, and by what it must read.
 
