Count an upstream's cold time from when it is told; tests of the decisions

Cause: what a coordinator tells of an upstream's cold time is what is left now, but a gateway counted it from the heartbeat. Found by a test that failed first.

--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -84,7 +84,7 @@
         heard_at = now - sighting.age
         known = self._known.get(fresh.id)
         if known is None:
-            self._known[fresh.id] = _Known(fresh, heard_at, heard_at + sighting.cold)
+            self._known[fresh.id] = _Known(fresh, heard_at, now + sighting.cold)
             self.revision += 1
             return True
         old = known.instance
@@ -95,7 +95,7 @@
         if not forward and fresh.state is not old.state:
             return False
         known.instance = fresh
-        known.warm_at = heard_at + sighting.cold
+        known.warm_at = now + sighting.cold
         changed = (fresh.state, fresh.address, fresh.service) != (
             old.state,
             old.address,
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,81 @@
+"""Tests of what a process believes of upstreams by their heartbeats."""
+
+import unittest
+from dataclasses import replace
+
+from daleroad.fleet import (
+    FORGET_SECONDS,
+    GONE_KEPT_SECONDS,
+    Fleet,
+    Instance,
+    InstanceState,
+    Sighting,
+)
+
+READY = Instance("i", "s", "1:1", "z", 4, InstanceState.READY, 5)
+
+
+def see(instance: Instance = READY, age: float = 0.0, cold: float = 0.0) -> Sighting:
+    return Sighting(instance, age, cold)
+
+
+class FleetTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = Fleet()
+        self.fleet.note(see(), 100.0)
+
+    def test_a_heartbeat_alone_is_no_news(self) -> None:
+        before = self.fleet.revision
+        self.assertFalse(self.fleet.note(see(replace(READY, sequence=6)), 101.0))
+        self.assertEqual(self.fleet.revision, before)
+        self.assertEqual(self.fleet.get_age("i", 101.5), 0.5)
+
+    def test_a_leaving_instance_gets_no_work_and_a_late_heartbeat_changes_nothing(self) -> None:
+        leaving = replace(READY, state=InstanceState.LEAVING, sequence=7)
+        self.assertTrue(self.fleet.note(see(leaving), 101.0))
+        self.assertEqual(self.fleet.list_ready("s"), [])
+        self.assertFalse(self.fleet.note(see(replace(READY, sequence=6)), 102.0))
+        self.assertFalse(self.fleet.note(see(replace(READY, sequence=8)), 102.0))
+        self.assertEqual(self.fleet.list_ready("s"), [])
+
+    def test_news_of_a_leave_counts_also_with_an_older_number(self) -> None:
+        leaving = replace(READY, state=InstanceState.LEAVING, sequence=4)
+        self.assertTrue(self.fleet.note(see(leaving), 101.0))
+
+    def test_an_instance_that_is_gone_stays_away(self) -> None:
+        self.assertTrue(self.fleet.leave("i", 101.0))
+        self.assertFalse(self.fleet.leave("i", 101.0))
+        self.assertFalse(self.fleet.note(see(replace(READY, sequence=9)), 102.0))
+        self.assertEqual(self.fleet.list_ready("s"), [])
+
+    def test_one_that_left_before_it_was_known_stays_away_too(self) -> None:
+        self.fleet.leave("j", 101.0)
+        self.assertFalse(self.fleet.note(see(replace(READY, id="j")), 102.0))
+        self.assertEqual([i.id for i in self.fleet.list_ready("s")], ["i"])
+
+    def test_silence_forgets_the_living_and_later_the_gone(self) -> None:
+        self.fleet.leave("j", 100.0)
+        self.assertEqual(self.fleet.prune(100.0 + FORGET_SECONDS), [])
+        self.assertEqual([i.id for i in self.fleet.prune(100.1 + FORGET_SECONDS)], ["i"])
+        self.assertIsNotNone(self.fleet.get("j"))
+        self.fleet.prune(100.1 + GONE_KEPT_SECONDS)
+        self.assertIsNone(self.fleet.get("j"))
+
+    def test_what_is_told_to_others_carries_ages(self) -> None:
+        other = Fleet()
+        self.fleet.note(see(replace(READY, id="c", sequence=1), cold=3.0), 100.0)
+        other.note_all(list(self.fleet.list_sightings(102.0)), 7.0)
+        self.assertEqual(other.get_age("i", 7.0), 2.0)
+        self.assertTrue(other.is_cold("c", 7.5))
+        self.assertFalse(other.is_cold("c", 8.1))
+
+    def test_only_what_was_heard_lately_is_told_again(self) -> None:
+        self.fleet.note(see(replace(READY, id="k")), 110.0)
+        told = [s.instance.id for s in self.fleet.list_sightings(111.0, since=109.0)]
+        self.assertEqual(told, ["k"])
+
+    def test_ages_from_others_only_make_an_instance_younger(self) -> None:
+        self.fleet.note_ages({"i": 0.2, "unknown": 1.0}, 105.0)
+        self.assertAlmostEqual(self.fleet.get_age("i", 105.0), 0.2)
+        self.fleet.note_ages({"i": 9.0}, 105.0)
+        self.assertAlmostEqual(self.fleet.get_age("i", 105.0), 0.2)
--- /dev/null
+++ b/tests/test_picking.py
@@ -0,0 +1,96 @@
+"""Tests of the choice of an upstream, and of the budget for repeats."""
+
+import unittest
+from collections import Counter
+from random import Random
+
+from daleroad.fleet import Instance, InstanceState
+from daleroad.notices import Load
+from daleroad.picking import Candidate, draw_sample, estimate_load, pick_upstream
+from daleroad.retries import WindowBudget
+
+
+def make_candidate(name: str, load: float, zone: str = "z", **known: bool) -> Candidate:
+    instance = Instance(name, "s", f"{name}:1", zone, 24, InstanceState.READY, 1)
+    return Candidate(instance, load, **known)
+
+
+def pick(*candidates: Candidate, zone: str = "") -> str:
+    found = pick_upstream(candidates, zone, Random(1))
+    return found.instance.id if found else ""
+
+
+class PickTest(unittest.TestCase):
+    def test_the_less_loaded_one_is_picked(self) -> None:
+        self.assertEqual(pick(make_candidate("a", 0.9), make_candidate("b", 0.2)), "b")
+
+    def test_doubtful_ones_only_without_another(self) -> None:
+        doubtful = make_candidate("a", 0.0, doubtful=True)
+        self.assertEqual(pick(doubtful, make_candidate("b", 5.0)), "b")
+        self.assertEqual(pick(doubtful), "a")
+        self.assertEqual(pick(), "")
+
+    def test_an_engine_without_a_neighbour_or_just_started_gets_less(self) -> None:
+        for known in ("lone", "cold"):
+            with self.subTest(known):
+                marked = make_candidate("a", 0.3, **{known: True})
+                self.assertEqual(pick(marked, make_candidate("b", 0.4)), "b")
+                self.assertEqual(pick(marked, make_candidate("b", 0.9)), "a")
+
+    def test_the_own_zone_goes_first_among_equals(self) -> None:
+        here, there = make_candidate("a", 0.5, "z"), make_candidate("b", 0.42, "y")
+        picks = Counter(
+            found.instance.id
+            for seed in range(200)
+            if (found := pick_upstream([here, there], "z", Random(seed)))
+        )
+        self.assertGreater(picks["a"], 20)
+
+    def test_unread_prompts_weigh_as_much_as_memory(self) -> None:
+        reading = estimate_load(Load("a", 2, 6000, 6000), 24, 34_000)
+        generating = estimate_load(Load("a", 4, 14_000, 0), 24, 34_000)
+        self.assertGreater(reading, generating)
+        self.assertEqual(estimate_load(Load("a", 3), 6, 0), 0.5)
+
+
+class SampleTest(unittest.TestCase):
+    def test_few_gateways_compare_all(self) -> None:
+        candidates = [make_candidate(str(n), 0.1) for n in range(23)]
+        self.assertEqual(len(draw_sample(candidates, 12, Random(1))), 23)
+
+    def test_many_gateways_do_not_all_choose_the_same(self) -> None:
+        candidates = [make_candidate(str(n), 0.1 * n) for n in range(23)]
+        picked = Counter()
+        for seed in range(90):
+            random = Random(seed)
+            found = pick_upstream(draw_sample(candidates, 90, random), "", random)
+            assert found is not None
+            picked[found.instance.id] += 1
+        self.assertGreater(len(picked), 8)
+
+    def test_doubtful_ones_are_drawn_only_without_others(self) -> None:
+        sound = make_candidate("a", 0.9)
+        doubtful = [make_candidate(str(n), 0.0, doubtful=True) for n in range(5)]
+        self.assertEqual(draw_sample([*doubtful, sound], 90, Random(1)), [sound])
+        self.assertEqual(len(draw_sample(doubtful, 90, Random(1))), 2)
+
+
+class WindowBudgetTest(unittest.TestCase):
+    def test_repeats_stay_below_their_share_over_all_processes(self) -> None:
+        sharers = 12
+        budgets = [WindowBudget(0.2, 64, 10.0) for _ in range(sharers)]
+        repeats = 0
+        for number in range(1200):
+            budget = budgets[number % sharers]
+            budget.note_first("s", number / 120)
+            repeats += sum(budget.take("s", sharers, number / 120) for _ in range(3))
+        self.assertLessEqual(repeats, 0.2 * 1200 + 64)
+        self.assertGreater(repeats, 0.5 * (0.2 * 1200 + 64))
+
+    def test_the_window_slides_and_services_have_their_own(self) -> None:
+        budget = WindowBudget(0.0, 2.9, 10.0)
+        self.assertTrue(budget.take("s", 1, 0.0))
+        self.assertTrue(budget.take("s", 1, 1.0))
+        self.assertFalse(budget.take("s", 1, 9.9))
+        self.assertTrue(budget.take("t", 1, 9.9))
+        self.assertTrue(budget.take("s", 1, 10.5))
