--- a/src/daleroad/cli.py
+++ b/src/daleroad/cli.py
@@ -25,6 +25,7 @@
 from daleroad.engine import Engine, EngineOptions
 from daleroad.errors import DaleroadError, Failure
 from daleroad.events import Event, log_event
+from daleroad.explain import explain, parse_lines
 from daleroad.operating import OperatorClient
 from daleroad.plain import PlainOptions, PlainService
 from daleroad.process import move_damaged, run_process, serve
@@ -235,6 +236,18 @@
         """
         print(hash_token(token))
 
+    def explain(self, request: str, *files: str) -> None:
+        """Print a request's story in order, from the logs of several processes.
+
+        Args:
+            request: its id.
+            files: the logs.
+        """
+        texts = ((file, Path(file).read_text(errors="replace")) for file in files)
+        lines = [line for file, text in texts for line in parse_lines(file, text.splitlines())]
+        for told in explain(str(request), lines):
+            print(told)
+
     def locate(self, entries: str, zone: str = "") -> None:
         """Print the addresses that a caller should use.
 
