--- a/src/daleroad/explain.py
+++ b/src/daleroad/explain.py
@@ -87,6 +87,9 @@
     newest: dict[str, LogLine] = {}
     for line in ordered:
         if line.time <= start and line.source == first.source and line.name in _BELIEFS:
+            if line.name == "STARTED":
+                # A process that starts anew believes nothing of what it did before.
+                newest.clear()
             newest[line.name + str(line.fields.get("name", ""))] = line
     for line in sorted(newest.values(), key=lambda found: found.time):
         yield _tell(line, start)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -38,6 +38,14 @@
         told = self.tell("a", make_log((1.0, "STREAM_BEGUN", {"request": "a"})))
         self.assertIn("no end", told[-1])
 
+    def test_a_process_that_started_anew_believes_nothing_old(self) -> None:
+        lines = make_log(
+            (1.0, "CONFIG_IN_FORCE", {"version": 4}),
+            (2.0, "STARTED", {}),
+            (3.0, "REQUEST_REFUSED", {"request": "a"}),
+        )
+        self.assertEqual(["STARTED" in told for told in self.tell("a", lines)], [True, False])
+
     def test_a_request_that_nobody_saw(self) -> None:
         (told,) = self.tell("x", ["not json\n", "{broken\n", *make_log((1.0, "STARTED", {}))])
         self.assertIn("no line names x", told)
