--- a/tools/soak.py
+++ b/tools/soak.py
@@ -29,9 +29,12 @@
 SECONDS = 20.0
 """Length of one plan; several elections and drains."""
 
-QUIET_SECONDS = 8.0
+QUIET_SECONDS = 6.0
 """Time after the last fault in which all must be well again."""
 
+FIRST_SECONDS = 2.0
+"""When the first fault comes; by then everything was served once."""
+
 GATEWAYS = 4
 COORDINATORS = 3
 UPSTREAMS = 3
@@ -52,7 +55,7 @@
 
 def plan_steps(random: Random, seconds: float) -> Iterator[Step]:
     """Yield the faults of a plan in order; at most one coordinator is hurt at a time."""
-    at, coordinator_free = 4.0, 0.0
+    at, coordinator_free = FIRST_SECONDS, 0.0
     while at < seconds - QUIET_SECONDS:
         kind = random.choice(["kill", "pause", "stop", "kill-twice", "hup"])
         hold = random.uniform(0.2, 2.0)
@@ -97,8 +100,8 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         host, port = self.address.split(":")
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
-        await listener.serve(self._handle)
+        async with await anyio.create_tcp_listener(local_host=host, local_port=int(port)) as found:
+            await found.serve(self._handle)
 
     async def _handle(self, stream: SocketStream) -> None:
         async with stream:
