--- a/tools/soak.py
+++ b/tools/soak.py
@@ -394,6 +394,8 @@
 
 def main() -> int:
     """Play the plans that the command line names; return 1 if a promise was broken."""
+    # A soak that is ended from outside ends its processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     first, _, last = sys.argv[1].partition("-")
     seconds = float(sys.argv[2]) if len(sys.argv) > 2 else SECONDS
     bad = 0
