Split the coordinator: who is alive, and which peers are known, apart from the log

Cause: one module of 600 lines had three jobs. Only moves of code, and lists of engines that left are bounded by their age now. Ruled out: a change of behaviour; the tests of coordinators pass unchanged but for where they look.

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -1,8 +1,7 @@
-"""A coordinator: keeps the routing configuration and knows which upstreams and gateways live.
+"""A coordinator: keeps the routing configuration and tells gateways what changes.
 
-The configuration is in a replicated log on the coordinators' disks. Who is alive is not: each
-heartbeat is told to the other coordinators, and after a restart the next heartbeats fill the
-fleet again. News that an upstream leaves is acknowledged only when the others have it too.
+The configuration is in a replicated log on the coordinators' disks; who is alive is told from one
+to the other and lost with a restart, until the next heartbeats.
 """
 
 from collections.abc import Callable
@@ -21,25 +20,18 @@
     COORDINATOR_TURN_SECONDS,
     FOUNDING_CALL_SECONDS,
     FOUNDING_PAUSE_SECONDS,
-    GATEWAY_DOUBTFUL_SECONDS,
-    GATEWAY_SILENT_SECONDS,
     JOIN_SECONDS,
     LEADER_WAIT_SECONDS,
-    LEAVE_TOLD_SECONDS,
-    SHARE_SECONDS,
     STANDBY_SILENT_SECONDS,
 )
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
-from daleroad.fleet import Fleet, Instance, InstanceState, Sighting
 from daleroad.group import Group, decode_messages
 from daleroad.links import Links
 from daleroad.logtypes import Member
 from daleroad.notices import (
-    GatewayNotice,
     IdentifyAnswer,
     JoinRequest,
-    Load,
     ReadAnswer,
     SaveAnswer,
     SaveRequest,
@@ -48,6 +40,8 @@
     WatchAnswer,
     WatchRequest,
 )
+from daleroad.peers import Peers
+from daleroad.presence import Presence, make_url
 from daleroad.routing import RoutingConfig, find_fault
 from daleroad.security import check_peer
 from daleroad.serving import Answer, Request, Response, Router
@@ -77,14 +71,6 @@
     founding: bool
 
 
-@dataclass
-class _Gateway:
-    notice: GatewayNotice
-    heard_at: float
-    loads: tuple[Load, ...] = ()
-    loads_at: float = float("-inf")
-
-
 class Coordinator:
     """One coordinator.
 
@@ -101,21 +87,18 @@
         self.links = links
         self.record = SiteRecord()
         self.record.on_change = self._wake
-        self.fleet = Fleet()
+        self.peers = Peers(options.name, set(options.seeds))
+        self.presence = Presence(options.name, links, self.peers, self._list_others, self._wake)
         self.epoch = uuid4().hex[:12]
         self._parse = parse
         path = Path(options.data) / f"{GROUP}.db" if options.data else None
         self._storage = Storage(path)
         self.group = Group(
-            GROUP, options.name, {}, self._storage, self.record, links, random, _make_url
+            GROUP, options.name, {}, self._storage, self.record, links, random, make_url
         )
         self._ready = False
-        self._seeds = set(options.seeds)
-        self._known: dict[str, float] = {}
         self._standbys: dict[str, tuple[bool, float]] = {}
-        self._gateways: dict[str, _Gateway] = {}
         self._news = anyio.Event()
-        self._shared_at = float("-inf")
 
     async def run(self, tasks: TaskGroup) -> None:
         """Found or join the group, then take part until cancelled.
@@ -127,7 +110,7 @@
         await self.group.run(tasks)
         self._ready = True
         tasks.start_soon(self._join_loop)
-        tasks.start_soon(self._share_loop)
+        tasks.start_soon(self.presence.share_loop)
         tasks.start_soon(self._lead_loop)
 
     def close(self) -> None:
@@ -147,7 +130,7 @@
 
         :param seeds: the addresses.
         """
-        self._seeds = set(seeds)
+        self.peers.seeds = set(seeds)
 
     # Founding and joining.
 
@@ -156,12 +139,12 @@
 
         All seeds are asked first, so each founder writes the same membership.
         """
-        if self.options.name not in self._seeds:
+        if self.options.name not in self.peers.seeds:
             return
-        answers = [await self._identify(seed) for seed in sorted(self._seeds)]
+        answers = [await self._identify(seed) for seed in sorted(self.peers.seeds)]
         voters = [answer.name for answer in answers if answer.disk]
         # Where no seed has a disk, the group lives as long as its processes do.
-        names = voters or sorted(self._seeds)
+        names = voters or sorted(self.peers.seeds)
         if self.options.name not in names:
             return
         members = tuple(Member(name, f"founding-{name}") for name in sorted(names))
@@ -172,7 +155,7 @@
         if seed == self.options.name:
             return IdentifyAnswer(seed, bool(self.options.data))
         while True:
-            url = f"{_make_url(seed)}/site/identify"
+            url = f"{make_url(seed)}/site/identify"
             answer = await self.links.call(url, b"{}", IdentifyAnswer, FOUNDING_CALL_SECONDS)
             if isinstance(answer, IdentifyAnswer):
                 return answer
@@ -184,40 +167,27 @@
         while True:
             if not self._is_voter():
                 for peer in self._list_others():
-                    url = f"{_make_url(peer)}/site/join"
+                    url = f"{make_url(peer)}/site/join"
                     answer = await self.links.call(
                         url, request, ShareAnswer, COORDINATOR_CALL_SECONDS
                     )
                     if isinstance(answer, ShareAnswer):
-                        self._learn(answer.coordinators)
+                        self.peers.learn(answer.coordinators, anyio.current_time())
             await anyio.sleep(JOIN_SECONDS)
 
     def _is_voter(self) -> bool:
         replica = self.group.replica
         return Member(replica.name, replica.incarnation) in replica.members
 
+    def _list_voters(self) -> set[str]:
+        return {member.name for member in self.group.replica.members} if self._ready else set()
+
     def _list_others(self) -> list[str]:
-        """Return the names of all other coordinators that may be alive."""
-        voters = {member.name for member in self.group.replica.members} if self._ready else set()
-        return sorted((self._seeds | voters | set(self._known)) - {self.options.name})
+        return self.peers.list_others(self._list_voters())
 
     def list_coordinators(self) -> tuple[str, ...]:
         """Return the coordinators heard of late, this one included."""
-        now = anyio.current_time()
-        known = {name for name, at in self._known.items() if now - at < STANDBY_SILENT_SECONDS}
-        voters = {member.name for member in self.group.replica.members}
-        return tuple(sorted(known | voters | {self.options.name}))
-
-    def _learn(self, names: tuple[str, ...]) -> None:
-        for name in names:
-            if name != self.options.name and name not in self._known:
-                self._known[name] = anyio.current_time()
-                log_event(Event.COORDINATOR_LEARNT, name=name)
-
-    def _note_alive(self, name: str) -> None:
-        if name not in self._known:
-            log_event(Event.COORDINATOR_LEARNT, name=name)
-        self._known[name] = anyio.current_time()
+        return self.peers.list_named(self._list_voters(), anyio.current_time())
 
     # Leading.
 
@@ -225,13 +195,8 @@
         while True:
             await anyio.sleep(COORDINATOR_TURN_SECONDS)
             now = anyio.current_time()
-            for name, at in list(self._known.items()):
-                if now - at > STANDBY_SILENT_SECONDS:
-                    del self._known[name]
-                    log_event(Event.COORDINATOR_SILENT, name=name, age=round(now - at, 3))
-            for instance in self.fleet.prune(now):
-                log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="age")
-                self._wake()
+            self.peers.prune(now)
+            self.presence.prune(now)
             if self.group.is_leading():
                 self._plan(now)
 
@@ -312,150 +277,6 @@
             f"{leader}/site/read", b"{}", ReadAnswer, COORDINATOR_CALL_SECONDS
         )
 
-    # Upstreams and gateways.
-
-    async def hear(self, sighting: Sighting) -> Failure | None:
-        """Take an upstream's heartbeat; return nothing once it counts.
-
-        :param sighting: what it says.
-        """
-        now = anyio.current_time()
-        before = self.fleet.get(sighting.instance.id)
-        changed = self.fleet.note(sighting, now)
-        instance = self.fleet.get(sighting.instance.id)
-        if changed and instance is not None:
-            self._log_change(instance, before)
-            self._wake()
-        if instance is not None and instance.state is not InstanceState.READY:
-            return await self._tell_leaving(instance, changed)
-        return None
-
-    async def part(self, instance_id: str) -> Failure | None:
-        """Note that an upstream is gone; return nothing once it counts.
-
-        :param instance_id: the instance.
-        """
-        before = self.fleet.get(instance_id)
-        changed = self.fleet.leave(instance_id, anyio.current_time())
-        instance = self.fleet.get(instance_id)
-        if changed and instance is not None:
-            self._log_change(instance, before)
-            self._wake()
-        return await self._tell_leaving(instance, True) if instance is not None else None
-
-    async def _tell_leaving(self, instance: Instance, changed: bool) -> Failure | None:
-        """Tell the other coordinators at once that an upstream leaves.
-
-        This one may die before the next turn, and who watches it would never hear.
-        """
-        if not changed:
-            return None
-        others = [peer for peer in self._list_others() if self._is_alive(peer)]
-        if not others:
-            return None
-        told: list[str] = []
-        done = anyio.Event()
-
-        async def tell(peer: str) -> None:
-            sightings = (Sighting(instance, 0.0),)
-            request = encode(ShareRequest(self.options.name, (), sightings))
-            url = f"{_make_url(peer)}/site/share"
-            answer = await self.links.call(url, request, ShareAnswer, LEAVE_TOLD_SECONDS)
-            if isinstance(answer, ShareAnswer):
-                told.append(peer)
-            if 2 * len(told) >= len(others):
-                done.set()
-
-        with anyio.move_on_after(LEAVE_TOLD_SECONDS):
-            async with anyio.create_task_group() as tasks:
-                for peer in others:
-                    tasks.start_soon(tell, peer)
-                await done.wait()
-        if not told:
-            reason = f"none of {len(others)} other coordinators heard it"
-            log_event(Event.LEAVE_NOT_SPREAD, id=instance.id, others=len(others))
-            return Failure(FailureKind.NO_MAJORITY, reason)
-        return None
-
-    def _is_alive(self, peer: str) -> bool:
-        return anyio.current_time() - self._known.get(peer, float("-inf")) < SILENT_SECONDS
-
-    def _log_change(self, instance: Instance, before: Instance | None) -> None:
-        event = {
-            InstanceState.READY: Event.UPSTREAM_JOINED,
-            InstanceState.LEAVING: Event.UPSTREAM_DRAINING,
-            InstanceState.GONE: Event.UPSTREAM_LEFT,
-        }[instance.state]
-        was = before.state.value if before else "unknown"
-        log_event(
-            event,
-            id=instance.id,
-            service=instance.service,
-            address=instance.address,
-            sequence=instance.sequence,
-            before=was,
-            revision=self.fleet.revision,
-        )
-
-    def list_gateways(self, zone: str) -> list[str]:
-        """Return the addresses of the gateways that take clients, a zone's first.
-
-        :param zone: the asker's availability zone.
-        """
-        alive = self._list_heard(GATEWAY_SILENT_SECONDS)
-        if not alive:
-            alive = self._list_heard(GATEWAY_DOUBTFUL_SECONDS)
-        alive.sort(key=lambda notice: (notice.zone != zone, notice.address))
-        return [notice.address for notice in alive]
-
-    def _list_heard(self, seconds: float) -> list[GatewayNotice]:
-        """Return the gateways that take clients and were heard within some seconds."""
-        now = anyio.current_time()
-        return [
-            gateway.notice
-            for gateway in self._gateways.values()
-            if gateway.notice.serving and now - gateway.heard_at < seconds
-        ]
-
-    def _note_gateway(self, notice: GatewayNotice, now: float) -> _Gateway:
-        heard_at = now - notice.age
-        known = self._gateways.get(notice.address)
-        if known is None:
-            known = self._gateways[notice.address] = _Gateway(notice, heard_at)
-            log_event(Event.ENTRY_JOINED, name=notice.address, state=notice.serving)
-        elif heard_at >= known.heard_at:
-            if known.notice.serving != notice.serving:
-                log_event(Event.ENTRY_JOINED, name=notice.address, state=notice.serving)
-            known.notice = notice
-            known.heard_at = heard_at
-        return known
-
-    async def _share_loop(self) -> None:
-        while True:
-            await anyio.sleep(SHARE_SECONDS)
-            now = anyio.current_time()
-            # What was heard just before the last turn is told once more, so nothing falls between.
-            since = self._shared_at - SHARE_SECONDS
-            gateways = tuple(
-                GatewayNotice(n.address, n.zone, n.region, n.serving, now - g.heard_at)
-                for g in self._gateways.values()
-                if (n := g.notice) and g.heard_at >= since
-            )
-            sightings = tuple(self.fleet.list_sightings(now, since))
-            self._shared_at = now
-            request = encode(ShareRequest(self.options.name, gateways, sightings))
-            with anyio.move_on_after(COORDINATOR_CALL_SECONDS):
-                async with anyio.create_task_group() as tasks:
-                    for peer in self._list_others():
-                        tasks.start_soon(self._share_with, peer, request)
-
-    async def _share_with(self, peer: str, request: bytes) -> None:
-        url = f"{_make_url(peer)}/site/share"
-        answer = await self.links.call(url, request, ShareAnswer, COORDINATOR_CALL_SECONDS)
-        if isinstance(answer, ShareAnswer):
-            self._note_alive(peer)
-            self._learn(answer.coordinators)
-
     # Calls of the other processes of this system.
 
     def make_router(self) -> Router:
@@ -498,23 +319,14 @@
         if isinstance(asked, Failure):
             return asked
         self._standbys[asked.name] = (asked.disk, anyio.current_time())
-        self._note_alive(asked.name)
+        self.peers.note_alive(asked.name, anyio.current_time())
         return Response(200, encode(ShareAnswer(self.list_coordinators() if self._ready else ())))
 
     async def _serve_share(self, request: Request) -> Answer:
         asked = self._take(request, ShareRequest)
         if isinstance(asked, Failure):
             return asked
-        now = anyio.current_time()
-        self._note_alive(asked.sender)
-        before = {s.instance.id: self.fleet.get(s.instance.id) for s in asked.sightings}
-        changed = self.fleet.note_all(asked.sightings, now)
-        for instance in changed:
-            self._log_change(instance, before[instance.id])
-        for notice in asked.gateways:
-            self._note_gateway(notice, now)
-        if changed:
-            self._wake()
+        self.presence.take_share(asked)
         return Response(200, encode(ShareAnswer(self.list_coordinators() if self._ready else ())))
 
     async def _serve_watch(self, request: Request) -> Answer:
@@ -523,10 +335,7 @@
             return asked
         if not self._ready:
             return Failure(FailureKind.NO_MAJORITY, "this coordinator is starting")
-        now = anyio.current_time()
-        gateway = self._note_gateway(asked.gateway, now)
-        gateway.loads = asked.loads
-        gateway.loads_at = now
+        self.presence.note_watch(asked)
         await self._wait_news(asked)
         return Response(200, encode(self._make_answer(asked)))
 
@@ -534,7 +343,7 @@
         with anyio.move_on_after(asked.wait):
             while (
                 asked.epoch == self.epoch
-                and asked.revision == self.fleet.revision
+                and asked.revision == self.presence.fleet.revision
                 and asked.version >= self.record.document.version
             ):
                 await self._news.wait()
@@ -542,37 +351,22 @@
     def _make_answer(self, asked: WatchRequest) -> WatchAnswer:
         now = anyio.current_time()
         document = self.record.document
-        same = asked.epoch == self.epoch and asked.revision == self.fleet.revision
-        sightings = tuple(self.fleet.list_sightings(now))
-        others = [
-            gateway
-            for gateway in self._gateways.values()
-            if now - gateway.heard_at < GATEWAY_SILENT_SECONDS
-        ]
+        fleet = self.presence.fleet
+        same = asked.epoch == self.epoch and asked.revision == fleet.revision
+        sightings = tuple(fleet.list_sightings(now))
         return WatchAnswer(
             self.epoch,
-            self.fleet.revision,
+            fleet.revision,
             self.list_coordinators(),
             self.group.replica.leader,
             document.version,
             document.text if document.version > asked.version else None,
             None if same else sightings,
             {s.instance.id: round(s.age, 3) for s in sightings},
-            tuple(self._sum_loads(asked.gateway.address, now)),
-            len(others),
+            tuple(self.presence.sum_loads(asked.gateway.address, now)),
+            self.presence.count_gateways(now),
         )
 
-    def _sum_loads(self, asker: str, now: float) -> list[Load]:
-        """Return the work of all gateways but the asker."""
-        totals: dict[str, Load] = {}
-        for address, gateway in self._gateways.items():
-            if address == asker or now - gateway.loads_at > GATEWAY_SILENT_SECONDS:
-                continue
-            for load in gateway.loads:
-                known = totals.get(load.instance)
-                totals[load.instance] = known.add(load) if known else load
-        return list(totals.values())
-
     async def _serve_save(self, request: Request) -> Answer:
         asked = self._take(request, SaveRequest)
         if isinstance(asked, Failure):
@@ -597,7 +391,3 @@
     def _wake(self) -> None:
         self._news.set()
         self._news = anyio.Event()
-
-
-def _make_url(name: str) -> str:
-    return f"http://{name}"
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -16,7 +16,7 @@
     TOKEN_SECONDS,
 )
 from daleroad.dispatch import Dispatcher, Prompt
-from daleroad.fleet import Fleet, Instance, InstanceState
+from daleroad.fleet import GONE_KEPT_SECONDS, Fleet, Instance, InstanceState
 from daleroad.health import Ejector
 from daleroad.notices import GatewayNotice, Load
 from daleroad.picking import Candidate, estimate_load, pick_upstream
@@ -242,10 +242,16 @@
                 case InstanceState.READY:
                     pass
                 case InstanceState.LEAVING:
-                    self._leaving_since.setdefault(instance.id, anyio.current_time())
-                    self.on_leaving(instance)
+                    self._note_leaving(instance)
                 case InstanceState.GONE:
-                    self._leaving_since.setdefault(instance.id, anyio.current_time())
-                    self.on_leaving(instance)
+                    self._note_leaving(instance)
                     self.ejector.forget(instance.id)
                     self.dispatcher.forget(instance)
+
+    def _note_leaving(self, instance: Instance) -> None:
+        now = anyio.current_time()
+        old = [i for i, at in self._leaving_since.items() if now - at > GONE_KEPT_SECONDS]
+        for instance_id in old:
+            del self._leaving_since[instance_id]
+        self._leaving_since.setdefault(instance.id, now)
+        self.on_leaving(instance)
--- a/src/daleroad/moving.py
+++ b/src/daleroad/moving.py
@@ -30,7 +30,7 @@
     sum_seconds,
 )
 from daleroad.events import Event, log_event
-from daleroad.fleet import Instance, InstanceState
+from daleroad.fleet import GONE_KEPT_SECONDS, Instance, InstanceState
 from daleroad.gateway import Gateway
 from daleroad.picking import COPY_ZONE_BONUS, pick_upstream
 from daleroad.routing import ServiceRule
@@ -221,6 +221,7 @@
         """Return when runs get off an engine; it is made once."""
         plan = self._plans.get(origin.id)
         if plan is None:
+            self._drop_old_plans()
             plan = self._plans[origin.id] = _Plan(
                 anyio.current_time(), self._gateway.get_leaving_since(origin)
             )
@@ -230,6 +231,10 @@
         await plan.ready.wait()
         return plan
 
+    def _drop_old_plans(self) -> None:
+        oldest = anyio.current_time() - GONE_KEPT_SECONDS
+        self._plans = {name: p for name, p in self._plans.items() if p.noticed_at > oldest}
+
     async def _fill_plan(self, plan: _Plan, origin: Instance, run_id: str) -> None:
         report = await self._gateway.dispatcher.report(origin)
         service = self._gateway.get_service(origin.service)
--- /dev/null
+++ b/src/daleroad/presence.py
@@ -0,0 +1,271 @@
+"""Who is alive: upstreams by their heartbeats, gateways by their watches.
+
+This is no replicated state. What one coordinator hears it tells the others several times a
+second; news that an upstream leaves goes out at once, and counts only when another has it.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+
+from daleroad.codec import encode
+from daleroad.defaults import (
+    COORDINATOR_CALL_SECONDS,
+    GATEWAY_DOUBTFUL_SECONDS,
+    GATEWAY_SILENT_SECONDS,
+    LEAVE_TOLD_SECONDS,
+    SHARE_SECONDS,
+)
+from daleroad.errors import Failure, FailureKind
+from daleroad.events import Event, log_event
+from daleroad.fleet import Fleet, Instance, InstanceState, Sighting
+from daleroad.links import Links
+from daleroad.notices import (
+    GatewayNotice,
+    Load,
+    ShareAnswer,
+    ShareRequest,
+    WatchRequest,
+)
+from daleroad.peers import Peers
+
+
+@dataclass
+class _Gateway:
+    notice: GatewayNotice
+    heard_at: float
+    loads: tuple[Load, ...] = ()
+    loads_at: float = float("-inf")
+
+
+class Presence:
+    """What one coordinator knows of upstreams and gateways.
+
+    :param name: the coordinator's name.
+    :param links: connections to the others.
+    :param peers: the others.
+    :param list_others: returns the names of those that may be alive.
+    :param wake: called when there is news for those who watch.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        links: Links,
+        peers: Peers,
+        list_others: Callable[[], list[str]],
+        wake: Callable[[], None],
+    ) -> None:
+        self.fleet = Fleet()
+        self._name = name
+        self._links = links
+        self._peers = peers
+        self._list_others = list_others
+        self._wake = wake
+        self._gateways: dict[str, _Gateway] = {}
+        self._shared_at = float("-inf")
+
+    def take_share(self, asked: ShareRequest) -> None:
+        """Take in what another coordinator heard.
+
+        :param asked: what it tells.
+        """
+        now = anyio.current_time()
+        self._peers.note_alive(asked.sender, now)
+        before = {s.instance.id: self.fleet.get(s.instance.id) for s in asked.sightings}
+        changed = self.fleet.note_all(asked.sightings, now)
+        for instance in changed:
+            self._log_change(instance, before[instance.id])
+        for notice in asked.gateways:
+            self._note_gateway(notice, now)
+        if changed:
+            self._wake()
+
+    def note_watch(self, asked: WatchRequest) -> None:
+        """Note what a gateway says of itself.
+
+        :param asked: its question.
+        """
+        now = anyio.current_time()
+        gateway = self._note_gateway(asked.gateway, now)
+        gateway.loads = asked.loads
+        gateway.loads_at = now
+
+    def prune(self, now: float) -> None:
+        """Drop upstreams not heard for long.
+
+        :param now: the time.
+        """
+        for instance in self.fleet.prune(now):
+            log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="age")
+            self._wake()
+
+    def count_gateways(self, now: float) -> int:
+        """Return how many gateways were heard of late, whether they take clients or not.
+
+        :param now: the time.
+        """
+        heard = (now - gateway.heard_at for gateway in self._gateways.values())
+        return sum(age < GATEWAY_SILENT_SECONDS for age in heard)
+
+    async def hear(self, sighting: Sighting) -> Failure | None:
+        """Take an upstream's heartbeat; return nothing once it counts.
+
+        :param sighting: what it says.
+        """
+        now = anyio.current_time()
+        before = self.fleet.get(sighting.instance.id)
+        changed = self.fleet.note(sighting, now)
+        instance = self.fleet.get(sighting.instance.id)
+        if changed and instance is not None:
+            self._log_change(instance, before)
+            self._wake()
+        if instance is not None and instance.state is not InstanceState.READY:
+            return await self._tell_leaving(instance, changed)
+        return None
+
+    async def part(self, instance_id: str) -> Failure | None:
+        """Note that an upstream is gone; return nothing once it counts.
+
+        :param instance_id: the instance.
+        """
+        before = self.fleet.get(instance_id)
+        changed = self.fleet.leave(instance_id, anyio.current_time())
+        instance = self.fleet.get(instance_id)
+        if changed and instance is not None:
+            self._log_change(instance, before)
+            self._wake()
+        return await self._tell_leaving(instance, True) if instance is not None else None
+
+    async def _tell_leaving(self, instance: Instance, changed: bool) -> Failure | None:
+        """Tell the other coordinators at once that an upstream leaves.
+
+        This one may die before the next turn, and who watches it would never hear.
+        """
+        if not changed:
+            return None
+        now = anyio.current_time()
+        others = [peer for peer in self._list_others() if self._peers.is_alive(peer, now)]
+        if not others:
+            return None
+        told: list[str] = []
+        done = anyio.Event()
+
+        async def tell(peer: str) -> None:
+            sightings = (Sighting(instance, 0.0),)
+            request = encode(ShareRequest(self._name, (), sightings))
+            url = f"{make_url(peer)}/site/share"
+            answer = await self._links.call(url, request, ShareAnswer, LEAVE_TOLD_SECONDS)
+            if isinstance(answer, ShareAnswer):
+                told.append(peer)
+            if 2 * len(told) >= len(others):
+                done.set()
+
+        with anyio.move_on_after(LEAVE_TOLD_SECONDS):
+            async with anyio.create_task_group() as tasks:
+                for peer in others:
+                    tasks.start_soon(tell, peer)
+                await done.wait()
+        if not told:
+            reason = f"none of {len(others)} other coordinators heard it"
+            log_event(Event.LEAVE_NOT_SPREAD, id=instance.id, others=len(others))
+            return Failure(FailureKind.NO_MAJORITY, reason)
+        return None
+
+    def _log_change(self, instance: Instance, before: Instance | None) -> None:
+        event = {
+            InstanceState.READY: Event.UPSTREAM_JOINED,
+            InstanceState.LEAVING: Event.UPSTREAM_DRAINING,
+            InstanceState.GONE: Event.UPSTREAM_LEFT,
+        }[instance.state]
+        was = before.state.value if before else "unknown"
+        log_event(
+            event,
+            id=instance.id,
+            service=instance.service,
+            address=instance.address,
+            sequence=instance.sequence,
+            before=was,
+            revision=self.fleet.revision,
+        )
+
+    def list_gateways(self, zone: str) -> list[str]:
+        """Return the addresses of the gateways that take clients, a zone's first.
+
+        :param zone: the asker's availability zone.
+        """
+        alive = self._list_heard(GATEWAY_SILENT_SECONDS)
+        if not alive:
+            alive = self._list_heard(GATEWAY_DOUBTFUL_SECONDS)
+        alive.sort(key=lambda notice: (notice.zone != zone, notice.address))
+        return [notice.address for notice in alive]
+
+    def _list_heard(self, seconds: float) -> list[GatewayNotice]:
+        """Return the gateways that take clients and were heard within some seconds."""
+        now = anyio.current_time()
+        return [
+            gateway.notice
+            for gateway in self._gateways.values()
+            if gateway.notice.serving and now - gateway.heard_at < seconds
+        ]
+
+    def _note_gateway(self, notice: GatewayNotice, now: float) -> _Gateway:
+        heard_at = now - notice.age
+        known = self._gateways.get(notice.address)
+        if known is None:
+            known = self._gateways[notice.address] = _Gateway(notice, heard_at)
+            log_event(Event.ENTRY_JOINED, name=notice.address, state=notice.serving)
+        elif heard_at >= known.heard_at:
+            if known.notice.serving != notice.serving:
+                log_event(Event.ENTRY_JOINED, name=notice.address, state=notice.serving)
+            known.notice = notice
+            known.heard_at = heard_at
+        return known
+
+    async def share_loop(self) -> None:
+        """Tell the others several times a second what was heard here, until cancelled."""
+        while True:
+            await anyio.sleep(SHARE_SECONDS)
+            now = anyio.current_time()
+            # What was heard just before the last turn is told once more, so nothing falls between.
+            since = self._shared_at - SHARE_SECONDS
+            gateways = tuple(
+                GatewayNotice(n.address, n.zone, n.region, n.serving, now - g.heard_at)
+                for g in self._gateways.values()
+                if (n := g.notice) and g.heard_at >= since
+            )
+            sightings = tuple(self.fleet.list_sightings(now, since))
+            self._shared_at = now
+            request = encode(ShareRequest(self._name, gateways, sightings))
+            with anyio.move_on_after(COORDINATOR_CALL_SECONDS):
+                async with anyio.create_task_group() as tasks:
+                    for peer in self._list_others():
+                        tasks.start_soon(self._share_with, peer, request)
+
+    async def _share_with(self, peer: str, request: bytes) -> None:
+        url = f"{make_url(peer)}/site/share"
+        answer = await self._links.call(url, request, ShareAnswer, COORDINATOR_CALL_SECONDS)
+        if isinstance(answer, ShareAnswer):
+            now = anyio.current_time()
+            self._peers.note_alive(peer, now)
+            self._peers.learn(answer.coordinators, now)
+
+    def sum_loads(self, asker: str, now: float) -> list[Load]:
+        """Return the work of all gateways but the asker."""
+        totals: dict[str, Load] = {}
+        for address, gateway in self._gateways.items():
+            if address == asker or now - gateway.loads_at > GATEWAY_SILENT_SECONDS:
+                continue
+            for load in gateway.loads:
+                known = totals.get(load.instance)
+                totals[load.instance] = known.add(load) if known else load
+        return list(totals.values())
+
+
+def make_url(name: str) -> str:
+    """Return the base URL of one of our processes.
+
+    :param name: its IP:PORT.
+    """
+    return f"http://{name}"
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -202,10 +202,10 @@
             first, second = site.get(names[0]), site.get(names[1])
             await wait_for(lambda: len(first.list_coordinators()) == 3)
             instance = Instance("i", "s", "1:1", "z", 4, InstanceState.READY, 1)
-            self.assertIsNone(await first.hear(Sighting(instance, 0.0)))
-            await wait_for(lambda: second.fleet.get("i"))
-            self.assertIsNone(await first.part("i"))
-            others = [site.get(name).fleet.get("i") for name in names[1:3]]
+            self.assertIsNone(await first.presence.hear(Sighting(instance, 0.0)))
+            await wait_for(lambda: second.presence.fleet.get("i"))
+            self.assertIsNone(await first.presence.part("i"))
+            others = [site.get(name).presence.fleet.get("i") for name in names[1:3]]
             states = [found.state for found in others if found]
             self.assertIn(InstanceState.GONE, states)
 
@@ -215,10 +215,12 @@
         async def body(site: Site, names: list[str]) -> None:
             first = site.get(names[0])
             await wait_for(lambda: len(first.list_coordinators()) == 3)
-            await wait_for(lambda: all(first._is_alive(name) for name in names[1:3]))
+            await wait_for(
+                lambda: all(first.peers.is_alive(name, anyio.current_time()) for name in names[1:3])
+            )
             await site.kill(names[1])
             await site.kill(names[2])
-            failure = await first.part("i")
+            failure = await first.presence.part("i")
             self.assertIsInstance(failure, Failure)
 
         self.run_site(body)
@@ -231,14 +233,16 @@
             site.tasks.start_soon(watcher.run)
             await self.save(site.get(names[0]), 4)
             await wait_for(lambda: gateway.get_version() == 4)
-            await wait_for(lambda: all(site.get(n).list_gateways("z") for n in names[:3]))
+            await wait_for(lambda: all(site.get(n).presence.list_gateways("z") for n in names[:3]))
             instance = Instance("i", "s", "1:1", "z", 4, InstanceState.READY, 1)
-            await site.get(names[1]).hear(Sighting(instance, 0.0))
+            await site.get(names[1]).presence.hear(Sighting(instance, 0.0))
             await wait_for(lambda: gateway.fleet.list_ready("s"))
-            await site.get(names[2]).part("i")
+            await site.get(names[2]).presence.part("i")
             await wait_for(lambda: not gateway.fleet.list_ready("s"))
             gateway.serving = False
             watcher.tell_now()
-            await wait_for(lambda: not any(site.get(n).list_gateways("z") for n in names[:3]))
+            await wait_for(
+                lambda: not any(site.get(n).presence.list_gateways("z") for n in names[:3])
+            )
 
         self.run_site(body)
