Tell an upstream from its successor at the same address

Cause: a heartbeat that was held up may arrive after its sender has crashed and another instance has registered at the same address. The fleet kept both as ready, so half of the requests to that address were sent with the wrong expected instance, came back as "did not run" and took from the retry budget until the dead one's heartbeats were 3 s old. An answer "another instance is here" only counted as one failure.

Ruled out: ending the older instance when a newer registers; the first one heard by a process that just started may be the late heartbeat, and states only go forward, so the living one would stay away.

Now the one heard last at an address gets work, and an upstream at whose address another instance answered is gone for that gateway.

--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -73,6 +73,7 @@
 
     revision: int = 1
     _known: dict[str, _Known] = field(default_factory=dict)
+    _contested: set[str] = field(default_factory=set)
 
     def note(self, sighting: Sighting, now: float) -> bool:
         """Take in news of an instance; return whether it changes what others should know.
@@ -84,6 +85,8 @@
         heard_at = now - sighting.age
         known = self._known.get(fresh.id)
         if known is None:
+            if any(k.instance.address == fresh.address for k in self._known.values()):
+                self._contested.add(fresh.address)
             self._known[fresh.id] = _Known(fresh, heard_at, now + sighting.cold)
             self.revision += 1
             return True
@@ -153,9 +156,27 @@
         return [
             known.instance
             for known in self._known.values()
-            if known.instance.service == service and known.instance.state is InstanceState.READY
+            if known.instance.service == service
+            and known.instance.state is InstanceState.READY
+            and self._holds_address(known)
         ]
 
+    def _holds_address(self, known: _Known) -> bool:
+        """Return whether no other instance was heard later at the same address.
+
+        An instance that crashed says nothing, and its address may be used again at once; its last
+        heartbeats may arrive after the first of its successor.
+        """
+        address = known.instance.address
+        if address not in self._contested:
+            return True
+        others = (
+            other
+            for other in self._known.values()
+            if other.instance.address == address and other.instance.state is not InstanceState.GONE
+        )
+        return all(other.heard_at <= known.heard_at for other in others)
+
     def list_sightings(self, now: float, since: float = float("-inf")) -> Iterator[Sighting]:
         """Yield all instances, or those heard after a time, as others are told of them.
 
@@ -201,4 +222,5 @@
             if not gone:
                 self.revision += 1
                 lost.append(known.instance)
+        self._contested &= {known.instance.address for known in self._known.values()}
         return lost
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -192,7 +192,9 @@
         match reply:
             case NotRun(reason, gone, sent):
                 self._log_try(way, instance, "not run", reason)
-                if gone or not sent:
+                if gone:
+                    self._gateway.note_replaced(instance)
+                elif not sent:
                     self._gateway.note_result(instance, False)
                 return None
             case Lost(reason):
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Container, Coroutine, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
@@ -16,6 +16,7 @@
     TOKEN_SECONDS,
 )
 from daleroad.dispatch import Dispatcher, Prompt
+from daleroad.events import Event, log_event
 from daleroad.fleet import GONE_KEPT_SECONDS, Fleet, Instance, InstanceState
 from daleroad.health import Ejector
 from daleroad.notices import GatewayNotice, Load
@@ -232,6 +233,15 @@
         among = len(self.fleet.list_ready(instance.service))
         self.ejector.note(instance.id, ok, among, anyio.current_time())
 
+    def note_replaced(self, instance: Instance) -> None:
+        """Take in that another instance answered at an upstream's address.
+
+        :param instance: the upstream, which has ended.
+        """
+        if self.fleet.leave(instance.id, anyio.current_time()):
+            log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="replaced")
+            self.note_changes([replace(instance, state=InstanceState.GONE)])
+
     def note_changes(self, changed: list[Instance]) -> None:
         """Act on instances that are not as they were.
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -79,3 +79,22 @@
         self.assertAlmostEqual(self.fleet.get_age("i", 105.0), 0.2)
         self.fleet.note_ages({"i": 9.0}, 105.0)
         self.assertAlmostEqual(self.fleet.get_age("i", 105.0), 0.2)
+
+    def test_of_two_at_one_address_the_one_heard_last_gets_work(self) -> None:
+        successor = replace(READY, id="n", sequence=1)
+        self.fleet.note(see(successor), 101.0)
+        self.assertEqual([i.id for i in self.fleet.list_ready("s")], ["n"])
+        # A heartbeat of the first that was held up for seconds is older than the successor's.
+        self.fleet.note(see(replace(READY, sequence=6), age=3.0), 102.0)
+        self.assertEqual([i.id for i in self.fleet.list_ready("s")], ["n"])
+
+    def test_a_late_heartbeat_hides_the_successor_only_until_it_is_heard_again(self) -> None:
+        self.fleet.note(see(replace(READY, id="n", sequence=1)), 101.0)
+        self.fleet.note(see(replace(READY, sequence=6)), 101.5)
+        self.fleet.note(see(replace(READY, id="n", sequence=2)), 102.0)
+        self.assertEqual([i.id for i in self.fleet.list_ready("s")], ["n"])
+
+    def test_the_address_of_one_that_is_gone_is_free(self) -> None:
+        self.fleet.note(see(replace(READY, id="n", sequence=1)), 101.0)
+        self.fleet.leave("n", 102.0)
+        self.assertEqual([i.id for i in self.fleet.list_ready("s")], ["i"])
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -69,6 +69,12 @@
         self.assertEqual(self.serve(dispatcher, make_config(Repeat.ONCE)), WHOLE)
         self.assertEqual(len({a.instance.id for a in dispatcher.attempts}), 3)
 
+    def test_an_address_with_another_instance_is_not_used_again(self) -> None:
+        dispatcher = FakeDispatcher(NotRun("status 421", gone=True), WHOLE)
+        self.assertEqual(self.serve(dispatcher, make_config(Repeat.ONCE)), WHOLE)
+        replaced = dispatcher.attempts[0].instance.id
+        self.assertNotIn(replaced, [i.id for i in self.gateway.fleet.list_ready("s")])
+
     def test_refused_everywhere_is_a_true_refusal_with_when_to_come_back(self) -> None:
         outcome = self.serve(FakeDispatcher(*[REFUSED] * 3), make_config(Repeat.ONCE))
         assert isinstance(outcome, Failure)
