--- a/src/daleroad/consensus.py
+++ b/src/daleroad/consensus.py
@@ -26,8 +26,6 @@
     ELECTION_MAX_SECONDS,
     ELECTION_MIN_SECONDS,
     LEADER_LEASE_SECONDS,
-    MARK_ENTRIES,
-    RUNS_KEPT,
 )
 from daleroad.errors import Failure, FailureKind
 from daleroad.logtypes import (
@@ -41,7 +39,6 @@
     LogEntry,
     Member,
     Message,
-    Run,
     SaveEntries,
     SaveSettled,
     SaveSnapshot,
@@ -54,6 +51,8 @@
     VoteReply,
     VoteRequest,
 )
+from daleroad.quorum import find_majority_value, is_majority, list_memberships
+from daleroad.standings import Standings
 
 
 class Role(StrEnum):
@@ -116,15 +115,13 @@
         # A restarted member forgot whom it heard last, so it waits as if it had just heard one.
         self._heard_leader = self.now
         self._set_election_time()
-        own = Run(f"{self.random.getrandbits(24):06x}", 0)
-        self._runs = (*self.durable.runs, own)[-RUNS_KEPT:]
-        self._seen = {standing.incarnation: standing for standing in self.durable.seen}
-        self._raise_mark()
+        self._standings = Standings(self.durable, self.last_index, self.random)
+        self._save_standing()
 
     @property
     def standing(self) -> Standing:
         """How this member identifies itself."""
-        return Standing(self.incarnation, self._runs)
+        return self._standings.get_own(self.incarnation)
 
     @property
     def last_index(self) -> int:
@@ -286,89 +283,50 @@
 
     def _memberships(self) -> list[tuple[Member, ...]]:
         """Return the last committed membership and those after it."""
-        found = [self.snapshot.members]
-        for entry in self.log:
-            if entry.kind is not EntryKind.MEMBERS:
-                continue
-            if entry.index <= self.commit:
-                found = [entry.members]
-            else:
-                found.append(entry.members)
-        return found
+        return list_memberships(self.snapshot.members, self.log, self.commit)
 
     def _members_at(self, index: int) -> tuple[Member, ...]:
-        members = self.snapshot.members
-        for entry in self.log:
-            if entry.kind is EntryKind.MEMBERS and entry.index <= index:
-                members = entry.members
-        return members
+        earlier = (entry for entry in self.log if entry.index <= index)
+        return list_memberships(self.snapshot.members, earlier, index)[0]
 
     def _may_vote(self) -> bool:
         """Return whether this disk is one that counts in the newest membership."""
         return Member(self.name, self.incarnation) in self.members
 
-    def _is_majority(self, yes: set[Member]) -> bool:
-        return all(
-            2 * len(yes.intersection(members)) > len(members) for members in self._memberships()
-        )
-
-    def _majority_value(self, values: dict[Member, float]) -> float:
-        """Return the largest value that a majority of every membership has reached."""
-        worst = float("inf")
-        for members in self._memberships():
-            ranked = sorted((values.get(m, float("-inf")) for m in members), reverse=True)
-            worst = min(worst, ranked[len(members) // 2] if ranked else float("-inf"))
-        return worst
-
     def _majority_heard(self) -> float:
         heard = {Member(n, p.incarnation): p.heard for n, p in self._progress.items()}
         heard[Member(self.name, self.incarnation)] = self.now
-        return self._majority_value(heard)
+        return find_majority_value(self._memberships(), heard)
 
     # Disks that went back.
 
-    def _raise_mark(self) -> None:
-        mark = max(run.mark for run in self._runs) + 1
-        self._runs = (*self._runs[:-1], Run(self._runs[-1].name, mark))
-        self._marked_at = self.last_index // MARK_ENTRIES
-        self._save_standing()
-
     def _mark_growth(self) -> None:
-        """Raise the mark when the log grew past another MARK_ENTRIES entries."""
-        if self.last_index // MARK_ENTRIES > self._marked_at:
-            self._raise_mark()
+        """Raise the mark when the log grew by enough entries."""
+        if self._standings.needs_mark(self.last_index):
+            self._standings.raise_mark(self.last_index)
+            self._save_standing()
 
     def _save_standing(self) -> None:
-        seen = tuple(self._seen.values())
-        self._effects.append(SaveStanding(self.standing, seen))
+        self._effects.append(SaveStanding(self.standing, self._standings.list_seen()))
 
     def _is_trusted(self, sender: str, standing: Standing) -> bool:
         """Return whether a member's disk has not gone back; tell it otherwise."""
-        seen = self._seen.get(standing.incarnation)
-        if seen == standing:
-            return True
-        if seen is not None and not standing.includes(seen):
-            self._effects.append(Send(sender, Distrust(self.name, seen)))
+        newer = self._standings.find_newer(standing)
+        if newer is not None:
+            self._effects.append(Send(sender, Distrust(self.name, newer)))
             return False
-        self._seen[standing.incarnation] = standing
-        self._save_standing()
+        if self._standings.note(standing):
+            self._save_standing()
         return True
 
     def _learn_seen(self, seen: tuple[Standing, ...]) -> None:
         """Take over what the leader has seen of other disks."""
-        news = False
-        for standing in seen:
-            known = self._seen.get(standing.incarnation)
-            newer = known is None or (known != standing and standing.includes(known))
-            if newer and standing.incarnation != self.incarnation:
-                self._seen[standing.incarnation] = standing
-                news = True
-        if news:
+        if self._standings.learn(seen, self.incarnation):
             self._save_standing()
 
     def get_seen(self) -> dict[str, Standing]:
         """Return the newest standing seen of each other disk, by incarnation."""
-        return dict(self._seen)
+        return self._standings.get_seen()
 
     def _take_distrust(self, message: Distrust) -> None:
         """Become a member with a new disk if this one went back."""
@@ -402,7 +360,7 @@
         self._count_votes()
 
     def _count_votes(self) -> None:
-        if not self._is_majority(self._votes):
+        if not is_majority(self._memberships(), self._votes):
             return
         if self._trial:
             self._start_election(trial=False)
@@ -537,7 +495,7 @@
 
     def _tell_seen(self, progress: _Progress) -> tuple[Standing, ...]:
         """Return the standings seen, until the member has acknowledged a message with them."""
-        seen = (self.standing, *self._seen.values())
+        seen = (self.standing, *self._standings.list_seen())
         if seen == progress.knows:
             return ()
         if seen != progress.told:
@@ -586,7 +544,7 @@
             return
         matches = {Member(n, p.incarnation): float(p.match) for n, p in self._progress.items()}
         matches[Member(self.name, self.incarnation)] = float(self.last_index)
-        reached = self._majority_value(matches)
+        reached = find_majority_value(self._memberships(), matches)
         if reached > self.commit and self.get_term_at(int(reached)) == self.term:
             self._commit_to(int(reached))
 
