--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -92,6 +92,23 @@
 }
 
 
+NODE = {
+    "node_name": "n",
+    "ip": "10.0.0.1",
+    "zone": "z",
+    "region": "r",
+    "listen": {"frontend": "10.0.0.1:8740"},
+    "internal_ports": [7200, 7215],
+    "seeds": ["10.0.0.1:8748", "10.0.0.2:8748"],
+    "bootstrap": True,
+    "in_tolerance": True,
+    "data_dir": "/data/x",
+    "heartbeat_ms": 1200,
+    "bounds": {"budget_slack": 64, "strict_revocation": True, "revoke_ms": 4000},
+    "something_new": 1,
+}
+
+
 def decode(**changes: object) -> RoutingConfig | Failure:
     return wire.decode_config(orjson.dumps({**CONFIG, **changes}))
 
@@ -387,23 +404,13 @@
                 self.assertNotIn(word, text, path.name)
 
     def test_the_settings_file_is_decoded(self) -> None:
-        node = read_node(
-            {
-                "node_name": "n",
-                "ip": "10.0.0.1",
-                "zone": "z",
-                "region": "r",
-                "listen": {"frontend": "10.0.0.1:8740"},
-                "internal_ports": [7200, 7215],
-                "seeds": ["10.0.0.1:8748", "10.0.0.2:8748"],
-                "bootstrap": True,
-                "data_dir": "/data/x",
-                "heartbeat_ms": 1200,
-                "bounds": {"budget_slack": 64, "strict_revocation": True, "revoke_ms": 4000},
-                "something_new": 1,
-            }
-        )
+        node = read_node(NODE)
         self.assertEqual(node.seeds, ("10.0.0.1:7200", "10.0.0.2:7200"))
         self.assertEqual((node.heartbeat, node.retry_slack, node.revoke), (1.2, 64.0, 4.0))
         self.assertTrue(node.make_coordinator_options().founding)
         self.assertEqual(node.make_gateway_options().outdated_after, 4.0)
+
+    def test_a_disk_whose_loss_does_not_count_does_not_vote(self) -> None:
+        self.assertEqual(read_node(NODE).make_coordinator_options().data, "/data/x")
+        spare = read_node({**NODE, "in_tolerance": False})
+        self.assertEqual(spare.make_coordinator_options().data, "")
