--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -79,6 +79,8 @@
     :param rank: urgency for an engine, or nothing.
     :param source: set when a generation goes on from a copy.
     :param backup: IP:PORT of an engine that should get a running copy, or empty.
+    :param own_connection: whether no connection that rested may carry it. A new one shows at once
+        that the upstream can be reached; what is sent on one that died unseen may have run.
     """
 
     job: Job
@@ -88,6 +90,7 @@
     rank: int | None = None
     source: Source | None = None
     backup: str = ""
+    own_connection: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -164,6 +164,7 @@
             seconds,
             rank,
             backup=backup.address if backup else "",
+            own_connection=way.route.repeat is Repeat.STREAM,
         )
         unread = way.job.prompt.tokens if way.job.prompt else 0
         gateway.add_load(instance, 1, tokens, unread)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -52,6 +52,14 @@
                 self.assertIs(outcome.kind, FailureKind.UPSTREAM_LOST)
                 self.assertEqual(len(dispatcher.attempts), 1)
 
+    def test_only_streams_get_a_connection_of_their_own(self) -> None:
+        for repeat in Repeat:
+            with self.subTest(repeat):
+                dispatcher = FakeDispatcher(WHOLE)
+                self.serve(dispatcher, make_config(repeat))
+                (attempt,) = dispatcher.attempts
+                self.assertEqual(attempt.own_connection, repeat is Repeat.STREAM)
+
     def test_an_idempotent_request_goes_to_another_upstream(self) -> None:
         dispatcher = FakeDispatcher(Lost("reset"), WHOLE)
         self.assertEqual(self.serve(dispatcher, make_config(Repeat.IDEMPOTENT, 2)), WHOLE)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -259,6 +259,7 @@
         count: int = 1,
         look: Callable | None = None,
         ids: tuple[str, ...] = (),
+        own: bool = False,
     ) -> list[Reply]:
         async def main() -> list[Reply]:
             listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
@@ -273,7 +274,8 @@
                 job = Job("abc", "POST", b"/a?q", "h", "/a", headers, b"body", "k", 0.0, 9.0)
                 for number in range(count):
                     job = replace(job, id=ids[number] if ids else job.id)
-                    reply = await client.send(Attempt(job, instance, "org", 1.5, rank=1))
+                    attempt = Attempt(job, instance, "org", 1.5, rank=1, own_connection=own)
+                    reply = await client.send(attempt)
                     if look is not None:
                         await look(reply)
                     found.append(reply)
@@ -298,6 +300,12 @@
             self.assertIn(line, head)
         self.assertNotIn(b"bearer", head)
 
+    def test_a_request_with_a_connection_of_its_own_goes_on_none_that_rested(self) -> None:
+        upstream = Upstream(*[answer("200 OK", *SIGNED)] * 2)
+        replies = self.ask(upstream, 2, own=True)
+        self.assertEqual([type(reply) for reply in replies], [Whole, Whole])
+        self.assertEqual(upstream.connections, 2)
+
     def test_what_is_not_proved_to_be_the_answer_is_lost(self) -> None:
         for name, data in {
             "no signature": answer("200 OK", ID),
