Give less work to an upstream whose heartbeat is overdue

Ruled out: taking it out at once after 1.7 heartbeats; heartbeats may be held up for seconds, and then several engines would be out at a time.

After 1.7 heartbeats (2.0 s) it counts as fuller by 0.4 and takes no generation that moves. Tests fail without it.

--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -187,6 +187,10 @@
 WATCH_PAUSE_SECONDS = 0.1
 """Pause after a watch that failed."""
 
+OVERDUE_HEARTBEATS = 1.7
+"""Heartbeats missed before an upstream gets less work: one, and the time in which a gateway hears
+of it, a coordinator's share and a watch."""
+
 LATE_HEARTBEATS = 2.6
 """Heartbeats missed before an upstream is used only where no other is; some come seconds late."""
 
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -13,6 +13,7 @@
     BACKUP_ROOM,
     BACKUP_WORTH_SECONDS,
     LATE_HEARTBEATS,
+    OVERDUE_HEARTBEATS,
     TOKEN_SECONDS,
 )
 from daleroad.dispatch import Dispatcher, Prompt
@@ -208,7 +209,7 @@
         :param excluded: instances that it must not go to.
         """
         now = anyio.current_time()
-        late = LATE_HEARTBEATS * self.options.heartbeat
+        heartbeat = self.options.heartbeat
         memory = service.engine.memory_tokens if service.engine else 0
         ready = self.fleet.list_ready(service.name)
         zones = Counter(instance.zone for instance in ready)
@@ -218,11 +219,16 @@
             known = self.get_load(instance.id)
             expected = known.add(Load(instance.id, 1, tokens))
             load = estimate_load(expected, instance.slots, memory)
-            silent = self.fleet.get_age(instance.id, now) > late
+            missed = self.fleet.get_age(instance.id, now) / heartbeat
             closed = not self.ejector.is_open(instance.id, now)
-            cold = self.fleet.is_cold(instance.id, now)
-            lone = bool(memory) and zones[instance.zone] == 1
-            yield Candidate(instance, load, silent or closed, cold, lone)
+            yield Candidate(
+                instance,
+                load,
+                doubtful=closed or missed > LATE_HEARTBEATS,
+                cold=self.fleet.is_cold(instance.id, now),
+                lone=bool(memory) and zones[instance.zone] == 1,
+                overdue=missed > OVERDUE_HEARTBEATS,
+            )
 
     def note_result(self, instance: Instance, ok: bool) -> None:
         """Take a request's result as evidence for or against an upstream.
--- a/src/daleroad/moving.py
+++ b/src/daleroad/moving.py
@@ -286,7 +286,7 @@
         for candidate in self._gateway.list_candidates(service, 0, {origin.id}):
             other = candidate.instance
             free = memory - self._gateway.get_load(other.id).tokens
-            if not candidate.doubtful:
+            if not candidate.doubtful and not candidate.overdue:
                 yield Room(other.id, other.zone == origin.zone, free)
 
     def _get_planned(self, run: Run, plan: _Plan, excluded: Container[str]) -> Instance | None:
--- a/src/daleroad/picking.py
+++ b/src/daleroad/picking.py
@@ -27,6 +27,9 @@
 COLD_PENALTY = 0.25
 """Load that stands for the slowness of an upstream that has just started."""
 
+OVERDUE_PENALTY = 0.4
+"""Load that stands for a heartbeat that is overdue: the upstream may have ended without a word, and
+a generation begun there would be lost. Less than full, since heartbeats may be held up."""
 
 LONE_PENALTY = 0.3
 """Load that stands for having no neighbour in the availability zone: when such an engine leaves,
@@ -48,6 +51,7 @@
     :param load: from 0 to 1 when full; above 1 when work waits.
     :param lone: whether generations there would have to move far.
     :param doubtful: whether its heartbeat is missing or its answers failed of late.
+    :param overdue: whether a heartbeat should have come by now.
     """
 
     instance: Instance
@@ -55,6 +59,7 @@
     doubtful: bool = False
     cold: bool = False
     lone: bool = False
+    overdue: bool = False
 
 
 def pick_upstream(
@@ -75,6 +80,7 @@
         score = candidate.load + random.uniform(0, NOISE)
         score -= bonus * (candidate.instance.zone == zone)
         score += COLD_PENALTY * candidate.cold + LONE_PENALTY * candidate.lone
+        score += OVERDUE_PENALTY * candidate.overdue
         ranked = (candidate.doubtful, score)
         if best is None or ranked < best_score:
             best, best_score = candidate, ranked
--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -4,10 +4,17 @@
 from collections import Counter
 from random import Random
 
-from daleroad.fleet import Instance, InstanceState
+import anyio
+import trio
+import trio.testing
+
+from daleroad.defaults import LATE_HEARTBEATS, OVERDUE_HEARTBEATS
+from daleroad.fleet import Instance, InstanceState, Sighting
 from daleroad.notices import Load
 from daleroad.picking import Candidate, draw_sample, estimate_load, pick_upstream
 from daleroad.retries import WindowBudget
+from daleroad.routing import Repeat
+from tests.fakes import FakeDispatcher, make_config, make_gateway, make_instance
 
 
 def make_candidate(name: str, load: float, zone: str = "z", **known: bool) -> Candidate:
@@ -30,8 +37,8 @@
         self.assertEqual(pick(doubtful), "a")
         self.assertEqual(pick(), "")
 
-    def test_an_engine_without_a_neighbour_or_just_started_gets_less(self) -> None:
-        for known in ("lone", "cold"):
+    def test_what_speaks_against_an_engine_gives_it_less(self) -> None:
+        for known in ("lone", "cold", "overdue"):
             with self.subTest(known):
                 marked = make_candidate("a", 0.3, **{known: True})
                 self.assertEqual(pick(marked, make_candidate("b", 0.4)), "b")
@@ -53,6 +60,31 @@
         self.assertEqual(estimate_load(Load("a", 3), 6, 0), 0.5)
 
 
+class SilenceTest(unittest.TestCase):
+    def list_marks(self, age: float) -> set[tuple[bool, bool]]:
+        gateway = make_gateway(FakeDispatcher(), make_config(Repeat.STREAM, engine=True), 0.0)
+        service = gateway.get_service("s")
+        assert service is not None
+
+        async def main() -> set[tuple[bool, bool]]:
+            heard_at = anyio.current_time()
+            for number in (4, 5):
+                gateway.fleet.note(Sighting(make_instance(number), 0.0), heard_at)
+            await anyio.sleep(age)
+            candidates = list(gateway.list_candidates(service, 0, ()))
+            return {(found.overdue, found.doubtful) for found in candidates}
+
+        for instance in gateway.fleet.list_ready("s"):
+            gateway.fleet.leave(instance.id, 0.0)
+        return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_silence_first_gives_less_work_and_then_none(self) -> None:
+        # Heartbeats come each second here.
+        self.assertEqual(self.list_marks(1.0), {(False, False)})
+        self.assertEqual(self.list_marks(OVERDUE_HEARTBEATS + 0.1), {(True, False)})
+        self.assertEqual(self.list_marks(LATE_HEARTBEATS + 0.1), {(True, True)})
+
+
 class SampleTest(unittest.TestCase):
     def test_few_gateways_compare_all(self) -> None:
         candidates = [make_candidate(str(n), 0.1) for n in range(23)]
