Compress what our own processes tell each other

By count most are watches (four a second and gateway, 2 to 4 KB) and shares (every coordinator tells every other of all gateways that it hears, three times a second), the same names again and again.

Bodies of 512 bytes and more are compressed at the lowest level, where the caller takes it so; ages of instances that are gone are told no more. Weighed: rarer shares; a gateway that died would be named to clients for longer.

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -26,6 +26,7 @@
 )
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
+from daleroad.fleet import InstanceState, Sighting
 from daleroad.group import Group, decode_messages
 from daleroad.links import Links
 from daleroad.logtypes import Member
@@ -281,7 +282,7 @@
 
     def make_router(self) -> Router:
         """Return the router for calls of gateways and other coordinators."""
-        router = Router(_ROUTER_BYTES)
+        router = Router(_ROUTER_BYTES, compress=True)
         router.add("POST", "/peer/", self._serve_peer)
         router.add("POST", "/site/identify", self._serve_identify)
         router.add("POST", "/site/join", self._serve_join)
@@ -362,7 +363,7 @@
             document.version,
             document.text if document.version > asked.version else None,
             None if same else sightings,
-            {s.instance.id: round(s.age, 3) for s in sightings},
+            {s.instance.id: round(s.age, 2) for s in sightings if _is_here(s)},
             tuple(self.presence.sum_loads(asked.gateway.address, now)),
             self.presence.count_gateways(now),
         )
@@ -391,3 +392,8 @@
     def _wake(self) -> None:
         self._news.set()
         self._news = anyio.Event()
+
+
+def _is_here(sighting: Sighting) -> bool:
+    """Return whether an instance's age matters to anyone."""
+    return sighting.instance.state is not InstanceState.GONE
--- a/src/daleroad/links.py
+++ b/src/daleroad/links.py
@@ -7,6 +7,7 @@
 import httpx
 
 from daleroad.codec import decode
+from daleroad.compression import ENCODING, pack
 from daleroad.defaults import CALL_TIMEOUT_SECONDS
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.settings import Tls
@@ -64,9 +65,11 @@
             timeout = httpx.Timeout(
                 connect=_CONNECT_SECONDS, read=read_seconds, write=_CONNECT_SECONDS, pool=None
             )
+        packed = pack(body)
+        headers = self._headers | ({"content-encoding": ENCODING} if packed else {})
         try:
             response = await self.short.post(
-                url, content=body, headers=self._headers, timeout=timeout
+                url, content=packed or body, headers=headers, timeout=timeout
             )
         except httpx.HTTPError as error:
             return Failure(FailureKind.UNREACHABLE, f"{url}: {error!r}")
--- a/src/daleroad/serving.py
+++ b/src/daleroad/serving.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
 from contextlib import aclosing
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from importlib import import_module
 from typing import Any, TypeAlias
 
@@ -11,6 +11,7 @@
 import sniffio
 from hypercorn.config import Config
 
+from daleroad.compression import ENCODING, pack, unpack
 from daleroad.errors import DaleroadError, Failure, FailureKind
 from daleroad.settings import Tls
 
@@ -86,9 +87,11 @@
     """Dispatches requests by method and path prefix.
 
     :param body_bytes: the largest body that is accepted.
+    :param compress: whether whole answers are compressed for callers that take them so.
     """
 
     body_bytes: int
+    compress: bool = False
     routes: dict[tuple[str, str], Handler] = field(default_factory=dict)
     mounts: dict[str, AsgiApp] = field(default_factory=dict)
 
@@ -120,17 +123,24 @@
             if scope["path"].startswith(path):
                 await app(scope, receive, send)
                 return
-        await _send_answer(await self._answer(scope, receive), receive, send)
-
-    async def _answer(self, scope: dict[str, Any], receive: Receive) -> Answer:
+        headers = {k.decode("latin-1").lower(): v.decode("latin-1") for k, v in scope["headers"]}
+        answer = await self._answer(scope, headers, receive)
+        if self.compress and ENCODING in headers.get("accept-encoding", ""):
+            answer = _compress(answer)
+        await _send_answer(answer, receive, send)
+
+    async def _answer(
+        self, scope: dict[str, Any], headers: Mapping[str, str], receive: Receive
+    ) -> Answer:
         found = self._find(scope["method"], scope["path"])
         if isinstance(found, Failure):
             return found
         handler, tail = found
         body = await self._read_body(receive)
+        if not isinstance(body, Failure) and headers.get("content-encoding") == ENCODING:
+            body = unpack(body, self.body_bytes)
         if isinstance(body, Failure):
             return body
-        headers = {k.decode("latin-1").lower(): v.decode("latin-1") for k, v in scope["headers"]}
         query = scope.get("query_string", b"").decode("latin-1")
         request = Request(scope["method"], scope["path"], tail, query, headers, body)
         try:
@@ -201,6 +211,15 @@
             return
 
 
+def _compress(answer: Answer) -> Answer:
+    """Return an answer in compressed form where that is shorter."""
+    packed = pack(answer.body) if isinstance(answer, Response) else None
+    if packed is None or not isinstance(answer, Response):
+        return answer
+    headers = (*answer.headers, ("content-encoding", ENCODING))
+    return replace(answer, body=packed, headers=headers)
+
+
 async def _send_answer(answer: Answer, receive: Receive, send: SendEvent) -> None:
     match answer:
         case Failure():
