Soak: hurt the links to upstreams, and lose disks

Each stand-in upstream now stands behind a loopback proxy that carries out these faults, and a coordinator may lose its disk. Clocks are not hurt: leases and timeouts are taken from a clock that never jumps.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,11 +5,15 @@
 
 Each VM is an address of the loopback network. Stand-in upstreams send heartbeats and note what
 they run; clients and an operator ask and check the promises while processes are killed, paused,
-stopped and started, in series that overlap. A seed fixes the plan. Ends only what it started.
+stopped and started, disks are lost, and the links to upstreams delay, reset, cut and silence
+connections, in series that overlap. A seed fixes the plan. Ends only what it started.
+
+The processes take their leases and timeouts from a clock that never jumps; so no clock is hurt.
 """
 
 import json
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -24,6 +28,10 @@
 import yaml
 from anyio.abc import SocketStream, TaskGroup
 
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from tools.faultylink import FaultyLink, LinkFault  # noqa: E402
+
 ROOT = Path(__file__).resolve().parent.parent
 
 SECONDS = 20.0
@@ -35,6 +43,12 @@
 FIRST_SECONDS = 2.0
 """When the first fault comes; by then everything was served once."""
 
+PROCESS_FAULTS = ("kill", "pause", "stop", "kill-twice", "hup")
+
+COORDINATOR_SHARE = 0.35
+LINK_SHARE = 0.35
+"""Parts of the faults that hurt a coordinator and the link to an upstream; the rest, a gateway."""
+
 GATEWAYS = 4
 COORDINATORS = 3
 UPSTREAMS = 3
@@ -57,12 +71,19 @@
     """Yield the faults of a plan in order; at most one coordinator is hurt at a time."""
     at, coordinator_free = FIRST_SECONDS, 0.0
     while at < seconds - QUIET_SECONDS:
-        kind = random.choice(["kill", "pause", "stop", "kill-twice", "hup"])
+        kind = random.choice(PROCESS_FAULTS)
         hold = random.uniform(0.2, 2.0)
         name = f"gateway-{random.randrange(GATEWAYS)}"
-        if random.random() < 0.4 and at >= coordinator_free:
+        chance = random.random()
+        if chance < COORDINATOR_SHARE and at >= coordinator_free:
+            kind = random.choice([*PROCESS_FAULTS, "wipe"])
             name = f"coordinator-{random.randrange(COORDINATORS)}"
             coordinator_free = at + hold + 5.0
+        elif chance > 1 - LINK_SHARE:
+            kind = random.choice(
+                [fault.value for fault in LinkFault if fault is not LinkFault.NONE]
+            )
+            name = f"link-{random.randrange(UPSTREAMS)}"
         yield Step(round(at, 2), kind, name, round(hold, 2))
         at += random.uniform(0.3, 2.5)
 
@@ -93,6 +114,7 @@
 
     def __init__(self, number: int, ledger: Ledger, random: Random) -> None:
         self.address = f"127.0.1.{number + 1}:18000"
+        self.link = FaultyLink(f"127.0.2.{number + 1}:18000", self.address)
         self.id = f"i-{number}"
         self._ledger = ledger
         self._random = random
@@ -128,7 +150,7 @@
         sequence = 0
         while True:
             sequence += 1
-            body = {"service": "s", "address": self.address, "zone": "z0", "slots": 50}
+            body = {"service": "s", "address": self.link.address, "zone": "z0", "slots": 50}
             body |= {"state": "ready", "sequence": sequence}
             place = f"http://127.0.0.{self._random.randrange(COORDINATORS) + 1}:{CONTROL_PORT}"
             try:
@@ -207,6 +229,12 @@
         if process.poll() is None:
             process.send_signal(number)
 
+    def wipe(self, name: str) -> None:
+        """Kill a process and remove its disk, as if the VM had lost it."""
+        self.send(name, signal.SIGKILL)
+        self._running[name].wait()
+        shutil.rmtree(self._folder / name, ignore_errors=True)
+
     def restart_ended(self) -> list[str]:
         """Start those that ended; return their names and exit codes."""
         ended = [(name, p.poll()) for name, p in self._running.items() if p.poll() is not None]
@@ -236,6 +264,7 @@
         self.steps = list(plan_steps(self.random, seconds))
         self.ledger = Ledger()
         self.idempotent: set[str] = set()
+        self.upstreams = [Upstream(n, self.ledger, self.random) for n in range(UPSTREAMS)]
         self._number = 0
         self._late_served = 0
 
@@ -256,9 +285,9 @@
     async def _play(self, processes: Processes) -> None:
         async with httpx.AsyncClient(timeout=1.5, trust_env=False) as client:
             async with anyio.create_task_group() as tasks:
-                for number in range(UPSTREAMS):
-                    upstream = Upstream(number, self.ledger, self.random)
+                for upstream in self.upstreams:
                     tasks.start_soon(upstream.run)
+                    tasks.start_soon(upstream.link.run)
                     tasks.start_soon(upstream.beat, client)
                 await self._save(client, 1, 30.0)
                 began = anyio.current_time()
@@ -299,6 +328,11 @@
                 processes.send(step.target, signal.SIGTERM)
             case "hup":
                 processes.send(step.target, signal.SIGHUP)
+            case "wipe":
+                processes.wipe(step.target)
+            case kind:
+                number = int(step.target.rpartition("-")[2])
+                await self.upstreams[number].link.hurt(LinkFault(kind), step.hold)
 
     async def _save(self, client: httpx.AsyncClient, version: int, limit: float) -> None:
         route = {"name": "r", "host": "h", "timeout_ms": 1000, "service": "s", "public": True}
