--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -163,6 +163,10 @@
 """After so long a gateway that just started has a configuration, when all start at once: an
 election and a watch; 1.1 s was measured."""
 
+FIRST_CONFIG_SECONDS = 0.9
+"""How long a gateway that just started waits for a configuration before it reads requests. Clients
+give up an unread request after one second; when it reads sooner it can only refuse."""
+
 LEADER_WAIT_SECONDS = 0.85
 """How long a coordinator looks for a leader; callers wait for one second."""
 
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -79,6 +79,7 @@
     def __post_init__(self) -> None:
         options = self.options
         self.budget = WindowBudget(options.retry_ratio, options.retry_slack, options.retry_window)
+        self.configured = anyio.Event()
 
     def start(self, tasks: TaskGroup) -> None:
         """Let parts run in the background.
@@ -117,6 +118,7 @@
         """
         if self.table is None or config.version > self.table.config.version:
             self.table = RoutingTable(config)
+            self.configured.set()
 
     def get_version(self) -> int:
         """Return the version of the configuration in force, 0 for none."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,13 +3,15 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import time
 import tomllib
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 from pathlib import Path
 
@@ -28,6 +30,7 @@
 from faces import send_failure  # noqa: E402
 from nodefile import read_node  # noqa: E402
 
+from daleroad.defaults import FIRST_CONFIG_SECONDS  # noqa: E402
 from daleroad.dispatch import (  # noqa: E402
     Attempt,
     Copied,
@@ -374,12 +377,13 @@
             )
             self.assertTrue(done.stdout.startswith("3."))
 
-    def test_a_reload_asked_for_during_the_start_does_not_end_the_process(self) -> None:
-        # Soak seed 13 found a process that a signal ended while it was starting.
+    @contextmanager
+    def start_gateway(self, ip: str) -> Iterator[subprocess.Popen]:
+        """Start a gateway that finds no coordinator."""
         with tempfile.TemporaryDirectory(prefix="daleroad-test-") as folder:
             path = Path(folder) / "node.yaml"
-            listen = {"frontend": "127.0.3.1:18740", "readiness": "127.0.3.1:18749"}
-            node = {"node_name": "n", "ip": "127.0.3.1", "zone": "z", "region": "r"}
+            listen = {"frontend": f"{ip}:18740", "readiness": f"{ip}:18749"}
+            node = {"node_name": "n", "ip": ip, "zone": "z", "region": "r"}
             node |= {"listen": listen, "internal_ports": [17200, 17215], "seeds": []}
             path.write_text(json.dumps(node))
             process = subprocess.Popen(
@@ -389,15 +393,39 @@
                 stderr=subprocess.DEVNULL,
             )
             try:
-                time.sleep(0.12)
-                process.send_signal(signal.SIGHUP)
-                assert process.stdout is not None
-                self.assertIn(b"D100 STARTED", process.stdout.readline())
-                self.assertIsNone(process.poll())
+                yield process
             finally:
                 process.kill()
                 process.communicate()
 
+    def test_a_reload_asked_for_during_the_start_does_not_end_the_process(self) -> None:
+        # Soak seed 13 found a process that a signal ended while it was starting.
+        with self.start_gateway("127.0.3.1") as process:
+            time.sleep(0.12)
+            process.send_signal(signal.SIGHUP)
+            assert process.stdout is not None
+            self.assertIn(b"D100 STARTED", process.stdout.readline())
+            self.assertIsNone(process.poll())
+
+    def test_clients_wait_unread_for_the_first_configuration_and_then_are_refused(self) -> None:
+        with self.start_gateway("127.0.3.2") as process:
+            assert process.stdout is not None
+            self.assertIn(b"D100 STARTED", process.stdout.readline())
+            began = time.monotonic()
+            while True:
+                try:
+                    client = socket.create_connection(("127.0.3.2", 18740), timeout=10)
+                    break
+                except ConnectionRefusedError:
+                    self.assertLess(time.monotonic() - began, 10)
+            connected = time.monotonic()
+            with client:
+                client.sendall(b"GET /x HTTP/1.1\r\nHost: h\r\nX-Daleroad-Attempt-Id: a\r\n\r\n")
+                answer = client.recv(4096).lower()
+            self.assertTrue(answer.startswith(b"http/1.1 503"), answer)
+            self.assertIn(b"retry-after", answer)
+            self.assertGreater(time.monotonic() - connected, FIRST_CONFIG_SECONDS / 2)
+
     def test_requirements_are_the_locked_ones(self) -> None:
         locked = (ROOT / "requirements-lock.txt").read_text().splitlines()
         for line in (ROOT / "requirements.txt").read_text().splitlines():
