Do not move the streams of an engine whose address another one has

Cause: found by reading the change before: an answer "another instance is here" marked the upstream as gone and began to move its streams, by orders to an address where another engine now answers that it knows nothing of them, again and again. Now only its connections and its evidence are forgotten. A test that failed before.

--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Container, Coroutine, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
@@ -248,7 +248,8 @@
         """
         if self.fleet.leave(instance.id, anyio.current_time()):
             log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="replaced")
-            self.note_changes([replace(instance, state=InstanceState.GONE)])
+            # Its streams are not moved: who answers at its address knows nothing of them.
+            self._forget(instance)
 
     def note_changes(self, changed: list[Instance]) -> None:
         """Act on instances that are not as they were.
@@ -263,8 +264,11 @@
                     self._note_leaving(instance)
                 case InstanceState.GONE:
                     self._note_leaving(instance)
-                    self.ejector.forget(instance.id)
-                    self.dispatcher.forget(instance)
+                    self._forget(instance)
+
+    def _forget(self, instance: Instance) -> None:
+        self.ejector.forget(instance.id)
+        self.dispatcher.forget(instance)
 
     def _note_leaving(self, instance: Instance) -> None:
         now = anyio.current_time()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -30,6 +30,8 @@
             now = anyio.current_time()
             self.gateway = make_gateway(dispatcher, config, now)
             metrics = RequestMetrics(Metrics())
+            self.left: list[str] = []
+            self.gateway.on_leaving = lambda instance: self.left.append(instance.id)
             runs = Runs(self.gateway, EngineMover(self.gateway))
             forwarder = Forwarder(self.gateway, runs, metrics)
             return await forwarder.serve(replace(make_job(now), key=key))
@@ -81,6 +83,7 @@
         dispatcher = FakeDispatcher(NotRun("status 421", gone=True), WHOLE)
         self.assertEqual(self.serve(dispatcher, make_config(Repeat.ONCE)), WHOLE)
         replaced = dispatcher.attempts[0].instance.id
+        self.assertEqual(self.left, [])
         self.assertNotIn(replaced, [i.id for i in self.gateway.fleet.list_ready("s")])
 
     def test_refused_everywhere_is_a_true_refusal_with_when_to_come_back(self) -> None:
