Let late generations leave an engine after the others' last copies

It started just when the others stop; the time of their last copies was not counted, and two late ones did not know of each other.

Ruled out by the logs: queues at destinations (each had one source at a time), and the choice between near and far engines.

Runs without a turn get one in a second plan, made from a new report when those of the first plan are gone, 0.6 s after the notice at the earliest. The plan is a module of its own. Tests; the one of two generations failed before.

--- a/src/daleroad/moving.py
+++ b/src/daleroad/moving.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Container, Iterator
-from dataclasses import dataclass, field
 
 import anyio
 
@@ -14,104 +13,21 @@
     LATE_PLAN_SECONDS,
     MOVE_RETRY_SECONDS,
     MOVE_WORTH_SECONDS,
-    NOTICE_SECONDS,
     REPORT_AGAIN_SECONDS,
-    REPORT_LAG_SECONDS,
     TOKEN_SECONDS,
 )
 from daleroad.dispatch import Copied, CopyFault, EngineReport, NotCopied, Source
 from daleroad.errors import Failure
-from daleroad.evacuation import (
-    STOP_MARGIN_SECONDS,
-    Room,
-    RunSize,
-    Slot,
-    schedule_copies,
-    sum_seconds,
-)
+from daleroad.evacuation import Room, RunSize
 from daleroad.events import Event, log_event
 from daleroad.fleet import GONE_KEPT_SECONDS, Instance, InstanceState
 from daleroad.gateway import Gateway
 from daleroad.picking import COPY_ZONE_BONUS, pick_upstream
+from daleroad.plans import Plan
 from daleroad.routing import ServiceRule
 from daleroad.runs import Continuation, Run
 
 
-@dataclass
-class _Plan:
-    """When the runs of an engine that leaves are copied. Times are on the runtime's clock.
-
-    :param made_at: what the slots count from.
-    :param noticed_at: when the notice was heard.
-    :param ends_at: when the engine is expected to end.
-    :param busy_until: until when its link is busy with the runs that have turns.
-    """
-
-    made_at: float
-    noticed_at: float
-    ends_at: float = 0.0
-    runs: tuple[RunSize, ...] = ()
-    rooms: tuple[Room, ...] = ()
-    token_seconds: float = 0.0
-    slots: dict[str, Slot] = field(default_factory=dict)
-    busy_until: float = 0.0
-    ready: anyio.Event = field(default_factory=anyio.Event)
-    extended: anyio.Event = field(default_factory=anyio.Event)
-
-    def __post_init__(self) -> None:
-        self.ends_at = self.noticed_at + NOTICE_SECONDS
-
-    def note_leaves_in(self, leaves_in: float | None, now: float) -> None:
-        """Take in an engine's word of its end, which was true some time ago.
-
-        :param leaves_in: seconds until then, if it knows.
-        :param now: the time.
-        """
-        if leaves_in is not None:
-            self.ends_at = max(self.ends_at, now + leaves_in - REPORT_LAG_SECONDS)
-
-    def schedule(self) -> None:
-        """Give turns to the runs; earlier turns stay as they were."""
-        seconds = self.ends_at - self.made_at
-        self.slots = schedule_copies(self.runs, self.rooms, seconds, self.token_seconds)
-        stops = (slot.stop for slot in self.slots.values())
-        self.busy_until = self.made_at + max(stops, default=0.0)
-
-    def follow_others(self, own: str) -> None:
-        """Give no turns: the other gateways have begun theirs long ago.
-
-        :param own: a run that began after the notice.
-        """
-        others = [run for run in self.runs if run.id != own]
-        seconds = sum_seconds(others, self.rooms, self.token_seconds)
-        self.busy_until = self.noticed_at + seconds
-
-    def get_start(self, run_id: str) -> float:
-        """Return when a run's first copy starts.
-
-        One without a turn comes after the others, if that may be in time; else only once the
-        engine turns out to live longer than expected, so that it takes no time from the others.
-
-        :param run_id: the run.
-        """
-        slot = self.slots.get(run_id)
-        if slot is not None and slot.start is not None:
-            return self.made_at + slot.start
-        if self.busy_until + STOP_MARGIN_SECONDS < self.ends_at - STOP_MARGIN_SECONDS:
-            return self.busy_until
-        return self.ends_at
-
-    def get_stop(self, run_id: str) -> float:
-        """Return when a run is stopped.
-
-        :param run_id: the run.
-        """
-        slot = self.slots.get(run_id)
-        if slot is not None:
-            return self.made_at + slot.stop
-        return self.busy_until
-
-
 class EngineMover:
     """Moves the generations of one gateway.
 
@@ -120,7 +36,7 @@
 
     def __init__(self, gateway: Gateway) -> None:
         self._gateway = gateway
-        self._plans: dict[str, _Plan] = {}
+        self._plans: dict[str, Plan] = {}
 
     def begin(self, run: Run) -> None:
         """Begin to move a run off an engine that leaves.
@@ -177,7 +93,7 @@
     async def _get_off(self, run: Run) -> None:
         """Copy while the run goes on; stop it for the rest shortly before its engine ends."""
         origin = run.attempt.instance
-        plan = await self._get_plan(origin, run.attempt.job.id)
+        plan = await self._find_plan(origin, run.attempt.job.id)
         excluded = {origin.id}
         while not run.ended and not self._ends_soon(run):
             destination = self._get_planned(run, plan, excluded)
@@ -198,13 +114,11 @@
                         excluded.add(destination.id)
             await anyio.sleep(MOVE_RETRY_SECONDS)
 
-    async def _copy_twice(self, run: Run, destination: Instance, plan: _Plan) -> Copied | NotCopied:
+    async def _copy_twice(self, run: Run, destination: Instance, plan: Plan) -> Copied | NotCopied:
         """Copy in the run's turn, then stop it; without a turn, copy only after the others."""
         job = run.attempt.job
         self._gateway.add_load(destination, 1, run.tokens)
         try:
-            if job.id not in plan.slots:
-                await plan.extended.wait()
             slot = plan.slots.get(job.id)
             if slot is None or slot.start is not None:
                 await anyio.sleep_until(plan.get_start(job.id))
@@ -217,51 +131,86 @@
         finally:
             self._gateway.add_load(destination, -1, -run.tokens)
 
-    async def _get_plan(self, origin: Instance, run_id: str) -> _Plan:
-        """Return when runs get off an engine; it is made once."""
+    async def _find_plan(self, origin: Instance, run_id: str) -> Plan:
+        """Return the plan in which a run has its turn; each is made once."""
         plan = self._plans.get(origin.id)
         if plan is None:
             self._drop_old_plans()
-            plan = self._plans[origin.id] = _Plan(
-                anyio.current_time(), self._gateway.get_leaving_since(origin)
-            )
-            await self._fill_plan(plan, origin, run_id)
-            plan.ready.set()
-            self._gateway.spawn(self._extend_plan, plan, origin)
+            noticed_at = self._gateway.get_leaving_since(origin)
+            plan = self._plans[origin.id] = Plan(anyio.current_time(), noticed_at)
+            await self._make_plan(plan, origin, run_id)
         await plan.ready.wait()
-        return plan
+        if run_id in plan.slots:
+            return plan
+        await plan.extended.wait()
+        if run_id in plan.slots or not plan.known:
+            return plan
+        return await self._find_late_plan(plan, origin)
+
+    async def _find_late_plan(self, plan: Plan, origin: Instance) -> Plan:
+        if plan.late is None:
+            plan.late = Plan(plan.busy_until, plan.noticed_at, plan.ends_at)
+            await self._make_late_plan(plan, plan.late, origin)
+        await plan.late.ready.wait()
+        return plan.late
 
     def _drop_old_plans(self) -> None:
         oldest = anyio.current_time() - GONE_KEPT_SECONDS
         self._plans = {name: p for name, p in self._plans.items() if p.noticed_at > oldest}
 
-    async def _fill_plan(self, plan: _Plan, origin: Instance, run_id: str) -> None:
+    async def _make_plan(self, plan: Plan, origin: Instance, run_id: str) -> None:
+        report = await self._ask_report(origin)
+        if report is not None:
+            self._fill_plan(plan, origin, report, report.runs)
+            if plan.made_at - plan.noticed_at < LATE_PLAN_SECONDS:
+                plan.schedule()
+            else:
+                plan.follow_others(run_id)
+            self._log_plan(plan, origin, report)
+        plan.ready.set()
+        self._gateway.spawn(self._extend_plan, plan, origin)
+
+    async def _make_late_plan(self, plan: Plan, late: Plan, origin: Instance) -> None:
+        """Give turns to the runs that are left when those of a plan are gone."""
+        # A report that is asked for sooner does not list them yet.
+        listed_at = plan.noticed_at + REPORT_AGAIN_SECONDS
+        await anyio.sleep_until(max(plan.busy_until, listed_at))
+        report = await self._ask_report(origin)
+        if report is not None:
+            self._fill_plan(late, origin, report, plan.list_late(report.runs))
+            late.schedule()
+            self._log_plan(late, origin, report)
+        late.ready.set()
+        late.extended.set()
+
+    async def _ask_report(self, origin: Instance) -> EngineReport | None:
         report = await self._gateway.dispatcher.report(origin)
+        if isinstance(report, Failure):
+            log_event(Event.REPORT_FAILED, upstream=origin.id, reason=report.reason)
+            return None
+        return report
+
+    def _fill_plan(
+        self, plan: Plan, origin: Instance, report: EngineReport, runs: tuple[RunSize, ...]
+    ) -> None:
         service = self._gateway.get_service(origin.service)
-        if isinstance(report, Failure) or service is None or service.engine is None:
-            reason = report.reason if isinstance(report, Failure) else "no such service"
-            log_event(Event.REPORT_FAILED, upstream=origin.id, reason=reason)
+        if service is None or service.engine is None:
+            log_event(Event.REPORT_FAILED, upstream=origin.id, reason="no such service any more")
             return
+        plan.known = True
         plan.made_at = anyio.current_time()
-        plan.runs = report.runs
+        plan.runs = runs
         plan.rooms = tuple(self._list_rooms(origin, service))
         plan.token_seconds = service.engine.token_seconds
         plan.note_leaves_in(report.leaves_in, plan.made_at)
-        if plan.made_at - plan.noticed_at < LATE_PLAN_SECONDS:
-            plan.schedule()
-        else:
-            plan.follow_others(run_id)
-        self._log_plan(plan, origin, report)
 
-    async def _extend_plan(self, plan: _Plan, origin: Instance) -> None:
+    async def _extend_plan(self, plan: Plan, origin: Instance) -> None:
         """Ask once more when the engine ends, if not all runs have a turn; reports are stale."""
         try:
             if plan.slots and len(plan.slots) < len(plan.runs):
                 await anyio.sleep_until(plan.noticed_at + REPORT_AGAIN_SECONDS)
-                report = await self._gateway.dispatcher.report(origin)
-                if isinstance(report, Failure):
-                    reason = report.reason
-                    log_event(Event.REPORT_FAILED, upstream=origin.id, reason=reason)
+                report = await self._ask_report(origin)
+                if report is None:
                     return
                 plan.note_leaves_in(report.leaves_in, anyio.current_time())
                 plan.schedule()
@@ -269,7 +218,7 @@
         finally:
             plan.extended.set()
 
-    def _log_plan(self, plan: _Plan, origin: Instance, report: EngineReport) -> None:
+    def _log_plan(self, plan: Plan, origin: Instance, report: EngineReport) -> None:
         log_event(
             Event.EVACUATION_PLANNED,
             upstream=origin.id,
@@ -289,7 +238,7 @@
             if not candidate.doubtful and not candidate.overdue:
                 yield Room(other.id, other.zone == origin.zone, free)
 
-    def _get_planned(self, run: Run, plan: _Plan, excluded: Container[str]) -> Instance | None:
+    def _get_planned(self, run: Run, plan: Plan, excluded: Container[str]) -> Instance | None:
         """Return the engine that the schedule names for a run, if it still takes work."""
         slot = plan.slots.get(run.attempt.job.id)
         known = self._gateway.fleet.get(slot.to) if slot and slot.to not in excluded else None
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncIterator, Callable
 from random import Random
 
+import anyio
+
 from daleroad.dispatch import (
     Attempt,
     Copied,
@@ -90,6 +92,8 @@
         self.attempts: list[Attempt] = []
         self.copies: list[tuple[str, str, bool]] = []
         self.copied: Copied | NotCopied = NotCopied("no", CopyFault.UNREACHABLE)
+        self.copied_at: list[float] = []
+        self.reported: EngineReport | None = None
         self.on_send: Callable | None = None
 
     async def send(self, attempt: Attempt) -> Reply:
@@ -102,10 +106,11 @@
         self, job: Job, source: Instance, destination: Instance, final: bool
     ) -> Copied | NotCopied:
         self.copies.append((source.id, destination.id, final))
+        self.copied_at.append(anyio.current_time())
         return self.copied
 
     async def report(self, instance: Instance) -> EngineReport | Failure:
-        return Failure(FailureKind.UNREACHABLE, "no report")
+        return self.reported or Failure(FailureKind.UNREACHABLE, "no report")
 
     def forget(self, instance: Instance) -> None:
         pass
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -6,8 +6,9 @@
 import trio
 import trio.testing
 
-from daleroad.dispatch import Attempt, Copied, CopyFault, NotCopied, NotRun
+from daleroad.dispatch import Attempt, Copied, CopyFault, EngineReport, NotCopied, NotRun
 from daleroad.errors import Failure, Ran
+from daleroad.evacuation import STOP_AFTER_SECONDS, STOP_EACH_SECONDS, RunSize
 from daleroad.fleet import InstanceState, Sighting
 from daleroad.gateway import Gateway
 from daleroad.moving import EngineMover
@@ -102,6 +103,23 @@
         self.assertEqual(attempt.source.address, make_instance(1).address)
         self.assertEqual(attempt.instance.id, self.dispatcher.copies[-1][1])
 
+    def test_a_generation_that_began_late_waits_for_the_others_last_copies(self) -> None:
+        self.notice = True
+        self.dispatcher.copied = Copied("handle", 3)
+        self.dispatcher.replies = [FakeStream(4, 6)]
+        other = RunSize("other", 12_000)
+        self.dispatcher.reported = EngineReport(2.0, (other,))
+
+        async def stop() -> None:
+            await anyio.sleep(1.4)
+
+        self.deliver(FakeStream(1, 3, cut=True, wait=stop))
+        self.assertEqual(self.seen, ["1", "2", "3", "4", "5", "6"])
+        # The other's first copy takes 0.6 s; then it is stopped, and its rest is copied.
+        first, last = self.dispatcher.copied_at
+        self.assertGreater(first, 0.6 + STOP_AFTER_SECONDS + STOP_EACH_SECONDS - 0.001)
+        self.assertLess(last, 1.4)
+
     def test_a_cut_without_notice_stops_the_engine_before_another_goes_on(self) -> None:
         self.dispatcher.copied = Copied("handle", 2)
         self.dispatcher.replies = [FakeStream(3, 4)]
