Give each process ports of its own on loopback

Ports were asked of the system and closed again; another test process that asked before they were bound got the same. Ruled out: outgoing connections (0 of 180 ports taken by 600 of them).

A process now owns blocks of 32 ports below the range of outgoing connections, by a port of each block that stays bound. A site that is not ready now says which of its processes ended and what they logged.

--- a/src/daleroad/loopback.py
+++ b/src/daleroad/loopback.py
@@ -3,6 +3,8 @@
 import socket
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
+from itertools import islice
+from random import Random
 
 from daleroad.batching import EngineShape
 from daleroad.engine import EngineOptions
@@ -103,17 +105,57 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return free ports of the loopback address, as the system gives them.
+    """Return free ports of the loopback address that no other process gets from here.
+
+    Asking the system for any free port and closing it again is not enough: two processes that do so
+    within a second or two now and then get the same one.
 
     :param count: how many.
     """
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
+    found = list(islice(_PORTS, count))
+    if len(found) < count:
+        raise OSError(f"no {count} ports are free from {_PORTS_FROM} to {_PORTS_TO}")
+    return found
+
+
+def _reserve_ports() -> Iterator[int]:
+    """Yield free ports from blocks of which each has one process as its owner."""
+    blocks = list(range(_PORTS_FROM, _PORTS_TO, _BLOCK_PORTS))
+    Random().shuffle(blocks)
+    for block in blocks:
+        owner = _bind(block)
+        if owner is None:
+            continue
+        # The first port stays bound and marks the block as taken until this process ends.
+        _OWNERS.append(owner)
+        for port in range(block + 1, block + _BLOCK_PORTS):
+            found = _bind(port)
+            if found is not None:
+                found.close()
+                yield port
+
+
+def _bind(port: int) -> socket.socket | None:
+    sock = socket.socket()
+    try:
+        sock.bind((_HOST, port))
+    except OSError:
+        # Another process has it.
         sock.close()
-    return ports
+        return None
+    return sock
+
+
+_HOST = "127.0.0.1"
+_PORTS_FROM = 20_480
+_PORTS_TO = 32_000
+"""Range of the ports: below those that the system gives to outgoing connections."""
+
+_BLOCK_PORTS = 32
+"""Ports that a process owns at a time; enough for two sites."""
+
+_OWNERS: list[socket.socket] = []
+_PORTS = _reserve_ports()
 
 
 @dataclass(frozen=True)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -116,6 +116,11 @@
     def read_log(self, name: str) -> str:
         return (self.folder / f"{name}.log").read_text()
 
+    def describe_ended(self) -> str:
+        """Return how processes ended that should run, with the last lines of their logs."""
+        ended = [(n, p.poll()) for n, p in self.running.items() if p.poll() is not None]
+        return "".join(f"; {n} ended with {code}: {self.read_log(n)[-600:]}" for n, code in ended)
+
     def _make_command(self, command: str, settings: Settings) -> list[str]:
         path = self.folder / f"{settings.name}.ini"
         path.write_text(format_settings(settings))
@@ -166,7 +171,10 @@
         names = {e.name for e in self.site.engines} | {p.name for p in self.site.plain}
         for settings in self.site.entries:
             if settings.name in self.processes.running:
-                wait_for(lambda s=settings: self.is_ready(s, names), f"{settings.name} ready")
+                try:
+                    wait_for(lambda s=settings: self.is_ready(s, names), f"{settings.name} ready")
+                except AssertionError as error:
+                    raise AssertionError(f"{error}{self.processes.describe_ended()}") from error
 
     def is_ready(self, settings: Settings, upstreams: set[str]) -> bool:
         status = get_json(f"{settings.url}/status")
