--- a/src/daleroad/plans.py
+++ b/src/daleroad/plans.py
@@ -14,6 +14,7 @@
 from daleroad.evacuation import (
     STOP_AFTER_SECONDS,
     STOP_EACH_SECONDS,
+    STOP_MARGIN_SECONDS,
     Room,
     RunSize,
     Slot,
@@ -84,6 +85,9 @@
         others = [run for run in self.runs if run.id != own]
         self.turns = frozenset(run.id for run in others)
         copies = sum_seconds(others, self.rooms, self.token_seconds)
+        # The others stop by then at the latest; the sum may be far above, since the rooms that they
+        # went to look full by now.
+        copies = min(copies, NOTICE_SECONDS - STOP_MARGIN_SECONDS)
         rests = STOP_AFTER_SECONDS + STOP_EACH_SECONDS * len(others)
         self.busy_until = self.noticed_at + copies + rests + FOLLOW_SLACK_SECONDS
 
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -36,6 +36,12 @@
         self.assertEqual(late.turns, first.turns)
         self.assertEqual(late.get_start("r2"), late.busy_until)
 
+    def test_a_gateway_that_comes_late_does_not_wait_beyond_the_engines_end(self) -> None:
+        late = make_plan(*[6000] * 6, made_at=10.6)
+        late.rooms = (Room("far", False, 30_000),)
+        late.follow_others("none")
+        self.assertLess(late.busy_until, late.ends_at)
+
     def test_what_has_no_turn_is_late(self) -> None:
         plan = make_plan(4000)
         plan.schedule()
