Leave bodies that only pass through as they are

Cause: found by reading the change: every router unpacked a compressed request, the entries' too, which hand requests of plain services on with their headers; such a service would have got a plain body under a header that calls it compressed.

Only routers that are told to compress read compressed bodies, and only links that are told so send them: those of gateways and coordinators, as before. A test that failed before.

--- a/src/daleroad/links.py
+++ b/src/daleroad/links.py
@@ -36,13 +36,15 @@
 
     :param tls: key files.
     :param token: shown to our own processes.
+    :param compress: whether the others read compressed bodies.
     """
 
-    def __init__(self, tls: Tls, token: str) -> None:
+    def __init__(self, tls: Tls, token: str, compress: bool = False) -> None:
         self.short = make_client(tls, CALL_TIMEOUT_SECONDS)
         self.urgent = make_client(tls, None)
         self.long = make_client(tls, None)
         self.token = token
+        self._compress = compress
         self._headers = {"authorization": f"Bearer {token}"}
 
     async def close(self) -> None:
@@ -65,7 +67,7 @@
             timeout = httpx.Timeout(
                 connect=_CONNECT_SECONDS, read=read_seconds, write=_CONNECT_SECONDS, pool=None
             )
-        packed = pack(body)
+        packed = pack(body) if self._compress else None
         headers = self._headers | ({"content-encoding": ENCODING} if packed else {})
         try:
             response = await self.short.post(
--- a/src/daleroad/serving.py
+++ b/src/daleroad/serving.py
@@ -87,7 +87,8 @@
     """Dispatches requests by method and path prefix.
 
     :param body_bytes: the largest body that is accepted.
-    :param compress: whether whole answers are compressed for callers that take them so.
+    :param compress: whether compressed bodies are read, and whole answers compressed for callers
+        that take them so; not where bodies only pass through.
     """
 
     body_bytes: int
@@ -137,7 +138,8 @@
             return found
         handler, tail = found
         body = await self._read_body(receive)
-        if not isinstance(body, Failure) and headers.get("content-encoding") == ENCODING:
+        packed = self.compress and headers.get("content-encoding") == ENCODING
+        if packed and not isinstance(body, Failure):
             body = unpack(body, self.body_bytes)
         if isinstance(body, Failure):
             return body
--- a/tests/test_compression.py
+++ b/tests/test_compression.py
@@ -39,14 +39,16 @@
 
 
 class RouterTest(unittest.TestCase):
-    def ask(self, body: bytes, headers: Mapping[str, str]) -> tuple[dict[str, Any], bytes]:
+    def ask(
+        self, body: bytes, headers: Mapping[str, str], compress: bool = True
+    ) -> tuple[dict[str, Any], bytes]:
         async def echo(request: Request) -> Response:
             return Response(200, request.body)
 
         sent: list[dict[str, Any]] = []
 
         async def main() -> None:
-            router = Router(len(LONG), compress=True)
+            router = Router(len(LONG), compress)
             router.add("POST", "/echo", echo)
             raw = [(k.encode(), v.encode()) for k, v in headers.items()]
             scope = {"type": "http", "method": "POST", "path": "/echo", "headers": raw}
@@ -84,3 +86,10 @@
         assert packed is not None
         start, _ = self.ask(packed, {"content-encoding": "deflate"})
         self.assertEqual(start["status"], 413)
+
+    def test_where_bodies_pass_through_they_stay_as_they_are(self) -> None:
+        packed = pack(LONG)
+        assert packed is not None
+        headers = {"content-encoding": "deflate", "accept-encoding": "deflate"}
+        start, body = self.ask(packed, headers, compress=False)
+        self.assertEqual((start["status"], body), (200, packed))
