Let a late heartbeat of an ended instance never hide its successor

Cause: of two instances at one address the one heard last got work. A heartbeat that a cut held up may arrive after its sender crashed and a successor announced itself, and then hid the successor until its next heartbeat. Change: the youngest that is alive holds the address. An instance's start is guessed from the number of its heartbeats, so it is known also to who never heard of it before; a younger one that falls silent gives the address back. Ruled out: the first time that an instance was heard of; a fresh gateway hears of all at once. Measured: the new tests fail without the change (hidden until the next heartbeat).

--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -12,6 +12,10 @@
 GONE_KEPT_SECONDS = 60.0
 """How long an instance that left is remembered; heartbeats arrive seconds late, not minutes."""
 
+SILENT_HEARTBEATS = 2.6
+"""Intervals after which the older of two instances at an address is taken as gone, or the younger
+as one that never came up: one heartbeat lost, one late, and the way of the news."""
+
 FORGET_SECONDS = 20.0
 """An instance without a heartbeat for so long is dropped; many missed heartbeats."""
 
@@ -49,6 +53,7 @@
     instance: Instance
     heard_at: float
     warm_at: float
+    started_at: float
 
 
 @dataclass(frozen=True)
@@ -68,9 +73,12 @@
 class Fleet:
     """All instances known to one process.
 
+    :param heartbeat: interval of instances' heartbeats in seconds; matters only to who asks what is
+        ready.
     :param revision: grows with each change that those who follow should know.
     """
 
+    heartbeat: float = 1.0
     revision: int = 1
     _known: dict[str, _Known] = field(default_factory=dict)
     _contested: set[str] = field(default_factory=set)
@@ -87,11 +95,13 @@
         if known is None:
             if any(k.instance.address == fresh.address for k in self._known.values()):
                 self._contested.add(fresh.address)
-            self._known[fresh.id] = _Known(fresh, heard_at, now + sighting.cold)
+            started_at = self._guess_start(fresh, heard_at)
+            self._known[fresh.id] = _Known(fresh, heard_at, now + sighting.cold, started_at)
             self.revision += 1
             return True
         old = known.instance
         known.heard_at = max(known.heard_at, heard_at)
+        known.started_at = min(known.started_at, self._guess_start(fresh, heard_at))
         forward = _ORDER.index(fresh.state) > _ORDER.index(old.state)
         if fresh.sequence < old.sequence and not forward:
             return False
@@ -161,21 +171,32 @@
             and self._holds_address(known)
         ]
 
+    def _guess_start(self, instance: Instance, heard_at: float) -> float:
+        """Return when an instance started at the latest, by the number of its heartbeats.
+
+        A heartbeat that was held up tells a start that is too late by as much; the least counts.
+        """
+        return heard_at - max(0, instance.sequence - 1) * self.heartbeat
+
     def _holds_address(self, known: _Known) -> bool:
-        """Return whether no other instance was heard later at the same address.
+        """Return whether an instance is the youngest that is alive at its address.
 
         An instance that crashed says nothing, and its address may be used again at once; its last
-        heartbeats may arrive after the first of its successor.
+        heartbeats may arrive long after the first of its successor.
         """
         address = known.instance.address
         if address not in self._contested:
             return True
-        others = (
+        rivals = [
             other
             for other in self._known.values()
             if other.instance.address == address and other.instance.state is not InstanceState.GONE
-        )
-        return all(other.heard_at <= known.heard_at for other in others)
+        ]
+        newest = max(rival.heard_at for rival in rivals)
+        oldest = newest - SILENT_HEARTBEATS * self.heartbeat
+        alive = (rival for rival in rivals if rival.heard_at >= oldest)
+        holder = max(alive, key=lambda rival: (rival.started_at, rival.instance.id))
+        return holder is known
 
     def list_sightings(self, now: float, since: float = float("-inf")) -> Iterator[Sighting]:
         """Yield all instances, or those heard after a time, as others are told of them.
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -63,7 +63,7 @@
     options: GatewayOptions
     dispatcher: Dispatcher
     random: Random
-    fleet: Fleet = field(default_factory=Fleet)
+    fleet: Fleet = field(init=False)
     table: RoutingTable | None = None
     ejector: Ejector = field(default_factory=Ejector)
     gateways: int = 1
@@ -78,6 +78,7 @@
 
     def __post_init__(self) -> None:
         options = self.options
+        self.fleet = Fleet(options.heartbeat)
         self.budget = WindowBudget(options.retry_ratio, options.retry_slack, options.retry_window)
         self.configured = anyio.Event()
 
@@ -232,6 +233,13 @@
                 overdue=missed > OVERDUE_HEARTBEATS,
             )
 
+    def take_repeat(self, service: str) -> bool:
+        """Take one repeat of the budget that all gateways share; return whether it is allowed.
+
+        :param service: where the request goes.
+        """
+        return self.budget.take(service, self.gateways, anyio.current_time())
+
     def note_result(self, instance: Instance, ok: bool) -> None:
         """Take a request's result as evidence for or against an upstream.
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -88,12 +88,25 @@
         self.fleet.note(see(replace(READY, sequence=6), age=3.0), 102.0)
         self.assertEqual([i.id for i in self.fleet.list_ready("s")], ["n"])
 
-    def test_a_late_heartbeat_hides_the_successor_only_until_it_is_heard_again(self) -> None:
+    def test_a_late_heartbeat_never_hides_the_successor(self) -> None:
         self.fleet.note(see(replace(READY, id="n", sequence=1)), 101.0)
         self.fleet.note(see(replace(READY, sequence=6)), 101.5)
+        self.assertEqual([i.id for i in self.fleet.list_ready("s")], ["n"])
         self.fleet.note(see(replace(READY, id="n", sequence=2)), 102.0)
         self.assertEqual([i.id for i in self.fleet.list_ready("s")], ["n"])
 
+    def test_a_late_heartbeat_of_one_that_was_not_known_does_not_hide_the_successor(self) -> None:
+        self.fleet.note(see(replace(READY, id="n", address="2:2", sequence=3)), 103.0)
+        late = replace(READY, id="old", address="2:2", sequence=8)
+        self.fleet.note(see(late), 104.5)
+        self.assertEqual([i.id for i in self.fleet.list_ready("s")], ["i", "n"])
+
+    def test_a_successor_that_never_came_up_gives_the_address_back(self) -> None:
+        self.fleet.note(see(replace(READY, id="n", sequence=1)), 101.0)
+        for second in range(102, 106):
+            self.fleet.note(see(replace(READY, sequence=second - 95)), float(second))
+        self.assertEqual([i.id for i in self.fleet.list_ready("s")], ["i"])
+
     def test_the_address_of_one_that_is_gone_is_free(self) -> None:
         self.fleet.note(see(replace(READY, id="n", sequence=1)), 101.0)
         self.fleet.leave("n", 102.0)
