Make resumable streams anew at another upstream after their last event

Cause: a route may say that its streams can be resumed; every stream was treated as one that may run once, and ended with its upstream. Change: before its first event such a request is repeated like an idempotent one; after a cut the stream goes on at another upstream behind the client's last event, within one answer that keeps its first head, within the route's attempts and the shared retry budget. The first connection is closed before. An event that the client has already is dropped and logged. Ruled out: asking the old upstream for its memory only; one that crashed has none.

--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -79,6 +79,8 @@
     :param rank: urgency for an engine, or nothing.
     :param source: set when a generation goes on from a copy.
     :param backup: IP:PORT of an engine that should get a running copy, or empty.
+    :param last_event: id of the last event that the client has, when a stream is made anew from
+        there; empty where the client's own word stands.
     :param own_connection: whether no connection that rested may carry it. A new one shows at once
         that the upstream can be reached; what is sent on one that died unseen may have run.
     """
@@ -91,6 +93,7 @@
     source: Source | None = None
     backup: str = ""
     own_connection: bool = False
+    last_event: str = ""
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -25,6 +25,7 @@
     NotRun,
     Prompt,
     Reply,
+    Stream,
     Whole,
 )
 from daleroad.errors import Failure, FailureKind, Ran
@@ -34,7 +35,7 @@
 from daleroad.metrics import RequestMetrics
 from daleroad.picking import Candidate, draw_sample, pick_upstream
 from daleroad.routing import Repeat, RouteRule, RoutingTable, ServiceRule
-from daleroad.runs import Run, Runs
+from daleroad.runs import Run, Runs, Tries
 
 _SERVER_ERROR = 500
 
@@ -177,7 +178,7 @@
                 if isinstance(reply, NotRun | Lost | Whole):
                     return self._judge(way, instance, reply)
                 kept = True
-                return self._start_flow(Run(attempt, reply, way.deadline, tokens, backup))
+                return self._start_flow(self._make_run(way, attempt, reply, tokens, backup))
             way.ran += 1
             gateway.note_result(instance, False)
             way.last = None
@@ -189,6 +190,13 @@
                 if backup is not None:
                     gateway.add_load(backup, 0, -tokens)
 
+    def _make_run(
+        self, way: _Way, attempt: Attempt, stream: Stream, tokens: int, backup: Instance | None
+    ) -> Run:
+        """Return a stream that was begun, with what may be done if its upstream breaks it off."""
+        tries = Tries(set(way.tried), way.route.attempts if way.route.resumable else 0, way.ran + 1)
+        return Run(attempt, stream, way.deadline, tokens, backup, tries=tries)
+
     def _judge(self, way: _Way, instance: Instance, reply: Reply) -> Outcome | None:
         match reply:
             case NotRun(reason, gone, sent):
@@ -202,13 +210,13 @@
                 way.ran += 1
                 self._log_try(way, instance, "lost", reason)
                 self._gateway.note_result(instance, False)
-                if way.route.repeat is Repeat.IDEMPOTENT:
+                if way.route.is_repeatable():
                     return None
                 return Failure(FailureKind.UPSTREAM_LOST, reason, Ran.UNKNOWN)
             case Whole(status):
                 way.ran += 1
                 self._gateway.note_result(instance, status < _SERVER_ERROR)
-                if status < _SERVER_ERROR or way.route.repeat is not Repeat.IDEMPOTENT:
+                if status < _SERVER_ERROR or not way.route.is_repeatable():
                     return reply
                 self._log_try(way, instance, "failed", str(status))
                 way.last = reply
@@ -219,7 +227,7 @@
         if way.ran >= max(1, way.route.attempts):
             return False
         gateway = self._gateway
-        return gateway.budget.take(way.service.name, gateway.gateways, anyio.current_time())
+        return gateway.take_repeat(way.service.name)
 
     def _give_up(self, way: _Way, reason: str) -> Outcome:
         """Return the final answer of a request that gets no further try."""
--- a/src/daleroad/routing.py
+++ b/src/daleroad/routing.py
@@ -39,6 +39,7 @@
     :param attempts: upstreams that one request may run on.
     :param public: whether requests need no key.
     :param prompts: whether requests describe their prompt.
+    :param resumable: whether a stream may go on at another upstream after its last event.
     """
 
     name: str
@@ -53,6 +54,11 @@
     attempts: int
     public: bool
     prompts: bool
+    resumable: bool = False
+
+    def is_repeatable(self) -> bool:
+        """Return whether a request that may have run may be sent to another upstream."""
+        return self.repeat is Repeat.IDEMPOTENT or self.resumable
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -15,6 +15,7 @@
 from daleroad.events import Event, log_event
 from daleroad.fleet import Instance, InstanceState
 from daleroad.gateway import Gateway
+from daleroad.picking import pick_upstream
 
 
 @dataclass(frozen=True)
@@ -25,6 +26,20 @@
     source: Source
 
 
+@dataclass
+class Tries:
+    """The upstreams that one request ran on, and how many there may be.
+
+    :param upstreams: ids of those that it was sent to.
+    :param most: runs allowed where a stream may be made anew elsewhere, else 0.
+    :param ran: runs so far; one that goes on from its own memory is the same run.
+    """
+
+    upstreams: set[str] = field(default_factory=set)
+    most: int = 0
+    ran: int = 1
+
+
 @dataclass
 class Run:
     """One stream on its way to a client.
@@ -37,6 +52,7 @@
     :param moving: whether it is being moved off its engine.
     :param continuation: set once it stopped there and its memory is elsewhere.
     :param settled: set when a move is over, whether it went well or not.
+    :param tries: where it ran, and whether it may be made anew elsewhere.
     """
 
     attempt: Attempt
@@ -51,6 +67,7 @@
     settled: anyio.Event = field(default_factory=anyio.Event)
     ended: bool = False
     outcome: str = "left by the client"
+    tries: Tries = field(default_factory=Tries)
 
 
 class Mover(Protocol):
@@ -107,8 +124,8 @@
                 if isinstance(piece, Lost):
                     cut = piece
                     break
-                _note_piece(run, piece)
-                yield piece.data
+                if _note_piece(run, piece):
+                    yield piece.data
             if cut is None:
                 run.outcome = "whole"
                 return
@@ -132,15 +149,66 @@
         self._log_end(run)
 
     async def _go_on(self, run: Run, cut: Lost) -> Failure | None:
-        """Continue a stream that was cut, if its generation's memory is anywhere."""
+        """Continue a stream that was cut: from its generation's memory, or else made anew."""
         cut_at = anyio.current_time()
         found = await self._mover.continue_cut(run)
-        if found is None:
+        if found is not None:
+            failure = await self._go_on_from_copy(run, found, cut_at)
+        else:
             self._gateway.note_result(run.attempt.instance, False)
-            return Failure(FailureKind.UPSTREAM_LOST, cut.reason, Ran.PARTIAL)
+            failure = Failure(FailureKind.UPSTREAM_LOST, cut.reason, Ran.PARTIAL)
+        while failure is not None and failure.kind is FailureKind.UPSTREAM_LOST:
+            instance = self._pick_anew(run)
+            if instance is None:
+                break
+            failure = await self._make_anew(run, instance, cut_at)
+        return failure
+
+    def _pick_anew(self, run: Run) -> Instance | None:
+        """Return where a stream may be made anew after its last event, if anywhere."""
+        gateway = self._gateway
+        tries = run.tries
+        service = gateway.get_service(run.attempt.instance.service)
+        if service is None or tries.ran >= tries.most:
+            return None
+        candidates = gateway.list_candidates(service, run.tokens, tries.upstreams)
+        found = pick_upstream(candidates, gateway.options.zone, gateway.random)
+        if found is None or not gateway.take_repeat(service.name):
+            return None
+        return found.instance
+
+    async def _make_anew(self, run: Run, instance: Instance, cut_at: float) -> Failure | None:
+        """Let another upstream make the rest of a stream; it has none of the memory."""
         seconds = run.deadline - anyio.current_time()
         if seconds <= 0:
             return Failure(FailureKind.DEADLINE, "the time is over", Ran.PARTIAL)
+        run.tries.upstreams.add(instance.id)
+        # Two upstreams must not make one stream: the first stops when its connection closes.
+        await run.stream.close()
+        attempt = replace(
+            run.attempt,
+            instance=instance,
+            seconds=seconds,
+            source=None,
+            backup="",
+            last_event=run.last_event,
+        )
+        reply = await self._gateway.dispatcher.send(attempt)
+        if not isinstance(reply, NotRun):
+            run.tries.ran += 1
+        if isinstance(reply, NotRun | Lost | Whole):
+            return self._note_not_continued(run, instance, reply)
+        self._continue_on(run, attempt, reply, None, cut_at)
+        return None
+
+    async def _go_on_from_copy(
+        self, run: Run, found: Continuation, cut_at: float
+    ) -> Failure | None:
+        """Let an engine that has a generation's memory go on with it."""
+        seconds = run.deadline - anyio.current_time()
+        if seconds <= 0:
+            return Failure(FailureKind.DEADLINE, "the time is over", Ran.PARTIAL)
+        run.tries.upstreams.add(found.instance.id)
         source = replace(found.source, last_event=run.last_event)
         backup = self._gateway.pick_backup(found.instance, run.tokens, run.attempt.job.prompt)
         attempt = replace(
@@ -152,22 +220,32 @@
         )
         reply = await self._gateway.dispatcher.send(attempt)
         if isinstance(reply, NotRun | Lost | Whole):
-            reason = f"status {reply.status}" if isinstance(reply, Whole) else reply.reason
-            to = found.instance.id
-            log_event(Event.MOVE_FAILED, request=run.attempt.job.id, to=to, reason=reason)
-            return Failure(FailureKind.UPSTREAM_LOST, reason, Ran.PARTIAL)
+            return self._note_not_continued(run, found.instance, reply)
         await run.stream.close()
+        self._continue_on(run, attempt, reply, backup, cut_at)
+        return None
+
+    def _note_not_continued(
+        self, run: Run, instance: Instance, reply: NotRun | Lost | Whole
+    ) -> Failure:
+        reason = f"status {reply.status}" if isinstance(reply, Whole) else reply.reason
+        log_event(Event.MOVE_FAILED, request=run.attempt.job.id, to=instance.id, reason=reason)
+        return Failure(FailureKind.UPSTREAM_LOST, reason, Ran.PARTIAL)
+
+    def _continue_on(
+        self, run: Run, attempt: Attempt, stream: Stream, backup: Instance | None, cut_at: float
+    ) -> None:
         self._remove_loads(run)
-        self._take_over(run, attempt, reply, backup)
+        self._take_over(run, attempt, stream, backup)
         log_event(
             Event.STREAM_MOVED,
             request=run.attempt.job.id,
-            to=found.instance.id,
+            to=attempt.instance.id,
             after=run.last_event,
+            copied=attempt.source is not None,
             pause=round(anyio.current_time() - cut_at, 3),
         )
         self._move_if_leaving(run)
-        return None
 
     def _take_over(
         self, run: Run, attempt: Attempt, stream: Stream, backup: Instance | None
@@ -205,7 +283,13 @@
         )
 
 
-def _note_piece(run: Run, piece: Piece) -> None:
+def _note_piece(run: Run, piece: Piece) -> bool:
+    """Note an event; return whether the client lacks it. Ids of one stream increase."""
+    known, fresh = run.last_event, piece.event
+    if known.isdecimal() and fresh.isdecimal() and int(fresh) <= int(known):
+        log_event(Event.EVENT_DOUBLED, request=run.attempt.job.id, event_id=fresh, last=known)
+        return False
     run.events += 1
-    if piece.event:
-        run.last_event = piece.event
+    if fresh:
+        run.last_event = fresh
+    return True
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -35,7 +35,9 @@
 WHOLE = Whole(200, (), b"answer")
 
 
-def make_config(repeat: Repeat, attempts: int = 1, engine: bool = False) -> RoutingConfig:
+def make_config(
+    repeat: Repeat, attempts: int = 1, engine: bool = False, resumable: bool = False
+) -> RoutingConfig:
     """Return a configuration with one route to one service."""
     route = RouteRule(
         name="r",
@@ -50,6 +52,7 @@
         attempts=attempts,
         public=True,
         prompts=engine,
+        resumable=resumable,
     )
     service = ServiceRule("s", "/", 100, ENGINE if engine else None)
     return RoutingConfig(7, (route,), (service,), ())
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -11,12 +11,20 @@
 from daleroad.dispatch import Lost, NotRun, Whole
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.fleet import InstanceState, Sighting
-from daleroad.forwarding import Forwarder
+from daleroad.forwarding import Flow, Forwarder
 from daleroad.metrics import Metrics, RequestMetrics
 from daleroad.moving import EngineMover
 from daleroad.routing import OrganisationRule, Repeat, RoutingConfig
 from daleroad.runs import Runs
-from tests.fakes import WHOLE, FakeDispatcher, make_config, make_gateway, make_instance, make_job
+from tests.fakes import (
+    WHOLE,
+    FakeDispatcher,
+    FakeStream,
+    make_config,
+    make_gateway,
+    make_instance,
+    make_job,
+)
 
 ERROR = Whole(500, (), b"broken")
 REFUSED = NotRun("full")
@@ -54,6 +62,14 @@
                 self.assertIs(outcome.kind, FailureKind.UPSTREAM_LOST)
                 self.assertEqual(len(dispatcher.attempts), 1)
 
+    def test_a_stream_that_may_resume_begins_at_another_upstream_after_a_loss(self) -> None:
+        for first in (Lost("reset"), ERROR):
+            with self.subTest(first):
+                dispatcher = FakeDispatcher(first, FakeStream(1, 2))
+                config = make_config(Repeat.STREAM, 2, engine=True, resumable=True)
+                self.assertIsInstance(self.serve(dispatcher, config), Flow)
+                self.assertEqual(len({a.instance.id for a in dispatcher.attempts}), 2)
+
     def test_only_streams_get_a_connection_of_their_own(self) -> None:
         for repeat in Repeat:
             with self.subTest(repeat):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -65,6 +65,7 @@
             "max_attempts": 1,
             "public": False,
             "sticky": True,
+            "resumable": True,
             "target_itl_ms": 180,
         },
         {
@@ -128,6 +129,7 @@
         self.assertEqual((stream.timeout, stream.objective, stream.pause), (39.0, 1.8, 0.18))
         self.assertEqual([t.weight for t in stream.targets], [90, 10])
         self.assertEqual((plain.attempts, plain.public), (2, False))
+        self.assertEqual((stream.resumable, plain.resumable), (True, False))
         engine = config.services[0].engine
         assert engine is not None
         # A token of 327,680 bytes on 47 Gbit/s.
@@ -266,6 +268,7 @@
         look: Callable | None = None,
         ids: tuple[str, ...] = (),
         own: bool = False,
+        last_event: str = "",
     ) -> list[Reply]:
         async def main() -> list[Reply]:
             listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
@@ -280,7 +283,15 @@
                 job = Job("abc", "POST", b"/a?q", "h", "/a", headers, b"body", "k", 0.0, 9.0)
                 for number in range(count):
                     job = replace(job, id=ids[number] if ids else job.id)
-                    attempt = Attempt(job, instance, "org", 1.5, rank=1, own_connection=own)
+                    attempt = Attempt(
+                        job,
+                        instance,
+                        "org",
+                        1.5,
+                        rank=1,
+                        own_connection=own,
+                        last_event=last_event,
+                    )
                     reply = await client.send(attempt)
                     if look is not None:
                         await look(reply)
@@ -306,6 +317,13 @@
             self.assertIn(line, head)
         self.assertNotIn(b"bearer", head)
 
+    def test_a_stream_made_anew_names_the_last_event_that_the_client_has(self) -> None:
+        upstream = Upstream(*[answer("200 OK", *SIGNED)] * 2)
+        self.ask(upstream, last_event="41")
+        self.ask(upstream)
+        self.assertIn(b"last-event-id: 41", upstream.heads[0].lower())
+        self.assertNotIn(b"last-event-id", upstream.heads[1].lower())
+
     def test_a_request_with_a_connection_of_its_own_goes_on_none_that_rested(self) -> None:
         upstream = Upstream(*[answer("200 OK", *SIGNED)] * 2)
         replies = self.ask(upstream, 2, own=True)
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -6,7 +6,7 @@
 import trio
 import trio.testing
 
-from daleroad.dispatch import Attempt, Copied, CopyFault, EngineReport, NotCopied, NotRun
+from daleroad.dispatch import Attempt, Copied, CopyFault, EngineReport, Lost, NotCopied, NotRun
 from daleroad.errors import Failure, Ran
 from daleroad.evacuation import (
     COPY_EACH_SECONDS,
@@ -18,7 +18,7 @@
 from daleroad.gateway import Gateway
 from daleroad.moving import EngineMover
 from daleroad.routing import Repeat
-from daleroad.runs import Run, Runs
+from daleroad.runs import Run, Runs, Tries
 from tests.fakes import (
     PROMPT,
     FakeDispatcher,
@@ -36,6 +36,7 @@
         self.seen: list[str] = []
         self.failure: Failure | None = None
         self.notice = False
+        self.tries = Tries()
 
     def deliver(self, stream: FakeStream) -> Run:
         async def main() -> Run:
@@ -65,7 +66,8 @@
         job = make_job(now, 60.0, PROMPT)
         instance = make_instance(1)
         gateway.add_load(instance, 1, 4000)
-        return Run(Attempt(job, instance, "", 60.0), stream, now + 60.0, 4000)
+        attempt = Attempt(job, instance, "", 60.0)
+        return Run(attempt, stream, now + 60.0, 4000, tries=self.tries)
 
     def leave(self, gateway: Gateway, now: float) -> None:
         leaving = make_instance(1, InstanceState.LEAVING)
@@ -141,6 +143,34 @@
         assert self.failure is not None
         self.assertEqual(len(self.dispatcher.attempts), 1)
 
+    def test_a_stream_that_may_resume_is_made_anew_elsewhere_after_its_last_event(self) -> None:
+        self.tries = Tries({"i1"}, most=2)
+        self.dispatcher.replies = [FakeStream(3, 4)]
+        first = FakeStream(1, 2, cut=True)
+        self.deliver(first)
+        self.assertEqual(self.seen, ["1", "2", "3", "4"])
+        self.assertIsNone(self.failure)
+        self.assertTrue(first.closed)
+        (attempt,) = self.dispatcher.attempts
+        self.assertEqual(attempt.last_event, "2")
+        self.assertIsNone(attempt.source)
+        self.assertNotEqual(attempt.instance.id, "i1")
+
+    def test_a_stream_is_made_anew_only_as_often_as_its_route_allows(self) -> None:
+        self.tries = Tries({"i1"}, most=2)
+        self.dispatcher.replies = [NotRun("full"), Lost("reset")]
+        self.deliver(FakeStream(1, 2, cut=True))
+        self.assertEqual(self.seen, ["1", "2"])
+        self.assertEqual([a.instance.id for a in self.dispatcher.attempts].count("i1"), 0)
+        self.assertEqual(len(self.dispatcher.attempts), 2)
+        self.assertIsNotNone(self.failure)
+
+    def test_an_event_that_comes_again_is_not_passed_on(self) -> None:
+        self.tries = Tries({"i1"}, most=2)
+        self.dispatcher.replies = [FakeStream(1, 4)]
+        self.deliver(FakeStream(1, 2, cut=True))
+        self.assertEqual(self.seen, ["1", "2", "3", "4"])
+
     def test_an_engine_that_died_is_not_asked_again_and_again(self) -> None:
         self.notice = True
         self.dispatcher.copied = NotCopied("refused", CopyFault.UNREACHABLE)
