--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -29,6 +29,7 @@
 from engines import EngineClient, EventStream  # noqa: E402
 from faces import send_failure  # noqa: E402
 from nodefile import read_node  # noqa: E402
+from ports import prepare_gateway  # noqa: E402
 
 from daleroad.defaults import FIRST_CONFIG_SECONDS  # noqa: E402
 from daleroad.dispatch import (  # noqa: E402
@@ -452,6 +453,17 @@
             self.assertIn(b"retry-after", answer)
             self.assertGreater(time.monotonic() - connected, FIRST_CONFIG_SECONDS / 2)
 
+    def test_clients_connect_to_a_starting_gateway_only_where_no_coordinator_answers(self) -> None:
+        node = read_node(NODE)
+        node = replace(node, client_address="127.0.3.5:18741", our_address="127.0.3.5:17201")
+        node = replace(node, seeds=("127.0.3.6:17201",))
+        with socket.create_server(("127.0.3.6", 17201)):
+            self.assertEqual(prepare_gateway(node), {})
+        opened = prepare_gateway(node)
+        self.assertEqual(list(opened), [node.client_address])
+        with socket.socket(fileno=opened[node.client_address]):
+            socket.create_connection(("127.0.3.5", 18741), timeout=1).close()
+
     def test_requirements_are_the_locked_ones(self) -> None:
         locked = (ROOT / "requirements-lock.txt").read_text().splitlines()
         for line in (ROOT / "requirements.txt").read_text().splitlines():
