Know the upstreams of before at once after a restart

Cause: who is alive is told by heartbeats alone. After a loss of all power nobody knew any upstream for up to a heartbeat's interval: requests were refused, or all sent to the first one that was heard. Change: a coordinator writes the upstreams down, synced, when they changed, and begins with them as heard long ago: used only where no other is known; what left stays away.

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -18,6 +18,7 @@
 from daleroad.defaults import (
     COORDINATOR_CALL_SECONDS,
     COORDINATOR_TURN_SECONDS,
+    FLEET_KEPT_SECONDS,
     FOUNDING_CALL_SECONDS,
     FOUNDING_PAUSE_SECONDS,
     JOIN_SECONDS,
@@ -27,6 +28,7 @@
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
 from daleroad.fleet import InstanceState, Sighting
+from daleroad.fleetfile import load_fleet, save_fleet
 from daleroad.group import Group, decode_messages
 from daleroad.links import Links
 from daleroad.logtypes import Member
@@ -92,7 +94,9 @@
         self.presence = Presence(options.name, links, self.peers, self._list_others, self._wake)
         self.epoch = uuid4().hex[:12]
         self._parse = parse
-        path = Path(options.data) / f"{GROUP}.db" if options.data else None
+        folder = Path(options.data) if options.data else None
+        path = folder / f"{GROUP}.db" if folder else None
+        self._fleet_path = folder / "fleet.json" if folder else None
         self._storage = Storage(path)
         self.group = Group(
             GROUP, options.name, {}, self._storage, self.record, links, random, make_url
@@ -109,10 +113,37 @@
         if self._storage.is_new() and self.options.founding:
             await self._found()
         await self.group.run(tasks)
+        self._recover_fleet()
         self._ready = True
         tasks.start_soon(self._join_loop)
         tasks.start_soon(self.presence.share_loop)
         tasks.start_soon(self._lead_loop)
+        if self._fleet_path is not None:
+            tasks.start_soon(self._keep_fleet_loop, self._fleet_path)
+
+    def _recover_fleet(self) -> None:
+        """Begin with the upstreams that were known before the restart."""
+        if self._fleet_path is None:
+            return
+        found = load_fleet(self._fleet_path)
+        if isinstance(found, Failure):
+            log_event(Event.FLEET_NOT_KEPT, reason=found.reason)
+            return
+        self.presence.fleet.note_all(found, anyio.current_time())
+        log_event(Event.FLEET_RECOVERED, instances=len(found))
+
+    async def _keep_fleet_loop(self, path: Path) -> None:
+        """Write the known upstreams down whenever they changed."""
+        kept = 0
+        while True:
+            fleet = self.presence.fleet
+            if fleet.revision != kept:
+                kept = fleet.revision
+                sightings = tuple(fleet.list_sightings(anyio.current_time()))
+                failure = await anyio.to_thread.run_sync(save_fleet, path, sightings)
+                if failure is not None:
+                    log_event(Event.FLEET_NOT_KEPT, reason=failure.reason)
+            await anyio.sleep(FLEET_KEPT_SECONDS)
 
     def close(self) -> None:
         """Close the files; nothing may run any more."""
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -173,6 +173,9 @@
 LEAVE_TOLD_SECONDS = 0.4
 """How long an upstream's leave waits for other coordinators; its caller waits for one second."""
 
+FLEET_KEPT_SECONDS = 0.5
+"""Interval at which a coordinator writes down upstreams that changed."""
+
 SHARE_SECONDS = 0.3
 """Interval at which coordinators tell each other who they heard; well below a heartbeat."""
 
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -52,6 +52,10 @@
     CONFIG_REFUSED = Kind(227, logging.INFO, "A routing configuration was not accepted.")
     LEASE_LOST = Kind(300, logging.WARNING, "An entry has no configuration lease.")
     LEASE_GAINED = Kind(301, logging.INFO, "An entry got its configuration lease.")
+    FLEET_RECOVERED = Kind(228, logging.INFO, "A coordinator began with the upstreams on its disk.")
+    FLEET_NOT_KEPT = Kind(
+        229, logging.WARNING, "The list of upstreams could not be written or read; none is needed."
+    )
     CONFIG_IN_FORCE = Kind(302, logging.INFO, "A gateway serves by a newer configuration.")
     COORDINATOR_LOST = Kind(303, logging.WARNING, "A gateway's watch of a coordinator failed.")
     COORDINATOR_REGAINED = Kind(304, logging.INFO, "A coordinator answers a gateway again.")
--- /dev/null
+++ b/src/daleroad/fleetfile.py
@@ -0,0 +1,58 @@
+"""The last known upstreams on a coordinator's disk, for the first second after a restart.
+
+Who is alive is not replicated: heartbeats tell it anew within an interval. Where all coordinators
+were down at once, nobody knows any upstream until then, and gateways refuse what they are sent. A
+list that may be seconds old is enough to begin with: its upstreams are used only where no other is
+known, and each request names the instance that it is for.
+"""
+
+import os
+from pathlib import Path
+
+from daleroad.codec import decode, encode
+from daleroad.errors import Failure, FailureKind
+from daleroad.fleet import FORGET_SECONDS, Sighting
+
+RECOVERED_AGE_SECONDS = FORGET_SECONDS / 2
+"""Age of what was read: far more than the heartbeats after which an upstream is doubtful, and so
+much less than when it is forgotten that late heartbeats find it."""
+
+
+def save_fleet(path: Path, sightings: tuple[Sighting, ...]) -> Failure | None:
+    """Replace the list, also for after a loss of power; return why that failed, if so.
+
+    :param path: the file.
+    :param sightings: all instances, also those that left.
+    """
+    fresh = path.with_suffix(".new")
+    try:
+        with fresh.open("wb", buffering=0) as file:
+            file.write(encode(sightings, tuple[Sighting, ...]))
+            os.fsync(file.fileno())
+        os.replace(fresh, path)
+        _sync_folder(path.parent)
+    except OSError as error:
+        return Failure(FailureKind.UNREACHABLE, f"{path.name}: {error!r}")
+    return None
+
+
+def _sync_folder(folder: Path) -> None:
+    number = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(number)
+    finally:
+        os.close(number)
+
+
+def load_fleet(path: Path) -> tuple[Sighting, ...] | Failure:
+    """Return what the list holds, as heard long ago, or why it can't be read.
+
+    :param path: the file.
+    """
+    try:
+        found = decode(tuple[Sighting, ...], path.read_bytes())
+    except OSError as error:
+        return Failure(FailureKind.NOT_FOUND, f"{path.name}: {error!r}")
+    if isinstance(found, Failure):
+        return found
+    return tuple(Sighting(sighting.instance, RECOVERED_AGE_SECONDS) for sighting in found)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -13,6 +13,7 @@
 from anyio.abc import TaskGroup
 
 from daleroad.coordinator import Coordinator, CoordinatorOptions
+from daleroad.defaults import FLEET_KEPT_SECONDS
 from daleroad.errors import Failure, FailureKind
 from daleroad.fleet import Instance, InstanceState, Sighting
 from daleroad.gateway import Gateway, GatewayOptions
@@ -162,6 +163,19 @@
 
         self.run_site(body)
 
+    def test_one_that_starts_alone_knows_the_upstreams_of_before(self) -> None:
+        async def body(site: Site, names: list[str]) -> None:
+            instance = Instance("i-1", "s", "10.0.0.1:80", "z", 4, InstanceState.READY, 3)
+            await site.get(names[0]).presence.hear(Sighting(instance, 0.0))
+            await anyio.sleep(2 * FLEET_KEPT_SECONDS)
+            for name in names[:3]:
+                await site.kill(name)
+            alone = await site.start(names[0], founding=False)
+            await wait_for(lambda: alone.presence.fleet.count() == 1)
+            self.assertGreater(alone.presence.fleet.get_age("i-1", anyio.current_time()), 5.0)
+
+        self.run_site(body)
+
     def test_without_a_majority_nothing_is_saved_and_nothing_old_is_read(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
             await self.save(site.get(names[0]), 1, "one")
--- /dev/null
+++ b/tests/test_fleetfile.py
@@ -0,0 +1,63 @@
+"""Tests of the list of upstreams that a coordinator begins with after a restart."""
+
+import os
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from daleroad.errors import Failure
+from daleroad.fleet import Fleet, Instance, InstanceState, Sighting
+from daleroad.fleetfile import RECOVERED_AGE_SECONDS, load_fleet, save_fleet
+
+READY = Instance("i", "s", "1:1", "z", 4, InstanceState.READY, 5)
+GONE = Instance("g", "s", "1:2", "z", 4, InstanceState.GONE, 7)
+
+
+def _find_size(number: int) -> int:
+    return os.fstat(number).st_size
+
+
+class FleetFileTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory(prefix="daleroad-test-")
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "fleet.json"
+
+    def test_what_was_written_is_known_as_heard_long_ago(self) -> None:
+        self.assertIsNone(save_fleet(self.path, (Sighting(READY, 0.1), Sighting(GONE, 3.0))))
+        found = load_fleet(self.path)
+        assert not isinstance(found, Failure)
+        fleet = Fleet()
+        fleet.note_all(found, 100.0)
+        self.assertEqual([i.id for i in fleet.list_ready("s")], ["i"])
+        self.assertEqual(fleet.get_age("i", 100.0), RECOVERED_AGE_SECONDS)
+        # One that left stays away.
+        fleet.note(Sighting(Instance(**{**vars(GONE), "state": InstanceState.READY}), 0.0), 101.0)
+        self.assertEqual([i.id for i in fleet.list_ready("s")], ["i"])
+
+    def test_a_heartbeat_makes_one_that_was_read_certain(self) -> None:
+        save_fleet(self.path, (Sighting(READY, 0.1),))
+        fleet = Fleet()
+        found = load_fleet(self.path)
+        assert not isinstance(found, Failure)
+        fleet.note_all(found, 100.0)
+        fleet.note(Sighting(Instance(**{**vars(READY), "sequence": 6}), 0.0), 100.4)
+        self.assertAlmostEqual(fleet.get_age("i", 100.5), 0.1)
+
+    def test_a_list_that_is_missing_or_torn_is_a_failure(self) -> None:
+        self.assertIsInstance(load_fleet(self.path), Failure)
+        save_fleet(self.path, (Sighting(READY, 0.1),))
+        whole = self.path.read_bytes()
+        for cut in (0, 1, len(whole) // 2, len(whole) - 1):
+            self.path.write_bytes(whole[:cut])
+            self.assertIsInstance(load_fleet(self.path), Failure, cut)
+
+    def test_all_is_written_when_it_is_synced(self) -> None:
+        sizes: list[int] = []
+        with mock.patch("os.fsync", side_effect=lambda number: sizes.append(_find_size(number))):
+            save_fleet(self.path, (Sighting(READY, 0.1),))
+        self.assertEqual(sizes[0], self.path.stat().st_size)
+
+    def test_a_disk_that_refuses_is_a_failure(self) -> None:
+        self.assertIsInstance(save_fleet(self.path / "no" / "folder", ()), Failure)
