--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -195,7 +195,8 @@
     ) -> Run:
         """Return a stream that was begun, with what may be done if its upstream breaks it off."""
         tries = Tries(set(way.tried), way.route.attempts if way.route.resumable else 0, way.ran + 1)
-        return Run(attempt, stream, way.deadline, tokens, backup, tries=tries)
+        allowed = way.route.pause
+        return Run(attempt, stream, way.deadline, tokens, backup, tries=tries, pause=allowed)
 
     def _judge(self, way: _Way, instance: Instance, reply: Reply) -> Outcome | None:
         match reply:
@@ -268,7 +269,10 @@
             "seconds": round(anyio.current_time() - job.received_at, 4),
         }
         if way is not None:
+            seconds = anyio.current_time() - job.received_at
             fields |= {
+                "kind": way.route.repeat.value,
+                "late": 0 < way.route.objective < seconds,
                 "route": way.route.name,
                 "service": way.service.name,
                 "sends": way.sends,
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -53,6 +53,8 @@
     :param continuation: set once it stopped there and its memory is elsewhere.
     :param settled: set when a move is over, whether it went well or not.
     :param tries: where it ran, and whether it may be made anew elsewhere.
+    :param pause: longest pause between events that its route allows, in seconds; 0 for any.
+    :param longest_pause: the longest so far.
     """
 
     attempt: Attempt
@@ -68,6 +70,9 @@
     ended: bool = False
     outcome: str = "left by the client"
     tries: Tries = field(default_factory=Tries)
+    pause: float = 0.0
+    longest_pause: float = 0.0
+    event_at: float = 0.0
 
 
 class Mover(Protocol):
@@ -279,6 +284,8 @@
             prompt=run.attempt.job.prompt.tokens if run.attempt.job.prompt else 0,
             most=run.attempt.job.prompt.most_output if run.attempt.job.prompt else 0,
             outcome=run.outcome,
+            longest_pause=round(run.longest_pause, 3),
+            paused=0 < run.pause < run.longest_pause,
             seconds=round(anyio.current_time() - run.attempt.job.received_at, 3),
         )
 
@@ -289,6 +296,10 @@
     if known.isdecimal() and fresh.isdecimal() and int(fresh) <= int(known):
         log_event(Event.EVENT_DOUBLED, request=run.attempt.job.id, event_id=fresh, last=known)
         return False
+    now = anyio.current_time()
+    if run.events:
+        run.longest_pause = max(run.longest_pause, now - run.event_at)
+    run.event_at = now
     run.events += 1
     if fresh:
         run.last_event = fresh
