Tell gateways only what changed among upstreams, several changes at a time

Cause: each join or leave of an upstream woke three watches of each gateway, and each answer carried all instances, those that left in the last minute included. Change: an answer carries what changed since the revision that the gateway knows. News of upstreams waits 20 ms for more at the first coordinator and 0.3 s at the others; a configuration waits for nothing. The others' loads are summed only where they are used. Which coordinators a gateway watches beside the leader is drawn; all chose the same two. Ruled out: one watch instead of three: a coordinator that is cut off would hide leaves.

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -27,7 +27,6 @@
 )
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
-from daleroad.fleet import InstanceState, Sighting
 from daleroad.fleetfile import load_fleet, save_fleet
 from daleroad.group import Group, decode_messages
 from daleroad.links import Links
@@ -379,13 +378,17 @@
                 and asked.version >= self.record.document.version
             ):
                 await self._news.wait()
+            # Upstreams come and go several at a time; a newer configuration waits for nothing.
+            with anyio.move_on_after(asked.gather if asked.epoch == self.epoch else 0):
+                while asked.version >= self.record.document.version:
+                    await self._news.wait()
 
     def _make_answer(self, asked: WatchRequest) -> WatchAnswer:
         now = anyio.current_time()
         document = self.record.document
         fleet = self.presence.fleet
-        same = asked.epoch == self.epoch and asked.revision == fleet.revision
-        sightings = tuple(fleet.list_sightings(now))
+        known = asked.revision if asked.epoch == self.epoch else -1
+        loads = self.presence.sum_loads(asked.gateway.address, now) if asked.wants_loads else None
         return WatchAnswer(
             self.epoch,
             fleet.revision,
@@ -393,9 +396,9 @@
             self.group.replica.leader,
             document.version,
             document.text if document.version > asked.version else None,
-            None if same else sightings,
-            {s.instance.id: round(s.age, 2) for s in sightings if _is_here(s)},
-            tuple(self.presence.sum_loads(asked.gateway.address, now)),
+            tuple(fleet.list_changed(now, known)),
+            fleet.list_ages(now),
+            None if loads is None else tuple(loads),
             self.presence.count_gateways(now),
         )
 
@@ -423,8 +426,3 @@
     def _wake(self) -> None:
         self._news.set()
         self._news = anyio.Event()
-
-
-def _is_here(sighting: Sighting) -> bool:
-    """Return whether an instance's age matters to anyone."""
-    return sighting.instance.state is not InstanceState.GONE
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -192,6 +192,14 @@
 WATCH_SLOW_SECONDS = 1.0
 """How long the other coordinators keep a gateway's question without news."""
 
+WATCH_FAST_GATHER_SECONDS = 0.02
+"""How long news of upstreams waits for more at the coordinator that a gateway hears first: several
+come and go at a time, and an engine's notice is 1.5 s."""
+
+WATCH_SLOW_GATHER_SECONDS = 0.3
+"""The same at the other coordinators, whose news the gateway mostly has; below a second's part of
+what a leaving upstream is given."""
+
 WATCH_SLACK_SECONDS = 0.6
 """Time beyond its wait after which a watch counts as failed."""
 
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -54,6 +54,7 @@
     heard_at: float
     warm_at: float
     started_at: float
+    revision: int
 
 
 @dataclass(frozen=True)
@@ -96,8 +97,9 @@
             if any(k.instance.address == fresh.address for k in self._known.values()):
                 self._contested.add(fresh.address)
             started_at = self._guess_start(fresh, heard_at)
-            self._known[fresh.id] = _Known(fresh, heard_at, now + sighting.cold, started_at)
             self.revision += 1
+            warm_at = now + sighting.cold
+            self._known[fresh.id] = _Known(fresh, heard_at, warm_at, started_at, self.revision)
             return True
         old = known.instance
         known.heard_at = max(known.heard_at, heard_at)
@@ -114,7 +116,9 @@
             old.address,
             old.service,
         )
-        self.revision += int(changed)
+        if changed:
+            self.revision += 1
+            known.revision = self.revision
         return changed
 
     def leave(self, instance_id: str, now: float) -> bool:
@@ -209,6 +213,28 @@
                 cold = max(0.0, known.warm_at - now)
                 yield Sighting(known.instance, now - known.heard_at, cold)
 
+    def list_changed(self, now: float, revision: int) -> Iterator[Sighting]:
+        """Yield the instances that changed after a revision, as others are told of them.
+
+        :param now: the time.
+        :param revision: the revision that they know.
+        """
+        for known in self._known.values():
+            if known.revision > revision:
+                cold = max(0.0, known.warm_at - now)
+                yield Sighting(known.instance, now - known.heard_at, cold)
+
+    def list_ages(self, now: float) -> dict[str, float]:
+        """Return the seconds since each instance was heard that has not left.
+
+        :param now: the time.
+        """
+        return {
+            instance_id: round(now - known.heard_at, 2)
+            for instance_id, known in self._known.items()
+            if known.instance.state is not InstanceState.GONE
+        }
+
     def note_all(self, sightings: Iterable[Sighting], now: float) -> list[Instance]:
         """Take in news of many instances; return those that changed.
 
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -93,6 +93,8 @@
     :param version: the version of the routing configuration that it serves.
     :param loads: its own work.
     :param wait: how long the answer may wait for news.
+    :param gather: how long news of the fleet may wait for more.
+    :param wants_loads: whether the others' work should be told.
     """
 
     gateway: GatewayNotice
@@ -101,6 +103,8 @@
     version: int
     loads: tuple[Load, ...]
     wait: float
+    gather: float
+    wants_loads: bool
 
 
 @dataclass(frozen=True)
@@ -109,9 +113,9 @@
 
     :param leader: address of the leading coordinator, if known.
     :param document: the routing configuration, when the gateway's is older.
-    :param sightings: all instances, when they changed.
+    :param sightings: the instances that changed since the revision that was asked with, or all.
     :param ages: seconds since each instance was heard.
-    :param loads: the work of all other gateways.
+    :param loads: the work of all other gateways, where it was asked for.
     :param gateways: how many gateways are alive.
     """
 
@@ -121,9 +125,9 @@
     leader: str
     version: int
     document: str | None
-    sightings: tuple[Sighting, ...] | None
+    sightings: tuple[Sighting, ...]
     ages: dict[str, float]
-    loads: tuple[Load, ...]
+    loads: tuple[Load, ...] | None
     gateways: int
 
 
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -11,9 +11,11 @@
 from daleroad.codec import encode
 from daleroad.defaults import (
     WATCH_FAST_GATEWAYS,
+    WATCH_FAST_GATHER_SECONDS,
     WATCH_FAST_SECONDS,
     WATCH_PAUSE_SECONDS,
     WATCH_SLACK_SECONDS,
+    WATCH_SLOW_GATHER_SECONDS,
     WATCH_SLOW_SECONDS,
     WATCHES,
 )
@@ -98,8 +100,12 @@
         current = self._watched.get(slot)
         if current in names and current not in self._failed_at:
             return current
-        # Those that failed longest ago come first, and those that never failed before them.
-        return min(names, key=lambda name: self._failed_at.get(name, float("-inf")))
+        # Those that failed longest ago come first, and those that never failed before them. Of the
+        # latter each gateway takes another, or a few coordinators would serve all gateways.
+        sound = [name for name in names if name not in self._failed_at]
+        if sound:
+            return self._gateway.random.choice(sound)
+        return min(names, key=lambda name: self._failed_at[name])
 
     def _is_fast(self, name: str) -> bool:
         if self._leader in self._watched.values():
@@ -110,16 +116,21 @@
         gateway = self._gateway
         fast = self._is_fast(name)
         wait = find_fast_wait(gateway.gateways) if fast else WATCH_SLOW_SECONDS
+        gather = WATCH_FAST_GATHER_SECONDS if fast else WATCH_SLOW_GATHER_SECONDS
         version = gateway.get_version()
-        request = WatchRequest(
-            gateway.make_notice(), epoch, revision, version, gateway.list_loads(), wait
-        )
+
+        def make_request() -> bytes:
+            notice, loads = gateway.make_notice(), gateway.list_loads()
+            asked = WatchRequest(notice, epoch, revision, version, loads, wait, gather, fast)
+            return encode(asked)
+
+        request = make_request()
         found: list[WatchAnswer | Failure] = []
 
         async def call() -> None:
             url = f"http://{name}/site/watch"
             seconds = wait + WATCH_SLACK_SECONDS
-            found.append(await self._links.call(url, encode(request), WatchAnswer, seconds))
+            found.append(await self._links.call(url, request, WatchAnswer, seconds))
             tasks.cancel_scope.cancel()
 
         async def interrupt() -> None:
@@ -134,8 +145,7 @@
                 tasks.start_soon(interrupt)
             if not found:
                 told = self._told
-                notice = gateway.make_notice()
-                request = WatchRequest(notice, epoch, revision, version, gateway.list_loads(), wait)
+                request = make_request()
         return found[0]
 
     def _note_failed(self, name: str, failure: Failure) -> None:
@@ -153,13 +163,12 @@
         self._failed_at = {n: at for n, at in self._failed_at.items() if n in self._known}
         if answer.document is not None:
             self._apply_document(answer, name)
-        if answer.sightings is not None:
-            changed = gateway.fleet.note_all(answer.sightings, now)
-            for instance in changed:
-                self._log_change(instance.id, instance.state, name)
-            gateway.note_changes(changed)
+        changed = gateway.fleet.note_all(answer.sightings, now)
+        for instance in changed:
+            self._log_change(instance.id, instance.state, name)
+        gateway.note_changes(changed)
         gateway.fleet.note_ages(answer.ages, now)
-        if self._is_fast(name):
+        if answer.loads is not None:
             gateway.replace_other_loads(answer.loads)
         for instance in gateway.fleet.prune(now):
             log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="age")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,9 @@
 """Tests of what a process believes of upstreams by their heartbeats."""
 
 import unittest
+from collections.abc import Iterator
 from dataclasses import replace
+from random import Random
 
 from daleroad.fleet import (
     FORGET_SECONDS,
@@ -111,3 +113,67 @@
         self.fleet.note(see(replace(READY, id="n", sequence=1)), 101.0)
         self.fleet.leave("n", 102.0)
         self.assertEqual([i.id for i in self.fleet.list_ready("s")], ["i"])
+
+
+class ChangesTest(unittest.TestCase):
+    """What a follower is told are differences; lost, doubled and late ones must do no harm."""
+
+    def setUp(self) -> None:
+        self.fleet = Fleet()
+
+    def test_only_what_changed_since_a_revision_is_told(self) -> None:
+        self.fleet.note(see(), 100.0)
+        known = self.fleet.revision
+        self.fleet.note(see(replace(READY, sequence=6)), 101.0)
+        self.assertEqual(list(self.fleet.list_changed(101.0, known)), [])
+        self.fleet.note(see(replace(READY, id="j")), 101.0)
+        self.fleet.leave("i", 102.0)
+        told = {s.instance.id: s.instance.state for s in self.fleet.list_changed(102.0, known)}
+        self.assertEqual(told, {"j": InstanceState.READY, "i": InstanceState.GONE})
+        self.assertEqual(list(self.fleet.list_changed(102.0, self.fleet.revision)), [])
+        self.assertEqual(set(self.fleet.list_ages(102.0)), {"j"})
+
+    def hurt(self, random: Random) -> Iterator[list[Sighting]]:
+        """Yield answers as they arrive at a follower while the fleet changes."""
+        late: list[list[Sighting]] = []
+        known = -1
+        for step in range(120):
+            now = 100.0 + step * 0.1
+            instance = replace(READY, id=f"i{random.randrange(12)}", sequence=step)
+            match random.randrange(8):
+                case 0:
+                    self.fleet.leave(instance.id, now)
+                case 1:
+                    self.fleet.note(see(replace(instance, state=InstanceState.LEAVING)), now)
+                case _:
+                    self.fleet.note(see(instance), now)
+            answer = list(self.fleet.list_changed(now, known))
+            match random.randrange(4):
+                case 0:
+                    late.append(answer)
+                case 1:
+                    known = self.fleet.revision
+                    yield answer
+                case 2 if late:
+                    yield late.pop(random.randrange(len(late)))
+        yield from late
+        yield list(self.fleet.list_changed(120.0, known))
+
+    def test_a_follower_converges_whatever_is_lost_late_or_doubled(self) -> None:
+        for seed in range(200):
+            with self.subTest(seed=seed):
+                self.fleet = Fleet()
+                follower = Fleet()
+                left: set[str] = set()
+                for sightings in self.hurt(Random(seed)):
+                    follower.note_all(sightings, 120.0)
+                    left |= {s.instance.id for s in sightings if is_gone(follower, s.instance.id)}
+                    self.assertTrue(all(is_gone(follower, name) for name in left))
+                for number in range(12):
+                    ours, theirs = self.fleet.get(f"i{number}"), follower.get(f"i{number}")
+                    self.assertEqual(ours and ours.state, theirs and theirs.state)
+
+
+def is_gone(fleet: Fleet, instance_id: str) -> bool:
+    known = fleet.get(instance_id)
+    return known is not None and known.state is InstanceState.GONE
