Bear an engine's silence as long as the client bears it, where nothing else can be done

Cause: a stream was given up after 3 s of silence from its engine, though it may run once only and its client waits 7.2 s. Behind a cut the engine goes on, and what it made comes when the cut has healed. Change: the silence that is borne follows the route: as long as the platform says that a stream's client waits, where the stream may run once; 3 s for all that can go elsewhere. Ruled out: the same patience for streams that can be made anew: they are sooner at another engine.

--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -213,6 +213,16 @@
 LATE_HEARTBEATS = 2.6
 """Heartbeats missed before an upstream is used only where no other is; some come seconds late."""
 
+SILENCE_SECONDS = 3.0
+"""How long an upstream that does not answer at all is borne: some retransmissions. Then the request
+goes elsewhere, if it may."""
+
+CLIENT_GAP_SECONDS = 2.0
+CLIENT_GAP_OBJECTIVES = 4.0
+CLIENT_GAP_PAUSES = 8.0
+"""A stream's client leaves after a gap of so long, so many objectives or so many pauses, whichever
+is longest; the platform says so."""
+
 CONNECT_SECONDS = 0.4
 """Limit of a connection to an upstream; a hundred round trips within a region."""
 
--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 from typing import Protocol
 
+from daleroad.defaults import SILENCE_SECONDS
 from daleroad.errors import Failure
 from daleroad.evacuation import RunSize
 from daleroad.fleet import Instance
@@ -62,6 +63,7 @@
 
     :param address: IP:PORT of the engine that keeps the copy's handle.
     :param handle: names the copy.
+    :param silence: seconds for which an upstream that does not answer at all is borne.
     :param last_event: id of the last event that the client has.
     """
 
@@ -93,6 +95,7 @@
     source: Source | None = None
     backup: str = ""
     own_connection: bool = False
+    silence: float = SILENCE_SECONDS
     last_event: str = ""
 
 
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -158,6 +158,7 @@
             rank,
             backup=backup.address if backup else "",
             own_connection=way.route.repeat is Repeat.STREAM,
+            silence=way.route.find_silence(),
         )
         unread = way.job.prompt.tokens if way.job.prompt else 0
         gateway.add_load(instance, 1, tokens, unread)
--- a/src/daleroad/routing.py
+++ b/src/daleroad/routing.py
@@ -9,6 +9,12 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from daleroad.defaults import (
+    CLIENT_GAP_OBJECTIVES,
+    CLIENT_GAP_PAUSES,
+    CLIENT_GAP_SECONDS,
+    SILENCE_SECONDS,
+)
 from daleroad.errors import Failure, FailureKind
 
 
@@ -56,6 +62,18 @@
     prompts: bool
     resumable: bool = False
 
+    def find_silence(self) -> float:
+        """Return for how many seconds an upstream that does not answer at all is borne.
+
+        A stream that may run once is lost when its connection is given up; its engine goes on
+        behind a cut, and what it made meanwhile comes when the cut has healed. So the silence is
+        borne as long as the client bears it.
+        """
+        if self.repeat is not Repeat.STREAM or self.resumable:
+            return SILENCE_SECONDS
+        objectives = CLIENT_GAP_OBJECTIVES * self.objective
+        return max(CLIENT_GAP_SECONDS, objectives, CLIENT_GAP_PAUSES * self.pause)
+
     def is_repeatable(self) -> bool:
         """Return whether a request that may have run may be sent to another upstream."""
         return self.repeat is Repeat.IDEMPOTENT or self.resumable
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -7,7 +7,7 @@
 import trio
 import trio.testing
 
-from daleroad.defaults import START_SECONDS
+from daleroad.defaults import SILENCE_SECONDS, START_SECONDS
 from daleroad.dispatch import Lost, NotRun, Whole
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.fleet import InstanceState, Sighting
@@ -78,6 +78,24 @@
                 (attempt,) = dispatcher.attempts
                 self.assertEqual(attempt.own_connection, repeat is Repeat.STREAM)
 
+    def test_silence_is_borne_as_long_as_the_client_bears_it_where_nothing_else_can_be_done(
+        self,
+    ) -> None:
+        expected = {
+            (Repeat.IDEMPOTENT, False): SILENCE_SECONDS,
+            (Repeat.ONCE, False): SILENCE_SECONDS,
+            (Repeat.STREAM, True): SILENCE_SECONDS,
+            # Four objectives, which are longer than two seconds and eight pauses.
+            (Repeat.STREAM, False): 7.2,
+        }
+        for (repeat, resumable), silence in expected.items():
+            with self.subTest(repeat=repeat, resumable=resumable):
+                dispatcher = FakeDispatcher(WHOLE)
+                config = make_config(repeat, engine=True, resumable=resumable)
+                route = replace(config.routes[0], objective=1.8, pause=0.18)
+                self.serve(dispatcher, replace(config, routes=(route,)))
+                self.assertAlmostEqual(dispatcher.attempts[0].silence, silence)
+
     def test_an_idempotent_request_goes_to_another_upstream(self) -> None:
         dispatcher = FakeDispatcher(Lost("reset"), WHOLE)
         self.assertEqual(self.serve(dispatcher, make_config(Repeat.IDEMPOTENT, 2)), WHOLE)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -26,7 +26,7 @@
 import gatewayprocess  # noqa: E402
 import wire  # noqa: E402
 from clientface import make_job  # noqa: E402
-from engines import EngineClient, EventStream  # noqa: E402
+from engines import EngineClient, EventStream, make_options  # noqa: E402
 from faces import send_failure  # noqa: E402
 from nodefile import read_node  # noqa: E402
 from ports import prepare_gateway  # noqa: E402
@@ -331,6 +331,13 @@
         self.assertEqual([type(reply) for reply in replies], [Whole, Whole])
         self.assertEqual(upstream.connections, 2)
 
+    def test_a_longer_silence_is_borne_by_more_probes_and_more_time_for_what_is_sent(self) -> None:
+        short, long = ({o[:2]: o[2] for o in make_options(s)} for s in (3.0, 7.2))
+        count = (socket.IPPROTO_TCP, socket.TCP_KEEPCNT)
+        unsent = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        self.assertEqual((short[count], short[unsent]), (2, 2500))
+        self.assertEqual((long[count], long[unsent]), (6, 6700))
+
     def test_what_is_not_proved_to_be_the_answer_is_lost(self) -> None:
         for name, data in {
             "no signature": answer("200 OK", ID),
