--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -18,7 +18,6 @@
 from daleroad.defaults import (
     COORDINATOR_CALL_SECONDS,
     COORDINATOR_TURN_SECONDS,
-    FLEET_KEPT_SECONDS,
     FOUNDING_CALL_SECONDS,
     FOUNDING_PAUSE_SECONDS,
     JOIN_SECONDS,
@@ -27,7 +26,7 @@
 )
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
-from daleroad.fleetfile import load_fleet, save_fleet
+from daleroad.fleetfile import FleetKeeper
 from daleroad.group import Group, decode_messages
 from daleroad.links import Links
 from daleroad.logtypes import Member
@@ -95,7 +94,7 @@
         self._parse = parse
         folder = Path(options.data) if options.data else None
         path = folder / f"{GROUP}.db" if folder else None
-        self._fleet_path = folder / "fleet.json" if folder else None
+        self._keeper = FleetKeeper(folder, self.presence.fleet) if folder else None
         self._storage = Storage(path)
         self.group = Group(
             GROUP, options.name, {}, self._storage, self.record, links, random, make_url
@@ -112,37 +111,14 @@
         if self._storage.is_new() and self.options.founding:
             await self._found()
         await self.group.run(tasks)
-        self._recover_fleet()
+        if self._keeper is not None:
+            self._keeper.recover()
         self._ready = True
         tasks.start_soon(self._join_loop)
         tasks.start_soon(self.presence.share_loop)
         tasks.start_soon(self._lead_loop)
-        if self._fleet_path is not None:
-            tasks.start_soon(self._keep_fleet_loop, self._fleet_path)
-
-    def _recover_fleet(self) -> None:
-        """Begin with the upstreams that were known before the restart."""
-        if self._fleet_path is None:
-            return
-        found = load_fleet(self._fleet_path)
-        if isinstance(found, Failure):
-            log_event(Event.FLEET_NOT_KEPT, reason=found.reason)
-            return
-        self.presence.fleet.note_all(found, anyio.current_time())
-        log_event(Event.FLEET_RECOVERED, instances=len(found))
-
-    async def _keep_fleet_loop(self, path: Path) -> None:
-        """Write the known upstreams down whenever they changed."""
-        kept = 0
-        while True:
-            fleet = self.presence.fleet
-            if fleet.revision != kept:
-                kept = fleet.revision
-                sightings = tuple(fleet.list_sightings(anyio.current_time()))
-                failure = await anyio.to_thread.run_sync(save_fleet, path, sightings)
-                if failure is not None:
-                    log_event(Event.FLEET_NOT_KEPT, reason=failure.reason)
-            await anyio.sleep(FLEET_KEPT_SECONDS)
+        if self._keeper is not None:
+            tasks.start_soon(self._keeper.run)
 
     def close(self) -> None:
         """Close the files; nothing may run any more."""
--- a/src/daleroad/fleetfile.py
+++ b/src/daleroad/fleetfile.py
@@ -9,15 +9,55 @@
 import os
 from pathlib import Path
 
+import anyio
+
 from daleroad.codec import decode, encode
+from daleroad.defaults import FLEET_KEPT_SECONDS
 from daleroad.errors import Failure, FailureKind
-from daleroad.fleet import FORGET_SECONDS, Sighting
+from daleroad.events import Event, log_event
+from daleroad.fleet import FORGET_SECONDS, Fleet, Sighting
 
 RECOVERED_AGE_SECONDS = FORGET_SECONDS / 2
 """Age of what was read: far more than the heartbeats after which an upstream is doubtful, and so
 much less than when it is forgotten that late heartbeats find it."""
 
 
+_NAME = "fleet.json"
+
+
+class FleetKeeper:
+    """Keeps a fleet on a disk.
+
+    :param folder: where.
+    :param fleet: what is kept.
+    """
+
+    def __init__(self, folder: Path, fleet: Fleet) -> None:
+        self._path = folder / _NAME
+        self._fleet = fleet
+
+    def recover(self) -> None:
+        """Begin with the upstreams that were known before the restart."""
+        found = load_fleet(self._path)
+        if isinstance(found, Failure):
+            log_event(Event.FLEET_NOT_KEPT, reason=found.reason)
+            return
+        self._fleet.note_all(found, anyio.current_time())
+        log_event(Event.FLEET_RECOVERED, instances=len(found))
+
+    async def run(self) -> None:
+        """Write the known upstreams down whenever they changed, until cancelled."""
+        kept = 0
+        while True:
+            if self._fleet.revision != kept:
+                kept = self._fleet.revision
+                sightings = tuple(self._fleet.list_sightings(anyio.current_time()))
+                failure = await anyio.to_thread.run_sync(save_fleet, self._path, sightings)
+                if failure is not None:
+                    log_event(Event.FLEET_NOT_KEPT, reason=failure.reason)
+            await anyio.sleep(FLEET_KEPT_SECONDS)
+
+
 def save_fleet(path: Path, sightings: tuple[Sighting, ...]) -> Failure | None:
     """Replace the list, also for after a loss of power; return why that failed, if so.
 
