--- a/tools/measure.py
+++ b/tools/measure.py
@@ -1,6 +1,6 @@
 """Measures what docs/CAPACITY.md is worked out from. Prints JSON.
 
-Usage: python tools/measure.py entry|memory|follow|decisions|catalog|claims|restart
+Usage: python tools/measure.py entry|memory|follow|decisions|catalog|claims|restart|watch
 """
 
 import json
@@ -23,14 +23,18 @@
 from daleroad.batching import EngineShape
 from daleroad.catalog import Catalog
 from daleroad.claims import Acquire, Claim, ClaimJournal, ClaimState, Settle
+from daleroad.codec import decode, encode
+from daleroad.compression import pack
 from daleroad.control import found
 from daleroad.demo import write_records
 from daleroad.directory import Directory
+from daleroad.fleet import Fleet, Instance, InstanceState, Sighting
 from daleroad.lengths import Lengths
 from daleroad.links import Links
 from daleroad.location import pick_addresses
 from daleroad.loopback import find_ports, get_token, make_site
 from daleroad.messages import Work
+from daleroad.notices import GatewayNotice, Load, ShareRequest, WatchAnswer, WatchRequest
 from daleroad.operating import OperatorClient
 from daleroad.placement import rank_candidates
 from daleroad.records import EntryMember, Organisation, Upstream
@@ -517,6 +521,43 @@
     return rows
 
 
+def measure_watch() -> list[dict]:
+    """CPU and bytes of what gateways and coordinators tell each other on a site of 71 gateways."""
+    fleet = Fleet()
+    for number in range(60):
+        state = InstanceState.READY if number < 32 else InstanceState.GONE
+        address = f"10.128.{number}.9:8080"
+        instance = Instance(f"i-{number:010x}", "llm", address, "zone-a", 24, state, number)
+        fleet.note(Sighting(instance, 1.2345), 100.0)
+    sightings = tuple(fleet.list_sightings(100.0))
+    loads = tuple(Load(s.instance.id, 3, 9000, 100) for s in sightings[:32])
+    names = tuple(f"10.1.0.{number}:7200" for number in range(6))
+    answer = WatchAnswer(
+        "epoch", 5, names, names[0], 7, None, sightings, fleet.list_ages(100.0), loads, 71
+    )
+    notice = GatewayNotice("10.1.0.9:8740", "zone-a", "region", True, 0.5)
+    messages = {
+        "answer, all instances": answer,
+        "answer, two changes": replace(answer, sightings=sightings[:2], loads=None),
+        "question": WatchRequest(notice, "epoch", 5, 7, loads[:3], 1.0, 0.3, False),
+        "share of one coordinator": ShareRequest(names[0], (notice,) * 36, sightings[:16]),
+    }
+    return [time_message(name, message) for name, message in messages.items()]
+
+
+def time_message(name: str, message: object) -> dict:
+    """Return a message's size, and the CPU time of writing, packing and reading it."""
+    body = encode(message)
+    return {
+        "message": name,
+        "bytes": len(body),
+        "packed_bytes": len(pack(body) or body),
+        "encode_us": time_call(lambda: encode(message), 500),
+        "pack_us": time_call(lambda: pack(body), 500),
+        "decode_us": time_call(lambda: decode(type(message), body), 500),
+    }
+
+
 if __name__ == "__main__":
     for kind in sys.argv[1:]:
         print(json.dumps({kind: globals()[f"measure_{kind}"]()}, indent=1), flush=True)
