--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -219,8 +219,8 @@
 
         Prompts are read for longer than news of them takes to reach the other gateways, so short
         generations follow the gateway's own order. Long ones go where memory is least, which
-        changes slowly: engines that leave can move only so much. On a site with six engines the
-        order of its own cost them 0.07 to 0.16 of worth on calm days (3 seeds). Requests of plain
+        changes slowly: engines that leave can move only so much. On a site with six engines an
+        order for all cost 0.07 and 0.13 of worth on a calm day (2 seeds, paired). Requests of plain
         services are over before the news comes.
 
         :param service: the service.
