Mend what the change wrote twice: sightings, expected seconds, a log's fields

Behaviour is as it was. Ruled out: one read of the settings file at the start instead of two: the watcher compares with what is there when it starts, and would miss a change while the libraries load.

--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -31,7 +31,11 @@
 
     def ends_soon(self) -> bool:
         """Return whether the generation is over before an engine that leaves has ended."""
-        return self.most_output * TOKEN_SECONDS < MOVE_WORTH_SECONDS
+        return self.guess_seconds() < MOVE_WORTH_SECONDS
+
+    def guess_seconds(self) -> float:
+        """Return how long the longest output takes on a half-full engine."""
+        return self.most_output * TOKEN_SECONDS
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -48,15 +48,6 @@
     sequence: int
 
 
-@dataclass
-class _Known:
-    instance: Instance
-    heard_at: float
-    warm_at: float
-    started_at: float
-    revision: int
-
-
 @dataclass(frozen=True)
 class Sighting:
     """An instance as one process tells another of it, with ages instead of times.
@@ -70,6 +61,19 @@
     cold: float = 0.0
 
 
+@dataclass
+class _Known:
+    instance: Instance
+    heard_at: float
+    warm_at: float
+    started_at: float
+    revision: int
+
+    def tell(self, now: float) -> Sighting:
+        """Return the instance as others are told of it."""
+        return Sighting(self.instance, now - self.heard_at, max(0.0, self.warm_at - now))
+
+
 @dataclass
 class Fleet:
     """All instances known to one process.
@@ -210,8 +214,7 @@
         """
         for known in self._known.values():
             if known.heard_at >= since:
-                cold = max(0.0, known.warm_at - now)
-                yield Sighting(known.instance, now - known.heard_at, cold)
+                yield known.tell(now)
 
     def list_changed(self, now: float, revision: int) -> Iterator[Sighting]:
         """Yield the instances that changed after a revision, as others are told of them.
@@ -221,8 +224,7 @@
         """
         for known in self._known.values():
             if known.revision > revision:
-                cold = max(0.0, known.warm_at - now)
-                yield Sighting(known.instance, now - known.heard_at, cold)
+                yield known.tell(now)
 
     def list_ages(self, now: float) -> dict[str, float]:
         """Return the seconds since each instance was heard that has not left.
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -259,21 +259,18 @@
         )
 
     def _log_end(self, job: Job, way: _Way | None, outcome: Outcome) -> None:
-        fields: dict[str, object] = {
-            "request": job.id,
-            "seconds": round(anyio.current_time() - job.received_at, 4),
-        }
+        seconds = anyio.current_time() - job.received_at
+        kind_of_route = way.route.repeat.value if way else "unrouted"
+        fields: dict[str, object] = {"request": job.id, "seconds": round(seconds, 4)}
         if way is not None:
-            seconds = anyio.current_time() - job.received_at
             fields |= {
-                "kind": way.route.repeat.value,
+                "kind": kind_of_route,
                 "late": 0 < way.route.objective < seconds,
                 "route": way.route.name,
                 "service": way.service.name,
                 "sends": way.sends,
                 "config": way.table.config.version,
             }
-        kind_of_route = way.route.repeat.value if way else "unrouted"
         end = outcome.kind.value if isinstance(outcome, Failure) else str(outcome.status)
         sends = way.sends if way else 0
         self._metrics.note_end(kind_of_route, end, sends, job.received_at)
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -14,7 +14,6 @@
     BACKUP_WORTH_SECONDS,
     LATE_HEARTBEATS,
     OVERDUE_HEARTBEATS,
-    TOKEN_SECONDS,
 )
 from daleroad.dispatch import Dispatcher, Prompt
 from daleroad.events import Event, log_event
@@ -194,7 +193,7 @@
         service = self.get_service(instance.service)
         if service is None or service.engine is None or not service.engine.backups:
             return None
-        if prompt is None or prompt.most_output * TOKEN_SECONDS < BACKUP_WORTH_SECONDS:
+        if prompt is None or prompt.guess_seconds() < BACKUP_WORTH_SECONDS:
             return None
         candidates = self.list_candidates(service, tokens, {instance.id})
         room = (c for c in candidates if c.load <= BACKUP_ROOM and not c.doubtful)
--- a/src/daleroad/placing.py
+++ b/src/daleroad/placing.py
@@ -9,6 +9,7 @@
 import math
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field, replace
+from itertools import count
 from random import Random
 from statistics import mean
 from typing import Any
@@ -112,8 +113,8 @@
         self.own[gateway][load.instance] = known.add(load)
 
     def get_order(self, gateway: int, kind: PromptKind) -> Spread:
-        count = self.case.gateways if self.case.spread and kind is SHORT else 1
-        return make_spread(f"gateway-{gateway}", count)
+        gateways = self.case.gateways if self.case.spread and kind is SHORT else 1
+        return make_spread(f"gateway-{gateway}", gateways)
 
     def choose(self, gateway: int, kind: PromptKind, tokens: int) -> str:
         order = self.get_order(gateway, kind)
@@ -145,7 +146,7 @@
     """
     world = _make_world(case, Random(seed))
     # A number keeps events of one time in their order.
-    numbers = iter(range(10**9))
+    numbers = count()
     events = [(at, next(numbers), act) for at, act in _list_arrivals(world)]
     heapq.heapify(events)
     while events:
