Say who ended a stream, and how much time a stopping gateway had left

Cause: D323 said 'left by the client' of streams that the gateway's own stop cut off, and no line said that a request came to a gateway that was stopping; so a fault of admission, a break upstream and a client that left could not be told apart. That a coordinator names a gateway no longer was logged as ENTRY_JOINED with state false. The ledger tells the new ends apart; its test takes the typed ends instead of free text, with two more. No decision changes.

--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -271,6 +271,9 @@
                 "sends": way.sends,
                 "config": way.table.config.version,
             }
+        if not self._gateway.serving:
+            left = self._gateway.ends_at - job.received_at
+            fields["left_at_arrival"] = round(left, 3)
         end = outcome.kind.value if isinstance(outcome, Failure) else str(outcome.status)
         sends = way.sends if way else 0
         self._metrics.note_end(kind_of_route, end, sends, job.received_at)
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -63,6 +63,7 @@
     :param options: what it is told.
     :param dispatcher: carries requests to upstreams.
     :param random: source of choices between equals.
+    :param ends_at: when the process ends, on the runtime's clock; known once it was told to stop.
     """
 
     options: GatewayOptions
@@ -74,6 +75,7 @@
     gateways: int = 1
     heard_at: float = float("-inf")
     serving: bool = True
+    ends_at: float = float("inf")
     open_requests: int = 0
     on_leaving: Callable[[Instance], None] = lambda instance: None
     _own: dict[str, Load] = field(default_factory=dict)
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -215,10 +215,10 @@
         known = self._gateways.get(notice.address)
         if known is None:
             known = self._gateways[notice.address] = _Gateway(notice, heard_at)
-            log_event(Event.ENTRY_JOINED, name=notice.address, state=notice.serving)
+            _log_gateway(notice)
         elif heard_at >= known.heard_at:
             if known.notice.serving != notice.serving:
-                log_event(Event.ENTRY_JOINED, name=notice.address, state=notice.serving)
+                _log_gateway(notice)
             known.notice = notice
             known.heard_at = heard_at
         return known
@@ -263,6 +263,11 @@
         return list(totals.values())
 
 
+def _log_gateway(notice: GatewayNotice) -> None:
+    event = Event.GATEWAY_NAMED if notice.serving else Event.GATEWAY_WITHDRAWN
+    log_event(event, name=notice.address)
+
+
 def make_url(name: str) -> str:
     """Return the base URL of one of our processes.
 
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -6,6 +6,7 @@
 
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 from typing import Protocol
 
 import anyio
@@ -17,6 +18,16 @@
 from daleroad.gateway import Gateway
 
 
+class StreamEnd(StrEnum):
+    """How a stream to a client ended."""
+
+    WHOLE = "whole"
+    CLIENT = "left by the client"
+    STOP = "ended by this gateway's stop"
+    DEADLINE = "the time was over"
+    UPSTREAM = "broken off upstream"
+
+
 @dataclass(frozen=True)
 class Continuation:
     """An engine that has a generation's memory, and how to ask it to go on."""
@@ -51,6 +62,9 @@
     :param moving: whether it is being moved off its engine.
     :param continuation: set once it stopped there and its memory is elsewhere.
     :param settled: set when a move is over, whether it went well or not.
+    :param outcome: how it ended. A client that leaves just ends the delivery, so that stands until
+        another way is known.
+    :param reason: what broke it off upstream.
     :param tries: where it ran, and whether it may be made anew elsewhere.
     :param pause: longest pause between events that its route allows, in seconds; 0 for any.
     :param longest_pause: the longest so far.
@@ -67,7 +81,8 @@
     continuation: Continuation | None = None
     settled: anyio.Event = field(default_factory=anyio.Event)
     ended: bool = False
-    outcome: str = "left by the client"
+    outcome: StreamEnd = StreamEnd.CLIENT
+    reason: str = ""
     tries: Tries = field(default_factory=Tries)
     pause: float = 0.0
     longest_pause: float = 0.0
@@ -131,19 +146,27 @@
                 if _note_piece(run, piece):
                     yield piece.data
             if cut is None:
-                run.outcome = "whole"
+                run.outcome = StreamEnd.WHOLE
                 return
             failure = await self._go_on(run, cut)
             if failure is not None:
-                run.outcome = failure.reason
+                run.outcome = _find_end(failure)
+                run.reason = failure.reason
                 yield failure
                 return
 
+    def note_stop(self) -> None:
+        """Note that this gateway stops; streams that are not whole by then end for that."""
+        for run in self._runs.values():
+            run.outcome = StreamEnd.STOP
+
     async def close(self, run: Run) -> None:
         """End a stream, whether it is over or not.
 
         :param run: the stream.
         """
+        if run.outcome is StreamEnd.CLIENT and anyio.current_time() >= run.deadline:
+            run.outcome = StreamEnd.DEADLINE
         run.ended = True
         run.settled.set()
         self._runs.pop(run.attempt.job.id, None)
@@ -267,13 +290,19 @@
             events=run.events,
             prompt=run.attempt.job.prompt.tokens if run.attempt.job.prompt else 0,
             most=run.attempt.job.prompt.most_output if run.attempt.job.prompt else 0,
-            outcome=run.outcome,
+            outcome=run.outcome.value,
+            reason=run.reason,
             longest_pause=round(run.longest_pause, 3),
             paused=0 < run.pause < run.longest_pause,
             seconds=round(anyio.current_time() - run.attempt.job.received_at, 3),
         )
 
 
+def _find_end(failure: Failure) -> StreamEnd:
+    """Return how a stream ended that could not go on."""
+    return StreamEnd.DEADLINE if failure.kind is FailureKind.DEADLINE else StreamEnd.UPSTREAM
+
+
 def _note_piece(run: Run, piece: Piece) -> bool:
     """Note an event; return whether the client lacks it. Ids of one stream increase."""
     known, fresh = run.last_event, piece.event
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -5,6 +5,7 @@
 import orjson
 
 from daleroad.explain import LogLine, parse_lines
+from daleroad.runs import StreamEnd
 from tools.ledger import Cause, Loss, find_losses, render_losses, render_worth
 
 
@@ -21,8 +22,9 @@
     return say(time, "STREAM_BEGUN", request, kind="stream", late=late, seconds=0.5, status=200)
 
 
-def end(time: float, request: str, outcome: str = "whole", paused: bool = False) -> str:
-    return say(time, "STREAM_ENDED", request, outcome=outcome, paused=paused, seconds=4.0)
+def end(time: float, request: str, outcome: StreamEnd = StreamEnd.WHOLE, **fields: object) -> str:
+    said = {"outcome": outcome.value, "reason": "", "paused": False, "seconds": 4.0, **fields}
+    return say(time, "STREAM_ENDED", request, **said)
 
 
 class LedgerTest(unittest.TestCase):
@@ -37,11 +39,15 @@
             begin(1.3, "late", late=True),
             begin(1.4, "paused"),
             begin(1.5, "left"),
+            begin(1.6, "stopped"),
+            begin(1.7, "over"),
             end(5.0, "good"),
-            end(5.1, "cut", "ReadError(ReadError())"),
+            end(5.1, "cut", StreamEnd.UPSTREAM, reason="ReadError(ReadError())"),
             end(5.3, "late", paused=True),
             end(5.4, "paused", paused=True),
-            end(5.5, "left", "left by the client"),
+            end(5.5, "left", StreamEnd.CLIENT),
+            end(5.6, "stopped", StreamEnd.STOP),
+            end(5.7, "over", StreamEnd.DEADLINE),
         )
         causes = {request: loss.cause for request, loss in found.items()}
         expected = {
@@ -50,6 +56,8 @@
             "late": Cause.LATE,
             "paused": Cause.PAUSED,
             "left": Cause.LEFT,
+            "stopped": Cause.STOPPED,
+            "over": Cause.OVER,
         }
         self.assertEqual(causes, expected)
         self.assertEqual(found["cut"].reason, "ReadError")
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -1,6 +1,7 @@
 """Tests of streams whose generation moves: each event once, in order, or a visible end."""
 
 import unittest
+from unittest.mock import patch
 
 import anyio
 import trio
@@ -18,7 +19,7 @@
 from daleroad.gateway import Gateway
 from daleroad.moving import EngineMover
 from daleroad.routing import Repeat
-from daleroad.runs import Run, Runs, Tries
+from daleroad.runs import Run, Runs, StreamEnd, Tries
 from tests.fakes import (
     PROMPT,
     FakeDispatcher,
@@ -86,6 +87,26 @@
         self.assertEqual(run.outcome, "whole")
         self.assertEqual(self.dispatcher.copies, [])
 
+    def test_a_stream_says_what_ended_it(self) -> None:
+        # All but the second end just as the client's leaving does: the delivery is given up.
+        self.assertIs(self.give_up(5.0), StreamEnd.CLIENT)
+        self.assertIs(self.deliver(FakeStream(1, 2, cut=True)).outcome, StreamEnd.UPSTREAM)
+        self.assertIs(self.give_up(60.0), StreamEnd.DEADLINE)
+        self.assertIs(self.give_up(5.0, stopped=True), StreamEnd.STOP)
+
+    def give_up(self, after: float, stopped: bool = False) -> StreamEnd:
+        """Give up the delivery of an endless stream after some seconds; return its end."""
+
+        async def read(runs: Runs, run: Run) -> None:
+            with anyio.move_on_after(after):
+                async for _ in runs.deliver(run):
+                    pass
+            if stopped:
+                runs.note_stop()
+
+        with patch.object(self, "read", read):
+            return self.deliver(FakeStream(1, 2, wait=anyio.sleep_forever)).outcome
+
     def test_a_cut_without_a_copy_ends_visibly_and_at_once(self) -> None:
         self.deliver(FakeStream(1, 2, cut=True))
         assert self.failure is not None
--- a/tools/ledger.py
+++ b/tools/ledger.py
@@ -19,6 +19,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from daleroad.explain import LogLine, parse_lines
+from daleroad.runs import StreamEnd
 
 SPAN_SECONDS = 2
 """Length of the spans by which losses are listed."""
@@ -32,6 +33,8 @@
     GATEWAY = "its gateway ended with the stream on it"
     CUT = "its engine ended, and nothing could go on"
     LEFT = "its client left before the end"
+    STOPPED = "its gateway was stopped before its end"
+    OVER = "its time was over before its end"
     UPSTREAM = "the upstream's own failure"
     REFUSED = "refused"
     FAILED = "failed here"
@@ -79,15 +82,20 @@
 
 
 def _judge_stream(head: LogLine, end: LogLine, origin: float) -> Iterator[Loss]:
-    outcome = str(end.fields["outcome"])
-    if outcome == "left by the client":
-        yield _make_loss(head, origin, Cause.LEFT)
-    elif outcome != "whole":
-        yield _make_loss(head, origin, Cause.CUT, outcome.partition("(")[0])
-    elif head.fields.get("late"):
-        yield _make_loss(head, origin, Cause.LATE)
-    elif end.fields.get("paused"):
-        yield _make_loss(head, origin, Cause.PAUSED)
+    reason = str(end.fields.get("reason", "")).partition("(")[0]
+    match StreamEnd(end.fields["outcome"]):
+        case StreamEnd.CLIENT:
+            yield _make_loss(head, origin, Cause.LEFT)
+        case StreamEnd.STOP:
+            yield _make_loss(head, origin, Cause.STOPPED)
+        case StreamEnd.DEADLINE:
+            yield _make_loss(head, origin, Cause.OVER)
+        case StreamEnd.UPSTREAM:
+            yield _make_loss(head, origin, Cause.CUT, reason)
+        case StreamEnd.WHOLE if head.fields.get("late"):
+            yield _make_loss(head, origin, Cause.LATE)
+        case StreamEnd.WHOLE if end.fields.get("paused"):
+            yield _make_loss(head, origin, Cause.PAUSED)
 
 
 def _judge_answer(line: LogLine, origin: float) -> Iterator[Loss]:
