Take in a stopping gateway only what can be over before its process ends

Cause: admission looked at the client's time and the route's timeout, never at the gateway's own end. From SIGTERM to the end of its drain (7.3 of 8 s of grace) it took whatever came; a generation that needs longer was begun and cut. Class: work taken by a process that will surely end before the work does. Change: a pure decision (draining) estimates what a request may need until its answer begins and from then to its end, from the route's objective, the longest output and the client's own time. What does not fit in the time that is left is refused at once as not run, to come back at once elsewhere; that holds for each try, so also for a request from before the signal that no upstream ran. What waits for an upstream when the process ends is answered 502, may have run, instead of a closed connection; the upstream is not blamed. A drain that is over early takes nothing more. Ruled out: refusing everything from the signal on (clients have one retry, and short work is over in time); only the client's own time as the measure (a 6 s limit refuses short alerts after 1.3 s, which take under 1.1 s).

--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -232,6 +232,18 @@
 ENGINE_RETRY_AFTER_SECONDS = 0.4
 """When to come back to engines that are full; about one prompt's reading."""
 
+DRAIN_OBJECTIVES = 2.0
+"""A gateway that stops takes a request only if its answer may begin after so many of its route's
+objectives. In 218 streams beside rolled stops the latest first output came after 0.75 objectives;
+under load 5 to 10 % come after one."""
+
+DRAIN_TOKEN_SECONDS = 0.018
+"""Time of one token at which a stream must still end before a gateway that stops does: twice the
+mean. 92 long streams had 8.7 ms in the mean, the slowest 11.5 ms."""
+
+DRAIN_RETRY_SECONDS = 0.0
+"""When to come back after a gateway that stops refused: at once, since it is to another gateway."""
+
 NO_CONFIG_RETRY_SECONDS = 0.5
 """When to come back to a gateway without a configuration; about one more election."""
 
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -11,6 +11,7 @@
 import anyio
 
 from daleroad.defaults import (
+    DRAIN_RETRY_SECONDS,
     ENGINE_RETRY_AFTER_SECONDS,
     NO_CONFIG_RETRY_SECONDS,
     PLAIN_RETRY_AFTER_SECONDS,
@@ -28,6 +29,7 @@
     Stream,
     Whole,
 )
+from daleroad.draining import Need, estimate_need
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
 from daleroad.fleet import Instance
@@ -59,7 +61,12 @@
 
 @dataclass
 class _Way:
-    """What is known of one request on its way."""
+    """What is known of one request on its way.
+
+    :param deadline: when its client or its route's timeout ends it.
+    :param limit: the same, less the time of the answer's way.
+    :param need: time that it may need.
+    """
 
     job: Job
     table: RoutingTable
@@ -68,6 +75,8 @@
     organisation: str
     rank: int
     deadline: float
+    limit: float
+    need: Need
     tried: dict[str, None] = field(default_factory=dict)
     ran: int = 0
     sends: int = 0
@@ -119,7 +128,9 @@
             rank = route.rank if found.rank is None else found.rank
         service = table.services[table.pick_service(route, gateway.random.random())]
         deadline = min(job.deadline, job.received_at + route.timeout)
-        return _Way(job, table, route, service, organisation, rank, deadline)
+        need = estimate_need(route, job.prompt, deadline - job.received_at)
+        limit = deadline - SPARE_SECONDS
+        return _Way(job, table, route, service, organisation, rank, deadline, limit, need)
 
     def _expect_config(self) -> float:
         """Return the seconds after which this gateway should have a configuration."""
@@ -129,16 +140,21 @@
     async def _find_outcome(self, way: _Way) -> Outcome:
         self._gateway.budget.note_first(way.service.name, anyio.current_time())
         while True:
-            seconds = way.deadline - anyio.current_time() - SPARE_SECONDS
-            if seconds <= 0:
+            now = anyio.current_time()
+            if now >= way.limit:
                 return self._give_up(way, "the time is over")
+            if not way.ran and not way.need.fits(self._gateway.ends_at - now):
+                reason = "this gateway stops before the answer could be whole"
+                return Failure(FailureKind.DRAINING, reason, Ran.NO, DRAIN_RETRY_SECONDS)
+            if now >= self._find_begin(way):
+                return self._give_up(way, "this gateway stops")
             prompt = way.job.prompt
             tokens = count_tokens(prompt)
             instance = self._gateway.pick(way.service, tokens, way.tried, prompt)
             if instance is None:
                 return self._give_up(way, "no upstream is left")
             way.sends += 1
-            outcome = await self._try(way, instance, seconds)
+            outcome = await self._try(way, instance, way.limit - now)
             if outcome is not None:
                 return outcome
             if not self._may_repeat(way):
@@ -168,15 +184,17 @@
             gateway.add_load(backup, 0, tokens)
         kept = False
         try:
-            with anyio.move_on_after(seconds):
+            with gateway.wait(self._find_begin(way)) as scope:
                 reply = await gateway.dispatcher.send(attempt)
                 if isinstance(reply, NotRun | Lost | Whole):
                     return self._judge(way, instance, reply)
                 kept = True
                 return self._start_flow(self._make_run(way, attempt, reply, tokens, backup))
             way.ran += 1
-            gateway.note_result(instance, False)
             way.last = None
+            if scope.deadline < way.limit:
+                return Failure(FailureKind.DRAINING, "this gateway stops", Ran.UNKNOWN)
+            gateway.note_result(instance, False)
             return Failure(FailureKind.DEADLINE, f"{instance.id} took too long", Ran.UNKNOWN)
         finally:
             gateway.add_load(instance, 0, 0, -unread)
@@ -185,6 +203,14 @@
                 if backup is not None:
                     gateway.add_load(backup, 0, -tokens)
 
+    def _find_begin(self, way: _Way) -> float:
+        """Return until when an answer must have begun.
+
+        A stream that begins later than its rest takes would be cut off when the process ends. One
+        that waits when the process is told to stop is let go on: it may still be over in time.
+        """
+        return min(way.limit, self._gateway.ends_at - way.need.finish)
+
     def _make_run(
         self, way: _Way, attempt: Attempt, stream: Stream, tokens: int, backup: Instance | None
     ) -> Run:
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Container, Coroutine, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -78,6 +79,7 @@
     ends_at: float = float("inf")
     open_requests: int = 0
     on_leaving: Callable[[Instance], None] = lambda instance: None
+    _waits: set[anyio.CancelScope] = field(default_factory=set)
     _own: dict[str, Load] = field(default_factory=dict)
     _leaving_since: dict[str, float] = field(default_factory=dict)
     _others: dict[str, Load] = field(default_factory=dict)
@@ -110,6 +112,35 @@
         options = self.options
         return GatewayNotice(options.address, options.zone, options.region, self.is_ready())
 
+    def begin_drain(self, ends_at: float) -> None:
+        """Send new clients elsewhere; nothing waits for an upstream beyond the process's end.
+
+        What waits then still gets an answer, which says that it may have run.
+
+        :param ends_at: when the process ends at the latest, on the runtime's clock.
+        """
+        self.serving = False
+        self.ends_at = ends_at
+        for scope in self._waits:
+            scope.deadline = min(scope.deadline, ends_at)
+
+    def end_drain(self) -> None:
+        """Take nothing more: the process ends now, maybe before its time."""
+        self.ends_at = anyio.current_time()
+
+    @contextmanager
+    def wait(self, until: float) -> Iterator[anyio.CancelScope]:
+        """Give up what is done within at a time, or when the process ends; yield the scope.
+
+        :param until: the time, on the runtime's clock.
+        """
+        with anyio.CancelScope(deadline=min(until, self.ends_at)) as scope:
+            self._waits.add(scope)
+            try:
+                yield scope
+            finally:
+                self._waits.discard(scope)
+
     def is_ready(self) -> bool:
         """Return whether new clients should come here."""
         return self.serving and self.table is not None
