--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -170,6 +170,9 @@
 LEADER_WAIT_SECONDS = 0.85
 """How long a coordinator looks for a leader; callers wait for one second."""
 
+COORDINATOR_DRAIN_SECONDS = 1.0
+"""How long a coordinator that stops answers what it has read; its callers wait for one second."""
+
 LEAVE_TOLD_SECONDS = 0.4
 """How long an upstream's leave waits for other coordinators; its caller waits for one second."""
 
