Keep what a stopping gateway can still serve; say by how many serve when to come back

Change: requests wait until 0.1 s before the server closes; a refused client comes back at once where half of the gateways serve, after a lookup's life where fewer do, after the restart where none does; if its time is too short for that, it is taken when most like it would be over. A stream is made anew only if it can be over. Names say what they are. Ruled out: a need by the request's own time used up so far only (kept: its own limit counts from now on).

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -380,7 +380,7 @@
             fleet.list_ages(now),
             None if loads is None else tuple(loads),
             self.presence.count_gateways(now),
-            self.presence.has_others(asked.gateway.address),
+            self.presence.count_others(asked.gateway.address),
         )
 
     async def _serve_save(self, request: Request) -> Answer:
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -170,6 +170,15 @@
 LEADER_WAIT_SECONDS = 0.85
 """How long a coordinator looks for a leader; callers wait for one second."""
 
+LOOKUP_KEPT_SECONDS = 2
+"""How long a client may keep the addresses it was told; below what a heartbeat's loss takes."""
+
+LOOKUP_STALE_FACTOR = 3.0
+"""Some clients keep an answer for so many times as long; the platform says so."""
+
+LOOKUP_CHANGE_SECONDS = 0.3
+"""Until no coordinator names a gateway that leaves; 0.18 s were measured with six."""
+
 COORDINATOR_DRAIN_SECONDS = 1.0
 """How long a coordinator that stops answers what it has read; its callers wait for one second."""
 
@@ -245,7 +254,13 @@
 mean. 92 long streams had 8.7 ms in the mean, the slowest 11.5 ms."""
 
 DRAIN_RETRY_SECONDS = 0.0
-"""When to come back after a gateway that stops refused, if there is another: at once."""
+"""When to come back after a gateway that stops refused, if most others serve: at once."""
+
+CLIENT_RETURN_SHARE = 1 / 3
+"""Part of the time left to a client for which it waits before it comes back; the platform's."""
+
+LAST_ANSWER_SECONDS = 0.1
+"""Time kept before a gateway's end to tell clients what became of requests that still wait."""
 
 GATEWAY_RESTART_SECONDS = 1.5
 """From the end of a gateway's drain until it serves again: 0.35 s to the end of its process, 0.8 s
--- a/src/daleroad/draining.py
+++ b/src/daleroad/draining.py
@@ -7,10 +7,20 @@
 
 from dataclasses import dataclass
 
-from daleroad.defaults import DRAIN_OBJECTIVES, DRAIN_TOKEN_SECONDS
+from daleroad.defaults import (
+    CLIENT_RETURN_SHARE,
+    DRAIN_OBJECTIVES,
+    DRAIN_RETRY_SECONDS,
+    DRAIN_TOKEN_SECONDS,
+    GATEWAY_RESTART_SECONDS,
+    LOOKUP_KEPT_SECONDS,
+)
 from daleroad.dispatch import Prompt
 from daleroad.routing import Repeat, RouteRule
 
+_CAUTION = 2.0
+"""By how much a need is above what requests take mostly; both of its parts are."""
+
 
 @dataclass(frozen=True)
 class Need:
@@ -23,23 +33,65 @@
     begin: float
     finish: float
 
-    def fits(self, left: float) -> bool:
-        """Return whether a request can be over within some seconds.
+    def fits(self, left: float, allowed: float) -> bool:
+        """Return whether a request is over before the process is, also if it takes long.
 
         :param left: seconds until the process ends.
+        :param allowed: seconds until the request's client or route ends it.
         """
-        return self.begin + self.finish <= left
+        return min(self.begin + self.finish, allowed) <= left
 
+    def may_fit(self, left: float) -> bool:
+        """Return whether a request that takes no longer than most is over before the process is.
 
-def estimate_need(route: RouteRule, prompt: Prompt | None, limit: float) -> Need:
-    """Return the time that a request may need; more than its own limit it never does.
+        :param left: seconds until the process ends.
+        """
+        return (self.begin + self.finish) / _CAUTION <= left
+
+    def find_latest_begin(self, ends_at: float) -> float:
+        """Return when an answer must have begun at the latest to be whole, mostly.
+
+        :param ends_at: when the process ends.
+        """
+        return ends_at - self.finish / _CAUTION
+
+
+def estimate_need(route: RouteRule, prompt: Prompt | None) -> Need:
+    """Return the time that a request may need; without end where nothing is known of it.
 
     :param route: its route.
     :param prompt: what it says of its prompt and output, if anything.
-    :param limit: seconds until its client or its route's timeout ends it.
     """
-    begin = DRAIN_OBJECTIVES * route.objective or limit
+    begin = DRAIN_OBJECTIVES * route.objective if route.objective else float("inf")
     if route.repeat is not Repeat.STREAM:
-        return Need(min(begin, limit), 0.0)
-    finish = prompt.most_output * DRAIN_TOKEN_SECONDS if prompt else limit
-    return Need(min(begin, limit), max(0.0, min(finish, limit - begin)))
+        return Need(begin, 0.0)
+    return Need(begin, prompt.most_output * DRAIN_TOKEN_SECONDS if prompt else float("inf"))
+
+
+def find_return(left: float, others: int, gateways: int) -> float:
+    """Return when a client that a stopping gateway refuses should come back, in seconds.
+
+    :param left: seconds until the process ends.
+    :param others: other gateways that take clients.
+    :param gateways: all gateways that are alive.
+    """
+    if not others:
+        return round(max(0.0, left) + GATEWAY_RESTART_SECONDS, 2)
+    # A client tries an address that it knows. Where most of those stop, it had better ask anew.
+    return DRAIN_RETRY_SECONDS if 2 * others >= gateways else LOOKUP_KEPT_SECONDS
+
+
+def takes(need: Need, left: float, allowed: float, back: float) -> bool:
+    """Return whether a stopping gateway should take a request.
+
+    What may be over in time is taken also where it is not sure, if its client can't come back:
+    clients wait only for a part of their time.
+
+    :param need: time that it may need.
+    :param left: seconds until the process ends.
+    :param allowed: seconds until the request's client or route ends it.
+    :param back: seconds after which its client could come back.
+    """
+    if need.fits(left, allowed):
+        return True
+    return back > CLIENT_RETURN_SHARE * allowed and need.may_fit(left)
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -12,6 +12,7 @@
 
 from daleroad.defaults import (
     ENGINE_RETRY_AFTER_SECONDS,
+    LAST_ANSWER_SECONDS,
     NO_CONFIG_RETRY_SECONDS,
     PLAIN_RETRY_AFTER_SECONDS,
     SPARE_SECONDS,
@@ -28,7 +29,7 @@
     Stream,
     Whole,
 )
-from daleroad.draining import Need, estimate_need
+from daleroad.draining import Need, estimate_need, find_return, takes
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
 from daleroad.fleet import Instance
@@ -127,7 +128,7 @@
             rank = route.rank if found.rank is None else found.rank
         service = table.services[table.pick_service(route, gateway.random.random())]
         deadline = min(job.deadline, job.received_at + route.timeout)
-        need = estimate_need(route, job.prompt, deadline - job.received_at)
+        need = estimate_need(route, job.prompt)
         limit = deadline - SPARE_SECONDS
         return _Way(job, table, route, service, organisation, rank, deadline, limit, need)
 
@@ -142,11 +143,10 @@
             now = anyio.current_time()
             if now >= way.limit:
                 return self._give_up(way, "the time is over")
-            if not way.ran and not way.need.fits(self._gateway.ends_at - now):
-                reason = "this gateway stops before the answer could be whole"
-                after = self._gateway.expect_service()
-                return Failure(FailureKind.DRAINING, reason, Ran.NO, after)
-            if now >= self._find_begin(way):
+            refusal = None if way.ran else self._refuse_late(way, now)
+            if refusal is not None:
+                return refusal
+            if now >= self._find_latest_begin(way):
                 return self._give_up(way, "this gateway stops")
             prompt = way.job.prompt
             tokens = count_tokens(prompt)
@@ -184,7 +184,8 @@
             gateway.add_load(backup, 0, tokens)
         kept = False
         try:
-            with gateway.wait(self._find_begin(way)) as scope:
+            latest_begin = self._find_latest_begin(way)
+            with gateway.give_up_at(latest_begin) as scope:
                 reply = await gateway.dispatcher.send(attempt)
                 if isinstance(reply, NotRun | Lost | Whole):
                     return self._judge(way, instance, reply)
@@ -192,7 +193,8 @@
                 return self._start_flow(self._make_run(way, attempt, reply, tokens, backup))
             way.ran += 1
             way.last = None
-            if scope.deadline < way.limit:
+            stopped = scope.deadline < way.limit
+            if stopped:
                 return Failure(FailureKind.DRAINING, "this gateway stops", Ran.UNKNOWN)
             gateway.note_result(instance, False)
             return Failure(FailureKind.DEADLINE, f"{instance.id} took too long", Ran.UNKNOWN)
@@ -203,19 +205,29 @@
                 if backup is not None:
                     gateway.add_load(backup, 0, -tokens)
 
-    def _find_begin(self, way: _Way) -> float:
-        """Return until when an answer must have begun.
-
-        A stream that begins later than its rest takes would be cut off when the process ends. One
-        that waits when the process is told to stop is let go on: it may still be over in time.
-        """
-        return min(way.limit, self._gateway.ends_at - way.need.finish)
+    def _refuse_late(self, way: _Way, now: float) -> Failure | None:
+        """Return a refusal of what this gateway's stop would break off; nothing ran of it."""
+        gateway = self._gateway
+        left = gateway.ends_at - now
+        back = find_return(left, gateway.others, gateway.gateways)
+        if takes(way.need, left, way.limit - now, back):
+            return None
+        reason = "this gateway stops before the answer could be whole"
+        return Failure(FailureKind.DRAINING, reason, Ran.NO, back)
+
+    def _find_latest_begin(self, way: _Way) -> float:
+        """Return until when an answer must have begun; later it would be broken off by our end."""
+        ends_at = self._gateway.ends_at - LAST_ANSWER_SECONDS
+        if way.limit <= ends_at:
+            return way.limit
+        return min(way.limit, way.need.find_latest_begin(ends_at))
 
     def _make_run(
         self, way: _Way, attempt: Attempt, stream: Stream, tokens: int, backup: Instance | None
     ) -> Run:
         """Return a stream that was begun, with what may be done if its upstream breaks it off."""
-        tries = Tries(set(way.tried), way.route.attempts if way.route.resumable else 0, way.ran + 1)
+        most = way.route.attempts if way.route.resumable else 0
+        tries = Tries(set(way.tried), most, way.ran + 1, way.need)
         allowed = way.route.pause
         return Run(attempt, stream, way.deadline, tokens, backup, tries=tries, pause=allowed)
 
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -13,8 +13,7 @@
 from daleroad.defaults import (
     BACKUP_ROOM,
     BACKUP_WORTH_SECONDS,
-    DRAIN_RETRY_SECONDS,
-    GATEWAY_RESTART_SECONDS,
+    LAST_ANSWER_SECONDS,
     LATE_HEARTBEATS,
     OVERDUE_HEARTBEATS,
 )
@@ -67,8 +66,9 @@
     :param dispatcher: carries requests to upstreams.
     :param random: source of choices between equals.
     :param gateways: how many gateways are alive, with this one.
-    :param others: whether another one takes clients.
-    :param ends_at: when the process ends, on the runtime's clock; known once it was told to stop.
+    :param others: how many others take clients.
+    :param ends_at: when the process ends at the earliest, on the runtime's clock; known once it was
+        told to stop.
     """
 
     options: GatewayOptions
@@ -78,7 +78,7 @@
     table: RoutingTable | None = None
     ejector: Ejector = field(default_factory=Ejector)
     gateways: int = 1
-    others: bool = True
+    others: int = 1
     heard_at: float = float("-inf")
     serving: bool = True
     ends_at: float = float("inf")
@@ -118,38 +118,28 @@
         return GatewayNotice(options.address, options.zone, options.region, self.is_ready())
 
     def begin_drain(self, ends_at: float) -> None:
-        """Send new clients elsewhere; nothing waits for an upstream beyond the process's end.
+        """Send new clients elsewhere; nothing waits for an upstream until the process ends.
 
-        What waits then still gets an answer, which says that it may have run.
+        What waits until shortly before gets an answer, which says that it may have run.
 
-        :param ends_at: when the process ends at the latest, on the runtime's clock.
+        :param ends_at: when the process ends at the earliest, on the runtime's clock.
         """
         self.serving = False
         self.ends_at = ends_at
         for scope in self._waits:
-            scope.deadline = min(scope.deadline, ends_at)
-
-    def expect_service(self) -> float:
-        """Return when a client that a drain refused should come back, in seconds.
-
-        Elsewhere it is served at once; where this is the last gateway, only after its restart.
-        """
-        if self.others:
-            return DRAIN_RETRY_SECONDS
-        left = max(0.0, self.ends_at - anyio.current_time())
-        return round(left + GATEWAY_RESTART_SECONDS, 2)
+            scope.deadline = min(scope.deadline, ends_at - LAST_ANSWER_SECONDS)
 
     def end_drain(self) -> None:
         """Take nothing more: the process ends now, maybe before its time."""
         self.ends_at = anyio.current_time()
 
     @contextmanager
-    def wait(self, until: float) -> Iterator[anyio.CancelScope]:
-        """Give up what is done within at a time, or when the process ends; yield the scope.
+    def give_up_at(self, time: float) -> Iterator[anyio.CancelScope]:
+        """Give up what is done within at a time, or before the process ends; yield the scope.
 
-        :param until: the time, on the runtime's clock.
+        :param time: the time, on the runtime's clock.
         """
-        with anyio.CancelScope(deadline=min(until, self.ends_at)) as scope:
+        with anyio.CancelScope(deadline=time) as scope:
             self._waits.add(scope)
             try:
                 yield scope
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -117,7 +117,7 @@
     :param ages: seconds since each instance was heard.
     :param loads: the work of all other gateways, where it was asked for.
     :param gateways: how many gateways are alive.
-    :param others: whether another gateway takes clients.
+    :param others: how many other gateways take clients.
     """
 
     epoch: str
@@ -130,7 +130,7 @@
     ages: dict[str, float]
     loads: tuple[Load, ...] | None
     gateways: int
-    others: bool = True
+    others: int = 1
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -109,12 +109,12 @@
         heard = (now - gateway.heard_at for gateway in self._gateways.values())
         return sum(age < GATEWAY_SILENT_SECONDS for age in heard)
 
-    def has_others(self, asker: str) -> bool:
-        """Return whether clients of a gateway would find another that takes them.
+    def count_others(self, asker: str) -> int:
+        """Return how many other gateways take clients.
 
-        :param asker: the gateway's address.
+        :param asker: a gateway's address.
         """
-        return any(n.address != asker for n in self._list_heard(GATEWAY_SILENT_SECONDS))
+        return sum(n.address != asker for n in self._list_heard(GATEWAY_SILENT_SECONDS))
 
     async def hear(self, sighting: Sighting) -> Failure | None:
         """Take an upstream's heartbeat; return nothing once it counts.
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -12,6 +12,7 @@
 import anyio
 
 from daleroad.dispatch import Attempt, Lost, NotRun, Piece, Source, Stream, Whole
+from daleroad.draining import Need
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
 from daleroad.fleet import Instance, InstanceState
@@ -43,11 +44,13 @@
     :param upstreams: ids of those that it was sent to.
     :param most: runs allowed where a stream may be made anew elsewhere, else 0.
     :param ran: runs so far; one that goes on from its own memory is the same run.
+    :param need: time that another run may need.
     """
 
     upstreams: set[str] = field(default_factory=set)
     most: int = 0
     ran: int = 1
+    need: Need = Need(0.0, 0.0)
 
 
 @dataclass
@@ -198,6 +201,10 @@
         service = gateway.get_service(run.attempt.instance.service)
         if service is None or tries.ran >= tries.most:
             return None
+        now = anyio.current_time()
+        if not tries.need.fits(gateway.ends_at - now, run.deadline - now):
+            # This gateway stops before it would be over; the client can resume elsewhere at once.
+            return None
         prompt = run.attempt.job.prompt
         found = gateway.pick(service, run.tokens, tries.upstreams, prompt)
         if found is None or not gateway.take_repeat(service.name):
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -8,6 +8,7 @@
 import trio.testing
 
 from daleroad.dispatch import Attempt, Copied, CopyFault, EngineReport, Lost, NotCopied, NotRun
+from daleroad.draining import Need
 from daleroad.errors import Failure, Ran
 from daleroad.evacuation import (
     COPY_EACH_SECONDS,
@@ -38,12 +39,14 @@
         self.failure: Failure | None = None
         self.notice = False
         self.tries = Tries()
+        self.ends_at = float("inf")
 
     def deliver(self, stream: FakeStream) -> Run:
         async def main() -> Run:
             now = anyio.current_time()
             config = make_config(Repeat.STREAM, engine=True)
             gateway = make_gateway(self.dispatcher, config, now)
+            gateway.ends_at = now + self.ends_at
             runs = Runs(gateway, EngineMover(gateway))
             gateway.on_leaving = runs.leave_engine
             async with anyio.create_task_group() as tasks:
@@ -149,6 +152,18 @@
         self.assertGreater(first, others - 0.001)
         self.assertLess(last, 1.4)
 
+    def test_a_stream_is_not_made_anew_where_the_process_ends_before_it(self) -> None:
+        self.tries = Tries({"i1"}, 2, need=Need(3.0, 57.0))
+        self.dispatcher.replies = [FakeStream(3, 4)]
+        self.ends_at = 50.0
+        self.deliver(FakeStream(1, 2, cut=True))
+        assert self.failure is not None
+        self.assertEqual(self.dispatcher.attempts, [])
+        self.failure = None
+        self.ends_at = 61.0
+        self.deliver(FakeStream(1, 2, cut=True))
+        self.assertIsNone(self.failure)
+
     def test_a_cut_without_notice_stops_the_engine_before_another_goes_on(self) -> None:
         self.dispatcher.copied = Copied("handle", 2)
         self.dispatcher.replies = [FakeStream(3, 4)]
