Ask one coordinator whether others serve, and look at a drain only while there is one

Cause: a coordinator that has just started knows of few gateways; a stopping gateway that heard it last would tell clients to come back after its restart though others serve. And each request worked out what only a stopping gateway needs. Change: the number of others comes from the coordinator with which loads are exchanged, the leader mostly.

--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -83,7 +83,7 @@
     ORDER_SENT = Kind(333, logging.INFO, "An order was sent to an engine.")
     ORDER_SETTLED = Kind(331, logging.INFO, "An engine's state was read back as ordered.")
     ORDER_FAILED = Kind(332, logging.WARNING, "An engine did not answer an order.")
-    ENDED_UNANSWERED = Kind(401, logging.WARNING, "A process ended with a request open; told so.")
+    ENDED_UNANSWERED = Kind(401, logging.WARNING, "A process ended with a request open.")
     HANDLER_FAILED = Kind(400, logging.ERROR, "A request handler failed unexpectedly.")
 
 
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -143,7 +143,7 @@
             now = anyio.current_time()
             if now >= way.limit:
                 return self._give_up(way, "the time is over")
-            refusal = None if way.ran else self._refuse_late(way, now)
+            refusal = self._refuse_late(way, now)
             if refusal is not None:
                 return refusal
             if now >= self._find_latest_begin(way):
@@ -206,8 +206,10 @@
                     gateway.add_load(backup, 0, -tokens)
 
     def _refuse_late(self, way: _Way, now: float) -> Failure | None:
-        """Return a refusal of what this gateway's stop would break off; nothing ran of it."""
+        """Return a refusal of what this gateway's stop would break off, if nothing ran of it."""
         gateway = self._gateway
+        if gateway.serving or way.ran:
+            return None
         left = gateway.ends_at - now
         back = find_return(left, gateway.others, gateway.gateways)
         if takes(way.need, left, way.limit - now, back):
@@ -216,7 +218,7 @@
         return Failure(FailureKind.DRAINING, reason, Ran.NO, back)
 
     def _find_latest_begin(self, way: _Way) -> float:
-        """Return until when an answer must have begun; later it would be broken off by our end."""
+        """Return until when an answer must have begun; a later one our end would break off."""
         ends_at = self._gateway.ends_at - LAST_ANSWER_SECONDS
         if way.limit <= ends_at:
             return way.limit
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -158,7 +158,9 @@
         now = anyio.current_time()
         gateway.heard_at = now
         gateway.gateways = max(1, answer.gateways)
-        gateway.others = answer.others
+        if self._is_fast(name):
+            # One that has just started has not heard of all gateways yet; the leader mostly has.
+            gateway.others = answer.others
         self._known = answer.coordinators
         self._leader = answer.leader or self._leader
         self._failed_at = {n: at for n, at in self._failed_at.items() if n in self._known}
