Let a cut link bring nothing behind bytes that it lost

Cause: a link that cuts dropped what came back and went on once it was sound, so a connection could have a hole in it. Change: a connection that lost bytes brings back nothing more. This is harsher than before for what waits on it, and new connections work once the link is sound, as they did.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,6 +75,29 @@
             with self.subTest(fault):
                 self.assertEqual(self.ask(fault), "nothing")
 
+    def test_a_connection_that_lost_bytes_brings_none_behind_them(self) -> None:
+        async def main() -> list[bytes]:
+            link = FaultyLink("127.0.2.9:18001", "127.0.1.9:18001")
+            listener = await anyio.create_tcp_listener(local_host="127.0.1.9", local_port=18001)
+            found: list[bytes] = []
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, _echo)
+                tasks.start_soon(link.run)
+                await anyio.sleep(0.05)
+                async with await anyio.connect_tcp("127.0.2.9", 18001) as stream:
+                    tasks.start_soon(link.hurt, LinkFault.CUT, 0.2)
+                    for _ in range(2):
+                        await anyio.sleep(0.1)
+                        await stream.send(b"hello")
+                        await anyio.sleep(0.2)
+                    with anyio.move_on_after(0.2):
+                        found.append(await stream.receive())
+                tasks.cancel_scope.cancel()
+            await listener.aclose()
+            return found
+
+        self.assertEqual(anyio.run(main), [])
+
 
 async def _echo(stream: SocketStream) -> None:
     async with stream:
--- a/tools/faultylink.py
+++ b/tools/faultylink.py
@@ -19,7 +19,7 @@
     DELAY = "delay"
     RESET = "reset"
     CUT = "cut"
-    """Nothing comes back any more; what is sent still arrives."""
+    """Nothing comes back; what is sent still arrives. Connections that lost bytes stay cut."""
     SILENCE = "silence"
     """Open connections carry nothing more, and nothing tells either end; new ones work."""
 
@@ -92,8 +92,10 @@
                     await anyio.sleep_forever()
                 if self.fault is LinkFault.DELAY:
                     await anyio.sleep(DELAY_SECONDS)
-                if not (back and self.fault is LinkFault.CUT):
-                    await sink.send(chunk)
+                if back and self.fault is LinkFault.CUT:
+                    # No network brings the bytes behind those that it lost.
+                    await anyio.sleep_forever()
+                await sink.send(chunk)
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
             # One end is gone, so the other is closed too.
             scope.cancel()
