Let the soak stop gateways in turn while clients ask for long streams

Cause: a stopping gateway takes a long generation seconds after its SIGTERM and cuts it; the soak had no streams at all, and its clients had an answer within a tenth of a second, so it could not see that. Change: each upstream's VM has a stand-in engine besides, whose streams have the number of events and the pace that their requests name: 0.1 s, 1 to 3 s, or 1 to 4 s longer than the grace, drawn by the seed, their sizes told truthfully. Sixteen clients ask for them on kept connections; half of them choose a gateway up to 3 to 8 s after its SIGTERM, the others up to 1 to 2 s after it. A plan of its own stops one or two of the four gateways 0.3 to 1.5 s apart, and again once they serve; the other faults of a seed stay as they were. What was stopped gets SIGKILL after the grace, as on the platform. The ledger knows each SIGTERM and every other fault. With a SIGTERM as the only fault, at the gateway or on the link over which a request reached an upstream, since a second before it or the request, it counts as broken: a stream or plain request sent over 3 s after it that was cut or not answered; an earlier stream that ended so before the last sixth of the grace; a plain request at any time that was not answered.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,15 @@
 from anyio.abc import SocketStream
 
 from tools.faultylink import FaultyLink, LinkFault
-from tools.soak import PROCESS_FAULTS, Ledger, plan_steps
+from tools.soak import (
+    GATEWAYS,
+    PROCESS_FAULTS,
+    QUIET_SECONDS,
+    plan_steps,
+    plan_stops,
+)
+from tools.soakledger import GRACE_SECONDS, Asked, Ending, Hurt, Kind, Ledger
+from tools.soakstreams import MIDDLE_SECONDS, PROMPT_TOKENS, draw_size
 
 ROOT = Path(__file__).resolve().parent.parent
 SEED = "1"
@@ -38,6 +46,37 @@
         self.assertEqual(kinds, {*PROCESS_FAULTS, "wipe"} | links)
 
 
+class StopsTest(unittest.TestCase):
+    def test_a_seed_fixes_the_stops(self) -> None:
+        plans = [list(plan_stops(Random(seed), 40.0)) for seed in (5, 5, 6)]
+        self.assertEqual(plans[0], plans[1])
+        self.assertNotEqual(plans[0], plans[2])
+
+    def test_at_most_half_of_the_gateways_drain_at_once(self) -> None:
+        most = 0
+        for seed in range(50):
+            stops = list(plan_stops(Random(seed), 60.0))
+            self.assertEqual({stop.kind for stop in stops}, {"stop"})
+            self.assertLessEqual(stops[-1].at, 60.0 - QUIET_SECONDS)
+            self.assertEqual(len({stop.target for stop in stops}), GATEWAYS)
+            for stop in stops:
+                draining = {
+                    other.target for other in stops if 0 <= stop.at - other.at < GRACE_SECONDS
+                }
+                self.assertLessEqual(len(draining), GATEWAYS // 2)
+                most = max(most, len(draining))
+        self.assertEqual(most, GATEWAYS // 2)
+
+    def test_streams_are_shorter_and_longer_than_a_drain(self) -> None:
+        random = Random(1)
+        sizes = [draw_size(random, GRACE_SECONDS) for _ in range(200)]
+        spans = [size.seconds for size in sizes]
+        self.assertAlmostEqual(min(spans), 0.1)
+        self.assertGreater(sum(span > GRACE_SECONDS for span in spans), 40)
+        self.assertFalse([s for s in spans if MIDDLE_SECONDS[1] < s < GRACE_SECONDS])
+        self.assertGreaterEqual(min(size.prompt for size in sizes), PROMPT_TOKENS[0])
+
+
 class FaultyLinkTest(unittest.TestCase):
     def ask(self, fault: LinkFault, hurt_first: bool = True) -> bytes | str:
         """Send a line over a link that is hurt; return what came back, or how it ended."""
@@ -123,6 +162,87 @@
         self.assertEqual(ledger.broken, ["b ran 2 times", "d ran though it was refused as not run"])
 
 
+class StopLedgerTest(unittest.TestCase):
+    """One gateway gets SIGTERM at 10 s and is gone at 16 s."""
+
+    def judge(
+        self,
+        sent: float,
+        ending: Ending | None,
+        kind: Kind = Kind.STREAM,
+        *hurts: Hurt,
+        ended: float = 15.7,
+    ) -> Ledger:
+        ledger = Ledger(reached={"a": {"link-1"}})
+        ledger.history.note_stop("gateway-0", 10.0)
+        ledger.history.note_gone("gateway-0", 16.0)
+        ledger.history.hurts.extend(hurts)
+        ledger.asked.append(Asked("a", kind, "gateway-0", sent, ended, ending))
+        ledger.check_stops()
+        return ledger
+
+    def test_a_late_stream_that_was_cut_or_unanswered_is_lost(self) -> None:
+        lost = self.judge(13.1, Ending.CUT).broken
+        expected = "a (stream) sent 3.10 s after the SIGTERM of gateway-0: cut 5.70 s after it"
+        self.assertEqual(lost, [expected])
+        self.assertEqual(len(self.judge(13.1, None).broken), 1)
+
+    def test_other_endings_and_earlier_streams_are_no_breaks(self) -> None:
+        for ending in (Ending.WHOLE, Ending.REFUSED, Ending.FAILED):
+            self.assertEqual(self.judge(13.1, ending).broken, [])
+        for sent in (9.0, 12.9):
+            self.assertEqual(self.judge(sent, Ending.CUT).broken, [])
+
+    def test_an_earlier_stream_may_be_cut_only_in_the_last_sixth_of_the_grace(self) -> None:
+        for sent in (9.0, 12.9):
+            self.assertEqual(self.judge(sent, Ending.CUT, ended=15.1).broken, [])
+            self.assertEqual(len(self.judge(sent, Ending.CUT, ended=14.9).broken), 1)
+
+    def test_what_no_upstream_saw_is_no_break(self) -> None:
+        ledger = Ledger()
+        ledger.history.note_stop("gateway-0", 10.0)
+        for kind in Kind:
+            ledger.asked.append(Asked("b", kind, "gateway-0", 15.0, 15.1, None))
+        ledger.check_stops()
+        self.assertEqual(ledger.broken, [])
+        self.assertEqual(dict(ledger.streams), {("3 s after", Ending.UNREAD): 1})
+
+    def test_a_plain_request_without_an_answer_is_lost_whenever_it_was_sent(self) -> None:
+        for sent in (9.9, 11.0, 15.0):
+            self.assertEqual(len(self.judge(sent, None, Kind.PLAIN).broken), 1)
+
+    def test_another_fault_since_excuses(self) -> None:
+        for target, begin, end, excused in (
+            ("gateway-0", 15.7, 15.7, True),
+            ("link-1", 9.5, 10.5, True),
+            ("link-1", 5.0, 8.5, False),
+            ("link-2", 12.0, 14.0, False),
+            ("gateway-1", 12.0, 14.0, False),
+            ("gateway-0", 15.9, 17.0, False),
+        ):
+            found = self.judge(13.1, Ending.CUT, Kind.STREAM, Hurt(target, begin, end)).broken
+            self.assertEqual(found == [], excused, (target, begin))
+
+    def test_a_second_signal_and_a_new_process_change_nothing(self) -> None:
+        ledger = Ledger(reached={"a": {"link-1"}, "b": {"link-1"}})
+        history = ledger.history
+        history.note_stop("gateway-0", 10.0)
+        history.note_stop("gateway-0", 14.0)
+        self.assertEqual(history.get_stopping("gateway-0"), 10.0)
+        history.note_gone("gateway-0", 16.0)
+        self.assertIsNone(history.get_stopping("gateway-0"))
+        ledger.asked.append(Asked("a", Kind.STREAM, "gateway-0", 13.5, 15.7, Ending.CUT))
+        ledger.asked.append(Asked("b", Kind.STREAM, "gateway-0", 16.1, 17.0, Ending.CUT))
+        ledger.check_stops()
+        self.assertEqual(len(ledger.broken), 1)
+
+    def test_the_table_counts_streams_by_when_they_were_sent(self) -> None:
+        ledger = self.judge(9.0, Ending.WHOLE)
+        rows = [line.split() for line in ledger.render_streams().splitlines()]
+        self.assertEqual(rows[0][2:], [ending.value for ending in Ending])
+        self.assertEqual(rows[2], ["before", "1", "0", "0", "0", "0", "0"])
+
+
 class ShortSoakTest(unittest.TestCase):
     def test_a_short_run_breaks_no_promise(self) -> None:
         command = [sys.executable, "tools/soak.py", SEED, SECONDS]
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -6,7 +6,9 @@
 Each VM is an address of the loopback network. Stand-in upstreams send heartbeats and note what
 they run; clients and an operator ask and check the promises while processes are killed, paused,
 stopped and started, disks are lost, and the links to upstreams delay, reset, cut and silence
-connections, in series that overlap. A seed fixes the plan. Ends only what it started.
+connections, in series that overlap. Beside these faults gateways are stopped in turn, as at an
+update, while clients ask for streams that last up to longer than a gateway may drain. A seed fixes
+the plan. Ends only what it started.
 
 The processes take their leases and timeouts from a clock that never jumps; so no clock is hurt.
 """
@@ -18,19 +20,35 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Iterator
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 
 import anyio
 import httpx
 import yaml
-from anyio.abc import SocketStream, TaskGroup
+from anyio.abc import TaskGroup
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from tools.faultylink import FaultyLink, LinkFault  # noqa: E402
+from tools.faultylink import LinkFault  # noqa: E402
+from tools.soakledger import (  # noqa: E402
+    GRACE_SECONDS,
+    Asked,
+    Ending,
+    Hurt,
+    Kind,
+    Ledger,
+)
+from tools.soakstreams import StreamClient  # noqa: E402
+from tools.soakupstreams import (  # noqa: E402
+    ENGINE_SERVICE,
+    HEARTBEAT_SECONDS,
+    PLAIN_SERVICE,
+    Engine,
+    Upstream,
+)
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -52,9 +70,17 @@
 GATEWAYS = 4
 COORDINATORS = 3
 UPSTREAMS = 3
-GRACE_SECONDS = 6
 CLIENT_PORT, READY_PORT, CONTROL_PORT, OUR_PORT, METRICS_PORT = 18740, 18749, 18748, 17200, 19464
-HEARTBEAT_SECONDS = 0.5
+CLIENTS = 6
+STREAM_CLIENTS = 16
+
+STOP_GAP_SECONDS = (0.3, 1.5)
+"""Time between two gateways that are stopped in turn; shorter than they drain."""
+
+TURN_SECONDS = (GRACE_SECONDS + 1.0, GRACE_SECONDS + 3.0)
+"""Time from the last stop of a turn to the next turn; by then those gateways serve again."""
+
+STREAM_TIMEOUT_SECONDS = 30
 
 
 @dataclass(frozen=True)
@@ -88,90 +114,18 @@
         at += random.uniform(0.3, 2.5)
 
 
-@dataclass
-class Ledger:
-    """What upstreams ran and what clients were told."""
-
-    runs: dict[str, int] = field(default_factory=dict)
-    promised_not_run: set[str] = field(default_factory=set)
-    whole: int = 0
-    refused: int = 0
-    failed: int = 0
-    broken: list[str] = field(default_factory=list)
-    acknowledged: int = 0
-
-    def check_runs(self, idempotent: set[str]) -> None:
-        """Note requests that ran twice, or ran though a client was told that they did not."""
-        for request, count in self.runs.items():
-            if count > 1 and request not in idempotent:
-                self.broken.append(f"{request} ran {count} times")
-            if request in self.promised_not_run:
-                self.broken.append(f"{request} ran though it was refused as not run")
-
-
-class Upstream:
-    """A stand-in plain service that answers each request with its id and a signature."""
-
-    def __init__(self, number: int, ledger: Ledger, random: Random) -> None:
-        self.address = f"127.0.1.{number + 1}:18000"
-        self.link = FaultyLink(f"127.0.2.{number + 1}:18000", self.address)
-        self.id = f"i-{number}"
-        self._ledger = ledger
-        self._random = random
-
-    async def run(self) -> None:
-        """Serve until cancelled."""
-        host, port = self.address.split(":")
-        async with await anyio.create_tcp_listener(local_host=host, local_port=int(port)) as found:
-            await found.serve(self._handle)
-
-    async def _handle(self, stream: SocketStream) -> None:
-        async with stream:
-            async for head in _read_heads(stream):
-                await self._answer(stream, head)
-
-    async def _answer(self, stream: SocketStream, head: dict[str, str]) -> None:
-        request = head.get("x-daleroad-attempt-id", "")
-        if head.get("x-daleroad-expect-instance") != self.id:
-            await stream.send(b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
-            return
-        self._ledger.runs[request] = self._ledger.runs.get(request, 0) + 1
-        await anyio.sleep(self._random.uniform(0.005, 0.08))
-        lines = [
-            "HTTP/1.1 200 OK",
-            f"X-Daleroad-Attempt-Id: {request}",
-            "X-Daleroad-Engine-Signature: signed",
-            f"Content-Length: {len(request)}",
-        ]
-        await stream.send(("\r\n".join(lines) + "\r\n\r\n" + request).encode())
-
-    async def beat(self, client: httpx.AsyncClient) -> None:
-        """Send heartbeats to any coordinator until cancelled."""
-        sequence = 0
-        while True:
-            sequence += 1
-            body = {"service": "s", "address": self.link.address, "zone": "z0", "slots": 50}
-            body |= {"state": "ready", "sequence": sequence}
-            place = f"http://127.0.0.{self._random.randrange(COORDINATORS) + 1}:{CONTROL_PORT}"
-            try:
-                await client.put(f"{place}/-/instances/{self.id}", json=body)
-            except httpx.HTTPError:
-                continue
-            await anyio.sleep(HEARTBEAT_SECONDS)
-
-
-async def _read_heads(stream: SocketStream) -> AsyncIterator[dict[str, str]]:
-    """Yield the heads of requests whose bodies are empty."""
-    data = b""
+def plan_stops(random: Random, seconds: float) -> Iterator[Step]:
+    """Yield the stops of gateways in turn, in order; up to half of them drain at once."""
+    at = FIRST_SECONDS + random.uniform(*STOP_GAP_SECONDS)
+    order = random.sample(range(GATEWAYS), GATEWAYS)
     while True:
-        while b"\r\n\r\n" not in data:
-            try:
-                data += await stream.receive()
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
+        for _ in range(random.randint(1, GATEWAYS // 2)):
+            if at >= seconds - QUIET_SECONDS:
                 return
-        head, _, data = data.partition(b"\r\n\r\n")
-        lines = head.decode().split("\r\n")[1:]
-        yield {name.lower(): value.strip() for name, _, value in (x.partition(":") for x in lines)}
+            order.append(order.pop(0))
+            yield Step(round(at, 2), "stop", f"gateway-{order[-1]}", 0.0)
+            at += random.uniform(*STOP_GAP_SECONDS)
+        at += random.uniform(*TURN_SECONDS)
 
 
 class Processes:
@@ -223,11 +177,13 @@
         path.write_text(yaml.safe_dump(settings))
         return path
 
-    def send(self, name: str, number: int) -> None:
-        """Send a signal to a process that this soak started."""
+    def send(self, name: str, number: int) -> subprocess.Popen | None:
+        """Send a signal to a process that this soak started; return it if it still ran."""
         process = self._running[name]
-        if process.poll() is None:
-            process.send_signal(number)
+        if process.poll() is not None:
+            return None
+        process.send_signal(number)
+        return process
 
     def wipe(self, name: str) -> None:
         """Kill a process and remove its disk, as if the VM had lost it."""
@@ -235,12 +191,13 @@
         self._running[name].wait()
         shutil.rmtree(self._folder / name, ignore_errors=True)
 
-    def restart_ended(self) -> list[str]:
-        """Start those that ended; return their names and exit codes."""
-        ended = [(name, p.poll()) for name, p in self._running.items() if p.poll() is not None]
-        for name, _ in ended:
+    def restart_ended(self) -> dict[str, int]:
+        """Start those that ended; return their exit codes by name."""
+        codes = {name: process.poll() for name, process in self._running.items()}
+        ended = {name: code for name, code in codes.items() if code is not None}
+        for name in ended:
             self.start(name)
-        return [f"{name} ended with {code}" for name, code in ended]
+        return ended
 
     def end_all(self) -> None:
         """End all processes."""
@@ -261,10 +218,31 @@
     def __init__(self, seed: int, seconds: float) -> None:
         self.random = Random(seed)
         self.seconds = seconds
-        self.steps = list(plan_steps(self.random, seconds))
+        # The other faults of a seed are the same with and without the stops.
+        self.stops = list(plan_stops(Random(f"{seed} stops"), seconds))
+        faults = list(plan_steps(self.random, seconds))
+        self.steps = sorted(faults + self.stops, key=lambda step: step.at)
         self.ledger = Ledger()
         self.idempotent: set[str] = set()
-        self.upstreams = [Upstream(n, self.ledger, self.random) for n in range(UPSTREAMS)]
+        entries = [f"127.0.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
+        self.upstreams = [
+            kind(number, self.ledger, self.random, entries)
+            for kind in (Upstream, Engine)
+            for number in range(UPSTREAMS)
+        ]
+        gateways = {f"gateway-{n}": f"127.0.0.{n + 1}:{CLIENT_PORT}" for n in range(GATEWAYS)}
+        self._gateways = gateways
+        self._stream_clients = [
+            StreamClient(
+                f"stream{number}",
+                Random(f"{seed} stream client {number}"),
+                self.ledger,
+                gateways,
+                GRACE_SECONDS,
+                stale=number % 2 == 0,
+            )
+            for number in range(STREAM_CLIENTS)
+        ]
         self._number = 0
         self._late_served = 0
 
@@ -278,6 +256,7 @@
             finally:
                 processes.end_all()
         self.ledger.check_runs(self.idempotent)
+        self.ledger.check_stops()
         if not self._late_served:
             self.ledger.broken.append("nothing was served after the last fault")
         return self.ledger
@@ -293,8 +272,10 @@
                 began = anyio.current_time()
                 tasks.start_soon(self._operate, client)
                 tasks.start_soon(self._restart, processes)
-                for number in range(6):
+                for number in range(CLIENTS):
                     tasks.start_soon(self._ask, number, began)
+                for asker in self._stream_clients:
+                    tasks.start_soon(asker.run)
                 await self._hurt(processes, began, tasks)
                 await anyio.sleep_until(began + self.seconds)
                 tasks.cancel_scope.cancel()
@@ -303,10 +284,11 @@
     async def _restart(self, processes: Processes) -> None:
         while True:
             await anyio.sleep(0.3)
-            for ended in processes.restart_ended():
-                # A process may be stopped (-15) before it is far enough to drain.
-                if not ended.endswith(("with 0", "with -9", "with -15")):
-                    self.ledger.broken.append(ended)
+            for name, code in processes.restart_ended().items():
+                self.ledger.history.note_gone(name, anyio.current_time())
+                # A process may be stopped before it is far enough to drain.
+                if code not in (0, -signal.SIGKILL, -signal.SIGTERM):
+                    self.ledger.broken.append(f"{name} ended with {code}")
 
     async def _hurt(self, processes: Processes, began: float, tasks: TaskGroup) -> None:
         for step in self.steps:
@@ -314,6 +296,9 @@
             tasks.start_soon(self._carry_out, processes, step)
 
     async def _carry_out(self, processes: Processes, step: Step) -> None:
+        if step.kind not in ("stop", "hup"):
+            now = anyio.current_time()
+            self.ledger.history.hurts.append(Hurt(step.target, now, now + step.hold))
         match step.kind:
             case "kill" | "kill-twice":
                 processes.send(step.target, signal.SIGKILL)
@@ -325,23 +310,41 @@
                 await anyio.sleep(step.hold)
                 processes.send(step.target, signal.SIGCONT)
             case "stop":
-                processes.send(step.target, signal.SIGTERM)
+                await self._stop(processes, step.target)
             case "hup":
                 processes.send(step.target, signal.SIGHUP)
             case "wipe":
                 processes.wipe(step.target)
             case kind:
-                number = int(step.target.rpartition("-")[2])
-                await self.upstreams[number].link.hurt(LinkFault(kind), step.hold)
+                async with anyio.create_task_group() as tasks:
+                    for upstream in self.upstreams:
+                        if upstream.link_name == step.target:
+                            tasks.start_soon(upstream.link.hurt, LinkFault(kind), step.hold)
+
+    async def _stop(self, processes: Processes, name: str) -> None:
+        """Stop a process as the platform does: a signal, time to drain, and the end."""
+        process = processes.send(name, signal.SIGTERM)
+        if process is None:
+            return
+        self.ledger.history.note_stop(name, anyio.current_time())
+        await anyio.sleep(GRACE_SECONDS)
+        if process.poll() is None:
+            process.kill()
 
     async def _save(self, client: httpx.AsyncClient, version: int, limit: float) -> None:
-        route = {"name": "r", "host": "h", "timeout_ms": 1000, "service": "s", "public": True}
+        route = {"name": "r", "host": "h", "timeout_ms": 1000, "public": True}
+        route |= {"service": PLAIN_SERVICE}
         kinds = {"/once/": "non_idempotent", "/again/": "idempotent"}
         routes = [
             route | {"path_prefix": prefix, "route_kind": kind, "max_attempts": 2}
             for prefix, kind in kinds.items()
         ]
-        config = {"version": version, "routes": routes, "services": [{"name": "s"}]}
+        stream = route | {"path_prefix": "/stream/", "route_kind": "streaming", "max_attempts": 1}
+        stream |= {"service": ENGINE_SERVICE, "timeout_ms": STREAM_TIMEOUT_SECONDS * 1000}
+        stream |= {"sticky": True, "target_latency_ms": 1000, "target_itl_ms": 180}
+        engine = {"slots": Engine.slots, "kv_capacity_tokens": 34305}
+        services = [{"name": PLAIN_SERVICE}, {"name": ENGINE_SERVICE, "engine": engine}]
+        config = {"version": version, "routes": [*routes, stream], "services": services}
         with anyio.move_on_after(limit):
             while True:
                 place = f"http://127.0.0.{self.random.randrange(COORDINATORS) + 1}:{CONTROL_PORT}"
@@ -397,34 +400,45 @@
                 again = random.random() < 0.5
                 if again:
                     self.idempotent.add(request)
-                place = f"http://127.0.0.{random.randrange(GATEWAYS) + 1}:{CLIENT_PORT}"
+                gateway = f"gateway-{random.randrange(GATEWAYS)}"
                 headers = {"host": "h", "x-daleroad-attempt-id": request}
-                path = "/again/x" if again else "/once/x"
+                url = f"http://{self._gateways[gateway]}" + ("/again/x" if again else "/once/x")
+                sent = anyio.current_time()
                 try:
-                    answer = await client.get(place + path, headers=headers)
-                except httpx.HTTPError:
+                    answer = await client.get(url, headers=headers)
+                except httpx.HTTPError as error:
+                    # Its connection was open when the client left; on a busy machine that is late.
+                    left = isinstance(error, httpx.ReadTimeout | httpx.WriteTimeout)
+                    self._note_plain(request, gateway, sent, Ending.FAILED if left else None)
                     self.ledger.failed += 1
                     await anyio.sleep(0.05)
                     continue
-                self._judge(request, answer)
+                self._note_plain(request, gateway, sent, self._judge(request, answer))
                 if answer.status_code == 200 and anyio.current_time() - began > self.seconds - 4:
                     self._late_served += 1
                 await anyio.sleep(random.uniform(0.0, 0.05))
 
-    def _judge(self, request: str, answer: httpx.Response) -> None:
+    def _note_plain(self, request: str, gateway: str, sent: float, ending: Ending | None) -> None:
+        now = anyio.current_time()
+        self.ledger.asked.append(Asked(request, Kind.PLAIN, gateway, sent, now, ending))
+
+    def _judge(self, request: str, answer: httpx.Response) -> Ending:
         match answer.status_code:
             case 200:
                 self.ledger.whole += 1
                 signed = "x-daleroad-engine-signature" in answer.headers
                 if answer.text != request or not signed:
                     self.ledger.broken.append(f"{request} got {answer.text!r}")
+                return Ending.WHOLE
             case 429 | 503 | 408 | 421:
                 self.ledger.refused += 1
                 self.ledger.promised_not_run.add(request)
+                return Ending.REFUSED
             case 502 | 504:
                 self.ledger.failed += 1
             case status:
                 self.ledger.broken.append(f"{request} got {status}")
+        return Ending.FAILED
 
 
 def main() -> int:
@@ -438,8 +452,9 @@
         soak = Soak(seed, seconds)
         found = anyio.run(soak.run)
         print(
-            f"seed {seed}: {len(soak.steps)} faults, {found.whole} whole, {found.refused} refused, "
-            f"{found.failed} failed, version {found.acknowledged}, {len(found.broken)} broken",
+            f"seed {seed}: {len(soak.steps) - len(soak.stops)} faults, {len(soak.stops)} stops in "
+            f"turn, {found.whole} whole, {found.refused} refused, {found.failed} failed, "
+            f"version {found.acknowledged}, {len(found.broken)} broken\n{found.render_streams()}",
             flush=True,
         )
         for line in found.broken[:10]:
