--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,8 +21,8 @@
 from tools.soakstreams import MIDDLE_SECONDS, PROMPT_TOKENS, draw_size
 
 ROOT = Path(__file__).resolve().parent.parent
-SEED = "1"
-SECONDS = "16"
+SEED = "4"
+SECONDS = "30"
 LIMIT_SECONDS = 120
 
 
