Let clients keep lookups for less while a gateway drains

Cause: where gateways stop in turn, a lookup of up to 2 s ago names some that stop; a client that one of them refuses meets the next. Change: coordinators let clients keep addresses for 0.5 s instead of 2 s while a gateway drains. Ruled out: to come back only after 2 s (nearly all would be late); 0.5 s always (four times the lookups).

--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -15,6 +15,8 @@
     GATEWAY_DOUBTFUL_SECONDS,
     GATEWAY_SILENT_SECONDS,
     LEAVE_TOLD_SECONDS,
+    LOOKUP_CHANGING_SECONDS,
+    LOOKUP_KEPT_SECONDS,
     SHARE_SECONDS,
 )
 from daleroad.errors import Failure, FailureKind
@@ -109,6 +111,15 @@
         heard = (now - gateway.heard_at for gateway in self._gateways.values())
         return sum(age < GATEWAY_SILENT_SECONDS for age in heard)
 
+    def find_lookup_life(self) -> float:
+        """Return how long a client should keep the addresses of gateways, in seconds."""
+        now = anyio.current_time()
+        drains = any(
+            not gateway.notice.serving and now - gateway.heard_at < GATEWAY_SILENT_SECONDS
+            for gateway in self._gateways.values()
+        )
+        return LOOKUP_CHANGING_SECONDS if drains else LOOKUP_KEPT_SECONDS
+
     def count_others(self, asker: str) -> int:
         """Return how many other gateways take clients.
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -15,7 +15,11 @@
 
 from daleroad.codec import encode
 from daleroad.coordinator import Coordinator, CoordinatorOptions
-from daleroad.defaults import FLEET_KEPT_SECONDS
+from daleroad.defaults import (
+    FLEET_KEPT_SECONDS,
+    LOOKUP_CHANGING_SECONDS,
+    LOOKUP_KEPT_SECONDS,
+)
 from daleroad.errors import Failure, FailureKind
 from daleroad.fleet import Instance, InstanceState, Sighting
 from daleroad.fleetfile import RECOVERED_HEARTBEATS
@@ -308,8 +312,12 @@
             other = Gateway(replace(options, address="10.0.0.2:80"), FakeDispatcher(), Random())
             site.tasks.start_soon(Watcher(other, Links(Tls(), "secret"), parse).run)
             await wait_for(lambda: gateway.others == 1)
+            lookups = [site.get(n).presence.find_lookup_life for n in names[:3]]
+            self.assertEqual({life() for life in lookups}, {LOOKUP_KEPT_SECONDS})
             other.serving = False
             await wait_for(lambda: gateway.others == 0)
+            # Clients ask anew sooner, so that those it refuses do not come to the next that drains.
+            await wait_for(lambda: {life() for life in lookups} == {LOOKUP_CHANGING_SECONDS})
             gateway.serving = False
             watcher.tell_now()
             await wait_for(
