--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 import anyio
 from anyio.abc import SocketStream
 
-from tools.faultylink import FaultyLink, LinkFault
+from tools.faultylink import FaultyLink, LinkFault, reset_connection
 from tools.soak import (
     GATEWAYS,
     PROCESS_FAULTS,
@@ -114,6 +114,17 @@
             with self.subTest(fault):
                 self.assertEqual(self.ask(fault), "nothing")
 
+    def test_a_connection_that_was_closed_meanwhile_is_not_reset(self) -> None:
+        # Seed 28 ended a run by it: of several connections one closed while others were reset.
+        async def main() -> None:
+            listener = await anyio.create_tcp_listener(local_host="127.0.1.9", local_port=18001)
+            async with listener:
+                stream = await anyio.connect_tcp("127.0.1.9", 18001)
+                await stream.aclose()
+                await reset_connection(stream)
+
+        anyio.run(main)
+
     def test_a_connection_that_lost_bytes_brings_none_behind_them(self) -> None:
         async def main() -> list[bytes]:
             link = FaultyLink("127.0.2.9:18001", "127.0.1.9:18001")
--- a/tools/faultylink.py
+++ b/tools/faultylink.py
@@ -54,7 +54,7 @@
         match fault:
             case LinkFault.RESET:
                 for caller in list(self._open):
-                    await _reset(caller)
+                    await reset_connection(caller)
             case LinkFault.SILENCE:
                 self._silent |= set(self._open)
         await anyio.sleep(seconds)
@@ -101,9 +101,15 @@
             scope.cancel()
 
 
-async def _reset(stream: SocketStream) -> None:
-    """Close a connection so that the other end sees a reset."""
+async def reset_connection(stream: SocketStream) -> None:
+    """Close a connection so that the other end sees a reset.
+
+    :param stream: this end of it.
+    """
     raw = stream.extra(SocketAttribute.raw_socket)
+    if raw.fileno() < 0:
+        # It was closed while those before it were reset.
+        return
     # Linger with a time of zero drops what is unsent and sends a reset.
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
     await stream.aclose()
