Tell callers of what a process's end cuts off, in one place

Cause: the server closes connections without a word when its grace is over or it is cancelled, and the second signal waited for open requests, since the server was told to stop before it was cancelled. Change: a router that serve_app serves has an end. At it a handler still at work gives `draining` with ran unknown, a body half read and a request behind the end ran no, a stream under way its typed error with ran partial, and one before its first piece a 503. It comes when the grace is over, or at once when the server is cancelled. Routers and settings that the platform serves by serve_config have none: no scope or task more there. Ruled out: one scope around a whole stream: it cuts off a last piece on its way and puts an error behind it. A task group for each request: a set of scopes does. Left: what is mounted (the Connect faces) is not cut off by this, only by the server.

--- a/src/daleroad/generations.py
+++ b/src/daleroad/generations.py
@@ -23,7 +23,7 @@
 from daleroad.relay import Broken, Ended, Part, Piece, Relay, forbid
 from daleroad.retries import get_backoff
 from daleroad.security import get_upstream, make_generation
-from daleroad.serving import Answer, Request, Response, Stream, make_problem
+from daleroad.serving import Answer, Request, Response, Stream, make_error
 from daleroad.stewardship import Stewardship
 
 _TRY_MOST = 3
@@ -372,7 +372,7 @@
                         flow.answer.append(raw)
                         yield raw
                     case Broken(failure):
-                        yield _make_error(failure)
+                        yield make_error(failure)
         finally:
             env.metrics.inflight.dec()
             env.metrics.resumed.inc(flow.relay.resumes)
@@ -448,12 +448,6 @@
     return failure
 
 
-def _make_error(failure: Failure) -> bytes:
-    """Return the typed end of a stream that can't be made whole."""
-    partial = Failure(failure.kind, failure.reason, Ran.PARTIAL, failure.retry_after)
-    return b"event: error\ndata: " + orjson.dumps(make_problem(partial)) + b"\n\n"
-
-
 async def _gather(
     flow: Flow, pieces: AsyncIterator[bytes], headers: tuple[tuple[str, str], ...]
 ) -> Answer:
--- a/src/daleroad/serving.py
+++ b/src/daleroad/serving.py
@@ -4,7 +4,7 @@
 from contextlib import aclosing
 from dataclasses import dataclass, field, replace
 from importlib import import_module
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, TypeVar
 
 import anyio
 import orjson
@@ -12,7 +12,8 @@
 from hypercorn.config import Config
 
 from daleroad.compression import ENCODING, pack, unpack
-from daleroad.errors import DaleroadError, Failure, FailureKind
+from daleroad.ending import Ending, make_leaving
+from daleroad.errors import DaleroadError, Failure, FailureKind, Ran
 from daleroad.settings import Tls
 
 _STATUS: dict[FailureKind, int] = {
@@ -38,6 +39,9 @@
 _UNAVAILABLE = 503
 _CANCELLED_SECONDS = 0.2
 
+ENDING_SECONDS = 0.5
+"""How long the server waits for requests that were cut off to be told; it takes milliseconds."""
+
 # The server's default of a few seconds would cut long streams.
 _GRACE_SECONDS = 3600.0
 
@@ -45,6 +49,7 @@
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 SendEvent = Callable[[dict[str, Any]], Awaitable[None]]
 AsgiApp = Callable[[dict[str, Any], Receive, SendEvent], Awaitable[None]]
+T = TypeVar("T")
 
 
 @dataclass(frozen=True)
@@ -89,12 +94,14 @@
     :param body_bytes: the largest body that is accepted.
     :param compress: whether compressed bodies are read, and whole answers compressed for callers
         that take them so; not where bodies only pass through.
+    :param ending: cuts off what is still answered at the process's end; :func:`serve_app` gives it.
     """
 
     body_bytes: int
     compress: bool = False
     routes: dict[tuple[str, str], Handler] = field(default_factory=dict)
     mounts: dict[str, AsgiApp] = field(default_factory=dict)
+    ending: Ending | None = None
 
     def add(self, method: str, path: str, handler: Handler) -> None:
         """Add a handler.
@@ -128,7 +135,7 @@
         answer = await self._answer(scope, headers, receive)
         if self.compress and ENCODING in headers.get("accept-encoding", ""):
             answer = _compress(answer)
-        await _send_answer(answer, receive, send)
+        await _send_answer(answer, receive, send, self.ending)
 
     async def _answer(
         self, scope: dict[str, Any], headers: Mapping[str, str], receive: Receive
@@ -137,7 +144,10 @@
         if isinstance(found, Failure):
             return found
         handler, tail = found
-        body = await self._read_body(receive)
+        if self.ending is None:
+            body = await self._read_body(receive)
+        else:
+            body = await _run_until(self.ending, self._read_body(receive), Ran.NO)
         packed = self.compress and headers.get("content-encoding") == ENCODING
         if packed and not isinstance(body, Failure):
             body = unpack(body, self.body_bytes)
@@ -146,7 +156,9 @@
         query = scope.get("query_string", b"").decode("latin-1")
         request = Request(scope["method"], scope["path"], tail, query, headers, body)
         try:
-            return await handler(request)
+            if self.ending is None:
+                return await handler(request)
+            return await _handle_until(self.ending, handler, request)
         except DaleroadError as error:
             return error.failure
 
@@ -178,6 +190,20 @@
                 return b"".join(parts)
 
 
+async def _handle_until(ending: Ending, handler: Handler, request: Request) -> Answer:
+    """Answer a request, but not beyond the process's end."""
+    if ending.is_over:
+        return make_leaving(Ran.NO)
+    return await _run_until(ending, handler(request), Ran.UNKNOWN)
+
+
+async def _run_until(ending: Ending, work: Awaitable[T], ran: Ran) -> T | Failure:
+    """Wait for work, but not beyond the process's end; ``ran`` says what a cut may have done."""
+    with ending.watch():
+        return await work
+    return make_leaving(ran)
+
+
 def make_problem(failure: Failure) -> dict[str, object]:
     """Return a failure as the members of an RFC 9457 problem document.
 
@@ -205,6 +231,15 @@
     return Response(status, body, "application/problem+json", headers)
 
 
+def make_error(failure: Failure) -> bytes:
+    """Return the typed end of a stream that can't be made whole.
+
+    :param failure: why it can't.
+    """
+    partial = replace(failure, ran=Ran.PARTIAL)
+    return b"event: error\ndata: " + orjson.dumps(make_problem(partial)) + b"\n\n"
+
+
 async def _answer_lifespan(receive: Receive, send: SendEvent) -> None:
     while True:
         event = await receive()
@@ -222,14 +257,16 @@
     return replace(answer, body=packed, headers=headers)
 
 
-async def _send_answer(answer: Answer, receive: Receive, send: SendEvent) -> None:
+async def _send_answer(
+    answer: Answer, receive: Receive, send: SendEvent, ending: Ending | None
+) -> None:
     match answer:
         case Failure():
             await _send_response(make_response(answer), send)
         case Response():
             await _send_response(answer, send)
         case Stream():
-            await _send_while_connected(answer, receive, send)
+            await _send_while_connected(answer, receive, send, ending)
 
 
 async def _send_response(response: Response, send: SendEvent) -> None:
@@ -239,7 +276,9 @@
     await send({"type": "http.response.body", "body": response.body})
 
 
-async def _send_while_connected(stream: Stream, receive: Receive, send: SendEvent) -> None:
+async def _send_while_connected(
+    stream: Stream, receive: Receive, send: SendEvent, ending: Ending | None
+) -> None:
     """Send a stream, but stop when the caller goes away."""
 
     async def watch() -> None:
@@ -250,21 +289,32 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch)
         async with aclosing(stream.pieces):
-            await _send_stream(stream, send)
+            await _send_stream(stream, send, ending)
         tasks.cancel_scope.cancel()
 
 
-async def _send_stream(stream: Stream, send: SendEvent) -> None:
+async def _send_stream(stream: Stream, send: SendEvent, ending: Ending | None) -> None:
+    piece = await _take_piece(stream.pieces, ending)
+    if isinstance(piece, Failure):
+        await _send_response(make_response(piece), send)
+        return
     headers = _make_headers(stream.content_type, stream.headers)
-    started = False
-    async for piece in stream.pieces:
-        if not started:
-            await send({"type": "http.response.start", "status": 200, "headers": headers})
-            started = True
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    while isinstance(piece, bytes):
         await send({"type": "http.response.body", "body": piece, "more_body": True})
-    if not started:
-        await send({"type": "http.response.start", "status": 200, "headers": headers})
-    await send({"type": "http.response.body", "body": b""})
+        piece = await _take_piece(stream.pieces, ending)
+    body = b"" if piece is None else make_error(piece)
+    await send({"type": "http.response.body", "body": body})
+
+
+async def _take_piece(
+    pieces: AsyncGenerator[bytes, None], ending: Ending | None
+) -> bytes | Failure | None:
+    """Return a stream's next piece, nothing at its end, or a failure where it is cut off."""
+    # Only the wait is cut off: a piece that is being sent may be the last, without error behind it.
+    if ending is None:
+        return await anext(pieces, None)
+    return await _run_until(ending, anext(pieces, None), Ran.UNKNOWN)
 
 
 def _make_headers(content_type: str, extra: tuple[tuple[str, str], ...]) -> Headers:
@@ -301,33 +351,52 @@
 
 
 async def serve_app(
-    app: AsgiApp,
+    app: Router,
     bind: str,
     tls: Tls,
     wait_stop: Callable[[], Awaitable[None]],
     grace: float = _GRACE_SECONDS,
 ) -> None:
-    """Serve an application until told to stop, then until open requests ended.
+    """Serve a router until told to stop, then until open requests ended.
 
-    :param app: the application.
+    Those that are still open after the grace, or when this is cancelled, are cut off and told.
+
+    :param app: the router.
     :param bind: IP:PORT to listen on.
     :param tls: key files.
-    :param wait_stop: returns when serving should stop.
+    :param wait_stop: returns when serving should stop; it is called twice.
     :param grace: seconds that open requests get to end.
     """
     config = make_config([bind], tls)
-    config.graceful_timeout = grace
-    await serve_config(app, config, wait_stop)
+    config.graceful_timeout = grace + ENDING_SECONDS
+    ending = Ending()
+    app.ending = ending
+
+    async def end_late() -> None:
+        try:
+            await wait_stop()
+            await anyio.sleep(grace)
+        finally:
+            ending.end()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(end_late)
+        await serve_config(app, config, wait_stop, ENDING_SECONDS)
+        tasks.cancel_scope.cancel()
 
 
 async def serve_config(
-    app: AsgiApp, config: Config, wait_stop: Callable[[], Awaitable[None]]
+    app: AsgiApp,
+    config: Config,
+    wait_stop: Callable[[], Awaitable[None]],
+    cancelled_grace: float = _CANCELLED_SECONDS,
 ) -> None:
     """Serve an application by the server's settings until told to stop.
 
     :param app: the application.
     :param config: the settings; the idle timeout may change while it serves.
     :param wait_stop: returns when serving should stop.
+    :param cancelled_grace: seconds that open requests get to end when this is cancelled.
     """
     stopping = anyio.Event()
 
@@ -335,7 +404,7 @@
         try:
             await wait_stop()
         except anyio.get_cancelled_exc_class():
-            config.graceful_timeout = _CANCELLED_SECONDS
+            config.graceful_timeout = cancelled_grace
             raise
         finally:
             stopping.set()
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -15,6 +15,7 @@
 import httpx
 
 from daleroad.codec import encode
+from daleroad.ending import Ending
 from daleroad.loopback import OPERATOR_TOKENS, STOYANOV, Site, find_ports, get_token
 from daleroad.records import Organisation
 from daleroad.security import hash_token
@@ -247,6 +248,128 @@
         return outcomes[0]
 
 
+class EndingTest(unittest.TestCase):
+    """A router at the moment in which its process ends, without a server."""
+
+    def setUp(self) -> None:
+        self.ending = Ending()
+        self.router = Router(1000)
+        self.router.ending = self.ending
+        self.sent: list[dict] = []
+
+    async def send(self, event: dict) -> None:
+        self.sent.append(event)
+        await anyio.sleep(0)
+
+    async def receive_all(self) -> dict:
+        """Give an empty body, then nothing."""
+        if self.begun:
+            await anyio.sleep_forever()
+        self.begun = True
+        return {"type": "http.request", "body": b"{}", "more_body": False}
+
+    async def receive_half(self) -> dict:
+        if self.begun:
+            await anyio.sleep_forever()
+        self.begun = True
+        return {"type": "http.request", "body": b"{", "more_body": True}
+
+    async def answer(self, receive: Callable, end_after: float) -> None:
+        scope = {"type": "http", "method": "POST", "path": "/", "headers": []}
+        self.begun = False
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.router, scope, receive, self.send)
+                await anyio.sleep(end_after)
+                self.ending.end()
+
+    def run_handler(self, handler: Callable, receive: Callable, end_after: float = 0.1) -> bytes:
+        """Answer one request, with the end some seconds later; return the body."""
+        self.router.add("POST", "/", handler)
+        anyio.run(self.answer, receive, end_after)
+        return b"".join(event.get("body", b"") for event in self.sent)
+
+    def test_a_stream_before_its_first_piece(self) -> None:
+        async def make_pieces() -> AsyncGenerator[bytes, None]:
+            await anyio.sleep_forever()
+            yield b"never"
+
+        async def stream(request: Request) -> Answer:
+            return Stream(make_pieces())
+
+        body = self.run_handler(stream, self.receive_all)
+        self.assertEqual(self.sent[0]["status"], 503)
+        self.assertIn(b'"ran":"unknown"', body)
+
+    def test_a_stream_in_its_middle(self) -> None:
+        async def make_pieces() -> AsyncGenerator[bytes, None]:
+            yield b"data: 1\n\n"
+            await anyio.sleep_forever()
+
+        async def stream(request: Request) -> Answer:
+            return Stream(make_pieces())
+
+        body = self.run_handler(stream, self.receive_all)
+        self.assertEqual(self.sent[0]["status"], 200)
+        self.assertTrue(body.startswith(b"data: 1\n\nevent: error\n"), body)
+        self.assertIn(b'"ran":"partial"', body)
+        self.assertEqual(self.sent[-1].get("more_body", False), False)
+
+    def test_a_stream_whose_last_piece_is_being_sent(self) -> None:
+        async def make_pieces() -> AsyncGenerator[bytes, None]:
+            yield b"event: end\n\n"
+
+        async def stream(request: Request) -> Answer:
+            return Stream(make_pieces())
+
+        async def send(event: dict) -> None:
+            self.sent.append(event)
+            if event.get("body"):
+                self.ending.end()
+            await anyio.sleep(0.05)
+
+        self.send = send
+        self.assertEqual(self.run_handler(stream, self.receive_all, 0.5), b"event: end\n\n")
+
+    def test_a_stream_that_ends_by_itself_as_it_is_cut_off(self) -> None:
+        async def make_pieces() -> AsyncGenerator[bytes, None]:
+            yield b"event: end\n\n"
+            self.ending.end()
+
+        async def stream(request: Request) -> Answer:
+            return Stream(make_pieces())
+
+        self.assertEqual(self.run_handler(stream, self.receive_all, 0.5), b"event: end\n\n")
+
+    def test_a_body_that_is_half_read(self) -> None:
+        async def answer(request: Request) -> Answer:
+            return Response(200)
+
+        body = self.run_handler(answer, self.receive_half)
+        self.assertEqual(self.sent[0]["status"], 503)
+        self.assertIn(b'"ran":"no"', body)
+
+    def test_a_request_behind_the_end(self) -> None:
+        ran = []
+
+        async def answer(request: Request) -> Answer:
+            ran.append(request)
+            return Response(200)
+
+        self.ending.end()
+        body = self.run_handler(answer, self.receive_all)
+        self.assertEqual(self.sent[0]["status"], 503)
+        self.assertIn(b'"ran":"no"', body)
+        self.assertEqual(ran, [])
+
+    def test_an_answer_that_is_there_as_its_handler_is_cut_off(self) -> None:
+        async def answer(request: Request) -> Answer:
+            self.ending.end()
+            return Response(200, b"{}")
+
+        self.assertEqual(self.run_handler(answer, self.receive_all), b"{}")
+
+
 class ControlTest(StoppingTest):
     """A leading control process that its supervisor stops."""
 
