End an operator's wait for a change to be in force when its leader stops

Cause: a leader that stops let the wait go on for as long as the operator asked, longer than its own grace, and closed the connection without a word. Change: the wait ends when the process is told to stop; the answer says accepted, not yet in force.

--- a/src/daleroad/control.py
+++ b/src/daleroad/control.py
@@ -315,12 +315,14 @@
     async def wait_in_force(self, revision: int, seconds: float) -> bool:
         """Wait until a revision is in force on every entry; return whether it is.
 
+        The wait ends early when this process is told to stop.
+
         :param revision: the revision.
         :param seconds: longest wait.
         """
         deadline = anyio.current_time() + seconds
         while not self._is_in_force(revision):
-            if anyio.current_time() >= deadline:
+            if anyio.current_time() >= deadline or self._stop.is_set():
                 return False
             await anyio.sleep(min(0.02, self.settings.follow))
         return True
