Give processes the supervisor's time, and end an entry's drain within it

Cause: no setting said when a supervisor kills; an entry drained until its last stream ended and was killed under it. A resumed or attached stream counted nowhere, so a drain did not wait for it. Change: `[limits] stop`, from SIGTERM to the kill, by default 90 s, checked against locate_keep, follow and 1 s to end. A drain ends that second before it; what is open then is told its end, and the leader is told within what is left. A leader's grace keeps to it as well. A stream counts as one request from its first piece to its end, whatever it came from; a generation that is being begun counted twice before.

--- a/src/daleroad/control.py
+++ b/src/daleroad/control.py
@@ -24,7 +24,7 @@
 from daleroad.claims import ClaimCommand, ClaimJournal, ClaimOutcome, Look
 from daleroad.codec import decode, encode
 from daleroad.daleroad_connect import LocatorASGIApplication, OperatorsASGIApplication
-from daleroad.defaults import GATHER_SECONDS
+from daleroad.defaults import GATHER_SECONDS, STOP_KEPT_SECONDS
 from daleroad.errors import Failure, FailureKind
 from daleroad.events import Event, log_event
 from daleroad.group import Group, decode_messages
@@ -135,9 +135,8 @@
             tasks.start_soon(self._watch, tasks)
             settings = self.settings
             bind = settings.bind or settings.address
-            await serve_app(
-                self._make_router(), bind, settings.tls, self._stop.wait, _GRACE_SECONDS
-            )
+            grace = min(_GRACE_SECONDS, settings.stop - STOP_KEPT_SECONDS)
+            await serve_app(self._make_router(), bind, settings.tls, self._stop.wait, grace)
             tasks.cancel_scope.cancel()
         await self.links.close()
 
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -43,6 +43,12 @@
 STALL_SECONDS = 5.0
 """A stream without progress for so long is taken as stalled and resumed."""
 
+STOP_SECONDS = 90.0
+"""From SIGTERM to the supervisor's kill: a common supervisor's default; a site sets its own."""
+
+STOP_KEPT_SECONDS = 1.0
+"""Kept of that for telling callers what is cut off, and the leader that an entry is gone."""
+
 RESUME_TRIES = 6
 """Tries to resume one generation before it ends as partial."""
 
--- a/src/daleroad/entry.py
+++ b/src/daleroad/entry.py
@@ -1,6 +1,8 @@
 """The entry role: serves callers and is steward of a few upstreams."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from contextlib import aclosing
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -22,6 +24,7 @@
     Report,
     ReportAnswer,
 )
+from daleroad.defaults import STOP_KEPT_SECONDS
 from daleroad.environment import Environment
 from daleroad.errors import Failure, FailureKind
 from daleroad.events import Event, log_event
@@ -41,11 +44,13 @@
 from daleroad.records import State, Upstream
 from daleroad.security import check_peer, get_bearer, hash_token, is_token
 from daleroad.services import PlainCalls
-from daleroad.serving import Answer, Request, Response, Router, serve_app
+from daleroad.serving import Answer, Request, Response, Router, Stream, serve_app
 from daleroad.settings import OnLostControl, Settings
 from daleroad.stewardship import Stewardship
 
 _DRAIN_CHECK_SECONDS = 0.1
+_CLOSE_SECONDS = 0.1
+"""Kept until the supervisor's kill for closing connections."""
 
 
 class Entry:
@@ -76,23 +81,35 @@
             tasks.start_soon(self.stewardship.run)
             tasks.start_soon(self.limits.run)
             bind = settings.bind or settings.address
-            await serve_app(self._make_router(), bind, settings.tls, self._stop.wait)
-            await self.env.follower.leave()
+            await serve_app(self._make_router(), bind, settings.tls, self._stop.wait, 0.0)
+            await self._leave()
             tasks.cancel_scope.cancel()
         await self.env.links.close()
 
+    async def _leave(self) -> None:
+        """Tell the leader that this entry is gone, if there is time."""
+        killed_at = self.env.ends_at + STOP_KEPT_SECONDS
+        with anyio.CancelScope(deadline=killed_at - _CLOSE_SECONDS):
+            await self.env.follower.leave()
+
     async def drain(self) -> None:
-        """Leave without cutting off a request.
+        """Leave without cutting off a request that can be over before the supervisor's kill.
 
         New requests are accepted until the locate answers given out have expired.
         """
         log_event(Event.STOPPING, name=self.env.settings.name, requests=self._requests)
+        settings = self.env.settings
         self.env.follower.state = State.DRAINING
-        await anyio.sleep(self.env.settings.locate_keep + self.env.settings.follow)
-        self._accepting = False
+        self.env.ends_at = anyio.current_time() + settings.stop - STOP_KEPT_SECONDS
+        with anyio.CancelScope(deadline=self.env.ends_at):
+            await anyio.sleep(settings.locate_keep + settings.follow)
+            self._accepting = False
+            await self._wait_idle()
+        self.stop()
+
+    async def _wait_idle(self) -> None:
         while self._requests or self.env.inflight:
             await anyio.sleep(_DRAIN_CHECK_SECONDS)
-        self.stop()
 
     def stop(self) -> None:
         """Stop serving without waiting for requests."""
@@ -130,12 +147,25 @@
                 return refused
             self._requests += 1
             try:
-                return await handler(request)
+                answer = await handler(request)
             finally:
                 self._requests -= 1
+            if isinstance(answer, Stream):
+                return replace(answer, pieces=self._count(answer.pieces))
+            return answer
 
         return handle
 
+    async def _count(self, pieces: AsyncGenerator[bytes, None]) -> AsyncGenerator[bytes, None]:
+        """Pass a stream on; it counts as a request from its first piece until its end."""
+        self._requests += 1
+        try:
+            async with aclosing(pieces):
+                async for piece in pieces:
+                    yield piece
+        finally:
+            self._requests -= 1
+
     def _find_refusal(self) -> Failure | None:
         settings = self.env.settings
         if not self._accepting:
@@ -144,7 +174,7 @@
         if refuses and not self.env.follower.has_lease():
             reason = "this entry has no configuration lease; use another"
             return Failure(FailureKind.NO_LEASE, reason, retry_after=1.0)
-        if self._requests + len(self.env.inflight) >= settings.requests_most:
+        if self._requests >= settings.requests_most:
             return Failure(FailureKind.OVERLOADED, "too many requests here", retry_after=1.0)
         return None
 
--- a/src/daleroad/environment.py
+++ b/src/daleroad/environment.py
@@ -61,7 +61,10 @@
 
 @dataclass
 class Environment:
-    """Settings and shared parts of one entry; parts reach each other only through it."""
+    """Settings and shared parts of one entry; parts reach each other only through it.
+
+    :param ends_at: when the entry cuts off what it still answers; never until it is told to stop.
+    """
 
     settings: Settings
     links: Links
@@ -74,6 +77,7 @@
     inflight: dict[str, Inflight] = field(default_factory=dict)
     loads: dict[str, float] = field(default_factory=dict)
     tasks: TaskGroup | None = None
+    ends_at: float = float("inf")
 
     def __post_init__(self) -> None:
         self.directory = Directory(self.catalog)
--- a/src/daleroad/loopback.py
+++ b/src/daleroad/loopback.py
@@ -258,6 +258,7 @@
     for key in ("entry_lease", "follow", "report", "upstream_lease", "locate_keep"):
         lines.append(f"{key} = {getattr(settings, key):g}")
     lines += ["", "[limits]", f"stall = {settings.stall:g}"]
+    lines.append(f"stop = {settings.stop:g}")
     lines.append(f"requests_most = {settings.requests_most}")
     lines.append(f"queue_most = {settings.queue_most}")
     lines.append(f"load_rate = {settings.load_rate:g}")
--- a/src/daleroad/settings.py
+++ b/src/daleroad/settings.py
@@ -82,6 +82,7 @@
     load_rate: float = defaults.LOAD_RATE
     load_burst: float = defaults.LOAD_BURST
     stall: float = defaults.STALL_SECONDS
+    stop: float = defaults.STOP_SECONDS
     tls: Tls = Tls()
     operators: tuple[OperatorSeed, ...] = ()
 
@@ -135,6 +136,7 @@
         "load_rate": "loads from the weight store a second, above 0",
         "load_burst": "loads from the weight store at once, above 0",
         "stall": _SECONDS,
+        "stop": "seconds from SIGTERM to the supervisor's kill, above 0",
         "on_lost_control": "refuse or serve",
     },
     "tls": {
@@ -272,6 +274,7 @@
         load_burst=reader.get_number("limits", "load_burst", defaults.LOAD_BURST),
         queue_most=reader.get_count("limits", "queue_most", defaults.QUEUE_MOST),
         stall=reader.get_number("limits", "stall", defaults.STALL_SECONDS),
+        stop=reader.get_number("limits", "stop", defaults.STOP_SECONDS),
         tls=Tls(
             reader.get_text("tls", "certificate"),
             reader.get_text("tls", "key"),
@@ -313,6 +316,7 @@
     if bool(settings.tls.certificate) != bool(settings.tls.key):
         yield Fault("tls", "key", settings.tls.key, "certificate and key together")
     yield from _find_lease_clashes(settings)
+    yield from _find_stop_clashes(settings)
     if settings.role is NodeRole.CONTROL:
         yield from _find_control_clashes(settings)
     elif settings.address in addresses:
@@ -331,6 +335,15 @@
         yield Fault("leases", "upstream_lease", f"{settings.upstream_lease:g}", expected)
 
 
+def _find_stop_clashes(settings: Settings) -> Iterator[Fault]:
+    # So long callers may still come to an entry that was told to stop.
+    coming = settings.locate_keep + settings.follow
+    least = coming + defaults.STOP_KEPT_SECONDS
+    if settings.stop < least:
+        kept = f"locate_keep, follow and {defaults.STOP_KEPT_SECONDS:g} s to end"
+        yield Fault("limits", "stop", f"{settings.stop:g}", f"at least {kept} ({least:g} s)")
+
+
 def _find_control_clashes(settings: Settings) -> Iterator[Fault]:
     if settings.control.get(settings.name) != settings.address:
         expected = f"{settings.address} under the node's own name"
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -35,6 +35,22 @@
         ):
             self.assertIn(said, self.find_fault(format_settings(wrong)))
 
+    def test_refuses_a_stop_that_is_over_before_callers_stop_coming(self) -> None:
+        entry = replace(make_site("data").entries[0], locate_keep=2.0, follow=0.5)
+        for stop, fits in ((3.4, False), (3.5, True), (90.0, True)):
+            with self.subTest(stop=stop):
+                found = parse_settings(format_settings(replace(entry, stop=stop)))
+                if fits:
+                    self.assertEqual(found, replace(entry, stop=stop))
+                else:
+                    said = "; ".join(str(fault) for fault in found)
+                    self.assertIn("[limits] stop = '3.4'", said)
+                    self.assertIn("at least locate_keep, follow and 1 s to end (3.5 s)", said)
+
+    def test_stop_must_be_above_0(self) -> None:
+        entry = make_site("data").entries[0]
+        self.assertIn("kill, above 0", self.find_fault(format_settings(replace(entry, stop=0.0))))
+
     def test_refuses_duplicate_addresses(self) -> None:
         control = make_site("data").control[0]
         same = dict.fromkeys(control.control, control.address)
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -24,7 +24,7 @@
 from tests.harness import SiteTest, get_json, wait_for
 
 KILL_SECONDS = 3.0
-"""From SIGTERM to SIGKILL. No setting holds it yet: a mend that adds one sets it in change_site."""
+"""From SIGTERM to SIGKILL; the site's setting."""
 
 LONG_TOKENS = 900
 """About 11 s at the stand-in's usual speed, so more than KILL_SECONDS."""
@@ -70,8 +70,9 @@
 
     def change_site(self, site: Site) -> Site:
         site = super().change_site(site)
-        entries = tuple(replace(s, locate_keep=1.0, follow=0.5) for s in site.entries)
-        control = tuple(replace(s, locate_keep=1.0, follow=0.5) for s in site.control)
+        times = {"locate_keep": 1.0, "follow": 0.5, "stop": KILL_SECONDS}
+        entries = tuple(replace(s, **times) for s in site.entries)
+        control = tuple(replace(s, **times) for s in site.control)
         return replace(site, entries=entries, control=control)
 
     def setUp(self) -> None:
