Let a stopping entry begin only generations that can be over before its end

Cause: until its locate answers had expired a stopping entry took any generation, also one that surely outlasts it. Change: `finishing`, a pure decision, says by when a generation must have its permit: the entry's end less its first token (0.5 s, or its deadline if that is shorter) and its output at the stopping gateway's pace (18 ms a token); the output is the 95 % quantile of the lengths seen, or max_tokens where fewer than eight were. Asked at arrival, before a limit's slot is taken, and again when the permit comes; waits for a permit end by then, also those from before the signal. Refused as `draining`, ran no, come back after 0.1 s; work that may not be repeated still looks up its key first. With less than 0.3 s left nothing is taken, resumed streams included. Ruled out: the whole deadline as time to begin: with 120 s almost nothing would be taken. Left: lengths are seen by an upstream's steward only, so other entries go by max_tokens. A try that did not run, followed by a wait that the end cuts off, is told as ran unknown.

--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -49,6 +49,9 @@
 STOP_KEPT_SECONDS = 1.0
 """Kept of that for telling callers what is cut off, and the leader that an entry is gone."""
 
+STOP_BEGIN_SECONDS = 0.5
+"""From its permit to a generation's first token; a prompt's reading (0.4 s) and its way."""
+
 RESUME_TRIES = 6
 """Tries to resume one generation before it ends as partial."""
 
--- a/src/daleroad/entry.py
+++ b/src/daleroad/entry.py
@@ -49,6 +49,9 @@
 from daleroad.stewardship import Stewardship
 
 _DRAIN_CHECK_SECONDS = 0.1
+_LEAST_SECONDS = 0.3
+"""With less time left an entry takes nothing, not even a resumed stream; some round trips."""
+
 _CLOSE_SECONDS = 0.1
 """Kept until the supervisor's kill for closing connections."""
 
@@ -101,6 +104,7 @@
         settings = self.env.settings
         self.env.follower.state = State.DRAINING
         self.env.ends_at = anyio.current_time() + settings.stop - STOP_KEPT_SECONDS
+        self._generations.note_end()
         with anyio.CancelScope(deadline=self.env.ends_at):
             await anyio.sleep(settings.locate_keep + settings.follow)
             self._accepting = False
@@ -168,7 +172,8 @@
 
     def _find_refusal(self) -> Failure | None:
         settings = self.env.settings
-        if not self._accepting:
+        left = self.env.ends_at - anyio.current_time()
+        if not self._accepting or left < _LEAST_SECONDS:
             return Failure(FailureKind.DRAINING, "this entry is leaving", retry_after=0.1)
         refuses = settings.on_lost_control is OnLostControl.REFUSE
         if refuses and not self.env.follower.has_lease():
--- a/src/daleroad/generations.py
+++ b/src/daleroad/generations.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from uuid import uuid4
 
 import anyio
@@ -12,9 +12,11 @@
 from daleroad.claims import Claim, ClaimState
 from daleroad.defaults import CLAIM_ANSWER_BYTES
 from daleroad.delivery import Delivery
+from daleroad.ending import make_leaving
 from daleroad.environment import Environment, Inflight
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
+from daleroad.finishing import expect_tokens, find_latest_start
 from daleroad.jobs import Job, identify, make_work, parse_job
 from daleroad.limiting import Limits
 from daleroad.messages import EngineCompletion, PermitAnswer, PermitEnd, Work
@@ -69,6 +71,7 @@
         self._limits = limits
         self._stewardship = stewardship
         self._claims = Claims(env)
+        self._placing: dict[anyio.CancelScope, Job] = {}
 
     async def serve(self, request: Request) -> Answer:
         """Answer one request for a generation, new or resumed.
@@ -82,10 +85,12 @@
         job = parse_job(self._env.directory, request, now)
         if isinstance(job, Failure):
             return self._refuse("", job)
+        if not self._can_be_over(job):
+            return await self._refuse_early(job, make_leaving(Ran.NO))
         slot = uuid4().hex
         refused = await self._limits.take(job.organisation, slot)
         if refused is not None:
-            return await self._refuse_limited(job, refused)
+            return await self._refuse_early(job, refused)
         flow: Flow | Failure = Failure(FailureKind.UNREACHABLE, "ended early", Ran.UNKNOWN)
         try:
             flow = await self._start(job)
@@ -99,7 +104,7 @@
         self._env.metrics.first_token.labels(str(job.route.urgent)).observe(waited)
         return await self._deliver(flow, job.completion.stream)
 
-    async def _refuse_limited(self, job: Job, refused: Failure) -> Answer:
+    async def _refuse_early(self, job: Job, refused: Failure) -> Answer:
         found = await self._refuse_unplaced(job, refused)
         if isinstance(found, Failure):
             return self._refuse(job.route.name, found)
@@ -110,6 +115,38 @@
         log_event(Event.REQUEST_REFUSED, route=route, kind=failure.kind, ran=failure.ran)
         return failure
 
+    # The entry's end.
+
+    def note_end(self) -> None:
+        """Let what waits for a permit wait no longer than until the entry's end allows."""
+        for scope, job in self._placing.items():
+            scope.deadline = self._find_latest_start(job)
+
+    def _find_latest_start(self, job: Job) -> float:
+        env = self._env
+        most = job.completion.max_tokens
+        tokens = expect_tokens(env.lengths, job.route.name, job.model, most)
+        return find_latest_start(env.ends_at, job.deadline_at - job.arrived_at, tokens)
+
+    def _can_be_over(self, job: Job) -> bool:
+        return anyio.current_time() < self._find_latest_start(job)
+
+    async def _place_in_time(self, job: Job, avoid: set[str]) -> Placed | Failure:
+        """Place a job as long as it can be over before the entry ends."""
+        placed: Placed | Failure = make_leaving(Ran.NO)
+        scope = anyio.CancelScope(deadline=self._find_latest_start(job))
+        self._placing[scope] = job
+        try:
+            with scope:
+                placed = await self._place(job, avoid)
+        finally:
+            del self._placing[scope]
+        if self._can_be_over(job):
+            return placed
+        if isinstance(placed, Placed):
+            await self._end(placed, 0, started=False, ok=False)
+        return make_leaving(Ran.NO)
+
     # From job to first token.
 
     async def _start(self, job: Job) -> Flow | Failure:
@@ -119,7 +156,7 @@
         avoid: set[str] = set()
         attempt = 0
         while True:
-            placed = await self._place(job, avoid)
+            placed = await self._place_in_time(job, avoid)
             if isinstance(placed, Failure):
                 return await self._refuse_unplaced(job, _worsen(placed, ran))
             flow = await self._dispatch(job, placed)
@@ -185,7 +222,9 @@
         env = self._env
         secret = env.settings.cluster_secret
         generation = make_generation(upstream.name, job.organisation.name, secret)
-        work = make_work(job, generation, anyio.current_time())
+        # The steward forgets it by itself when it can't be over any more.
+        deadline_at = min(job.deadline_at, self._find_latest_start(job))
+        work = make_work(replace(job, deadline_at=deadline_at), generation, anyio.current_time())
         answer = await self._stewardship.ask(upstream, work, wait)
         if isinstance(answer, PermitAnswer):
             return Placed(upstream, work)
--- a/src/daleroad/lengths.py
+++ b/src/daleroad/lengths.py
@@ -91,6 +91,18 @@
             length = max(2 * produced, LENGTH_UNKNOWN)
         return max(1.0, min(length, most) - produced)
 
+    def find_quantile(self, route: str, model: str, quantile: float) -> float | None:
+        """Return a quantile of the lengths seen, or nothing where too few were seen.
+
+        :param route: the route.
+        :param model: the model version.
+        :param quantile: from 0 to 1.
+        """
+        window = self._find(route, model)
+        if window is None or len(window) < _ENOUGH:
+            return None
+        return window.get_quantile(quantile, 0)
+
     def estimate_mean(self, route: str, model: str) -> float:
         """Return the mean output length in tokens.
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -21,7 +21,7 @@
 from daleroad.security import hash_token
 from daleroad.serving import Answer, Request, Response, Router, Stream, serve_app
 from daleroad.settings import Settings, Tls
-from tests.harness import SiteTest, get_json, wait_for
+from tests.harness import SiteTest, generate, get_json, wait_for
 
 KILL_SECONDS = 3.0
 """From SIGTERM to SIGKILL; the site's setting."""
@@ -68,9 +68,11 @@
 class StoppingTest(SiteTest):
     """A site whose locate answers are kept for 1 s, so that draining is short."""
 
+    kill_seconds = KILL_SECONDS
+
     def change_site(self, site: Site) -> Site:
         site = super().change_site(site)
-        times = {"locate_keep": 1.0, "follow": 0.5, "stop": KILL_SECONDS}
+        times = {"locate_keep": 1.0, "follow": 0.5, "stop": self.kill_seconds}
         entries = tuple(replace(s, **times) for s in site.entries)
         control = tuple(replace(s, **times) for s in site.control)
         return replace(site, entries=entries, control=control)
@@ -81,9 +83,9 @@
         self.begun = threading.Event()
 
     def supervise(self, name: str) -> Callable[[], None]:
-        """Send SIGTERM, and SIGKILL after KILL_SECONDS; return what sends SIGTERM again."""
+        """Send SIGTERM, later SIGKILL as the setting says; return what sends SIGTERM again."""
         process = self.processes.terminate(name)
-        timer = threading.Timer(KILL_SECONDS, process.kill)
+        timer = threading.Timer(self.kill_seconds, process.kill)
         timer.start()
 
         def end() -> None:
@@ -94,14 +96,18 @@
         self.addCleanup(end)
         return process.terminate
 
-    def submit(self, settings: Settings, stream: bool = True) -> "Future[Outcome]":
+    def submit(
+        self, settings: Settings, stream: bool = True, tokens: int = LONG_TOKENS, last: str = ""
+    ) -> "Future[Outcome]":
         headers = {"authorization": f"Bearer {get_token('danube-barges')}"}
         body = {
             "route": "bulletin",
-            "prompt": f"#tokens={LONG_TOKENS}",
-            "max_tokens": LONG_TOKENS,
+            "prompt": f"#tokens={tokens}",
+            "max_tokens": tokens,
             "stream": stream,
         }
+        if last:
+            headers["last-event-id"] = last
         return self.pool.submit(ask, f"{settings.url}/v1/completions", body, headers, self.begun)
 
     def wait_taken(self, settings: Settings) -> None:
@@ -176,6 +182,69 @@
         again()
         self.check_ended(future.result(30))
 
+    def test_a_stream_counts_once(self) -> None:
+        self.submit(self.entry)
+        self.assertTrue(self.begun.wait(30))
+        status = get_json(f"{self.entry.url}/status")
+        self.assertEqual((status["requests"], status["inflight"]), (1, 1))
+
+    def test_a_caller_goes_on_at_another_entry(self) -> None:
+        caller = self.make_caller("danube-barges")
+        future = self.pool.submit(generate, caller, "bulletin", f"#tokens={LONG_TOKENS}")
+        self.supervise(wait_for(self.find_busy, "an entry that delivers").name)
+        self.check_whole(future.result(60), LONG_TOKENS)
+        self.assertGreater(caller.resumes, 0)
+
+    def find_busy(self) -> Settings | None:
+        """Return an entry with a generation, if there is any."""
+        for settings in self.site.entries:
+            if get_json(f"{settings.url}/status")["inflight"]:
+                return settings
+        return None
+
+
+class PatientTest(StoppingTest):
+    """An entry whose supervisor gives it some more seconds."""
+
+    kill_seconds = 12.0
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.entry = self.site.entries[0]
+
+    def check_whole_outcome(self, outcome: Outcome) -> None:
+        self.check_ended(outcome)
+        self.assertEqual(outcome.status, 200, outcome)
+        self.assertNotIn(_ERROR, outcome.body)
+        self.assertIn(_END, outcome.body)
+
+    def test_a_short_stream_taken_after_the_signal_is_whole(self) -> None:
+        self.supervise(self.entry.name)
+        time.sleep(0.3)
+        self.check_whole_outcome(self.submit(self.entry, tokens=60).result(30))
+
+    def test_a_stream_taken_before_the_signal_is_whole_and_the_entry_ends_early(self) -> None:
+        future = self.submit(self.entry, tokens=300)
+        self.assertTrue(self.begun.wait(30))
+        process = self.processes.running[self.entry.name]
+        self.supervise(self.entry.name)
+        self.check_whole_outcome(future.result(30))
+        self.assertEqual(process.wait(30), 0)
+
+    def test_a_resumed_stream_counts_once_and_is_whole(self) -> None:
+        other = self.site.entries[1]
+        self.submit(other, tokens=400)
+        self.assertTrue(self.begun.wait(30))
+        record = self.get_record()
+        (generation,) = record["generations"]
+        self.begun = threading.Event()
+        future = self.submit(self.entry, last=f"{generation}:0")
+        self.assertTrue(self.begun.wait(30))
+        status = get_json(f"{self.entry.url}/status")
+        self.assertEqual((status["requests"], status["inflight"]), (1, 0))
+        self.supervise(self.entry.name)
+        self.check_whole_outcome(future.result(30))
+
 
 class SlowServiceTest(StoppingTest):
     """An entry that waits for a plain service when its supervisor stops it."""
