End a plain call at a stopping entry a moment before the entry's end

Cause: a call that was waiting at the entry's end was cut off in its handler, so its key stayed held. Left: calls from before the signal are cut off by the server's end, told the same, and their keys stay held. That a key is settled is not tested.

--- a/src/daleroad/services.py
+++ b/src/daleroad/services.py
@@ -9,7 +9,8 @@
 
 from daleroad.claiming import Claims, refuse_unclaimed
 from daleroad.claims import Claim, ClaimState
-from daleroad.defaults import CLAIM_ANSWER_BYTES
+from daleroad.defaults import CLAIM_ANSWER_BYTES, LAST_ANSWER_SECONDS
+from daleroad.ending import make_leaving
 from daleroad.environment import Environment
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.jobs import get_key, identify, parse_deadline
@@ -50,6 +51,7 @@
         deadline = parse_deadline(request, route, anyio.current_time())
         if isinstance(deadline, Failure):
             return deadline
+        deadline = min(deadline, env.ends_at - LAST_ANSWER_SECONDS)
         if route.repeatable or request.method in _IDEMPOTENT:
             return await self._call_repeatable(request, route, rest, deadline)
         key = get_key(request, route)
@@ -159,12 +161,18 @@
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             failure = Failure(FailureKind.UPSTREAM_LOST, f"{error!r}", Ran.NO, 1.0)
         except TimeoutError:
-            failure = Failure(FailureKind.DEADLINE, "no answer in time", Ran.UNKNOWN, 1.0)
+            failure = self._make_late()
         except httpx.HTTPError as error:
             failure = Failure(FailureKind.UPSTREAM_LOST, f"{error!r}", Ran.UNKNOWN, 1.0)
         self._note(upstream, False)
         return failure
 
+    def _make_late(self) -> Failure:
+        """Return why a call was given up: this entry's end or its own deadline."""
+        if anyio.current_time() >= self._env.ends_at - LAST_ANSWER_SECONDS:
+            return make_leaving(Ran.UNKNOWN)
+        return Failure(FailureKind.DEADLINE, "no answer in time", Ran.UNKNOWN, 1.0)
+
     def _note(self, upstream: Upstream, ok: bool) -> None:
         env = self._env
         among = len(env.directory.list_upstreams(upstream.service, ""))
