Let the stand-in plain service announce the address that it is told

Cause: the command line took `--advertise` and dropped it. Change: it is passed on. The new test fails with the command line as it was.

--- a/src/daleroad/cli.py
+++ b/src/daleroad/cli.py
@@ -108,7 +108,9 @@
             zone: its availability zone.
             advertise: IP:PORT to announce, if not the address.
         """
-        service_options = PlainOptions(name, service, zone, address, tuple(_split(entries)), token)
+        service_options = PlainOptions(
+            name, service, zone, address, tuple(_split(entries)), token, advertise=advertise
+        )
         plain = PlainService(service_options)
 
         async def drain() -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,6 +9,7 @@
 
 from daleroad.cli import Commands
 from daleroad.daleroad_pb import ChangeAnswer
+from daleroad.plain import PlainOptions
 from daleroad.security import hash_token
 
 BODY = '{"name":"r","repeatable":true,"deadline":1.0}'
@@ -36,6 +37,16 @@
     def test_a_token_of_digits_is_a_text(self) -> None:
         self.assertEqual(run("hash", "0123"), hash_token("0123"))
 
+    def test_a_stand_in_announces_the_address_that_it_is_told(self) -> None:
+        with patch("daleroad.cli.PlainService") as service, patch("daleroad.cli.anyio.run"):
+            run(
+                *("standin", "plain", "p-0", "p", "127.0.0.1:1", "http://a,http://b", "t"),
+                *("--zone", "z", "--advertise", "127.0.0.1:2"),
+            )
+        entries = ("http://a", "http://b")
+        told = PlainOptions("p-0", "p", "z", "127.0.0.1:1", entries, "t", advertise="127.0.0.1:2")
+        service.assert_called_once_with(told)
+
     def test_settings_with_faults_end_with_code_1(self) -> None:
         with self.assertRaises(SystemExit) as caught:
             run("check", "no-such-file.ini")
