--- a/tests/test_process_end.py
+++ b/tests/test_process_end.py
@@ -18,6 +18,9 @@
 CLIENTS, READINESS, OURS, CONTROL, DIRECTORY, COORDINATOR_METRICS, GATEWAY_METRICS, ENGINE = range(
     18750, 18758
 )
+COORDINATOR_IP = "127.0.4.31"
+"""Not that of another class's coordinators: classes run beside each other."""
+
 START_SECONDS = 10.0
 GRACE_SECONDS = 2.5
 KEPT_SECONDS = 0.1
@@ -192,14 +195,14 @@
     def start_site(self, stack: ExitStack, pause: float) -> tuple[subprocess.Popen, Engine]:
         """Start a coordinator, an upstream and a gateway that serves it."""
         folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="daleroad-test-"))
-        stack.enter_context(start("coordinator", "127.0.4.1", ("127.0.4.1",), folder))
+        stack.enter_context(start("coordinator", COORDINATOR_IP, (COORDINATOR_IP,), folder))
         engine = Engine("127.0.4.21", pause)
         stack.callback(engine.close)
-        call_until_done("127.0.4.1", CONTROL, "PUT", "/-/config", CONFIG)
-        gateway = stack.enter_context(start("gateway", "127.0.4.11", ("127.0.4.1",), folder))
+        call_until_done(COORDINATOR_IP, CONTROL, "PUT", "/-/config", CONFIG)
+        gateway = stack.enter_context(start("gateway", "127.0.4.11", (COORDINATOR_IP,), folder))
         call_until_done("127.0.4.11", READINESS, "GET", "/-/readyz")
         beat = BEAT | {"address": engine.address}
-        call_until_done("127.0.4.1", CONTROL, "PUT", "/-/instances/i-1", beat)
+        call_until_done(COORDINATOR_IP, CONTROL, "PUT", "/-/instances/i-1", beat)
         return gateway, engine
 
     def ask_until_served(self, client: socket.socket) -> None:
