Upstreams that start again under their id are instances of their own

Cause: after a leave, a drain, or a crash at another address the first heartbeat of an upstream's next start was dropped for its low number; after a crash at its address it was taken for the one before. Change: an instance's id holds when it was born, so connections, loads, ejection, runs and reports belong to one start; the later start replaces the earlier everywhere, and nothing that still comes of the earlier changes that. The soak's upstreams start again and another writer sends entries under their ids. Ruled out: numbers of heartbeats (both begin at 1), the time of hearing (late ones).

--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -195,10 +195,12 @@
 
     :param leaves_in: seconds until it ends, if it knows.
     :param runs: the generations at work.
+    :param born: which start of it says so, in milliseconds since 1970; 0 if it does not say.
     """
 
     leaves_in: float | None
     runs: tuple[RunSize, ...]
+    born: int = 0
 
 
 class Dispatcher(Protocol):
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -1,12 +1,19 @@
 """The upstreams that are alive, as their own heartbeats tell. Pure.
 
-An upstream's process is one *instance* with an id of its own; it counts its heartbeats, so one
+An upstream's process is one *instance*, from its start to its end; it counts its heartbeats, so one
 that arrives late changes nothing. An instance that left is remembered for a while, or a late
 heartbeat would bring it back.
+
+A process that starts again may keep its name. It is another instance then, which holds and knows
+nothing of before, and the one that was born later has replaced the other for good: all that is kept
+by an instance's id (connections, loads, ejection, runs) belongs to one start. What orders two
+starts is the upstream's own clock, since nothing else tells a start from a late heartbeat. If that
+clock went back, the later start is hidden until the earlier one is forgotten: FORGET_SECONDS after
+a crash, GONE_KEPT_SECONDS after a leave.
 """
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 GONE_KEPT_SECONDS = 60.0
@@ -35,8 +42,11 @@
 class Instance:
     """One process of an upstream, as it describes itself.
 
+    :param id: tells it from all other starts, as :func:`make_instance_id` returns it.
     :param sequence: number of the heartbeat that said so.
     :param slots: requests that it works on at a time.
+    :param name: what it calls itself, if that is not its id; it may start again under this name.
+    :param born: when it started, in milliseconds since 1970 by its own clock; 0 if it does not say.
     """
 
     id: str
@@ -46,6 +56,21 @@
     slots: int
     state: InstanceState
     sequence: int
+    name: str = ""
+    born: int = 0
+
+    def get_name(self) -> str:
+        """Return what the upstream calls itself."""
+        return self.name or self.id
+
+
+def make_instance_id(name: str, born: int) -> str:
+    """Return the id of one start of an upstream.
+
+    :param name: what it calls itself.
+    :param born: when it started, in milliseconds since 1970; 0 if it does not say.
+    """
+    return f"{name}@{born}" if born else name
 
 
 @dataclass(frozen=True)
@@ -64,6 +89,7 @@
 @dataclass
 class _Known:
     instance: Instance
+    first_heard_at: float
     heard_at: float
     warm_at: float
     started_at: float
@@ -86,15 +112,45 @@
     heartbeat: float = 1.0
     revision: int = 1
     _known: dict[str, _Known] = field(default_factory=dict)
+    _youngest: dict[str, str] = field(default_factory=dict)
     _contested: set[str] = field(default_factory=set)
 
-    def note(self, sighting: Sighting, now: float) -> bool:
-        """Take in news of an instance; return whether it changes what others should know.
+    def note(self, sighting: Sighting, now: float) -> list[Instance]:
+        """Take in news of an instance; return those of which others should know that they changed.
 
         :param sighting: the instance, and how long ago it was heard.
         :param now: the time.
         """
         fresh = sighting.instance
+        youngest = self._find_youngest(fresh.get_name())
+        if youngest is None or fresh.born == youngest.instance.born:
+            return [fresh] if self._take(sighting, now) else []
+        if fresh.born > youngest.instance.born:
+            replaced = self._end(youngest)
+            self._take(sighting, now)
+            return [*replaced, fresh]
+        known_then = youngest.first_heard_at <= now - sighting.age
+        if fresh.state is InstanceState.GONE and not fresh.born and known_then:
+            # A leave that doesn't say of which start it is.
+            return self._end(youngest)
+        return []
+
+    def _find_youngest(self, name: str) -> _Known | None:
+        """Return the last start of an upstream, if it is known."""
+        return self._known.get(self._youngest.get(name, ""))
+
+    def _end(self, known: _Known) -> list[Instance]:
+        """Note that an instance is gone; return it if that is news."""
+        if known.instance.state is InstanceState.GONE:
+            return []
+        known.instance = replace(known.instance, state=InstanceState.GONE)
+        self.revision += 1
+        known.revision = self.revision
+        return [known.instance]
+
+    def _take(self, sighting: Sighting, now: float) -> bool:
+        """Take in news of the last start of an upstream; return whether it is news to others."""
+        fresh = sighting.instance
         heard_at = now - sighting.age
         known = self._known.get(fresh.id)
         if known is None:
@@ -103,9 +159,13 @@
             started_at = self._guess_start(fresh, heard_at)
             self.revision += 1
             warm_at = now + sighting.cold
-            self._known[fresh.id] = _Known(fresh, heard_at, warm_at, started_at, self.revision)
+            self._known[fresh.id] = _Known(
+                fresh, heard_at, heard_at, warm_at, started_at, self.revision
+            )
+            self._youngest[fresh.get_name()] = fresh.id
             return True
         old = known.instance
+        known.first_heard_at = min(known.first_heard_at, heard_at)
         known.heard_at = max(known.heard_at, heard_at)
         known.started_at = min(known.started_at, self._guess_start(fresh, heard_at))
         forward = _ORDER.index(fresh.state) > _ORDER.index(old.state)
@@ -125,20 +185,40 @@
             known.revision = self.revision
         return changed
 
-    def leave(self, instance_id: str, now: float) -> bool:
-        """Note that an instance is gone; return whether that is news.
+    def leave(self, name: str, now: float, born: int = 0) -> list[Instance]:
+        """Note that an upstream said it is gone; return the instance if that is news.
 
-        :param instance_id: the instance.
+        :param name: what it calls itself.
         :param now: the time.
+        :param born: which start of it; 0 for the last one that is known.
         """
-        known = self._known.get(instance_id)
+        known = self._known.get(make_instance_id(name, born))
+        youngest = self._find_youngest(name)
+        if not born and youngest is not None:
+            known = youngest
         if known is None:
-            gone = Instance(instance_id, "", "", "", 0, InstanceState.GONE, 0)
-            return self.note(Sighting(gone, 0.0), now)
-        old = known.instance
-        fields = (old.id, old.service, old.address, old.zone, old.slots)
-        gone = Instance(*fields, InstanceState.GONE, old.sequence)
-        return self.note(Sighting(gone, 0.0), now)
+            gone = InstanceState.GONE
+            instance = Instance(make_instance_id(name, born), "", "", "", 0, gone, 0, name, born)
+        else:
+            instance = replace(known.instance, state=InstanceState.GONE)
+        return self.note(Sighting(instance, 0.0), now)
+
+    def is_replaced(self, instance: Instance) -> bool:
+        """Return whether a later start of the same upstream is known.
+
+        :param instance: the instance.
+        """
+        return self._youngest.get(instance.get_name(), instance.id) != instance.id
+
+    def find(self, name: str, born: int = 0) -> Instance | None:
+        """Return a start of an upstream, if it is known.
+
+        :param name: what the upstream calls itself.
+        :param born: which start; 0 for the last one.
+        """
+        known = self._known.get(make_instance_id(name, born)) if born else None
+        known = known or (None if born else self._find_youngest(name))
+        return known.instance if known is not None else None
 
     def count(self) -> int:
         """Return how many instances are known."""
@@ -202,8 +282,15 @@
         ]
         newest = max(rival.heard_at for rival in rivals)
         oldest = newest - SILENT_HEARTBEATS * self.heartbeat
-        alive = (rival for rival in rivals if rival.heard_at >= oldest)
-        holder = max(alive, key=lambda rival: (rival.started_at, rival.instance.id))
+        alive = [rival for rival in rivals if rival.heard_at >= oldest]
+        told = all(rival.instance.born for rival in alive)
+        holder = max(
+            alive,
+            key=lambda rival: (
+                rival.instance.born if told else rival.started_at,
+                rival.instance.id,
+            ),
+        )
         return holder is known
 
     def list_sightings(self, now: float, since: float = float("-inf")) -> Iterator[Sighting]:
@@ -243,7 +330,7 @@
         :param sightings: the news.
         :param now: the time.
         """
-        return [s.instance for s in sightings if self.note(s, now)]
+        return [instance for sighting in sightings for instance in self.note(sighting, now)]
 
     def note_ages(self, ages: dict[str, float], now: float) -> None:
         """Note when known instances were last heard.
@@ -268,6 +355,8 @@
             if now - known.heard_at <= limit:
                 continue
             del self._known[instance_id]
+            if self._youngest.get(known.instance.get_name()) == instance_id:
+                del self._youngest[known.instance.get_name()]
             if not gone:
                 self.revision += 1
                 lost.append(known.instance)
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -327,7 +327,7 @@
 
         :param instance: the upstream, which has ended.
         """
-        if self.fleet.leave(instance.id, anyio.current_time()):
+        if self.fleet.leave(instance.get_name(), anyio.current_time(), instance.born):
             log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="replaced")
             # Its streams are not moved: who answers at its address knows nothing of them.
             self._forget(instance)
@@ -344,7 +344,9 @@
                 case InstanceState.LEAVING:
                     self._note_leaving(instance)
                 case InstanceState.GONE:
-                    self._note_leaving(instance)
+                    # Who answers at the address of one that started again knows nothing of before.
+                    if not self.fleet.is_replaced(instance):
+                        self._note_leaving(instance)
                     self._forget(instance)
 
     def _forget(self, instance: Instance) -> None:
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -92,10 +92,9 @@
         """
         now = anyio.current_time()
         self._peers.note_alive(asked.sender, now)
-        before = {s.instance.id: self.fleet.get(s.instance.id) for s in asked.sightings}
         changed = self.fleet.note_all(asked.sightings, now)
         for instance in changed:
-            self._log_change(instance, before[instance.id])
+            self._log_change(instance)
         for notice in asked.gateways:
             self._note_gateway(notice, now)
         if changed:
@@ -147,36 +146,32 @@
         :param sighting: what it says.
         """
         now = anyio.current_time()
-        before = self.fleet.get(sighting.instance.id)
         changed = self.fleet.note(sighting, now)
-        instance = self.fleet.get(sighting.instance.id)
-        if changed and instance is not None:
-            self._log_change(instance, before)
+        for instance in changed:
+            self._log_change(instance)
+        if changed:
             self._wake()
-        if instance is not None and instance.state is not InstanceState.READY:
-            return await self._tell_leaving(instance, changed)
+        if sighting.instance in changed and sighting.instance.state is not InstanceState.READY:
+            return await self._tell_leaving(sighting.instance)
         return None
 
-    async def part(self, instance_id: str) -> Failure | None:
+    async def part(self, name: str, born: int = 0) -> Failure | None:
         """Note that an upstream is gone; return nothing once it counts.
 
-        :param instance_id: the instance.
+        :param name: what it calls itself.
+        :param born: which start of it; 0 for the last one that is known.
         """
-        before = self.fleet.get(instance_id)
-        changed = self.fleet.leave(instance_id, anyio.current_time())
-        instance = self.fleet.get(instance_id)
-        if changed and instance is not None:
-            self._log_change(instance, before)
+        for instance in self.fleet.leave(name, anyio.current_time(), born):
+            self._log_change(instance)
             self._wake()
-        return await self._tell_leaving(instance, True) if instance is not None else None
+        known = self.fleet.find(name, born)
+        return await self._tell_leaving(known) if known is not None else None
 
-    async def _tell_leaving(self, instance: Instance, changed: bool) -> Failure | None:
+    async def _tell_leaving(self, instance: Instance) -> Failure | None:
         """Tell the other coordinators at once that an upstream leaves.
 
         This one may die before the next turn, and who watches it would never hear.
         """
-        if not changed:
-            return None
         now = anyio.current_time()
         others = [peer for peer in self._list_others() if self._peers.is_alive(peer, now)]
         if not others:
@@ -205,20 +200,19 @@
             return Failure(FailureKind.NO_MAJORITY, reason)
         return None
 
-    def _log_change(self, instance: Instance, before: Instance | None) -> None:
+    def _log_change(self, instance: Instance) -> None:
         event = {
             InstanceState.READY: Event.UPSTREAM_JOINED,
             InstanceState.LEAVING: Event.UPSTREAM_DRAINING,
             InstanceState.GONE: Event.UPSTREAM_LEFT,
         }[instance.state]
-        was = before.state.value if before else "unknown"
         log_event(
             event,
             id=instance.id,
             service=instance.service,
             address=instance.address,
             sequence=instance.sequence,
-            before=was,
+            replaced=self.fleet.is_replaced(instance),
             revision=self.fleet.revision,
         )
 
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -281,7 +281,9 @@
 
     def _move_if_leaving(self, run: Run) -> None:
         known = self._gateway.fleet.get(run.attempt.instance.id)
-        if known is not None and known.state is not InstanceState.READY:
+        if known is None or self._gateway.fleet.is_replaced(known):
+            return
+        if known.state is not InstanceState.READY:
             self._mover.begin(run)
 
     def _remove_loads(self, run: Run) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
     GATEWAYS,
     PROCESS_FAULTS,
     QUIET_SECONDS,
+    plan_restarts,
     plan_steps,
     plan_stops,
 )
@@ -46,6 +47,17 @@
         self.assertEqual(kinds, {*PROCESS_FAULTS, "wipe"} | links)
 
 
+class RestartsTest(unittest.TestCase):
+    def test_a_seed_fixes_them_and_all_are_over_before_the_end(self) -> None:
+        plans = [list(plan_restarts(Random(seed), 40.0)) for seed in (5, 5, 6)]
+        self.assertEqual(plans[0], plans[1])
+        self.assertNotEqual(plans[0], plans[2])
+        for seed in range(50):
+            for step in plan_restarts(Random(seed), 40.0):
+                self.assertLess(step.at, 40.0 - QUIET_SECONDS)
+                self.assertEqual(step.kind, "restart")
+
+
 class StopsTest(unittest.TestCase):
     def test_a_seed_fixes_the_stops(self) -> None:
         plans = [list(plan_stops(Random(seed), 40.0)) for seed in (5, 5, 6)]
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -79,6 +79,29 @@
 TURN_SECONDS = (GRACE_SECONDS + 1.0, GRACE_SECONDS + 3.0)
 """Time from the last stop of a turn to the next turn; by then those gateways serve again."""
 
+RESTART = "restart"
+
+RESTART_GAP_SECONDS = (0.5, 5.0)
+"""Time between two upstreams that start again under their id."""
+
+AGAIN_SECONDS = 4.0
+"""Within so long after its start an upstream must have run a request again."""
+
+ALIEN_GAP_SECONDS = (0.1, 0.6)
+"""Time between two entries from another writer."""
+
+ALIEN_FIELDS: tuple[dict[str, object], ...] = (
+    {"service": 7},
+    {"address": None},
+    {"address": "nowhere"},
+    {"zone": {"a": 1}},
+    {"slots": True},
+    {"state": "asleep"},
+    {"sequence": -1},
+    {"born": "yesterday"},
+)
+"""What another writer has in an entry under the id of an upstream that is well."""
+
 STREAM_TIMEOUT_SECONDS = 30
 
 
@@ -127,6 +150,17 @@
         at += random.uniform(*TURN_SECONDS)
 
 
+def plan_restarts(random: Random, seconds: float) -> Iterator[Step]:
+    """Yield the upstreams that start again under their id, in order."""
+    at = FIRST_SECONDS
+    while True:
+        at += random.uniform(*RESTART_GAP_SECONDS)
+        if at >= seconds - QUIET_SECONDS:
+            return
+        hold = round(random.uniform(0.05, 0.5), 2)
+        yield Step(round(at, 2), RESTART, f"link-{random.randrange(UPSTREAMS)}", hold)
+
+
 class Processes:
     """The site's processes, by name; restarts those that end, as the platform does."""
 
@@ -219,8 +253,9 @@
         self.seconds = seconds
         # The other faults of a seed are the same with and without the stops.
         self.stops = list(plan_stops(Random(f"{seed} stops"), seconds))
+        restarts = list(plan_restarts(Random(f"{seed} restarts"), seconds))
         faults = list(plan_steps(self.random, seconds))
-        self.steps = sorted(faults + self.stops, key=lambda step: step.at)
+        self.steps = sorted(faults + self.stops + restarts, key=lambda step: step.at)
         self.ledger = Ledger()
         self.idempotent: set[str] = set()
         entries = [f"127.0.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
@@ -270,6 +305,7 @@
                 await self._save(client, 1, 30.0)
                 began = anyio.current_time()
                 tasks.start_soon(self._operate, client)
+                tasks.start_soon(self._write_aliens, client)
                 tasks.start_soon(self._restart, processes)
                 for number in range(CLIENTS):
                     tasks.start_soon(self._ask, number, began)
@@ -277,6 +313,7 @@
                     tasks.start_soon(asker.run)
                 await self._hurt(processes, began, tasks)
                 await anyio.sleep_until(began + self.seconds)
+                self._check_upstreams()
                 tasks.cancel_scope.cancel()
             await self._check_reads(client)
 
@@ -315,10 +352,39 @@
             case "wipe":
                 processes.wipe(step.target)
             case kind:
+                fault = LinkFault.RESET if kind == RESTART else LinkFault(kind)
                 async with anyio.create_task_group() as tasks:
                     for upstream in self.upstreams:
-                        if upstream.link_name == step.target:
-                            tasks.start_soon(upstream.link.hurt, LinkFault(kind), step.hold)
+                        if upstream.link_name != step.target:
+                            continue
+                        if kind == RESTART:
+                            upstream.restart()
+                        tasks.start_soon(upstream.link.hurt, fault, step.hold)
+
+    async def _write_aliens(self, client: httpx.AsyncClient) -> None:
+        """Send entries from another writer, which must count for nothing."""
+        random = Random(f"{self.seconds} aliens")
+        while True:
+            await anyio.sleep(random.uniform(*ALIEN_GAP_SECONDS))
+            upstream = random.choice(self.upstreams)
+            body = json.dumps(upstream.make_heartbeat() | random.choice(ALIEN_FIELDS))
+            if random.random() < 0.2:
+                body = body[: random.randrange(len(body))]
+            place = f"http://127.0.0.{random.randrange(COORDINATORS) + 1}:{CONTROL_PORT}"
+            try:
+                answer = await client.put(f"{place}/-/instances/{upstream.id}", content=body)
+            except httpx.HTTPError:
+                continue
+            if answer.status_code == 200:
+                self.ledger.broken.append(f"an entry from another writer counted: {body}")
+
+    def _check_upstreams(self) -> None:
+        """Note upstreams that started again and got no request since."""
+        now = anyio.current_time()
+        for upstream in self.upstreams:
+            idle = upstream.ran_at < upstream.restarted_at
+            if idle and now - upstream.restarted_at > AGAIN_SECONDS:
+                self.ledger.broken.append(f"{upstream.id} was not used after its start")
 
     async def _stop(self, processes: Processes, name: str) -> None:
         """Stop a process as the platform does: a signal, time to drain, and the end."""
--- a/tools/soakupstreams.py
+++ b/tools/soakupstreams.py
@@ -1,5 +1,6 @@
 """The stand-in upstreams of a soak: plain services, and engines that stream events."""
 
+import time
 from collections.abc import AsyncIterator
 from random import Random
 
@@ -39,6 +40,16 @@
         self._ledger = ledger
         self._random = random
         self._entries = entries
+        self._sequence = 0
+        self.born = read_clock()
+        self.restarted_at = float("-inf")
+        self.ran_at = float("-inf")
+
+    def restart(self) -> None:
+        """Start again under the same id; what was open must be cut off by its link."""
+        self._sequence = 0
+        self.born = max(self.born + 1, read_clock())
+        self.restarted_at = anyio.current_time()
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -56,6 +67,7 @@
         if head.get("x-daleroad-expect-instance") != self.id:
             await stream.send(b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
             return
+        self.ran_at = anyio.current_time()
         self._ledger.runs[request] = self._ledger.runs.get(request, 0) + 1
         self._ledger.reached.setdefault(request, set()).add(self.link_name)
         await self._run(stream, request, head)
@@ -67,12 +79,9 @@
 
     async def beat(self, client: httpx.AsyncClient) -> None:
         """Send heartbeats to any coordinator until cancelled."""
-        about: dict[str, object] = {"service": self.service, "zone": "z0"}
-        about["address"] = self.link.address
-        sequence = 0
         while True:
-            sequence += 1
-            body = about | {"slots": self.slots, "state": "ready", "sequence": sequence}
+            self._sequence += 1
+            body = self.make_heartbeat()
             place = f"http://{self._random.choice(self._entries)}"
             try:
                 await client.put(f"{place}/-/instances/{self.id}", json=body)
@@ -81,6 +90,20 @@
             await anyio.sleep(HEARTBEAT_SECONDS)
 
 
+    def make_heartbeat(self) -> dict[str, object]:
+        """Return what this upstream says of itself."""
+        return {
+            "service": self.service,
+            "zone": "z0",
+            "address": self.link.address,
+            "slots": self.slots,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": self._sequence,
+            "born": self.born,
+        }
+
+
 class Engine(Upstream):
     """A stand-in engine whose streams have the size that their requests name."""
 
@@ -104,6 +127,11 @@
             return
 
 
+def read_clock() -> int:
+    """Return the time of day in milliseconds."""
+    return int(time.time() * 1000)
+
+
 async def _send_head(stream: SocketStream, request: str, *more: str) -> None:
     lines = [
         "HTTP/1.1 200 OK",
