Tell gateways what differs in a configuration, not all of it

Cause: each of three coordinators sends each gateway the whole text of each version. Change: a newer configuration goes as compressed blocks with the gateway's own as their dictionary; whole where that is not known, or when the digest of what was made is another.

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -26,6 +26,7 @@
     LEADER_WAIT_SECONDS,
     STANDBY_SILENT_SECONDS,
 )
+from daleroad.documents import DocumentHistory
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
 from daleroad.fleetfile import FleetKeeper
@@ -90,7 +91,8 @@
         self.options = options
         self.links = links
         self.record = SiteRecord()
-        self.record.on_change = self._wake
+        self.record.on_change = self._note_document
+        self._history = DocumentHistory()
         self.peers = Peers(options.name, set(options.seeds))
         self.presence = Presence(options.name, links, self.peers, self._list_others, self._wake)
         self.epoch = uuid4().hex[:12]
@@ -367,6 +369,7 @@
     def _make_answer(self, asked: WatchRequest) -> WatchAnswer:
         now = anyio.current_time()
         document = self.record.document
+        news = self._history.tell(document, asked.version, asked.whole)
         fleet = self.presence.fleet
         known = asked.revision if asked.epoch == self.epoch else -1
         loads = self.presence.sum_loads(asked.gateway.address) if asked.wants_loads else None
@@ -376,12 +379,13 @@
             self.list_coordinators(),
             self.group.replica.leader,
             document.version,
-            document.text if document.version > asked.version else None,
+            news.document,
             tuple(fleet.list_changed(now, known)),
             fleet.list_ages(now),
             None if loads is None else tuple(loads),
             self.presence.count_gateways(now),
             self.presence.count_others(asked.gateway.address),
+            news.patch,
         )
 
     async def _serve_save(self, request: Request) -> Answer:
@@ -405,6 +409,10 @@
         document = self.record.document
         return Response(200, encode(ReadAnswer(document.version, document.text)))
 
+    def _note_document(self) -> None:
+        self._history.note(self.record.document)
+        self._wake()
+
     def _wake(self) -> None:
         self._news.set()
         self._news = anyio.Event()
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from daleroad.fleet import Sighting
+from daleroad.patches import Patch
 
 
 @dataclass(frozen=True)
@@ -111,6 +112,7 @@
     :param wait: how long the answer may wait for news.
     :param gather: how long news of the fleet may wait for more.
     :param wants_loads: whether the others' work should be told.
+    :param whole: whether a newer configuration must be told whole, not as what differs.
     """
 
     gateway: GatewayNotice
@@ -121,6 +123,7 @@
     wait: float
     gather: float
     wants_loads: bool
+    whole: bool = True
 
 
 @dataclass(frozen=True)
@@ -128,7 +131,8 @@
     """News for a gateway.
 
     :param leader: address of the leading coordinator, if known.
-    :param document: the routing configuration, when the gateway's is older.
+    :param document: the routing configuration, when the gateway's is older and not known here.
+    :param patch: what makes the gateway's older configuration into this one.
     :param sightings: the instances that changed since the revision that was asked with, or all.
     :param ages: seconds since each instance was heard.
     :param loads: the work of all other gateways, where it was asked for.
@@ -147,6 +151,7 @@
     loads: tuple[Load, ...] | None
     gateways: int
     others: int = 1
+    patch: Patch | None = None
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -25,7 +25,9 @@
 from daleroad.fleet import InstanceState
 from daleroad.gateway import Gateway
 from daleroad.notices import WatchAnswer, WatchRequest
+from daleroad.patches import apply_patch
 from daleroad.routing import RoutingConfig
+from daleroad.siterecord import Document
 
 Parse = Callable[[bytes], RoutingConfig | Failure]
 
@@ -48,6 +50,8 @@
         self._watched: dict[int, str] = {}
         self._failed_at: dict[str, float] = {}
         self._told = anyio.Event()
+        self._document = Document(0, "")
+        self._wants_whole = False
 
     def replace_seeds(self, seeds: tuple[str, ...]) -> None:
         """Take other addresses to begin with.
@@ -121,7 +125,8 @@
 
         def make_request() -> bytes:
             notice, loads = gateway.make_notice(), gateway.list_loads()
-            asked = WatchRequest(notice, epoch, revision, version, loads, wait, gather, fast)
+            whole = self._wants_whole or version != self._document.version
+            asked = WatchRequest(notice, epoch, revision, version, loads, wait, gather, fast, whole)
             return encode(asked)
 
         request = make_request()
@@ -164,8 +169,9 @@
         self._known = answer.coordinators
         self._leader = answer.leader or self._leader
         self._failed_at = {n: at for n, at in self._failed_at.items() if n in self._known}
-        if answer.document is not None:
-            self._apply_document(answer, name)
+        text = self._find_text(answer)
+        if text is not None:
+            self._apply_document(Document(answer.version, text), name)
         changed = gateway.fleet.note_all(answer.sightings, now)
         for instance in changed:
             self._log_change(instance.id, instance.state, name)
@@ -177,14 +183,30 @@
             log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="age")
             gateway.dispatcher.forget(instance)
 
-    def _apply_document(self, answer: WatchAnswer, name: str) -> None:
+    def _find_text(self, answer: WatchAnswer) -> str | None:
+        """Return the text of a newer configuration, if the answer tells one."""
+        if answer.version <= self._gateway.get_version():
+            # Another coordinator was sooner.
+            return None
+        if answer.patch is None or answer.patch.base != self._document.version:
+            return answer.document
+        text = apply_patch(self._document.text, answer.patch)
+        if isinstance(text, Failure):
+            log_event(Event.DOCUMENT_UNREADABLE, index=answer.version, reason=text.reason)
+            self._wants_whole = True
+            return None
+        return text
+
+    def _apply_document(self, document: Document, name: str) -> None:
         gateway = self._gateway
-        config = self._parse((answer.document or "").encode())
+        config = self._parse(document.text.encode())
         if isinstance(config, Failure):
-            log_event(Event.DOCUMENT_UNREADABLE, index=answer.version, reason=config.reason)
+            log_event(Event.DOCUMENT_UNREADABLE, index=document.version, reason=config.reason)
             return
         before = gateway.get_version()
         gateway.replace_config(config)
+        self._document = document
+        self._wants_whole = False
         if config.version > before:
             log_event(Event.CONFIG_IN_FORCE, version=config.version, before=before, by=name)
 
