One process names engines for the prompts of all gateways

Cause: of 200 gateways before 31 engines none sees enough prompts to choose well alone, and each hears of the others' work up to a second late. Change: a gateway asks the leading coordinator for the engine of a prompt (one round trip); that one judges as gateways do and books what it names. Gateways tell it of work that began or ended within 10 ms. Without an answer in 80 ms, or of a coordinator that does not lead or has not heard 0.9 of the gateways, a gateway chooses by itself as before, and asks nobody for half a second. Weighed: orders of the gateways' own (5.4 % late), loads told to all gateways at each change (17,000 messages a second), an owner for each engine (many more messages to choose by).

--- a/src/daleroad/calls.py
+++ b/src/daleroad/calls.py
@@ -55,3 +55,11 @@
     except ValueError:
         return Failure(FailureKind.UNREACHABLE, "an unknown problem document", Ran.UNKNOWN)
     return Failure(kind, str(found.get("detail", "")), ran, found.get("retry_after"))
+
+
+def make_url(name: str) -> str:
+    """Return the base URL of one of our processes.
+
+    :param name: its IP:PORT.
+    """
+    return f"http://{name}"
--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -14,7 +14,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from daleroad.calls import Calls
+from daleroad.calls import Calls, make_url
 from daleroad.channelserver import ChannelServer
 from daleroad.codec import decode, encode
 from daleroad.defaults import (
@@ -35,6 +35,9 @@
 from daleroad.notices import (
     IdentifyAnswer,
     JoinRequest,
+    LoadsRequest,
+    PlaceAnswer,
+    PlaceRequest,
     ReadAnswer,
     SaveAnswer,
     SaveRequest,
@@ -44,8 +47,9 @@
     WatchRequest,
 )
 from daleroad.peers import Peers
-from daleroad.presence import Presence, make_url
-from daleroad.routing import RoutingConfig, find_fault
+from daleroad.placer import Placer
+from daleroad.presence import Presence
+from daleroad.routing import RoutingConfig, ServiceRule, find_fault
 from daleroad.security import check_peer
 from daleroad.serving import Answer, Request, Response, Router
 from daleroad.siterecord import Document, SiteRecord
@@ -93,8 +97,10 @@
         self.record = SiteRecord()
         self.record.on_change = self._note_document
         self._history = DocumentHistory()
+        self._services: dict[str, ServiceRule] = {}
         self.peers = Peers(options.name, set(options.seeds))
         self.presence = Presence(options.name, links, self.peers, self._list_others, self._wake)
+        self._placer = Placer(self.presence.fleet, self.presence.loads, options.heartbeat, random)
         self.epoch = uuid4().hex[:12]
         self._parse = parse
         folder = Path(options.data) if options.data else None
@@ -301,6 +307,8 @@
         router.add("POST", "/site/join", self._serve_join)
         router.add("POST", "/site/share", self._serve_share)
         router.add("POST", "/site/watch", self._serve_watch)
+        router.add("POST", "/site/loads", self._serve_loads)
+        router.add("POST", "/site/place", self._serve_place)
         router.add("POST", "/site/save", self._serve_save)
         router.add("POST", "/site/read", self._serve_read)
         return router
@@ -388,6 +396,28 @@
             news.patch,
         )
 
+    async def _serve_loads(self, request: Request) -> Answer:
+        asked = self._take(request, LoadsRequest)
+        if isinstance(asked, Failure):
+            return asked
+        self.presence.loads.note(asked.gateway, asked.loads, anyio.current_time())
+        return Response(204)
+
+    async def _serve_place(self, request: Request) -> Answer:
+        asked = self._take(request, PlaceRequest)
+        if isinstance(asked, Failure):
+            return asked
+        if not self._ready or not self.group.is_leading():
+            return Failure(FailureKind.NOT_LEADER, "another coordinator names engines")
+        now = anyio.current_time()
+        if not self.presence.knows_loads(now):
+            return Failure(FailureKind.NO_LEASE, "not all gateways were heard yet")
+        service = self._services.get(asked.service)
+        if service is None:
+            return Failure(FailureKind.NOT_FOUND, f"no service {asked.service}")
+        found = self._placer.place(asked, service, now)
+        return Response(200, encode(PlaceAnswer(found.id if found is not None else "")))
+
     async def _serve_save(self, request: Request) -> Answer:
         asked = self._take(request, SaveRequest)
         if isinstance(asked, Failure):
@@ -410,7 +440,13 @@
         return Response(200, encode(ReadAnswer(document.version, document.text)))
 
     def _note_document(self) -> None:
-        self._history.note(self.record.document)
+        document = self.record.document
+        self._history.note(document)
+        config = self._parse(document.text.encode())
+        if isinstance(config, Failure):
+            log_event(Event.DOCUMENT_UNREADABLE, index=document.version, reason=config.reason)
+        else:
+            self._services = {service.name: service for service in config.services}
         self._wake()
 
     def _wake(self) -> None:
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -225,6 +225,21 @@
 """The same at the other coordinators, whose news the gateway mostly has; below a second's part of
 what a leaving upstream is given."""
 
+PLACE_SECONDS = 0.08
+"""How long a gateway waits for the engine that the leading coordinator names: several round trips
+between availability zones, and a twentieth of the objective for a first output."""
+
+PLACE_PAUSE_SECONDS = 0.5
+"""How long a gateway chooses engines alone after that failed; about one election."""
+
+TELL_LOADS_SECONDS = 0.01
+"""How long a gateway gathers changes of its work before it tells the leading coordinator; a tenth
+of the time between two prompts of a busy gateway."""
+
+LOADS_KNOWN_SHARE = 0.9
+"""Part of the gateways whose work a coordinator must know before it names engines for all; a new
+leader hears from each within one interval of their questions."""
+
 WATCH_SLACK_SECONDS = 0.6
 """Time beyond its wait after which a watch counts as failed."""
 
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -62,6 +62,10 @@
     CONFIG_IN_FORCE = Kind(302, logging.INFO, "A gateway serves by a newer configuration.")
     COORDINATOR_LOST = Kind(303, logging.WARNING, "A gateway's watch of a coordinator failed.")
     COORDINATOR_REGAINED = Kind(304, logging.INFO, "A coordinator answers a gateway again.")
+    PLACING_LOST = Kind(
+        305, logging.WARNING, "The leading coordinator names no engines; a gateway chooses alone."
+    )
+    PLACING_REGAINED = Kind(306, logging.INFO, "The leading coordinator names engines again.")
     UPSTREAM_JOINED = Kind(310, logging.INFO, "An upstream announced itself.")
     UPSTREAM_DRAINING = Kind(311, logging.INFO, "An upstream is leaving and gets no new work.")
     UPSTREAM_LEFT = Kind(312, logging.WARNING, "An upstream is gone.")
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -151,11 +151,11 @@
                 return self._give_up(way, "this gateway stops")
             prompt = way.job.prompt
             tokens = count_tokens(prompt)
-            instance = self._gateway.pick(way.service, tokens, way.tried, prompt)
+            instance = await self._gateway.place(way.service, tokens, way.tried, prompt)
             if instance is None:
                 return self._give_up(way, "no upstream is left")
             way.sends += 1
-            outcome = await self._try(way, instance, way.limit - now)
+            outcome = await self._try(way, instance, way.limit - anyio.current_time())
             if outcome is not None:
                 return outcome
             if not self._may_repeat(way):
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -1,7 +1,6 @@
 """The central object of a gateway: what it believes, and the parts that act on it."""
 
-from collections import Counter
-from collections.abc import Callable, Container, Coroutine, Iterator
+from collections.abc import Awaitable, Callable, Collection, Container, Coroutine, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from random import Random
@@ -10,28 +9,29 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from daleroad.candidates import Judge
 from daleroad.defaults import (
     BACKUP_ROOM,
     BACKUP_WORTH_SECONDS,
     LAST_ANSWER_SECONDS,
-    LATE_HEARTBEATS,
-    OVERDUE_HEARTBEATS,
 )
 from daleroad.dispatch import Dispatcher, Prompt
 from daleroad.events import Event, log_event
 from daleroad.fleet import GONE_KEPT_SECONDS, Fleet, Instance, InstanceState
 from daleroad.health import Ejector
-from daleroad.notices import GatewayNotice, Load
+from daleroad.notices import GatewayNotice, Load, PlaceRequest
 from daleroad.picking import (
     Candidate,
     draw_sample,
-    estimate_load,
     make_spread,
     pick_upstream,
 )
 from daleroad.retries import WindowBudget
 from daleroad.routing import RoutingConfig, RoutingTable, ServiceRule
 
+AskPlace = Callable[[PlaceRequest], Awaitable[str | None]]
+"""Asks another process for an engine; returns its id, or nothing where it names none."""
+
 
 @dataclass(frozen=True)
 class GatewayOptions:
@@ -84,6 +84,7 @@
     ends_at: float = float("inf")
     open_requests: int = 0
     on_leaving: Callable[[Instance], None] = lambda instance: None
+    ask_place: AskPlace | None = None
     _waits: set[anyio.CancelScope] = field(default_factory=set)
     _own: dict[str, Load] = field(default_factory=dict)
     _leaving_since: dict[str, float] = field(default_factory=dict)
@@ -95,6 +96,7 @@
         self.fleet = Fleet(options.heartbeat)
         self.budget = WindowBudget(options.retry_ratio, options.retry_slack, options.retry_window)
         self.configured = anyio.Event()
+        self.loads_changed = anyio.Event()
 
     def start(self, tasks: TaskGroup) -> None:
         """Let parts run in the background.
@@ -189,6 +191,8 @@
             self._own[instance.id] = fresh
         else:
             self._own.pop(instance.id, None)
+        if tokens or unread:
+            self.loads_changed.set()
 
     def list_loads(self) -> tuple[Load, ...]:
         """Return this gateway's own work at each instance."""
@@ -275,6 +279,54 @@
             found = pick_upstream(sample, zone, self.random)
         return found.instance if found else None
 
+    async def place(
+        self,
+        service: ServiceRule,
+        tokens: int,
+        excluded: Collection[str],
+        prompt: Prompt | None = None,
+    ) -> Instance | None:
+        """Return the upstream that a request should go to, if there is one.
+
+        For a prompt the process that chooses for all gateways is asked first.
+
+        :param service: the service.
+        :param tokens: tokens of memory that the request may take.
+        :param excluded: instances that it must not go to.
+        :param prompt: the request's prompt, if it has one.
+        """
+        if service.engine is not None and prompt is not None:
+            named = await self._ask_place(service, tokens, excluded, prompt)
+            if named is not None:
+                return named
+        return self.pick(service, tokens, excluded, prompt)
+
+    async def _ask_place(
+        self, service: ServiceRule, tokens: int, excluded: Collection[str], prompt: Prompt
+    ) -> Instance | None:
+        """Return the engine that is named for a prompt, if one is that may be used."""
+        if self.ask_place is None or self.gateways <= 1:
+            return None
+        ready = self.fleet.list_ready(service.name)
+        failing = tuple(instance.id for instance in ready if self._is_failing(instance.id))
+        options = self.options
+        asked = PlaceRequest(
+            options.address,
+            options.zone,
+            service.name,
+            tokens,
+            prompt.tokens,
+            tuple(excluded),
+            failing,
+        )
+        named = await self.ask_place(asked)
+        # It may have left meanwhile, or the other side may not have heard that it did.
+        ready = self.fleet.list_ready(service.name)
+        return next((i for i in ready if i.id == named and i.id not in excluded), None)
+
+    def _is_failing(self, instance_id: str) -> bool:
+        return not self.ejector.is_open(instance_id, anyio.current_time())
+
     def list_candidates(
         self, service: ServiceRule, tokens: int, excluded: Container[str]
     ) -> Iterator[Candidate]:
@@ -285,26 +337,8 @@
         :param excluded: instances that it must not go to.
         """
         now = anyio.current_time()
-        heartbeat = self.options.heartbeat
-        memory = service.engine.memory_tokens if service.engine else 0
-        ready = self.fleet.list_ready(service.name)
-        zones = Counter(instance.zone for instance in ready)
-        for instance in ready:
-            if instance.id in excluded:
-                continue
-            known = self.get_load(instance.id)
-            expected = known.add(Load(instance.id, 1, tokens))
-            load = estimate_load(expected, instance.slots, memory)
-            missed = self.fleet.get_age(instance.id, now) / heartbeat
-            closed = not self.ejector.is_open(instance.id, now)
-            yield Candidate(
-                instance,
-                load,
-                doubtful=closed or missed > LATE_HEARTBEATS,
-                cold=self.fleet.is_cold(instance.id, now),
-                lone=bool(memory) and zones[instance.zone] == 1,
-                overdue=missed > OVERDUE_HEARTBEATS,
-            )
+        judge = Judge(self.fleet, self.options.heartbeat, self.get_load, self._is_failing)
+        return judge.list_candidates(service, tokens, excluded, now)
 
     def take_repeat(self, service: str) -> bool:
         """Take one repeat of the budget that all gateways share; return whether it is allowed.
--- a/src/daleroad/loads.py
+++ b/src/daleroad/loads.py
@@ -1,4 +1,4 @@
-"""The work of all gateways at each upstream, as they tell it. Pure.
+"""The work of all gateways at each upstream, as they tell it or as it was booked for them. Pure.
 
 A coordinator is asked for it by every gateway every second, so the totals are kept: adding them up
 anew for each of 200 gateways took 0.3 ms an answer.
@@ -38,6 +38,29 @@
         self._told[gateway] = _Told(loads, now)
         self._add(loads)
 
+    def book(self, gateway: str, load: Load, now: float) -> None:
+        """Add work that a gateway is about to begin; what it says next has it too.
+
+        :param gateway: its address.
+        :param load: the work.
+        :param now: the time.
+        """
+        known = {told.instance: told for told in self._list_told(gateway)}
+        before = known.get(load.instance)
+        known[load.instance] = before.add(load) if before is not None else load
+        self.note(gateway, tuple(known.values()), now)
+
+    def get_total(self, instance_id: str) -> Load:
+        """Return the work of all gateways at an instance.
+
+        :param instance_id: the instance.
+        """
+        return self._totals.get(instance_id) or Load(instance_id)
+
+    def count_gateways(self) -> int:
+        """Return how many gateways said something of late."""
+        return len(self._told)
+
     def prune(self, now: float) -> None:
         """Forget gateways that said nothing for long.
 
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -126,6 +126,50 @@
     whole: bool = True
 
 
+@dataclass(frozen=True)
+class LoadsRequest:
+    """A gateway tells the leading coordinator of its work, soon after that changed.
+
+    :param gateway: its address.
+    :param loads: its own work.
+    """
+
+    gateway: str
+    loads: tuple[Load, ...]
+
+
+@dataclass(frozen=True)
+class PlaceRequest:
+    """A gateway asks the leading coordinator for the engine that a prompt should go to.
+
+    :param gateway: its address.
+    :param zone: its availability zone.
+    :param service: the service that the prompt is for.
+    :param tokens: tokens of memory that it may take.
+    :param unread: tokens of the prompt.
+    :param excluded: instances that it must not go to.
+    :param failing: instances whose answers to this gateway failed of late.
+    """
+
+    gateway: str
+    zone: str
+    service: str
+    tokens: int
+    unread: int
+    excluded: tuple[str, ...]
+    failing: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class PlaceAnswer:
+    """Names the engine for a prompt.
+
+    :param instance: its id; empty where there is none.
+    """
+
+    instance: str
+
+
 @dataclass(frozen=True)
 class WatchAnswer:
     """News for a gateway.
--- a/src/daleroad/patches.py
+++ b/src/daleroad/patches.py
@@ -1,9 +1,9 @@
 """A long text told as what differs from one that the reader has. Pure.
 
 A change of a routing configuration moves a weight or a limit in some ten kilobytes, and each of
-hundreds of gateways is told of it by three coordinators. The text goes in blocks. Each is compressed
-with the part of the other text around its place as the dictionary, so what stayed costs a few bytes
-wherever it was not shifted far.
+hundreds of gateways is told of it by three coordinators. The text goes in blocks. Each is
+compressed with the part of the other text around its place as the dictionary, so what stayed costs
+a few bytes wherever it was not shifted far.
 """
 
 import zlib
--- /dev/null
+++ b/src/daleroad/placer.py
@@ -0,0 +1,50 @@
+"""Chooses engines for the prompts of all gateways, at the leading coordinator. Pure.
+
+Of many gateways none sees enough prompts to choose well alone: of 200 before 31 engines and 28
+prompts a second each sees one in seven seconds, and hears of the others' a second late. The one
+process that chooses for all books each prompt as it names its engine. In virtual time 5.4 in 100
+first tokens come late when each gateway chooses by what it was told, and none in 1,400 when one
+process chooses; the mean time to the first token is 0.65 and 0.37 s (``daleroad placing``).
+"""
+
+from random import Random
+
+from daleroad.candidates import Judge
+from daleroad.fleet import Fleet, Instance
+from daleroad.loads import LoadTotals
+from daleroad.notices import Load, PlaceRequest
+from daleroad.picking import pick_upstream
+from daleroad.routing import ServiceRule
+
+
+class Placer:
+    """Names an engine for each prompt.
+
+    :param fleet: the engines that are alive.
+    :param loads: the work of all gateways there.
+    :param heartbeat: interval of the engines' heartbeats in seconds.
+    :param random: source of choices between equals.
+    """
+
+    def __init__(self, fleet: Fleet, loads: LoadTotals, heartbeat: float, random: Random) -> None:
+        self._fleet = fleet
+        self._loads = loads
+        self._heartbeat = heartbeat
+        self._random = random
+
+    def place(self, asked: PlaceRequest, service: ServiceRule, now: float) -> Instance | None:
+        """Return the engine that a prompt should go to, if there is one, and book the prompt there.
+
+        :param asked: the gateway's question.
+        :param service: the service that the prompt is for.
+        :param now: the time.
+        """
+        failing = frozenset(asked.failing)
+        judge = Judge(self._fleet, self._heartbeat, self._loads.get_total, failing.__contains__)
+        candidates = judge.list_candidates(service, asked.tokens, asked.excluded, now)
+        found = pick_upstream(candidates, asked.zone, self._random)
+        if found is None:
+            return None
+        load = Load(found.instance.id, 1, asked.tokens, asked.unread)
+        self._loads.book(asked.gateway, load, now)
+        return found.instance
--- a/src/daleroad/placing.py
+++ b/src/daleroad/placing.py
@@ -31,6 +31,9 @@
 TELL_SECONDS = 0.1
 """From a gateway's word of its loads until the others have it."""
 
+CHANGE_SECONDS = 0.03
+"""From the end of some work until the process that chooses for all gateways has heard of it."""
+
 _MOST_TOKENS = 6000.0
 
 Act = Callable[[float], Iterator[tuple[float, Any]]]
@@ -64,6 +67,7 @@
     :param rate: prompts a second, over all gateways.
     :param interval: seconds between two words of a gateway of its loads.
     :param spread: whether short generations follow orders of the gateways' own.
+    :param desk: whether one process chooses for all gateways and is told what changes.
     """
 
     gateways: int
@@ -72,6 +76,7 @@
     interval: float
     spread: bool
     seconds: float = 120.0
+    desk: bool = False
 
 
 @dataclass(frozen=True)
@@ -107,6 +112,10 @@
     seen: list[dict[str, Load]]
     free: dict[str, float]
     waits: list[tuple[float, bool]] = field(default_factory=list)
+    booked: dict[str, Load] = field(default_factory=dict)
+
+    def book(self, load: Load) -> None:
+        self.booked[load.instance] = self.booked.get(load.instance, Load(load.instance)).add(load)
 
     def add(self, gateway: int, load: Load) -> None:
         known = self.own[gateway].get(load.instance, Load(load.instance))
@@ -117,9 +126,13 @@
         return make_spread(f"gateway-{gateway}", gateways)
 
     def choose(self, gateway: int, kind: PromptKind, tokens: int) -> str:
-        order = self.get_order(gateway, kind)
         zone = self.engines[gateway % len(self.engines)].zone
-        candidates = (self.judge(gateway, engine, tokens) for engine in self.engines)
+        if self.case.desk:
+            order = Spread()
+            candidates = (self.judge_booked(engine, tokens) for engine in self.engines)
+        else:
+            order = self.get_order(gateway, kind)
+            candidates = (self.judge(gateway, engine, tokens) for engine in self.engines)
         found = pick_upstream(candidates, zone, self.random, spread=order)
         assert found is not None
         return found.instance.id
@@ -130,6 +143,10 @@
         load = load.add(self.seen[gateway].get(engine.id, nothing))
         return Candidate(engine, estimate_load(load, SLOTS, MEMORY_TOKENS))
 
+    def judge_booked(self, engine: Instance, tokens: int) -> Candidate:
+        load = Load(engine.id, 1, tokens).add(self.booked.get(engine.id, Load(engine.id)))
+        return Candidate(engine, estimate_load(load, SLOTS, MEMORY_TOKENS))
+
     def sum_others(self, gateway: int) -> dict[str, Load]:
         found: dict[str, Load] = {}
         for other, loads in enumerate(self.own):
@@ -203,6 +220,7 @@
         tokens = prompt + int(kind.output[0])
         engine = world.choose(gateway, kind, prompt)
         world.add(gateway, Load(engine, 1, tokens, prompt))
+        world.book(Load(engine, 1, tokens, prompt))
         begun = max(now, world.free[engine])
         world.free[engine] = begun + prompt / READ_TOKENS_SECOND
         wait = world.free[engine] - now
@@ -217,7 +235,12 @@
 def _make_change(world: _World, gateway: int, load: Load) -> Act:
     def change(now: float) -> Iterator[tuple[float, Any]]:
         world.add(gateway, load)
-        return iter(())
+
+        def hear(now: float) -> Iterator[tuple[float, Any]]:
+            world.book(load)
+            return iter(())
+
+        yield CHANGE_SECONDS, hear
 
     return change
 
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -9,13 +9,14 @@
 
 import anyio
 
-from daleroad.calls import Calls
+from daleroad.calls import Calls, make_url
 from daleroad.codec import encode
 from daleroad.defaults import (
     COORDINATOR_CALL_SECONDS,
     GATEWAY_DOUBTFUL_SECONDS,
     GATEWAY_SILENT_SECONDS,
     LEAVE_TOLD_SECONDS,
+    LOADS_KNOWN_SHARE,
     LOOKUP_CHANGING_SECONDS,
     LOOKUP_KEPT_SECONDS,
     SHARE_SECONDS,
@@ -81,7 +82,7 @@
         self._list_others = list_others
         self._wake = wake
         self._gateways: dict[str, _Gateway] = {}
-        self._loads = LoadTotals(GATEWAY_SILENT_SECONDS)
+        self.loads = LoadTotals(GATEWAY_SILENT_SECONDS)
         self._look: _Look | None = None
         self._shared_at = float("-inf")
 
@@ -107,14 +108,21 @@
         """
         now = anyio.current_time()
         self._note_gateway(asked.gateway, now)
-        self._loads.note(asked.gateway.address, asked.loads, now)
+        self.loads.note(asked.gateway.address, asked.loads, now)
+
+    def knows_loads(self, now: float) -> bool:
+        """Return whether nearly all gateways have said here of late what work they have.
+
+        :param now: the time.
+        """
+        return self.loads.count_gateways() >= LOADS_KNOWN_SHARE * self.count_gateways(now)
 
     def prune(self, now: float) -> None:
         """Drop upstreams not heard for long.
 
         :param now: the time.
         """
-        self._loads.prune(now)
+        self.loads.prune(now)
         for instance in self.fleet.prune(now):
             log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="age")
             self._wake()
@@ -290,17 +298,9 @@
 
         :param asker: its address.
         """
-        return self._loads.sum_others(asker)
+        return self.loads.sum_others(asker)
 
 
 def _log_gateway(notice: GatewayNotice) -> None:
     event = Event.GATEWAY_NAMED if notice.serving else Event.GATEWAY_WITHDRAWN
     log_event(event, name=notice.address)
-
-
-def make_url(name: str) -> str:
-    """Return the base URL of one of our processes.
-
-    :param name: its IP:PORT.
-    """
-    return f"http://{name}"
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -65,6 +65,12 @@
         self._told.set()
         self._told = anyio.Event()
 
+    def get_leader(self) -> str | None:
+        """Return the leading coordinator, if it is watched and answers."""
+        leader = self._leader
+        heard = leader in self._watched.values() and leader not in self._failed_at
+        return leader if heard else None
+
     async def run(self) -> None:
         """Watch until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -25,8 +25,16 @@
 from daleroad.fleet import Instance, InstanceState, Sighting
 from daleroad.fleetfile import RECOVERED_HEARTBEATS
 from daleroad.gateway import Gateway, GatewayOptions
-from daleroad.notices import GatewayNotice, SaveAnswer, WatchAnswer, WatchRequest
-from daleroad.routing import RoutingConfig
+from daleroad.notices import (
+    GatewayNotice,
+    PlaceAnswer,
+    PlaceRequest,
+    SaveAnswer,
+    ShareRequest,
+    WatchAnswer,
+    WatchRequest,
+)
+from daleroad.routing import RoutingConfig, ServiceRule
 from daleroad.serving import serve_app
 from daleroad.settings import Tls
 from daleroad.watching import Watcher
@@ -34,13 +42,15 @@
 
 WAIT_SECONDS = 15.0
 GATHER_SECONDS = 0.6
+SERVICE = "s"
 INSTANCE = Instance("i-1", "s", "10.0.0.1:80", "z", 4, InstanceState.READY, 3)
 
 
 def parse(document: bytes) -> RoutingConfig | Failure:
     """Read the documents of these tests: a version and nothing else."""
     try:
-        return RoutingConfig(orjson.loads(document)["version"], (), (), ())
+        services = (ServiceRule(SERVICE, "/", 10, None),)
+        return RoutingConfig(orjson.loads(document)["version"], (), services, ())
     except (orjson.JSONDecodeError, KeyError) as error:
         return Failure(FailureKind.INVALID, repr(error))
 
@@ -293,6 +303,32 @@
 
         self.run_site(body)
 
+    def test_the_leader_names_engines_once_it_has_heard_the_gateways(self) -> None:
+        async def body(site: Site, names: list[str]) -> None:
+            calls = ChannelCalls("secret")
+            await self.save(site.get(names[0]), 4)
+            await wait_for(lambda: site.get_leader())
+            leader = site.get_leader()
+            assert leader is not None
+            others = [name for name in names[:3] if name != leader.options.name]
+            notice = GatewayNotice("10.0.0.1:80", "z", "r", True)
+            leader.presence.fleet.note(Sighting(INSTANCE, 0.0), anyio.current_time())
+            asked = PlaceRequest(notice.address, "z", SERVICE, 100, 50, (), ())
+
+            async def place(name: str) -> object:
+                return await calls.call(f"http://{name}/site/place", encode(asked), PlaceAnswer)
+
+            # It was told by another coordinator of a gateway that it has not heard itself.
+            leader.presence.take_share(ShareRequest(others[0], (notice,), ()))
+            self.assertIsInstance(await place(leader.options.name), Failure)
+            leader.presence.loads.note(notice.address, (), anyio.current_time())
+            self.assertEqual(await place(leader.options.name), PlaceAnswer(INSTANCE.id))
+            refused = await place(others[0])
+            assert isinstance(refused, Failure)
+            self.assertIs(refused.kind, FailureKind.NOT_LEADER)
+
+        self.run_site(body)
+
     def test_gateways_follow_and_are_named_until_they_drain(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
             options = GatewayOptions("10.0.0.1:80", "z", "r", site.seeds, 1.0, 0.2, 30, 10.0)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -1,6 +1,7 @@
 """Plays prompts of many gateways on the choice of an engine, and looks at what callers get."""
 
 import unittest
+from dataclasses import replace
 from statistics import mean
 
 from daleroad.placing import PlacingCase, PlacingResult, play
@@ -40,3 +41,13 @@
         self.assertGreater(before.late, 0.1)
         # 16 % late before, 4 % after.
         self.assertLess(after.late, 0.5 * before.late)
+
+    def test_one_process_that_chooses_for_all_gateways_leaves_nothing_late(self) -> None:
+        # 5.4 % late by the gateways' own choice at 200 gateways, none by the one process;
+        # 0.65 and 0.37 s to the first token.
+        for gateways, engines, rate in ((12, 8, 8.3), (71, 29, 29.0), (200, 31, 28.3)):
+            case = PlacingCase(gateways, engines, rate, 1.0, spread=True, seconds=12.0)
+            alone, chosen = play(case, 1), play(replace(case, desk=True), 1)
+            self.assertGreater(alone.late, 0.0)
+            self.assertEqual(chosen.late, 0.0)
+            self.assertLess(chosen.mean, 0.8 * alone.mean)
