Measure an idle site of the platform's processes

Change: measure.py idle starts coordinators and gateways on loopback and tells cores and starts; the message that coordinators share is measured as it is now.

--- a/tools/measure.py
+++ b/tools/measure.py
@@ -1,6 +1,6 @@
 """Measures what docs/CAPACITY.md is worked out from. Prints JSON.
 
-Usage: python tools/measure.py entry|memory|follow|decisions|catalog|claims|restart|watch
+Usage: python tools/measure.py entry|memory|follow|decisions|catalog|claims|restart|watch|idle
 """
 
 import json
@@ -41,6 +41,8 @@
 from daleroad.security import hash_token
 from daleroad.settings import Settings, Tls
 from tests.harness import Processes, get_json, wait_for
+from tools.soak import CONTROL_PORT
+from tools.soak import Processes as PlatformProcesses
 
 TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -540,11 +542,70 @@
         "answer, all instances": answer,
         "answer, two changes": replace(answer, sightings=sightings[:2], loads=None),
         "question": WatchRequest(notice, "epoch", 5, 7, loads[:3], 1.0, 0.3, False),
-        "share of one coordinator": ShareRequest(names[0], (notice,) * 36, sightings[:16]),
+        "share of one coordinator": ShareRequest(
+            names[0],
+            gateway_ages={f"10.1.0.{number}:8740": 0.25 for number in range(36)},
+            ages={sighting.instance.id: 0.25 for sighting in sightings[:16]},
+        ),
     }
     return [time_message(name, message) for name, message in messages.items()]
 
 
+IDLE_UPSTREAMS = 31
+IDLE_SECONDS = 10.0
+IDLE_START_SECONDS = 5.0
+"""Upstreams that announce themselves, for how long, and from the start of the processes until then."""
+
+IDLE_SITES = ((3, 6), (10, 30), (10, 70))
+"""Coordinators and gateways."""
+
+
+def measure_idle() -> list[dict]:
+    """CPU of gateways and coordinators of a site without requests, and of their starts."""
+    return [measure_idle_site(*site) for site in IDLE_SITES]
+
+
+def measure_idle_site(coordinators: int, gateways: int) -> dict:
+    """Return the cores that each process takes, and the CPU seconds of its start."""
+    with tempfile.TemporaryDirectory(prefix="daleroad-measure-") as folder:
+        processes = PlatformProcesses(Path(folder), gateways, coordinators)
+        processes.start_all()
+        row: dict = {"coordinators": coordinators, "gateways": gateways}
+        try:
+            time.sleep(IDLE_START_SECONDS)
+            with httpx.Client(trust_env=False) as client:
+                announce_upstreams(client, coordinators, 1)
+                spent = {r: read_cpu(processes, r) for r in ("gateway", "coordinator")}
+                began = time.monotonic()
+                for second in range(round(IDLE_SECONDS)):
+                    announce_upstreams(client, coordinators, second + 2)
+                    time.sleep(max(0.0, began + second + 1 - time.monotonic()))
+                seconds = time.monotonic() - began
+            for role, before in spent.items():
+                after = read_cpu(processes, role)
+                row[f"{role}_start_s"] = round(sum(before) / len(before), 3)
+                shares = [(a - b) / seconds for a, b in zip(after, before, strict=True)]
+                row[f"{role}_cores"] = round(sum(shares) / len(shares), 4)
+                row[f"{role}_cores_most"] = round(max(shares), 4)
+        finally:
+            processes.end_all()
+    return row
+
+
+def read_cpu(processes: PlatformProcesses, role: str) -> list[float]:
+    """Return the CPU seconds of each process of a role."""
+    return [get_cpu(pid) for pid in processes.list_pids(role)]
+
+
+def announce_upstreams(client: httpx.Client, coordinators: int, sequence: int) -> None:
+    """Let all upstreams send one heartbeat."""
+    for number in range(IDLE_UPSTREAMS):
+        about = {"service": "s", "address": f"127.0.1.{number + 1}:18000", "zone": "z0"}
+        about |= {"slots": 24, "state": "ready", "cold_remaining_ms": 0, "sequence": sequence}
+        place = f"http://127.0.0.{number % coordinators + 1}:{CONTROL_PORT}"
+        client.put(f"{place}/-/instances/i-{number}", json=about)
+
+
 def time_message(name: str, message: object) -> dict:
     """Return a message's size, and the CPU time of writing, packing and reading it."""
     body = encode(message)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -164,16 +164,20 @@
 class Processes:
     """The site's processes, by name; restarts those that end, as the platform does."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(
+        self, folder: Path, gateways: int = GATEWAYS, coordinators: int = COORDINATORS
+    ) -> None:
         self._folder = folder
+        self._gateways = gateways
+        self._coordinators = coordinators
         self._running: dict[str, subprocess.Popen] = {}
         self._founding = True
 
     def start_all(self) -> None:
         """Start everything for the first time."""
-        for number in range(COORDINATORS):
+        for number in range(self._coordinators):
             self.start(f"coordinator-{number}")
-        for number in range(GATEWAYS):
+        for number in range(self._gateways):
             self.start(f"gateway-{number}")
         self._founding = False
 
@@ -198,7 +202,7 @@
             "region": "r",
             "listen": {"frontend": f"{ip}:{CLIENT_PORT}", "readiness": f"{ip}:{READY_PORT}"},
             "internal_ports": [OUR_PORT, OUR_PORT + 15],
-            "seeds": [f"127.0.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)],
+            "seeds": [f"127.0.0.{n + 1}:{CONTROL_PORT}" for n in range(min(3, self._coordinators))],
             "bootstrap": self._founding,
             "heartbeat_ms": int(HEARTBEAT_SECONDS * 1000),
             "bounds": {"grace_s": GRACE_SECONDS, "ttl_max_s": 1, "retry_budget_ratio": 0.2},
@@ -232,6 +236,10 @@
             self.start(name)
         return ended
 
+    def list_pids(self, role: str) -> list[int]:
+        """Return the numbers of the processes of a role."""
+        return [p.pid for name, p in self._running.items() if name.startswith(role)]
+
     def end_all(self) -> None:
         """End all processes."""
         for process in self._running.values():
