Close channels that are given up, and end those on which nothing is asked

Cause: found in reading: a channel that was given up after its last question kept its connection, and a coordinator kept the channels of gateways that were gone without a word. Change: giving up closes at once where nothing waits; the answering side ends a channel after 30 s without a question.

--- a/src/daleroad/channels.py
+++ b/src/daleroad/channels.py
@@ -84,13 +84,21 @@
 
         :param now: the time.
         """
-        if self._silent_since is not None and now - self._silent_since > SILENT_SECONDS:
-            self._retired = True
-        return not self.ended and not self._retired
+        silent = self._silent_since is not None and now - self._silent_since > SILENT_SECONDS
+        return not (silent or self.ended or self._retired)
 
-    def retire(self) -> None:
+    async def retire(self) -> None:
         """Take no more questions, and close once those that wait are over."""
         self._retired = True
+        await self._close_if_over()
+
+    def serve_once(self) -> None:
+        """Close after the next question."""
+        self._retired = True
+
+    async def _close_if_over(self) -> None:
+        if not self._answers and (self.ended or self._retired):
+            await anyio.aclose_forcefully(self._stream)
 
     async def ask(self, path: str, body: bytes) -> Frame:
         """Send a question and return its answer.
@@ -108,8 +116,7 @@
             answer = self._answers[number]
         finally:
             del self._answers[number]
-            if not self._answers and (self.ended or self._retired):
-                await anyio.aclose_forcefully(self._stream)
+            await self._close_if_over()
         if answer is None:
             raise ChannelLostError(self.ended)
         return answer
@@ -197,7 +204,7 @@
         """
         target = urlsplit(url)
         seconds = CALL_TIMEOUT_SECONDS if read_seconds is None else read_seconds
-        known = self._find(target.netloc)
+        known = await self._find(target.netloc)
         if known is not None:
             try:
                 return await self._ask(known, target.path, body, shape, seconds)
@@ -218,14 +225,16 @@
         with anyio.move_on_after(seconds):
             answer = await channel.ask(path, body)
             return read_answer(int(answer.label), answer.body, shape)
-        channel.retire()
+        await channel.retire()
         return Failure(FailureKind.UNREACHABLE, f"{path}: no answer in {seconds:g} s")
 
-    def _find(self, host: str) -> Channel | None:
+    async def _find(self, host: str) -> Channel | None:
         """Return the channel to a process, if there is one that can be used."""
         channel = self._channels.get(host)
-        if channel is not None and channel.is_usable(anyio.current_time()):
+        if channel is None or channel.is_usable(anyio.current_time()):
             return channel
+        del self._channels[host]
+        await channel.retire()
         return None
 
     async def _open(self, host: str) -> Channel | Failure:
@@ -236,11 +245,11 @@
             except OSError as error:
                 return Failure(FailureKind.UNREACHABLE, f"{host}: {error!r}")
             channel = Channel(stream, host, self.token)
-            if self._find(host) is None:
+            if await self._find(host) is None:
                 self._channels[host] = channel
             else:
                 # Another call opened one meanwhile; this one serves for a single question.
-                channel.retire()
+                channel.serve_once()
             return channel
         return Failure(FailureKind.UNREACHABLE, f"{host}: not connected in {CONNECT_SECONDS:g} s")
 
--- a/src/daleroad/channelserver.py
+++ b/src/daleroad/channelserver.py
@@ -14,6 +14,10 @@
 QUESTIONS_MOST = 64
 """Questions of one channel that are answered at a time; a process has a few, mostly long polls."""
 
+IDLE_SECONDS = 30.0
+"""A channel on which nothing is asked for so long is ended: its process may be gone without a word.
+One that watches or shares asks every second."""
+
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 SendEvent = Callable[[dict[str, Any]], Awaitable[None]]
 Handle = Callable[[str, bytes], Awaitable["ChannelAnswer"]]
@@ -106,9 +110,11 @@
 
 
 async def _read_frames(receive: Receive, reader: FrameReader) -> AsyncIterator[Frame]:
-    """Yield the questions of a channel until its caller ends it or goes away."""
+    """Yield the questions of a channel until its caller ends it, goes away or asks no more."""
     while True:
-        event = await receive()
+        event: dict[str, Any] = {"type": "http.disconnect"}
+        with anyio.move_on_after(IDLE_SECONDS):
+            event = await receive()
         if event["type"] == "http.disconnect":
             return
         try:
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -5,6 +5,7 @@
 import zlib
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from unittest import mock
 
 import anyio
 from anyio.abc import TaskGroup
@@ -215,11 +216,13 @@
 
     def test_a_silent_process_is_given_up_in_time_and_asked_on_a_new_connection(self) -> None:
         async def main() -> None:
-            calls, accepted = ChannelCalls("secret"), []
+            calls, accepted, closed = ChannelCalls("secret"), [], []
 
             async def say_nothing(stream: anyio.abc.SocketStream) -> None:
                 accepted.append(stream)
-                await anyio.sleep_forever()
+                async for _ in stream:
+                    pass
+                closed.append(stream)
 
             async with anyio.create_task_group() as tasks:
                 listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
@@ -231,10 +234,22 @@
                     self.assertIs(found.kind, FailureKind.UNREACHABLE)
                     self.assertLess(anyio.current_time() - began, 2.0)
                     self.assertEqual(len(accepted), number)
+                    # What is given up holds no descriptor.
+                    await anyio.sleep(0.05)
+                    self.assertEqual(closed, accepted)
                 tasks.cancel_scope.cancel()
 
         anyio.run(main)
 
+    def test_a_channel_on_which_nothing_is_asked_is_ended_and_the_next_call_opens_one(self) -> None:
+        async def body(peer: Peer, calls: ChannelCalls, tasks: TaskGroup) -> None:
+            for _ in range(3):
+                self.assertEqual(await calls.call(f"{peer.url}/echo", b'"a"', str), "a")
+                await anyio.sleep(0.3)
+
+        with mock.patch("daleroad.channelserver.IDLE_SECONDS", 0.1):
+            self.play(body)
+
     def test_a_server_that_is_no_channel_is_a_failure(self) -> None:
         async def main() -> None:
             peer, calls = Peer(), ChannelCalls("secret")
