Let a request that met another instance end no later start of its upstream

Cause: found in reading: a start that told no birth, answered for by another, would have ended the start that was known since. Figures in comments that no run had given are measured or gone.

--- a/src/daleroad/channels.py
+++ b/src/daleroad/channels.py
@@ -1,8 +1,8 @@
 """Channels: many calls to one process in one HTTP exchange, whose two bodies stay open.
 
 An HTTP request for each call costs about 2 ms at either end, mostly in the client's and the
-server's libraries, and was most of what an idle site of two hundred gateways spent. A frame on an
-open channel costs a fraction of that.
+server's libraries. On channels an idle gateway takes half of the processor time: 0.0196 and 0.0098
+of a core, by real processes on loopback.
 
 A call that is lost with a channel of before is made once more on a new one: what our processes ask
 of each other may be repeated.
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -233,8 +233,8 @@
 """How long a gateway chooses engines alone after that failed; about one election."""
 
 TELL_LOADS_SECONDS = 0.01
-"""How long a gateway gathers changes of its work before it tells the leading coordinator; a tenth
-of the time between two prompts of a busy gateway."""
+"""How long a gateway gathers changes of its work before it tells the leading coordinator; far below
+the time between two prompts of one gateway, which is a second on a small site."""
 
 LOADS_KNOWN_SHARE = 0.9
 """Part of the gateways whose work a coordinator must know before it names engines for all; a new
--- a/src/daleroad/frames.py
+++ b/src/daleroad/frames.py
@@ -2,8 +2,7 @@
 
 Each direction of a channel is one compressed stream of frames: a line with a number, a label and
 the body's length, then the body. Messages repeat each other, so what was sent before makes the next
-one short: a gateway's question takes 40 to 60 bytes instead of 385, without the HTTP head that each
-call of its own would need.
+one short: 40 questions of one gateway, 283 bytes in the mean, took 32 each.
 """
 
 import zlib
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -361,6 +361,9 @@
 
         :param instance: the upstream, which has ended.
         """
+        if self.fleet.is_replaced(instance):
+            # Its next start is known by now, and that one has not ended.
+            return
         if self.fleet.leave(instance.get_name(), anyio.current_time(), instance.born):
             log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="replaced")
             # Its streams are not moved: who answers at its address knows nothing of them.
--- a/src/daleroad/metrics.py
+++ b/src/daleroad/metrics.py
@@ -1,7 +1,7 @@
 """Counters and latency histograms of gateways and coordinators.
 
-They are counted here, and only the page that shows them needs the metrics library: loading it took
-a seventh of a process's start, and after a loss of power nothing is served until a process started.
+They are counted here, and only the page that shows them needs the metrics library. It was an eighth
+of what a process loads, and after a loss of power nothing is served until that is done.
 """
 
 from bisect import bisect_left
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -297,7 +297,8 @@
         """Tell the others several times a second what was heard here, until cancelled.
 
         Most of it is that those who were there still are, which takes a number each. Told as whole
-        messages it was two fifths of an idle coordinator's processor time, among ten.
+        messages it was a third of an idle coordinator's processor time, among ten: 0.119 and 0.079
+        of a core, by real processes on loopback.
         """
         while True:
             await anyio.sleep(SHARE_SECONDS)
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -93,6 +93,13 @@
         self.assertEqual([i.id for i in forgotten], [self.old.id])
         self.assertEqual(left, [])
 
+    def test_a_request_that_met_another_ends_no_later_start(self) -> None:
+        gateway = make_gateway(FakeDispatcher(), make_config(Repeat.STREAM, engine=True), 0.0)
+        unnamed = make_start(0)
+        gateway.fleet.note_all([Sighting(unnamed, 0.0), Sighting(self.new, 0.0)], 1.0)
+        gateway.note_replaced(unnamed)
+        self.assertIn(self.new, gateway.fleet.list_ready("s"))
+
 
 @dataclass
 class Teller:
