--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 
+import anyio
+
 from daleroad.fleet import (
     FORGET_SECONDS,
     Fleet,
@@ -94,11 +96,15 @@
         self.assertEqual(left, [])
 
     def test_a_request_that_met_another_ends_no_later_start(self) -> None:
-        gateway = make_gateway(FakeDispatcher(), make_config(Repeat.STREAM, engine=True), 0.0)
-        unnamed = make_start(0)
-        gateway.fleet.note_all([Sighting(unnamed, 0.0), Sighting(self.new, 0.0)], 1.0)
-        gateway.note_replaced(unnamed)
-        self.assertIn(self.new, gateway.fleet.list_ready("s"))
+        async def main() -> None:
+            now = anyio.current_time()
+            gateway = make_gateway(FakeDispatcher(), make_config(Repeat.STREAM, engine=True), now)
+            unnamed = make_start(0)
+            gateway.fleet.note_all([Sighting(unnamed, 0.0), Sighting(self.new, 0.0)], now)
+            gateway.note_replaced(unnamed)
+            self.assertIn(self.new, gateway.fleet.list_ready("s"))
+
+        anyio.run(main)
 
 
 @dataclass
