--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -296,12 +296,12 @@
         :param prompt: the request's prompt, if it has one.
         """
         if service.engine is not None and prompt is not None:
-            named = await self._ask_place(service, tokens, excluded, prompt)
+            named = await self._place_remotely(service, tokens, excluded, prompt)
             if named is not None:
                 return named
         return self.pick(service, tokens, excluded, prompt)
 
-    async def _ask_place(
+    async def _place_remotely(
         self, service: ServiceRule, tokens: int, excluded: Collection[str], prompt: Prompt
     ) -> Instance | None:
         """Return the engine that is named for a prompt, if one is that may be used."""
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -34,8 +34,8 @@
 )
 from daleroad.peers import Peers
 
-LOOK_SECONDS = 0.05
-"""How long a look at all gateways is used again; each of their questions needs one."""
+SNAPSHOT_SECONDS = 0.05
+"""How long a snapshot of all gateways is used again; each of their questions needs one."""
 
 
 @dataclass
@@ -60,7 +60,7 @@
 
 
 @dataclass(frozen=True)
-class _Look:
+class _Snapshot:
     """The gateways at one moment.
 
     :param alive: how many were heard of late, whether they take clients or not.
@@ -98,7 +98,7 @@
         self._wake = wake
         self._gateways: dict[str, _Gateway] = {}
         self.loads = LoadTotals(GATEWAY_SILENT_SECONDS)
-        self._look: _Look | None = None
+        self._snapshot: _Snapshot | None = None
         self._revision = 0
         self._shared_at = float("-inf")
         self._told: dict[str, _Told] = {}
@@ -157,12 +157,12 @@
 
         :param now: the time.
         """
-        return self._look_at(now).alive
+        return self._take_snapshot(now).alive
 
     def find_lookup_life(self) -> float:
         """Return how long a client should keep the addresses of gateways, in seconds."""
-        look = self._look_at(anyio.current_time())
-        drains = look.alive > len(look.serving)
+        snapshot = self._take_snapshot(anyio.current_time())
+        drains = snapshot.alive > len(snapshot.serving)
         return LOOKUP_CHANGING_SECONDS if drains else LOOKUP_KEPT_SECONDS
 
     def count_others(self, asker: str) -> int:
@@ -170,7 +170,7 @@
 
         :param asker: a gateway's address.
         """
-        serving = self._look_at(anyio.current_time()).serving
+        serving = self._take_snapshot(anyio.current_time()).serving
         return sum(notice.address != asker for notice in serving)
 
     async def hear(self, sighting: Sighting) -> Failure | None:
@@ -255,18 +255,18 @@
         :param zone: the asker's availability zone.
         """
         now = anyio.current_time()
-        alive = list(self._look_at(now).serving)
+        alive = list(self._take_snapshot(now).serving)
         if not alive:
             alive = self._list_heard(now, GATEWAY_DOUBTFUL_SECONDS)
         alive.sort(key=lambda notice: (notice.zone != zone, notice.address))
         return [notice.address for notice in alive]
 
-    def _look_at(self, now: float) -> _Look:
+    def _take_snapshot(self, now: float) -> _Snapshot:
         """Return the gateways as they were a moment ago, or now if one changed since."""
-        if self._look is None or now - self._look.at > LOOK_SECONDS:
+        if self._snapshot is None or now - self._snapshot.at > SNAPSHOT_SECONDS:
             heard = self._list_heard(now, GATEWAY_SILENT_SECONDS, serving=False)
-            self._look = _Look(now, len(heard), tuple(n for n in heard if n.serving))
-        return self._look
+            self._snapshot = _Snapshot(now, len(heard), tuple(n for n in heard if n.serving))
+        return self._snapshot
 
     def _list_heard(self, now: float, seconds: float, serving: bool = True) -> list[GatewayNotice]:
         """Return the gateways heard within some seconds, all or those that take clients."""
@@ -282,13 +282,13 @@
         if known is None:
             self._revision += 1
             self._gateways[notice.address] = _Gateway(notice, heard_at, self._revision)
-            self._look = None
+            self._snapshot = None
             _log_gateway(notice)
         elif heard_at >= known.heard_at:
             if known.notice.serving != notice.serving:
                 self._revision += 1
                 known.revision = self._revision
-                self._look = None
+                self._snapshot = None
                 _log_gateway(notice)
             known.notice = notice
             known.heard_at = heard_at
