Look a start up in one place, and judge engines of the placing model in one

Cause: read again: a start was looked up twice in different words, the model estimated an engine's load twice, and a variable was set that nobody read.

--- a/src/daleroad/channels.py
+++ b/src/daleroad/channels.py
@@ -210,7 +210,7 @@
                 return await self._ask(known, target.path, body, shape, seconds)
             except ChannelLostError:
                 # Its process may have started anew since the last call; a new channel tells.
-                known = None
+                pass
         opened = await self._open(target.netloc)
         if isinstance(opened, Failure):
             return opened
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -139,6 +139,12 @@
         """Return the last start of an upstream, if it is known."""
         return self._known.get(self._youngest.get(name, ""))
 
+    def _find_start(self, name: str, born: int) -> _Known | None:
+        """Return a start of an upstream, the last one where none is named, if it is known."""
+        if not born:
+            return self._find_youngest(name)
+        return self._known.get(make_instance_id(name, born))
+
     def _end(self, known: _Known) -> list[Instance]:
         """Note that an instance is gone; return it if that is news."""
         if known.instance.state is InstanceState.GONE:
@@ -192,10 +198,7 @@
         :param now: the time.
         :param born: which start of it; 0 for the last one that is known.
         """
-        known = self._known.get(make_instance_id(name, born))
-        youngest = self._find_youngest(name)
-        if not born and youngest is not None:
-            known = youngest
+        known = self._find_start(name, born) or self._known.get(make_instance_id(name, born))
         if known is None:
             gone = InstanceState.GONE
             instance = Instance(make_instance_id(name, born), "", "", "", 0, gone, 0, name, born)
@@ -216,8 +219,7 @@
         :param name: what the upstream calls itself.
         :param born: which start; 0 for the last one.
         """
-        known = self._known.get(make_instance_id(name, born)) if born else None
-        known = known or (None if born else self._find_youngest(name))
+        known = self._find_start(name, born)
         return known.instance if known is not None else None
 
     def count(self) -> int:
--- a/src/daleroad/placing.py
+++ b/src/daleroad/placing.py
@@ -139,13 +139,11 @@
 
     def judge(self, gateway: int, engine: Instance, tokens: int) -> Candidate:
         nothing = Load(engine.id)
-        load = Load(engine.id, 1, tokens).add(self.own[gateway].get(engine.id, nothing))
-        load = load.add(self.seen[gateway].get(engine.id, nothing))
-        return Candidate(engine, estimate_load(load, SLOTS, MEMORY_TOKENS))
+        own = self.own[gateway].get(engine.id, nothing)
+        return _judge(engine, tokens, own.add(self.seen[gateway].get(engine.id, nothing)))
 
     def judge_booked(self, engine: Instance, tokens: int) -> Candidate:
-        load = Load(engine.id, 1, tokens).add(self.booked.get(engine.id, Load(engine.id)))
-        return Candidate(engine, estimate_load(load, SLOTS, MEMORY_TOKENS))
+        return _judge(engine, tokens, self.booked.get(engine.id, Load(engine.id)))
 
     def sum_others(self, gateway: int) -> dict[str, Load]:
         found: dict[str, Load] = {}
@@ -155,6 +153,12 @@
         return found
 
 
+def _judge(engine: Instance, tokens: int, load: Load) -> Candidate:
+    """Return an engine with some work there as a candidate for one more prompt."""
+    expected = Load(engine.id, 1, tokens).add(load)
+    return Candidate(engine, estimate_load(expected, SLOTS, MEMORY_TOKENS))
+
+
 def play(case: PlacingCase, seed: int) -> PlacingResult:
     """Return what callers got of one case.
 
