Log what a request is known by where an upstream lost it

Cause: path, caller and body of a cut request are in no log line, so a repeat can't be told from another request of the same size. Change: a fingerprint of caller, method, host, target and body in D326 lines of lost attempts and D323 lines of streams that were broken off upstream; nothing is computed for the others.

--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -32,6 +32,7 @@
 from daleroad.draining import Need, estimate_need, find_return, takes
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
+from daleroad.fingerprints import find_fingerprint
 from daleroad.fleet import Instance
 from daleroad.gateway import Gateway
 from daleroad.metrics import RequestMetrics
@@ -245,7 +246,8 @@
                 return None
             case Lost(reason):
                 way.ran += 1
-                self._log_try(way, instance, "lost", reason)
+                fingerprint = find_fingerprint(way.job, way.organisation)
+                self._log_try(way, instance, "lost", reason, fingerprint)
                 self._gateway.note_result(instance, False)
                 if way.route.is_repeatable():
                     return None
@@ -285,7 +287,9 @@
 
         return Flow(stream.status, stream.headers, runs.deliver(run), run.deadline, close)
 
-    def _log_try(self, way: _Way, instance: Instance, outcome: str, reason: str) -> None:
+    def _log_try(
+        self, way: _Way, instance: Instance, outcome: str, reason: str, fingerprint: str = ""
+    ) -> None:
         gateway = self._gateway
         log_event(
             Event.ATTEMPT_FAILED,
@@ -294,6 +298,7 @@
             upstream=instance.id,
             outcome=outcome,
             reason=reason,
+            fingerprint=fingerprint,
             config=way.table.config.version,
             fleet=gateway.fleet.revision,
             heartbeat_age=round(gateway.fleet.get_age(instance.id, anyio.current_time()), 3),
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -15,6 +15,7 @@
 from daleroad.draining import Need
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
+from daleroad.fingerprints import find_fingerprint
 from daleroad.fleet import Instance, InstanceState
 from daleroad.gateway import Gateway
 
@@ -292,6 +293,9 @@
             self._gateway.add_load(run.backup, 0, -run.tokens)
 
     def _log_end(self, run: Run) -> None:
+        fingerprint = ""
+        if run.outcome is StreamEnd.UPSTREAM:
+            fingerprint = find_fingerprint(run.attempt.job, run.attempt.organisation)
         log_event(
             Event.STREAM_ENDED,
             request=run.attempt.job.id,
@@ -301,6 +305,7 @@
             most=run.attempt.job.prompt.most_output if run.attempt.job.prompt else 0,
             outcome=run.outcome.value,
             reason=run.reason,
+            fingerprint=fingerprint,
             longest_pause=round(run.longest_pause, 3),
             paused=0 < run.pause < run.longest_pause,
             seconds=round(anyio.current_time() - run.attempt.job.received_at, 3),
