--- a/tools/soak.py
+++ b/tools/soak.py
@@ -66,6 +66,9 @@
 LINK_SHARE = 0.35
 """Parts of the faults that hurt a coordinator and the link to an upstream; the rest, a gateway."""
 
+NETWORK = "127.0.0"
+"""Begins the addresses of a site's VMs; sites that run beside each other need one each."""
+
 GATEWAYS = 4
 COORDINATORS = 3
 UPSTREAMS = 3
@@ -165,9 +168,14 @@
     """The site's processes, by name; restarts those that end, as the platform does."""
 
     def __init__(
-        self, folder: Path, gateways: int = GATEWAYS, coordinators: int = COORDINATORS
+        self,
+        folder: Path,
+        gateways: int = GATEWAYS,
+        coordinators: int = COORDINATORS,
+        network: str = NETWORK,
     ) -> None:
         self._folder = folder
+        self._network = network
         self._gateways = gateways
         self._coordinators = coordinators
         self._running: dict[str, subprocess.Popen] = {}
@@ -194,7 +202,7 @@
             )
 
     def _write_settings(self, name: str, role: str, number: int) -> Path:
-        ip = f"127.0.0.{number + 1}"
+        ip = f"{self._network}.{number + 1}"
         settings = {
             "node_name": name,
             "ip": ip,
@@ -202,7 +210,9 @@
             "region": "r",
             "listen": {"frontend": f"{ip}:{CLIENT_PORT}", "readiness": f"{ip}:{READY_PORT}"},
             "internal_ports": [OUR_PORT, OUR_PORT + 15],
-            "seeds": [f"127.0.0.{n + 1}:{CONTROL_PORT}" for n in range(min(3, self._coordinators))],
+            "seeds": [
+                f"{self._network}.{n + 1}:{CONTROL_PORT}" for n in range(min(3, self._coordinators))
+            ],
             "bootstrap": self._founding,
             "heartbeat_ms": int(HEARTBEAT_SECONDS * 1000),
             "bounds": {"grace_s": GRACE_SECONDS, "ttl_max_s": 1, "retry_budget_ratio": 0.2},
--- a/tools/soakupstreams.py
+++ b/tools/soakupstreams.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import AsyncIterator
+from dataclasses import dataclass
 from random import Random
 
 import anyio
@@ -18,32 +19,63 @@
 
 HEARTBEAT_SECONDS = 0.5
 
+CRASHING_BODY = b"crash"
+"""A request with this body ends the upstream that begins to run it."""
+
+CRASHED_SECONDS = 2.0
+"""Time from a crash until the upstream is back, under its id."""
+
+
+@dataclass(frozen=True)
+class _Request:
+    """A request as an upstream read it; names of headers are in lower case."""
+
+    headers: dict[str, str]
+    body: bytes
+
 
 class Upstream:
     """A stand-in plain service that answers each request with its id and a signature.
 
+    A request whose body is CRASHING_BODY ends it: its connections end, nothing listens, no
+    heartbeat comes, and CRASHED_SECONDS later it starts again.
+
     :param number: tells its VM.
     :param ledger: where it notes what it runs.
     :param random: draws how long it takes.
     :param entries: addresses that take heartbeats.
+    :param network: begins its address.
+    :param linked: whether it announces the address of the link before it, not its own.
     """
 
     service = PLAIN_SERVICE
     port = 18000
     slots = 50
 
-    def __init__(self, number: int, ledger: Ledger, random: Random, entries: list[str]) -> None:
-        self.address = f"127.0.1.{number + 1}:{self.port}"
+    def __init__(
+        self,
+        number: int,
+        ledger: Ledger,
+        random: Random,
+        entries: list[str],
+        network: str = "127.0.1",
+        linked: bool = True,
+    ) -> None:
+        self.address = f"{network}.{number + 1}:{self.port}"
         self.link = FaultyLink(f"127.0.2.{number + 1}:{self.port}", self.address)
+        self._announced = self.link.address if linked else self.address
         self.link_name = f"link-{number}"
         self.id = f"{self.service}-{number}"
         self._ledger = ledger
         self._random = random
         self._entries = entries
         self._sequence = 0
+        self._life: anyio.CancelScope | None = None
         self.born = read_clock()
         self.restarted_at = float("-inf")
         self.ran_at = float("-inf")
+        self.crashed_at: list[float] = []
+        self.reached_at: list[float] = []
 
     def restart(self) -> None:
         """Start again under the same id; what was open must be cut off by its link."""
@@ -52,25 +84,49 @@
         self.restarted_at = anyio.current_time()
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Serve until cancelled, with a pause after each crash."""
+        while True:
+            with anyio.CancelScope() as self._life:
+                await self._serve()
+            self._life = None
+            await anyio.sleep(CRASHED_SECONDS)
+            self.restart()
+
+    async def _serve(self) -> None:
         host, port = self.address.split(":")
         async with await anyio.create_tcp_listener(local_host=host, local_port=int(port)) as found:
             await found.serve(self._handle)
 
     async def _handle(self, stream: SocketStream) -> None:
         async with stream:
-            async for head in _read_heads(stream):
-                await self._answer(stream, head)
+            async for request in _read_requests(stream):
+                await self._answer(stream, request)
+
+    def _crash(self) -> None:
+        self.crashed_at.append(anyio.current_time())
+        if self._life is not None:
+            self._life.cancel()
 
-    async def _answer(self, stream: SocketStream, head: dict[str, str]) -> None:
+    async def _answer(self, stream: SocketStream, asked: _Request) -> None:
+        head = asked.headers
         request = head.get("x-daleroad-attempt-id", "")
         if head.get("x-daleroad-expect-instance") != self.id:
             await stream.send(b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
             return
         self.ran_at = anyio.current_time()
+        if asked.body == CRASHING_BODY:
+            self.reached_at.append(self.ran_at)
         self._ledger.runs[request] = self._ledger.runs.get(request, 0) + 1
         self._ledger.reached.setdefault(request, set()).add(self.link_name)
-        await self._run(stream, request, head)
+        if asked.body == CRASHING_BODY:
+            await self._begin_and_crash(stream, request)
+        else:
+            await self._run(stream, request, head)
+
+    async def _begin_and_crash(self, stream: SocketStream, request: str) -> None:
+        await anyio.sleep(self._random.uniform(0.02, 0.1))
+        self._crash()
+        await anyio.sleep_forever()
 
     async def _run(self, stream: SocketStream, request: str, head: dict[str, str]) -> None:
         await anyio.sleep(self._random.uniform(0.005, 0.08))
@@ -80,6 +136,9 @@
     async def beat(self, client: httpx.AsyncClient) -> None:
         """Send heartbeats to any coordinator until cancelled."""
         while True:
+            if self._life is None:
+                await anyio.sleep(HEARTBEAT_SECONDS / 10)
+                continue
             self._sequence += 1
             body = self.make_heartbeat()
             place = f"http://{self._random.choice(self._entries)}"
@@ -89,13 +148,12 @@
                 continue
             await anyio.sleep(HEARTBEAT_SECONDS)
 
-
     def make_heartbeat(self) -> dict[str, object]:
         """Return what this upstream says of itself."""
         return {
             "service": self.service,
             "zone": "z0",
-            "address": self.link.address,
+            "address": self._announced,
             "slots": self.slots,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -111,12 +169,19 @@
     port = 18010
     slots = 24
 
+    async def _begin_and_crash(self, stream: SocketStream, request: str) -> None:
+        await self._send_stream_head(stream, request)
+        await super()._begin_and_crash(stream, request)
+
+    async def _send_stream_head(self, stream: SocketStream, request: str) -> None:
+        await _send_head(
+            stream, request, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"
+        )
+
     async def _run(self, stream: SocketStream, request: str, head: dict[str, str]) -> None:
         events, pause = head[SIZE_HEADER].split(",")
         try:
-            await _send_head(
-                stream, request, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"
-            )
+            await self._send_stream_head(stream, request)
             for number in range(1, int(events) + 1):
                 await anyio.sleep(float(pause))
                 event = f"id: {number}\ndata: {request}\n\n"
@@ -142,15 +207,21 @@
     await stream.send(("\r\n".join(lines) + "\r\n\r\n").encode())
 
 
-async def _read_heads(stream: SocketStream) -> AsyncIterator[dict[str, str]]:
-    """Yield the heads of requests whose bodies are empty."""
+async def _read_requests(stream: SocketStream) -> AsyncIterator[_Request]:
+    """Yield requests whose bodies have a length."""
     data = b""
     while True:
-        while b"\r\n\r\n" not in data:
-            try:
+        try:
+            while b"\r\n\r\n" not in data:
                 data += await stream.receive()
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
-                return
-        head, _, data = data.partition(b"\r\n\r\n")
-        lines = head.decode().split("\r\n")[1:]
-        yield {name.lower(): value.strip() for name, _, value in (x.partition(":") for x in lines)}
+            head, _, data = data.partition(b"\r\n\r\n")
+            lines = head.decode().split("\r\n")[1:]
+            pairs = (line.partition(":") for line in lines)
+            headers = {name.lower(): value.strip() for name, _, value in pairs}
+            length = int(headers.get("content-length", "0"))
+            while len(data) < length:
+                data += await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return
+        yield _Request(headers, data[:length])
+        data = data[length:]
