--- a/src/daleroad/cli.py
+++ b/src/daleroad/cli.py
@@ -33,6 +33,7 @@
 from daleroad.report import format_rows, make_rows, write_json, write_plot
 from daleroad.security import hash_token
 from daleroad.settings import load_settings, parse_settings
+from daleroad.suspectcommands import SuspectCommands
 
 _FAILED = 1
 
@@ -185,6 +186,7 @@
     def __init__(self) -> None:
         self.standin = Standin()
         self.operate = Operate
+        self.suspects = SuspectCommands()
 
     def serve(self, settings: str) -> None:
         """Run the process that a settings file describes.
--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -39,6 +39,7 @@
     PlaceAnswer,
     PlaceRequest,
     ReadAnswer,
+    ReleaseRequest,
     SaveAnswer,
     SaveRequest,
     ShareAnswer,
@@ -54,6 +55,7 @@
 from daleroad.serving import Answer, Request, Response, Router
 from daleroad.siterecord import Document, SiteRecord
 from daleroad.storage import Storage
+from daleroad.suspectfile import SuspectKeeper
 from daleroad.voters import SILENT_SECONDS, plan_voters
 
 GROUP = "site"
@@ -108,6 +110,7 @@
         self._keeper = (
             FleetKeeper(folder, self.presence.fleet, options.heartbeat) if folder else None
         )
+        self._suspect_keeper = SuspectKeeper(folder, self.presence.suspects) if folder else None
         self._storage = Storage(path)
         self.group = Group(
             GROUP, options.name, {}, self._storage, self.record, links, random, make_url
@@ -126,12 +129,16 @@
         await self.group.run(tasks)
         if self._keeper is not None:
             self._keeper.recover()
+        if self._suspect_keeper is not None:
+            self._suspect_keeper.recover()
         self._ready = True
         tasks.start_soon(self._join_loop)
         tasks.start_soon(self.presence.share_loop)
         tasks.start_soon(self._lead_loop)
         if self._keeper is not None:
             tasks.start_soon(self._keeper.run)
+        if self._suspect_keeper is not None:
+            tasks.start_soon(self._suspect_keeper.run)
 
     def close(self) -> None:
         """Close the files; nothing may run any more."""
@@ -311,6 +318,8 @@
         router.add("POST", "/site/place", self._serve_place)
         router.add("POST", "/site/save", self._serve_save)
         router.add("POST", "/site/read", self._serve_read)
+        router.add("POST", "/site/suspects", self._serve_suspects)
+        router.add("POST", "/site/release", self._serve_release)
         return router
 
     def _take(self, request: Request, shape: Any) -> Any:
@@ -447,6 +456,19 @@
         document = self.record.document
         return Response(200, encode(ReadAnswer(document.version, document.text)))
 
+    async def _serve_suspects(self, request: Request) -> Answer:
+        refused = check_peer(request.headers, self.links.token)
+        if refused is not None:
+            return refused
+        return Response(200, encode(self.presence.list_suspects()))
+
+    async def _serve_release(self, request: Request) -> Answer:
+        asked = self._take(request, ReleaseRequest)
+        if isinstance(asked, Failure):
+            return asked
+        failure = self.presence.release(asked.fingerprint)
+        return failure if failure is not None else Response(204)
+
     def _note_document(self) -> None:
         document = self.record.document
         self._history.note(document)
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -56,6 +56,12 @@
     LEASE_LOST = Kind(300, logging.WARNING, "An entry has no configuration lease.")
     LEASE_GAINED = Kind(301, logging.INFO, "An entry got its configuration lease.")
     FLEET_RECOVERED = Kind(228, logging.INFO, "A coordinator began with the upstreams on its disk.")
+    SUSPECTS_RECOVERED = Kind(
+        232, logging.INFO, "A coordinator began with the suspected requests on its disk."
+    )
+    SUSPECTS_NOT_KEPT = Kind(
+        233, logging.WARNING, "The suspected requests could not be written or read."
+    )
     FLEET_NOT_KEPT = Kind(
         229, logging.WARNING, "The list of upstreams could not be written or read; none is needed."
     )
--- a/src/daleroad/fleetfile.py
+++ b/src/daleroad/fleetfile.py
@@ -6,16 +6,16 @@
 heard, none soon after, and each request names the instance that it is for.
 """
 
-import os
 from pathlib import Path
 
 import anyio
 
 from daleroad.codec import decode, encode
 from daleroad.defaults import FLEET_KEPT_SECONDS
-from daleroad.errors import Failure, FailureKind
+from daleroad.errors import Failure
 from daleroad.events import Event, log_event
 from daleroad.fleet import Fleet, Sighting
+from daleroad.keptfile import read_file, replace_file
 
 RECOVERED_HEARTBEATS = 1.75
 """Age of what was read, in heartbeats: overdue, so that those that are heard get more work, and for
@@ -67,24 +67,7 @@
     :param path: the file.
     :param sightings: all instances, also those that left.
     """
-    fresh = path.with_suffix(".new")
-    try:
-        with fresh.open("wb", buffering=0) as file:
-            file.write(encode(sightings, tuple[Sighting, ...]))
-            os.fsync(file.fileno())
-        os.replace(fresh, path)
-        _sync_folder(path.parent)
-    except OSError as error:
-        return Failure(FailureKind.UNREACHABLE, f"{path.name}: {error!r}")
-    return None
-
-
-def _sync_folder(folder: Path) -> None:
-    number = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(number)
-    finally:
-        os.close(number)
+    return replace_file(path, encode(sightings, tuple[Sighting, ...]))
 
 
 def load_fleet(path: Path, age: float) -> tuple[Sighting, ...] | Failure:
@@ -93,10 +76,8 @@
     :param path: the file.
     :param age: seconds since its upstreams were heard, as is assumed.
     """
-    try:
-        found = decode(tuple[Sighting, ...], path.read_bytes())
-    except OSError as error:
-        return Failure(FailureKind.NOT_FOUND, f"{path.name}: {error!r}")
+    body = read_file(path)
+    found = body if isinstance(body, Failure) else decode(tuple[Sighting, ...], body)
     if isinstance(found, Failure):
         return found
     return tuple(Sighting(sighting.instance, age) for sighting in found)
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -226,6 +226,28 @@
     held: float = 0.0
 
 
+@dataclass(frozen=True)
+class SuspectsAnswer:
+    """The requests that are suspected.
+
+    :param suspicions: all that is known of them.
+    :param held: fingerprints of those that reach no upstream.
+    """
+
+    suspicions: tuple[Suspicion, ...]
+    held: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class ReleaseRequest:
+    """An operator takes back what is held against a request.
+
+    :param fingerprint: the request.
+    """
+
+    fingerprint: str
+
+
 @dataclass(frozen=True)
 class SaveRequest:
     """Asks the leader to commit a routing configuration."""
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -30,10 +30,11 @@
     Load,
     ShareAnswer,
     ShareRequest,
+    SuspectsAnswer,
     WatchRequest,
 )
 from daleroad.peers import Peers
-from daleroad.suspects import Suspects, Suspicion
+from daleroad.suspects import Standing, Suspects, Suspicion
 
 SNAPSHOT_SECONDS = 0.05
 """How long a snapshot of all gateways is used again; each of their questions needs one."""
@@ -148,6 +149,28 @@
         if news:
             self._wake()
 
+    def list_suspects(self) -> SuspectsAnswer:
+        """Return the requests that are suspected, as operators see them."""
+        now = anyio.current_time()
+        known = self.suspects.list_changed(now)
+        standings = ((t.fingerprint, self.suspects.get_standing(t.fingerprint, now)) for t in known)
+        held = tuple(name for name, standing in standings if standing is Standing.HELD)
+        return SuspectsAnswer(known, held)
+
+    def release(self, fingerprint: str) -> Failure | None:
+        """Take back what is held against a request; return why that can't be done, if so.
+
+        :param fingerprint: the request.
+        """
+        now = anyio.current_time()
+        known = self.suspects.get(fingerprint, now)
+        if self.suspects.release(fingerprint, now) is None:
+            return Failure(FailureKind.NOT_FOUND, f"nothing is held against {fingerprint}")
+        assert known is not None
+        log_event(Event.REQUEST_RELEASED, fingerprint=fingerprint, ended=list(known.crashes))
+        self._wake()
+        return None
+
     def _clear_alive(self, now: float) -> None:
         """Take back ends of instances that were heard from well after them.
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -120,21 +120,24 @@
         return leaders[0] if leaders else None
 
 
-class CoordinatorTest(unittest.TestCase):
-    def run_site(self, body: Callable, count: int = 4) -> None:
-        async def main() -> None:
-            with tempfile.TemporaryDirectory(prefix="daleroad-test-") as folder:
-                async with anyio.create_task_group() as tasks:
-                    names = pick_addresses(count)
-                    site = Site(tasks, folder, names)
-                    for name in names[:3]:
-                        await site.start(name)
-                    await wait_for(site.get_leader)
-                    await body(site, names)
-                    tasks.cancel_scope.cancel()
-
-        anyio.run(main)
+def run_site(body: Callable, count: int = 4) -> None:
+    """Run something with the three coordinators of a new site that have a leader."""
+
+    async def main() -> None:
+        with tempfile.TemporaryDirectory(prefix="daleroad-test-") as folder:
+            async with anyio.create_task_group() as tasks:
+                names = pick_addresses(count)
+                site = Site(tasks, folder, names)
+                for name in names[:3]:
+                    await site.start(name)
+                await wait_for(site.get_leader)
+                await body(site, names)
+                tasks.cancel_scope.cancel()
 
+    anyio.run(main)
+
+
+class CoordinatorTest(unittest.TestCase):
     async def save(self, coordinator: Coordinator, version: int, note: str = "") -> None:
         answer = await coordinator.save(make_document(version, note))
         self.assertIsInstance(answer, SaveAnswer)
@@ -155,7 +158,7 @@
             assert isinstance(refused, Failure)
             self.assertIs(refused.kind, FailureKind.INVALID)
 
-        self.run_site(body)
+        run_site(body)
 
     def test_what_was_saved_survives_that_all_are_killed(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
@@ -167,7 +170,7 @@
             await wait_for(site.get_leader)
             self.assertEqual(await self.read(site.get(names[1])), (5, "kept"))
 
-        self.run_site(body)
+        run_site(body)
 
     def test_one_that_starts_alone_knows_what_was_committed_before(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
@@ -180,7 +183,7 @@
             await wait_for(lambda: alone.get_version() >= 6)
             self.assertIsInstance(await alone.read(), Failure)
 
-        self.run_site(body)
+        run_site(body)
 
     def test_one_that_starts_alone_knows_the_upstreams_of_before(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
@@ -193,7 +196,7 @@
             age = alone.presence.fleet.get_age("i-1", anyio.current_time())
             self.assertGreaterEqual(age, RECOVERED_HEARTBEATS)
 
-        self.run_site(body)
+        run_site(body)
 
     def test_without_a_majority_nothing_is_saved_and_nothing_old_is_read(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
@@ -205,7 +208,7 @@
             self.assertIsInstance(await left.read(), Failure)
             self.assertIsInstance(await left.save(make_document(2)), Failure)
 
-        self.run_site(body)
+        run_site(body)
 
     def test_a_replacement_takes_the_vote_and_then_bears_another_loss(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
@@ -229,7 +232,7 @@
             await wait_for(site.get_leader)
             self.assertEqual(await self.read(site.get(names[3])), (1, "one"))
 
-        self.run_site(body)
+        run_site(body)
 
     def test_one_without_a_disk_serves_and_never_votes(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
@@ -241,7 +244,7 @@
             assert leader is not None
             self.assertNotIn(names[3], [m.name for m in leader.group.replica.members])
 
-        self.run_site(body)
+        run_site(body)
 
     def test_one_that_forgot_what_it_was_told_is_told_all_of_it_again(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
@@ -263,7 +266,7 @@
                 second.fleet.prune(anyio.current_time() + 1000)
                 second._gateways.clear()
 
-        self.run_site(body)
+        run_site(body)
 
     def test_a_leave_is_acknowledged_when_another_coordinator_has_it(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
@@ -277,7 +280,7 @@
             states = [found.state for found in others if found]
             self.assertIn(InstanceState.GONE, states)
 
-        self.run_site(body)
+        run_site(body)
 
     def test_a_leave_that_nobody_else_hears_is_not_acknowledged(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
@@ -291,7 +294,7 @@
             failure = await first.presence.part("i")
             self.assertIsInstance(failure, Failure)
 
-        self.run_site(body)
+        run_site(body)
 
     def test_a_watch_is_told_what_changed_and_news_of_upstreams_is_gathered(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
@@ -323,7 +326,7 @@
             self.assertIsNone(second.loads)
             self.assertEqual(set(second.ages), {"i-1", "i-2", "i-3"})
 
-        self.run_site(body)
+        run_site(body)
 
     def test_the_leader_names_engines_once_it_has_heard_the_gateways(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
@@ -349,7 +352,7 @@
             assert isinstance(refused, Failure)
             self.assertIs(refused.kind, FailureKind.NOT_LEADER)
 
-        self.run_site(body)
+        run_site(body)
 
     def test_gateways_follow_and_are_named_until_they_drain(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
@@ -382,4 +385,4 @@
                 lambda: not any(site.get(n).presence.list_gateways("z") for n in names[:3])
             )
 
-        self.run_site(body)
+        run_site(body)
