A clock that goes on while a machine is suspended, under all promises

Cause: each lease, age, budget, drain and deadline reads the event loop's time, which is CLOCK_MONOTONIC and stands still while the machine is suspended. A leader that was away would serve reads by its lease, a gateway revoked keys, an entry its configuration, for as long as was left of them; and what waited in sockets meanwhile passed for new.

Change: our processes run on a loop whose time is CLOCK_BOOTTIME (clock), read in one place and injected in tests, which let it jump. A turn of 0.25 s wakes the loop, as timers still wait by the clock that stood still.

Ruled out: adding suspended time where each lease is read (some forty places).

--- a/src/daleroad/cli.py
+++ b/src/daleroad/cli.py
@@ -19,6 +19,7 @@
 from daleroad.batching import EngineShape
 from daleroad.bench import run_matrix
 from daleroad.caller import Caller, Token, Whole
+from daleroad.clock import run_on_clock
 from daleroad.control import found
 from daleroad.demo import run_demo
 from daleroad.detection import compare_detectors
@@ -194,7 +195,7 @@
         Args:
             settings: path of the INI file.
         """
-        anyio.run(serve, load_settings(settings))
+        run_on_clock(serve, load_settings(settings))
 
     def check(self, settings: str) -> None:
         """Check a settings file and print each fault.
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -3,6 +3,17 @@
 TICK_SECONDS = 0.05
 """Interval of the control loop's timer."""
 
+CLOCK_TURN_SECONDS = 0.25
+"""How late a timer may be after its machine was suspended; a process wakes as often anyway to
+exchange loads. What must not be late by that reads the clock when it is used."""
+
+SUSPENDED_LEAST_SECONDS = 0.05
+"""Shortest time of suspension that is noted; reading two clocks one after the other takes less."""
+
+LOOP_STALL_SECONDS = 0.5
+"""A loop that comes so late to its turn was frozen, suspended or starved; what waited for it
+meanwhile may be as old."""
+
 ELECTION_MIN_SECONDS = 0.7
 ELECTION_MAX_SECONDS = 1.4
 """Range from which each election timeout is drawn."""
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -29,6 +29,7 @@
     STOPPED = Kind(102, logging.INFO, "A process stopped.")
     DRAINED = Kind(104, logging.INFO, "A gateway's drain is over.")
     RELOADED = Kind(103, logging.INFO, "The settings changed and were read again.")
+    RESUMED = Kind(105, logging.WARNING, "The machine was suspended and runs again.")
     SETTINGS_REFUSED = Kind(110, logging.ERROR, "The settings can't be used.")
     STORAGE_REFUSED = Kind(111, logging.ERROR, "The data folder can't be used.")
     COMMAND_FAILED = Kind(112, logging.ERROR, "A command of the command line failed.")
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -20,6 +20,7 @@
     LOOKUP_CHANGING_SECONDS,
     LOOKUP_KEPT_SECONDS,
     SHARE_SECONDS,
+    LOOP_STALL_SECONDS,
 )
 from daleroad.errors import Failure, FailureKind
 from daleroad.events import Event, log_event
@@ -105,6 +106,8 @@
         self.fleet = Fleet()
         self.suspects = Suspects()
         self._doubts: dict[str, float] = {}
+        self._turned_at = float("inf")
+        self._stalled_at = float("-inf")
         self._name = name
         self._links = links
         self._peers = peers
@@ -178,7 +181,8 @@
         """
         for instance, ended_at in list(self._doubts.items()):
             heard_at = now - self.fleet.get_age(instance, now)
-            if heard_at >= ended_at + ALIVE_AFTER_SECONDS:
+            # After a stall, heartbeats that waited for this process pass for new ones.
+            if heard_at >= max(ended_at, self._stalled_at) + ALIVE_AFTER_SECONDS:
                 if self.suspects.note_alive(instance, now):
                     self._wake()
                 del self._doubts[instance]
@@ -203,12 +207,15 @@
         return self.loads.count_gateways() >= LOADS_KNOWN_SHARE * self.count_gateways(now)
 
     def prune(self, now: float) -> None:
-        """Drop upstreams not heard for long.
+        """Drop upstreams not heard for long; called each turn.
 
         :param now: the time.
         """
         self.loads.prune(now)
         self.suspects.prune(now)
+        if now - self._turned_at > LOOP_STALL_SECONDS:
+            self._stalled_at = now
+        self._turned_at = now
         self._clear_alive(now)
         for instance in self.fleet.prune(now):
             log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="age")
--- a/src/daleroad/process.py
+++ b/src/daleroad/process.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from daleroad.clock import watch_clock
 from daleroad.control import Control
 from daleroad.entry import Entry
 from daleroad.events import Event, log_event
@@ -18,6 +19,10 @@
 AsyncCall: TypeAlias = Callable[[], Coroutine[Any, Any, None]]
 
 
+def _do_nothing(seconds: float) -> None:
+    """Leave it at the log line: each lease is read from a clock that went on."""
+
+
 async def _watch_signals(drain: AsyncCall, stop: Callable[[], None], tasks: TaskGroup) -> None:
     """Drain at the first signal and stop at the second."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -44,6 +49,7 @@
     """
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_watch_signals, drain, stop, tasks)
+        tasks.start_soon(watch_clock, _do_nothing)
         await run()
         tasks.cancel_scope.cancel()
 
