Hold back no request that all clients send alike; try held ones again by one gateway

Cause, found by the soak once two of its requests end each upstream: its clients all ask for the same to the letter, so their request ran wherever an upstream ended and was held after three. Change: a gateway at which a request ended whole in the last 10 s takes back ends that others saw, three at most; these whole answers are forgotten after 10 s, so that a request which has turned bad has none. The soak checks sends after the third end from now on. Ruled out: more ends made up for by whole answers without an age (a request that turned bad would end dozens of upstreams first).

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -44,6 +44,8 @@
     SaveRequest,
     ShareAnswer,
     ShareRequest,
+    TrialAnswer,
+    TrialRequest,
     WatchAnswer,
     WatchRequest,
 )
@@ -56,6 +58,7 @@
 from daleroad.siterecord import Document, SiteRecord
 from daleroad.storage import Storage
 from daleroad.suspectfile import SuspectKeeper
+from daleroad.suspects import Standing, Trials
 from daleroad.voters import SILENT_SECONDS, plan_voters
 
 GROUP = "site"
@@ -102,6 +105,7 @@
         self._services: dict[str, ServiceRule] = {}
         self.peers = Peers(options.name, set(options.seeds))
         self.presence = Presence(options.name, links, self.peers, self._list_others, self._wake)
+        self._trials = Trials()
         self._placer = Placer(self.presence.fleet, self.presence.loads, options.heartbeat, random)
         self.epoch = uuid4().hex[:12]
         self._parse = parse
@@ -320,6 +324,7 @@
         router.add("POST", "/site/read", self._serve_read)
         router.add("POST", "/site/suspects", self._serve_suspects)
         router.add("POST", "/site/release", self._serve_release)
+        router.add("POST", "/site/trial", self._serve_trial)
         return router
 
     def _take(self, request: Request, shape: Any) -> Any:
@@ -469,6 +474,18 @@
         failure = self.presence.release(asked.fingerprint)
         return failure if failure is not None else Response(204)
 
+    async def _serve_trial(self, request: Request) -> Answer:
+        asked = self._take(request, TrialRequest)
+        if isinstance(asked, Failure):
+            return asked
+        if not self._ready or not self.group.is_leading():
+            return Failure(FailureKind.NOT_LEADER, "another coordinator gives leave for trials")
+        now = anyio.current_time()
+        standing = self.presence.suspects.get_standing(asked.fingerprint, now)
+        held = standing is Standing.HELD
+        granted = not held and self._trials.take(asked.fingerprint, now)
+        return Response(200, encode(TrialAnswer(granted)))
+
     def _note_document(self) -> None:
         document = self.record.document
         self._history.note(document)
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -38,7 +38,7 @@
 from daleroad.metrics import RequestMetrics
 from daleroad.routing import Repeat, RouteRule, RoutingTable, ServiceRule
 from daleroad.runs import Run, Runs, Tries
-from daleroad.suspects import Standing
+from daleroad.suspects import TRIAL_SECONDS, Standing
 
 _SERVER_ERROR = 500
 
@@ -152,7 +152,7 @@
             if now >= self._find_latest_begin(way):
                 return self._give_up(way, "this gateway stops")
             standing = self._gateway.guard.get_standing(way.job, way.organisation)
-            if standing is Standing.HELD:
+            if standing is Standing.HELD or not await self._may_try(way, standing):
                 return self._hold_back(way)
             instance = await self._place(way, standing)
             if instance is None:
@@ -168,10 +168,16 @@
         gateway = self._gateway
         prompt = way.job.prompt
         tokens = count_tokens(prompt)
-        if standing is Standing.LAST:
+        if standing is not Standing.CLEAR:
             return gateway.pick_quiet(way.service, tokens, way.tried)
         return await gateway.place(way.service, tokens, way.tried, prompt)
 
+    async def _may_try(self, way: _Way, standing: Standing) -> bool:
+        """Return whether nobody else tries this request where only one may."""
+        if standing is not Standing.TRIAL:
+            return True
+        return await self._gateway.may_try(find_fingerprint(way.job, way.organisation))
+
     def _hold_back(self, way: _Way) -> Failure:
         """Return the final answer to a request that reaches no upstream any more.
 
@@ -183,7 +189,7 @@
         now = anyio.current_time()
         fingerprint = find_fingerprint(way.job, way.organisation)
         left = self._gateway.suspects.get_held_left(fingerprint, now)
-        return Failure(FailureKind.HELD, reason, Ran.NO, round(left))
+        return Failure(FailureKind.HELD, reason, Ran.NO, round(max(left, TRIAL_SECONDS)))
 
     async def _try(self, way: _Way, instance: Instance, seconds: float) -> Outcome | None:
         """Send to one instance; return the outcome, or nothing if another may be tried."""
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -36,6 +36,10 @@
 """Asks another process for an engine; returns its id, or nothing where it names none."""
 
 
+AskTrial = Callable[[str], Awaitable[bool]]
+"""Asks another process whether a request that was held for long may be tried here."""
+
+
 @dataclass(frozen=True)
 class GatewayOptions:
     """What a gateway is told at its start. Times are in seconds.
@@ -89,6 +93,7 @@
     on_leaving: Callable[[Instance], None] = lambda instance: None
     on_news: Callable[[], None] = lambda: None
     ask_place: AskPlace | None = None
+    ask_trial: AskTrial | None = None
     _waits: set[anyio.CancelScope] = field(default_factory=set)
     _own: dict[str, Load] = field(default_factory=dict)
     _leaving_since: dict[str, float] = field(default_factory=dict)
@@ -100,14 +105,17 @@
         self.fleet = Fleet(options.heartbeat)
         self.suspects = Suspects()
         self.news: Outbox[Suspicion] = Outbox()
-        self.guard = Guard(self.suspects, self.fleet, self._tell)
+        self.guard = Guard(self.suspects, self.fleet, self.tell)
         self.dispatcher = GuardedDispatcher(self.dispatcher, self.guard)
         self.budget = WindowBudget(options.retry_ratio, options.retry_slack, options.retry_window)
         self.configured = anyio.Event()
         self.loads_changed = anyio.Event()
 
-    def _tell(self, suspicion: Suspicion) -> None:
-        """Let the coordinators know at once what this gateway holds against a request."""
+    def tell(self, suspicion: Suspicion) -> None:
+        """Let the coordinators know at once what this gateway knows of a suspected request.
+
+        :param suspicion: what it knows.
+        """
         self.news.add(suspicion)
         self.on_news()
 
@@ -311,6 +319,13 @@
         found = min(sound, key=lambda c: (self.get_load(c.instance.id).runs, c.load), default=None)
         return found.instance if found else None
 
+    async def may_try(self, fingerprint: str) -> bool:
+        """Return whether a request that was held for long may be tried by this gateway now.
+
+        :param fingerprint: the request.
+        """
+        return self.ask_trial is not None and await self.ask_trial(fingerprint)
+
     async def place(
         self,
         service: ServiceRule,
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -248,6 +248,23 @@
     fingerprint: str
 
 
+@dataclass(frozen=True)
+class TrialRequest:
+    """A gateway asks the leading coordinator to try a request that was held for long.
+
+    :param fingerprint: the request.
+    """
+
+    fingerprint: str
+
+
+@dataclass(frozen=True)
+class TrialAnswer:
+    """Says whether this gateway may try it now; no other may then for a while."""
+
+    granted: bool
+
+
 @dataclass(frozen=True)
 class SaveRequest:
     """Asks the leader to commit a routing configuration."""
--- a/src/daleroad/placeclient.py
+++ b/src/daleroad/placeclient.py
@@ -13,7 +13,13 @@
 from daleroad.errors import Failure
 from daleroad.events import Event, log_event
 from daleroad.gateway import Gateway
-from daleroad.notices import LoadsRequest, PlaceAnswer, PlaceRequest
+from daleroad.notices import (
+    LoadsRequest,
+    PlaceAnswer,
+    PlaceRequest,
+    TrialAnswer,
+    TrialRequest,
+)
 
 
 class PlaceClient:
@@ -54,6 +60,19 @@
         self._note_failing(True, leader, reason)
         return None
 
+    async def ask_trial(self, fingerprint: str) -> bool:
+        """Return whether this gateway, alone of all, may try a request that was held for long.
+
+        :param fingerprint: the request.
+        """
+        leader = self._get_leader()
+        if leader is None:
+            return False
+        url = f"{make_url(leader)}/site/trial"
+        asked = encode(TrialRequest(fingerprint))
+        answer = await self._calls.call(url, asked, TrialAnswer, PLACE_SECONDS)
+        return isinstance(answer, TrialAnswer) and answer.granted
+
     async def run(self) -> None:
         """Tell of work that began or ended soon after it did, until cancelled."""
         gateway = self._gateway
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -19,8 +19,8 @@
     LOADS_KNOWN_SHARE,
     LOOKUP_CHANGING_SECONDS,
     LOOKUP_KEPT_SECONDS,
-    SHARE_SECONDS,
     LOOP_STALL_SECONDS,
+    SHARE_SECONDS,
 )
 from daleroad.errors import Failure, FailureKind
 from daleroad.events import Event, log_event
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -4,7 +4,8 @@
 one that ends upstreams from those that ran beside it:
 
 - it was there at several ends, and only ends of different instances count;
-- it never has a whole answer; one takes back an end that came before it, or that comes next;
+- it never has a whole answer; one takes back an end, seen by whichever gateway, that came shortly
+  before or after it;
 - an instance that is heard from after a cut has not ended, so that cut is taken back;
 - ends at which a request was running that is held already are not held against the others, unless
   they were there at every one of its ends.
@@ -26,16 +27,21 @@
 """Ends after which it reaches no upstream. With two, a request that ran beside two ends of another
 cause would be held; the third try goes where little is lost."""
 
-HELD_SECONDS = 3600.0
-"""Time since its last end after which a request that is held is tried once more; then one end holds
-it again. Engines are repaired or replaced within hours, and an engine an hour can be borne."""
+HELD_SECONDS = (30.0, 300.0, 86_400.0)
+"""Time since its last end after which a request that is held is tried once more, by one gateway
+for all: after CRASHES_HELD ends, after one more, and after any further one. One that was held by
+mistake is free again soon; one that ends each upstream ends two more in six minutes and then one a
+day."""
 
 SUSPECT_KEPT_SECONDS = 600.0
 """Time since its last end after which a request that is not held is forgotten."""
 
-HELD_KEPT_SECONDS = 86_400.0
+HELD_KEPT_SECONDS = 2 * HELD_SECONDS[-1]
 """The same for one that is held."""
 
+TRIAL_SECONDS = 10.0
+"""Time between two tries of one request that is held; by then the end of the first is known."""
+
 SUSPECTS_MOST = 2048
 """Requests remembered; one takes some 600 bytes. A caller's own go first that has most of them."""
 
@@ -46,8 +52,11 @@
 """Requests remembered that had a whole answer lately; one takes some 150 bytes."""
 
 VOUCHES_EACH = CRASHES_HELD
-"""Ends that whole answers make up for in advance. Requests that are the same to the letter and come
-all the time would else be held after three engines have ended together."""
+"""Ends that whole answers make up for in advance, at each gateway. Requests that are the same to
+the letter and come all the time run wherever an upstream ends."""
+
+VOUCHED_SECONDS = 10.0
+"""How long a whole answer makes up for ends: a request that has turned bad has none any more."""
 
 
 class Standing(StrEnum):
@@ -57,6 +66,8 @@
     """It may run anywhere."""
     LAST = "last try"
     """It may run once more, where little is lost."""
+    TRIAL = "trial"
+    """It was held for long; one gateway may try it where little is lost."""
     HELD = "held"
     """It must reach no upstream."""
 
@@ -112,6 +123,14 @@
         return bool(fresh)
 
 
+@dataclass(frozen=True)
+class _Vouch:
+    """Whole answers that make up for ends, and when the last of them came."""
+
+    count: int
+    at: float
+
+
 class Suspects:
     """The requests that one process suspects.
 
@@ -122,7 +141,7 @@
         self.revision = 0
         self._known: dict[str, _Suspect] = {}
         self._counts: dict[str, int] = {}
-        self._vouched: OrderedDict[str, int] = OrderedDict()
+        self._vouched: OrderedDict[str, _Vouch] = OrderedDict()
 
     def note_crash(
         self, fingerprint: str, caller: str, route: str, instance: str, now: float
@@ -135,7 +154,7 @@
         :param instance: the instance's id.
         :param now: the time.
         """
-        if self._take_vouch(fingerprint):
+        if self._take_vouches(fingerprint, 1, now):
             return None
         told = Suspicion(fingerprint, caller, route, (instance,))
         return told if self.merge(told, now) else None
@@ -148,10 +167,24 @@
         """
         suspect = self._known.get(fingerprint)
         if suspect is None or not suspect.crashes:
-            self._vouch(fingerprint)
+            self._vouch(fingerprint, now)
             return None
         return self._take_back(fingerprint, suspect, [next(iter(suspect.crashes))], now)
 
+    def refute(self, fingerprint: str, now: float) -> Suspicion | None:
+        """Take back ends that others saw for whole answers here; return what others should know.
+
+        :param fingerprint: the request.
+        :param now: the time.
+        """
+        suspect = self._known.get(fingerprint)
+        if suspect is None:
+            return None
+        taken = self._take_vouches(fingerprint, len(suspect.crashes), now)
+        if not taken:
+            return None
+        return self._take_back(fingerprint, suspect, list(suspect.crashes)[:taken], now)
+
     def release(self, fingerprint: str, now: float) -> Suspicion | None:
         """Take back all ends of a request, as an operator asks; return what others should know.
 
@@ -242,9 +275,9 @@
         count = self._counts.get(fingerprint, 0)
         if count < CRASHES_LAST:
             return Standing.CLEAR
-        if count < CRASHES_HELD or self.get_held_left(fingerprint, now) <= 0:
+        if count < CRASHES_HELD:
             return Standing.LAST
-        return Standing.HELD
+        return Standing.HELD if self.get_held_left(fingerprint, now) > 0 else Standing.TRIAL
 
     def get_held_left(self, fingerprint: str, now: float) -> float:
         """Return for how many seconds a request that is held stays so.
@@ -253,7 +286,11 @@
         :param now: the time.
         """
         suspect = self._known.get(fingerprint)
-        return max(0.0, suspect.last_at + HELD_SECONDS - now) if suspect else 0.0
+        if suspect is None:
+            return 0.0
+        further = max(0, self._counts.get(fingerprint, 0) - CRASHES_HELD)
+        seconds = HELD_SECONDS[min(further, len(HELD_SECONDS) - 1)]
+        return max(0.0, suspect.last_at + seconds - now)
 
     def count_held(self, now: float) -> int:
         """Return how many requests are held.
@@ -298,17 +335,40 @@
                 del self._known[fingerprint]
                 self._counts.pop(fingerprint, None)
 
-    def _vouch(self, fingerprint: str) -> None:
-        vouches = self._vouched.pop(fingerprint, 0)
-        self._vouched[fingerprint] = min(VOUCHES_EACH, vouches + 1)
+    def _vouch(self, fingerprint: str, now: float) -> None:
+        known = self._vouched.pop(fingerprint, _Vouch(0, now))
+        self._vouched[fingerprint] = _Vouch(min(VOUCHES_EACH, known.count + 1), now)
         if len(self._vouched) > VOUCHED_MOST:
             self._vouched.popitem(last=False)
 
-    def _take_vouch(self, fingerprint: str) -> bool:
-        vouches = self._vouched.pop(fingerprint, 0)
-        if vouches > 1:
-            self._vouched[fingerprint] = vouches - 1
-        return vouches > 0
+    def _take_vouches(self, fingerprint: str, most: int, now: float) -> int:
+        """Use up whole answers that make up for ends; return for how many."""
+        known = self._vouched.pop(fingerprint, None)
+        if known is None or now - known.at > VOUCHED_SECONDS:
+            return 0
+        taken = min(most, known.count)
+        if known.count > taken:
+            self._vouched[fingerprint] = _Vouch(known.count - taken, known.at)
+        return taken
+
+
+class Trials:
+    """Who may try a request that was held for long: one for all, once in a while."""
+
+    def __init__(self) -> None:
+        self._tried: dict[str, float] = {}
+
+    def take(self, fingerprint: str, now: float) -> bool:
+        """Take the trial of a request; return whether it is to be had now.
+
+        :param fingerprint: the request.
+        :param now: the time.
+        """
+        self._tried = {f: at for f, at in self._tried.items() if now - at < TRIAL_SECONDS}
+        if fingerprint in self._tried:
+            return False
+        self._tried[fingerprint] = now
+        return True
 
 
 def _tell(fingerprint: str, suspect: _Suspect, now: float) -> Suspicion:
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -242,6 +242,9 @@
         for told in answer.suspicions:
             before = suspects.get_standing(told.fingerprint, now)
             suspects.merge(told, now)
+            refuted = suspects.refute(told.fingerprint, now)
+            if refuted is not None:
+                self._gateway.tell(refuted)
             standing = suspects.get_standing(told.fingerprint, now)
             if standing is not before:
                 log_suspicion(suspects.get(told.fingerprint, now), standing)
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -17,7 +17,13 @@
 from daleroad.errors import Failure, FailureKind
 from daleroad.fleet import Sighting
 from daleroad.gateway import Gateway, GatewayOptions
-from daleroad.notices import ReleaseRequest, SuspectsAnswer, WatchAnswer
+from daleroad.notices import (
+    ReleaseRequest,
+    SuspectsAnswer,
+    TrialAnswer,
+    TrialRequest,
+    WatchAnswer,
+)
 from daleroad.suspects import CRASHES_HELD, Standing, Suspicion
 from daleroad.watching import Watcher
 from tests.fakes import FakeDispatcher, make_instance, make_job
@@ -211,6 +217,28 @@
 
         self.play(body)
 
+    def test_the_leader_lets_one_gateway_try_what_was_held_for_long(self) -> None:
+        async def body(sites: Sites, names: list[str]) -> None:
+            await self.hold(sites, sites.add(3))
+            leader = sites.site.get_leader()
+            assert leader is not None
+            calls = ChannelCalls("secret")
+            (name,) = leader.presence.list_suspects().held
+
+            async def ask(place: str, fingerprint: str) -> TrialAnswer | Failure:
+                asked = encode(TrialRequest(fingerprint))
+                return await calls.call(f"{make_url(place)}/site/trial", asked, TrialAnswer)
+
+            self.assertEqual(await ask(leader.options.name, name), TrialAnswer(False))
+            self.assertEqual(await ask(leader.options.name, "unknown"), TrialAnswer(True))
+            self.assertEqual(await ask(leader.options.name, "unknown"), TrialAnswer(False))
+            other = next(n for n in names[:3] if n != leader.options.name)
+            refused = await ask(other, name)
+            assert isinstance(refused, Failure)
+            self.assertIs(refused.kind, FailureKind.NOT_LEADER)
+
+        self.play(body)
+
     def test_a_gateway_is_told_little_of_each_request(self) -> None:
         ends = tuple(f"i-{number:010x}@1768712629029" for number in range(CRASHES_HELD))
         told = Suspicion("f" * 32, "organisation", "host.example/path/x", ends, (), 1.0)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -10,7 +10,10 @@
 update, while clients ask for streams that last up to longer than a gateway may drain. A seed fixes
 the plan. Ends only what it started.
 
-The processes take their leases and timeouts from a clock that never jumps; so no clock is hurt.
+Two requests end each upstream that begins them and come again all the time; from the third end on
+they must reach none. The others' requests are the same to the letter, and must not be held for it.
+
+A loopback site can't be suspended: tests of the clock let time jump instead.
 """
 
 import json
@@ -21,6 +24,7 @@
 import sys
 import tempfile
 from collections.abc import Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -34,6 +38,7 @@
 from tools.faultylink import LinkFault  # noqa: E402
 from tools.soakledger import (  # noqa: E402
     GRACE_SECONDS,
+    HELD_BACK,
     Asked,
     Ending,
     Hurt,
@@ -42,9 +47,11 @@
 )
 from tools.soakstreams import StreamClient  # noqa: E402
 from tools.soakupstreams import (  # noqa: E402
+    CRASHING_BODY,
     ENGINE_SERVICE,
     HEARTBEAT_SECONDS,
     PLAIN_SERVICE,
+    SIZE_HEADER,
     Engine,
     Upstream,
 )
@@ -87,6 +94,10 @@
 RESTART_GAP_SECONDS = (0.5, 5.0)
 """Time between two upstreams that start again under their id."""
 
+CRASHING_FIRST_SECONDS = (3.0, 6.0)
+CRASHING_AGAIN_SECONDS = (0.3, 0.9)
+"""When a request that ends upstreams comes first, and how soon again."""
+
 AGAIN_SECONDS = 4.0
 """Within so long after its start an upstream must have run a request again."""
 
@@ -298,6 +309,10 @@
         self._number = 0
         self._late_served = 0
 
+    def count_crashes(self) -> int:
+        """Return how many upstreams ended under a request."""
+        return sum(len(upstream.crashed_at) for upstream in self.upstreams)
+
     async def run(self) -> Ledger:
         """Play the plan and return what was found."""
         with tempfile.TemporaryDirectory(prefix="daleroad-soak-") as folder:
@@ -309,6 +324,10 @@
                 processes.end_all()
         self.ledger.check_runs(self.idempotent)
         self.ledger.check_stops()
+        for kind in (Upstream, Engine):
+            crashed = [at for u in self.upstreams if type(u) is kind for at in u.crashed_at]
+            reached = [r for u in self.upstreams if type(u) is kind for r in u.reached]
+            self.ledger.check_crashing(kind.service, crashed, reached)
         if not self._late_served:
             self.ledger.broken.append("nothing was served after the last fault")
         return self.ledger
@@ -329,6 +348,8 @@
                     tasks.start_soon(self._ask, number, began)
                 for asker in self._stream_clients:
                     tasks.start_soon(asker.run)
+                for path in ("/stream/x", "/again/x"):
+                    tasks.start_soon(self._ask_crashing, path)
                 await self._hurt(processes, began, tasks)
                 await anyio.sleep_until(began + self.seconds)
                 self._check_upstreams()
@@ -501,6 +522,27 @@
                     self._late_served += 1
                 await anyio.sleep(random.uniform(0.0, 0.05))
 
+    async def _ask_crashing(self, path: str) -> None:
+        """Send a request that ends each upstream which begins it, again and again, anywhere."""
+        random = Random(f"{self.seconds} crashing {path}")
+        await anyio.sleep(random.uniform(*CRASHING_FIRST_SECONDS))
+        async with httpx.AsyncClient(timeout=2.0, trust_env=False) as client:
+            while True:
+                self._number += 1
+                request = f"crash{self._number}"
+                self.idempotent.add(request)
+                gateway = f"gateway-{random.randrange(GATEWAYS)}"
+                self.ledger.crashing[request] = gateway
+                headers = {"host": "h", "x-daleroad-attempt-id": request, SIZE_HEADER: "1,0.01"}
+                headers |= {"x-daleroad-token-usage": "60,40"}
+                # However it ends, it comes again.
+                with suppress(httpx.HTTPError):
+                    url = f"http://{self._gateways[gateway]}{path}"
+                    answer = await client.post(url, content=CRASHING_BODY, headers=headers)
+                    if answer.status_code == httpx.codes.OK:
+                        self.ledger.broken.append(f"{request} ended whole")
+                await anyio.sleep(random.uniform(*CRASHING_AGAIN_SECONDS))
+
     def _note_plain(self, request: str, gateway: str, sent: float, ending: Ending | None) -> None:
         now = anyio.current_time()
         self.ledger.asked.append(Asked(request, Kind.PLAIN, gateway, sent, now, ending))
@@ -515,6 +557,7 @@
                 return Ending.WHOLE
             case 429 | 503 | 408 | 421:
                 self.ledger.refused += 1
+                self.ledger.held += HELD_BACK in answer.text
                 self.ledger.promised_not_run.add(request)
                 return Ending.REFUSED
             case 502 | 504:
@@ -537,6 +580,7 @@
         print(
             f"seed {seed}: {len(soak.steps) - len(soak.stops)} faults, {len(soak.stops)} stops in "
             f"turn, {found.whole} whole, {found.refused} refused, {found.failed} failed, "
+            f"{soak.count_crashes()} upstreams ended by two requests, {found.held} others held, "
             f"version {found.acknowledged}, {len(found.broken)} broken\n{found.render_streams()}",
             flush=True,
         )
--- a/tools/soakledger.py
+++ b/tools/soakledger.py
@@ -17,6 +17,9 @@
 CONTACT_SECONDS = 1.0
 """Time before a request, or before its gateway's SIGTERM, whose other faults still excuse it."""
 
+HELD_BACK = "held-back"
+"""Stands in the refusal of a request under which upstreams have ended."""
+
 NOT_STOPPED = "no SIGTERM"
 BEFORE = "before"
 AFTER = "after"
@@ -47,6 +50,16 @@
     """No answer, though an upstream saw the request."""
 
 
+CRASHES_BORNE = 3
+"""Upstreams that may end under one request before it must reach none."""
+
+CRASH_CONTACT_SECONDS = 3.0
+"""Time from the last of these ends in which all gateways must have heard of it; a gateway that was
+hurt so lately, or beside a coordinator that was, may not have."""
+
+CRASH_RETRIES_BORNE = 3
+"""Sends of such a request that are borne after that."""
+
 BREAKS = (Ending.CUT, Ending.UNANSWERED)
 
 
@@ -123,6 +136,8 @@
     """What upstreams ran and what clients were told.
 
     :param reached: names of the links over which each request reached upstreams.
+    :param crashing: gateways of the requests that end each upstream which begins them.
+    :param held: other requests that were refused as if they did.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
@@ -136,6 +151,8 @@
     asked: list[Asked] = field(default_factory=list)
     history: History = field(default_factory=History)
     streams: Counter[tuple[str, Ending]] = field(default_factory=Counter)
+    crashing: dict[str, str] = field(default_factory=dict)
+    held: int = 0
 
     def check_runs(self, idempotent: set[str]) -> None:
         """Note requests that ran twice, or ran though a client was told that they did not."""
@@ -155,6 +172,33 @@
             if stop is not None and ending in BREAKS and self._is_lost(asked, stop):
                 self.broken.append(_describe(asked, stop, ending))
 
+    def check_crashing(
+        self, kind: str, crashed: list[float], reached: list[tuple[float, str]]
+    ) -> None:
+        """Note sends of a request that came too late after it had ended three upstreams.
+
+        :param kind: what kind of upstreams.
+        :param crashed: when upstreams ended under it.
+        :param reached: when it reached upstreams, and the ids of these attempts.
+        """
+        if len(crashed) < CRASHES_BORNE:
+            return
+        known_at = sorted(crashed)[CRASHES_BORNE - 1] + CRASH_CONTACT_SECONDS
+        late = [request for at, request in reached if at > known_at and self._knew(request, at)]
+        if len(late) > CRASH_RETRIES_BORNE:
+            said = f"{kind}: {len(late)} sends too late, {len(crashed)} upstreams ended"
+            self.broken.append(f"{said} under one request: {late}")
+
+    def _knew(self, request: str, at: float) -> bool:
+        """Return whether the gateway that sent a request was in touch for long."""
+        gateway = self.crashing.get(request, "")
+        since = at - CRASH_CONTACT_SECONDS
+        hurt = {h.target for h in self.history.hurts if h.begin <= at and h.end >= since}
+        stops = (s.at for s in self.history.stops.get(gateway, ()))
+        stopped = any(since - GRACE_SECONDS <= stop <= at for stop in stops)
+        coordinator = any(name.startswith("coordinator") for name in hurt)
+        return not (gateway in hurt or coordinator or stopped)
+
     def _find_ending(self, asked: Asked) -> Ending:
         if asked.ending is not None:
             return asked.ending
--- a/tools/soakstreams.py
+++ b/tools/soakstreams.py
@@ -10,7 +10,7 @@
 import anyio
 import httpx
 
-from tools.soakledger import Asked, Ending, Kind, Ledger
+from tools.soakledger import HELD_BACK, Asked, Ending, Kind, Ledger
 from tools.soakupstreams import SIZE_HEADER
 
 GAP_SECONDS = 3.0
@@ -146,7 +146,8 @@
         try:
             async with client.stream("POST", url, headers=headers) as answer:
                 if answer.status_code != httpx.codes.OK:
-                    await answer.aread()
+                    text = await answer.aread()
+                    self._ledger.held += HELD_BACK.encode() in text
                     return self._judge_status(request, answer.status_code)
                 begun = True
                 async for line in answer.aiter_lines():
--- a/tools/soakupstreams.py
+++ b/tools/soakupstreams.py
@@ -10,7 +10,7 @@
 from anyio.abc import SocketStream
 
 from tools.faultylink import FaultyLink
-from tools.soakledger import Ledger
+from tools.soakledger import Hurt, Ledger
 
 PLAIN_SERVICE, ENGINE_SERVICE = "s", "e"
 
@@ -75,7 +75,7 @@
         self.restarted_at = float("-inf")
         self.ran_at = float("-inf")
         self.crashed_at: list[float] = []
-        self.reached_at: list[float] = []
+        self.reached: list[tuple[float, str]] = []
 
     def restart(self) -> None:
         """Start again under the same id; what was open must be cut off by its link."""
@@ -103,7 +103,9 @@
                 await self._answer(stream, request)
 
     def _crash(self) -> None:
-        self.crashed_at.append(anyio.current_time())
+        now = anyio.current_time()
+        self.crashed_at.append(now)
+        self._ledger.history.hurts.append(Hurt(self.link_name, now, now + CRASHED_SECONDS))
         if self._life is not None:
             self._life.cancel()
 
@@ -115,7 +117,7 @@
             return
         self.ran_at = anyio.current_time()
         if asked.body == CRASHING_BODY:
-            self.reached_at.append(self.ran_at)
+            self.reached.append((self.ran_at, request))
         self._ledger.runs[request] = self._ledger.runs.get(request, 0) + 1
         self._ledger.reached.setdefault(request, set()).add(self.link_name)
         if asked.body == CRASHING_BODY:
