Hold such requests back on the product's own path too

Entries note upstreams that ended under a generation or a call, by the same rule as gateways, and tell each other at once (one call to each other entry); an upstream that is still a member after its lease and a change of the membership has not ended. A request that is held is refused at once, typed held-back, before it is placed, claimed or sent. Measured: a test kills three engines under one generation that came by three entries; a fourth try is refused at each of them within 1 s, another prompt is served. Left: after 30 s each entry may try it once, not one for all.

--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -39,6 +39,10 @@
 UPSTREAM_LEASE_SECONDS = 3.0
 """An upstream without a report for so long is taken as gone."""
 
+STILL_THERE_SECONDS = 1.5
+"""Time beyond that lease after which an upstream that ended is no member any more: the steward's
+turn, and a change of the membership on a majority of disks."""
+
 LOCATE_KEEP_SECONDS = 5.0
 """How long a caller may keep a locate answer."""
 
--- a/src/daleroad/entry.py
+++ b/src/daleroad/entry.py
@@ -29,6 +29,7 @@
 from daleroad.errors import Failure, FailureKind
 from daleroad.events import Event, log_event
 from daleroad.generations import Generations
+from daleroad.holding import Holding
 from daleroad.limiting import Limits
 from daleroad.links import Links
 from daleroad.location import pick_addresses
@@ -40,6 +41,7 @@
     SlotEnd,
     SlotHold,
     SlotRequest,
+    Suspicions,
 )
 from daleroad.records import State, Upstream
 from daleroad.security import check_peer, get_bearer, hash_token, is_token
@@ -69,8 +71,9 @@
         self.stewardship = Stewardship(self.env)
         self.limits = Limits(self.env)
         self.env.follower.on_change = self._refresh
-        self._generations = Generations(self.env, self.stewardship, self.limits)
-        self._plain = PlainCalls(self.env)
+        self.holding = Holding(self.env)
+        self._generations = Generations(self.env, self.stewardship, self.limits, self.holding)
+        self._plain = PlainCalls(self.env, self.holding)
         self._requests = 0
         self._accepting = True
         self._stop = anyio.Event()
@@ -133,6 +136,7 @@
         router.add("POST", "/limits/take", self._serve_slot)
         router.add("POST", "/limits/hold", self._serve_slot_hold)
         router.add("POST", "/limits/end", self._serve_slot_end)
+        router.add("POST", "/suspicions", self._serve_suspicions)
         router.add("GET", "/metrics", self._serve_metrics)
         router.add("GET", "/status", self._serve_status)
         face = EntryFace(self)
@@ -234,6 +238,13 @@
         self.limits.quota.release(end.organisation, end.request)
         return Response(204)
 
+    async def _serve_suspicions(self, request: Request) -> Answer:
+        told = self._parse_peer(request, Suspicions)
+        if isinstance(told, Failure):
+            return told
+        self.holding.take(told)
+        return Response(204)
+
     async def _serve_metrics(self, request: Request) -> Answer:
         body = generate_latest(self.env.metrics.registry)
         return Response(200, body, "text/plain; version=0.0.4")
@@ -249,6 +260,7 @@
             "upstreams": sorted(env.catalog.upstreams),
             "requests": self._requests,
             "inflight": len(env.inflight),
+            "held": env.suspects.count_held(anyio.current_time()),
         }
         return Response(200, orjson.dumps(status))
 
--- a/src/daleroad/environment.py
+++ b/src/daleroad/environment.py
@@ -17,6 +17,7 @@
 from daleroad.messages import Work
 from daleroad.retries import RetryBudget
 from daleroad.settings import Settings
+from daleroad.suspects import Suspects
 
 _LATENCY_BUCKETS = (0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)
 
@@ -73,6 +74,7 @@
     lengths: Lengths = field(default_factory=Lengths)
     budget: RetryBudget = field(default_factory=RetryBudget)
     ejector: Ejector = field(default_factory=Ejector)
+    suspects: Suspects = field(default_factory=Suspects)
     metrics: Metrics = field(default_factory=Metrics)
     inflight: dict[str, Inflight] = field(default_factory=dict)
     loads: dict[str, float] = field(default_factory=dict)
--- a/src/daleroad/generations.py
+++ b/src/daleroad/generations.py
@@ -17,6 +17,7 @@
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
 from daleroad.finishing import expect_tokens, find_latest_start
+from daleroad.holding import Holding, find_call_fingerprint
 from daleroad.jobs import Job, identify, make_work, parse_job
 from daleroad.limiting import Limits
 from daleroad.messages import EngineCompletion, PermitAnswer, PermitEnd, Work
@@ -64,10 +65,14 @@
     :param env: the entry's environment.
     :param stewardship: gives permits.
     :param limits: keeps the limits of organisations.
+    :param holding: knows which requests reach no upstream.
     """
 
-    def __init__(self, env: Environment, stewardship: Stewardship, limits: Limits) -> None:
+    def __init__(
+        self, env: Environment, stewardship: Stewardship, limits: Limits, holding: Holding
+    ) -> None:
         self._env = env
+        self._holding = holding
         self._limits = limits
         self._stewardship = stewardship
         self._claims = Claims(env)
@@ -156,7 +161,8 @@
         avoid: set[str] = set()
         attempt = 0
         while True:
-            placed = await self._place_in_time(job, avoid)
+            held = self._holding.find_refusal(_find_fingerprint(job))
+            placed = held or await self._place_in_time(job, avoid)
             if isinstance(placed, Failure):
                 return await self._refuse_unplaced(job, _worsen(placed, ran))
             flow = await self._dispatch(job, placed)
@@ -289,6 +295,7 @@
         """Make sure that work without a first token won't run any more; say whether it did."""
         ran = failure.ran
         if ran is not Ran.NO:
+            self._note_lost(job, placed, failure)
             known = await forbid(self._env.links, placed.upstream.address, placed.work.generation)
             unseen = not isinstance(known, Failure) and known.state == "unseen"
             ran = Ran.NO if unseen else Ran.UNKNOWN
@@ -440,7 +447,11 @@
         if flow.placed is not None and end != "left":
             if end == "broken":
                 self._note_health(flow.placed.upstream, False)
+                if job is not None and isinstance(last, Broken):
+                    self._note_lost(job, flow.placed, last.failure)
             await self._end(flow.placed, tokens, started=True, ok=whole)
+        if job is not None and whole:
+            self._holding.note_whole(_find_fingerprint(job))
         if job is not None and not job.route.repeatable and whole:
             answer = b"".join(flow.answer)
             kept = answer.decode() if len(answer) <= CLAIM_ANSWER_BYTES else ""
@@ -452,6 +463,13 @@
         end = PermitEnd(placed.upstream.name, placed.work.generation, tokens, started, ok)
         await self._stewardship.end(end)
 
+    def _note_lost(self, job: Job, placed: Placed, failure: Failure) -> None:
+        if failure.kind is not FailureKind.UPSTREAM_LOST:
+            # It answered, or only its link is slow.
+            return
+        name = placed.upstream.name
+        self._holding.note_lost(_find_fingerprint(job), job.organisation, job.route, name)
+
     def _note_health(self, upstream: Upstream, ok: bool) -> None:
         env = self._env
         among = len(env.directory.list_upstreams(upstream.service, ""))
@@ -459,6 +477,10 @@
             log_event(Event.UPSTREAM_EJECTED, upstream=upstream.name)
 
 
+def _find_fingerprint(job: Job) -> str:
+    return find_call_fingerprint(job.organisation, job.route, "", job.digest.encode())
+
+
 async def _chain(flow: Flow) -> AsyncIterator[Part]:
     yield flow.first
     async with aclosing(flow.parts) as parts:
--- a/src/daleroad/messages.py
+++ b/src/daleroad/messages.py
@@ -4,6 +4,7 @@
 
 from daleroad.catalog import Change
 from daleroad.records import EntryMember
+from daleroad.suspects import Suspicion
 
 
 @dataclass(frozen=True)
@@ -192,6 +193,13 @@
     requests: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class Suspicions:
+    """What an entry saw of requests under which upstreams ended."""
+
+    suspicions: tuple[Suspicion, ...]
+
+
 @dataclass(frozen=True)
 class SlotEnd:
     """An entry gives a slot back."""
--- a/src/daleroad/services.py
+++ b/src/daleroad/services.py
@@ -1,6 +1,7 @@
 """Calls to plain services: any method below /services/NAME/, repeated only where allowed."""
 
 import base64
+from dataclasses import dataclass
 
 import anyio
 import httpx
@@ -13,6 +14,7 @@
 from daleroad.ending import make_leaving
 from daleroad.environment import Environment
 from daleroad.errors import Failure, FailureKind, Ran
+from daleroad.holding import Holding, find_call_fingerprint, is_whole
 from daleroad.jobs import get_key, identify, parse_deadline
 from daleroad.placement import rank_candidates
 from daleroad.records import Organisation, Route, Upstream
@@ -25,14 +27,34 @@
 _DROPPED_HEADERS = ("host", "authorization", "content-length", "connection", "transfer-encoding")
 
 
+@dataclass(frozen=True)
+class _Call:
+    """A call with what it is known by.
+
+    :param rest: the path behind the route.
+    """
+
+    request: Request
+    route: Route
+    rest: str
+    organisation: Organisation
+
+    def find_fingerprint(self) -> str:
+        """Return what the request is known by, sent again."""
+        path = f"{self.request.method} {self.rest}?{self.request.query}"
+        return find_call_fingerprint(self.organisation, self.route, path, self.request.body)
+
+
 class PlainCalls:
     """Serves calls to plain services.
 
     :param env: the entry's environment.
+    :param holding: knows which requests reach no upstream.
     """
 
-    def __init__(self, env: Environment) -> None:
+    def __init__(self, env: Environment, holding: Holding) -> None:
         self._env = env
+        self._holding = holding
         self._claims = Claims(env)
 
     async def serve(self, request: Request) -> Answer:
@@ -53,14 +75,19 @@
             return deadline
         deadline = min(deadline, env.ends_at - LAST_ANSWER_SECONDS)
         if route.repeatable or request.method in _IDEMPOTENT:
-            return await self._call_repeatable(request, route, rest, deadline)
+            return await self._call_repeatable(request, route, rest, organisation, deadline)
         key = get_key(request, route)
         if isinstance(key, Failure):
             return key
         return await self._call_once(request, route, rest, organisation, key, deadline)
 
     async def _call_repeatable(
-        self, request: Request, route: Route, rest: str, deadline: float
+        self,
+        request: Request,
+        route: Route,
+        rest: str,
+        organisation: Organisation,
+        deadline: float,
     ) -> Answer:
         self._env.budget.note_try()
         answer: Answer = _no_upstream(route)
@@ -69,7 +96,8 @@
             upstream = self._pick(route, attempt)
             if upstream is None:
                 return answer
-            answer = await self._send(request, upstream, rest, deadline)
+            call = _Call(request, route, rest, organisation)
+            answer = await self._send_unless_held(call, upstream, deadline)
             if not isinstance(answer, Failure):
                 return answer
             ran = answer.ran if answer.ran is not Ran.NO else ran
@@ -103,7 +131,8 @@
         assert not isinstance(outcome, Failure)
         if not outcome.acquired and outcome.claim is not None:
             return _answer_claimed(outcome.claim)
-        answer = await self._send(request, upstream, rest, deadline)
+        call = _Call(request, route, rest, organisation)
+        answer = await self._send_unless_held(call, upstream, deadline)
         await self._settle(answer, name, key, generation)
         return answer
 
@@ -140,9 +169,26 @@
         ranked = rank_candidates(healthy, "", get_load, env.random)
         return ranked[attempt % len(ranked)] if ranked else None
 
+    async def _send_unless_held(
+        self, call: "_Call", upstream: Upstream, deadline: float
+    ) -> Response | Failure:
+        """Send a call, and note what it tells of the request that it carries."""
+        fingerprint = call.find_fingerprint()
+        held = self._holding.find_refusal(fingerprint)
+        if held is not None:
+            return held
+        answer = await self._send(call.request, upstream, call.rest, deadline)
+        if isinstance(answer, Response):
+            if is_whole(answer.status):
+                self._holding.note_whole(fingerprint)
+        elif answer.kind is FailureKind.UPSTREAM_LOST and answer.ran is not Ran.NO:
+            name = upstream.name
+            self._holding.note_lost(fingerprint, call.organisation, call.route, name)
+        return answer
+
     async def _send(
         self, request: Request, upstream: Upstream, rest: str, deadline: float
-    ) -> Answer:
+    ) -> Response | Failure:
         env = self._env
         query = f"?{request.query}" if request.query else ""
         url = f"{upstream.address}/{rest}{query}"
--- /dev/null
+++ b/tests/test_holding.py
@@ -0,0 +1,143 @@
+"""Tests of requests that entries hold back, since upstreams ended while they ran them."""
+
+import time
+import unittest
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+from random import Random
+from typing import Any
+from unittest.mock import patch
+
+import anyio
+import httpx
+import trio
+import trio.testing
+
+from daleroad.defaults import STILL_THERE_SECONDS
+from daleroad.entry import Entry
+from daleroad.loopback import Site, get_token, make_site
+from daleroad.messages import Suspicions
+from daleroad.records import Organisation, Route, State, Upstream
+from daleroad.suspects import Standing
+from tests.harness import SiteTest, generate, wait_for
+
+FINGERPRINT = "f" * 32
+ORGANISATION = Organisation("org", "stoyanov", "hash")
+CALLER = "danube-barges"
+ROUTE = Route("bulletin", "stoyanov", "narrator")
+
+
+class HoldingTest(unittest.TestCase):
+    """One entry on a clock."""
+
+    def run_entry(self, body: Callable[[Entry], Coroutine[Any, Any, None]]) -> None:
+        settings = make_site("/nowhere", 1, 1).entries[0]
+
+        async def main() -> None:
+            entry = Entry(settings, Random(1))
+            async with anyio.create_task_group() as tasks:
+                entry.env.tasks = tasks
+                await body(entry)
+                tasks.cancel_scope.cancel()
+
+        with patch("daleroad.entry.Links"):
+            trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def lose(self, entry: Entry, *names: str) -> None:
+        for name in names:
+            entry.holding.note_lost(FINGERPRINT, ORGANISATION, ROUTE, name)
+
+    def get(self, entry: Entry) -> Standing:
+        return entry.env.suspects.get_standing(FINGERPRINT, anyio.current_time())
+
+    def test_ends_here_and_at_other_entries_add_up(self) -> None:
+        async def body(entry: Entry) -> None:
+            self.lose(entry, "u1")
+            self.assertIsNone(entry.holding.find_refusal(FINGERPRINT))
+            other = Entry(entry.env.settings, Random(1))
+            self.lose(other, "u2", "u3")
+            told = other.env.suspects.list_changed(anyio.current_time())
+            entry.holding.take(Suspicions(told))
+            self.assertIsNotNone(entry.holding.find_refusal(FINGERPRINT))
+
+        self.run_entry(body)
+
+    def test_an_upstream_that_drains_has_not_ended_under_a_request(self) -> None:
+        async def body(entry: Entry) -> None:
+            leaving = Upstream("u3", "a", "narrator", "z", state=State.DRAINING)
+            entry.env.catalog.upstreams["u3"] = leaving
+            self.lose(entry, "u1", "u2", "u3")
+            self.assertIs(self.get(entry), Standing.LAST)
+
+        self.run_entry(body)
+
+    def test_an_upstream_that_is_a_member_for_long_has_not_ended(self) -> None:
+        async def body(entry: Entry) -> None:
+            entry.env.catalog.upstreams["u2"] = Upstream("u2", "a", "narrator", "z")
+            self.lose(entry, "u1", "u2", "u3")
+            self.assertIs(self.get(entry), Standing.HELD)
+            await anyio.sleep(entry.env.settings.upstream_lease + STILL_THERE_SECONDS + 0.1)
+            self.assertIs(self.get(entry), Standing.LAST)
+
+        self.run_entry(body)
+
+    def test_a_whole_answer_takes_an_end_back(self) -> None:
+        async def body(entry: Entry) -> None:
+            self.lose(entry, "u1", "u2", "u3")
+            entry.holding.note_whole(FINGERPRINT)
+            self.assertIs(self.get(entry), Standing.LAST)
+
+        self.run_entry(body)
+
+
+class EndedEnginesTest(SiteTest):
+    """Three engines are killed while they run one request; it came by different entries."""
+
+    ENGINES = 5
+
+    def change_site(self, site: Site) -> Site:
+        return replace(
+            super().change_site(site),
+            entries=tuple(replace(s, stall=1.0) for s in site.entries),
+        )
+
+    def test_the_request_is_refused_at_each_entry_and_others_are_served(self) -> None:
+        prompt = "Narrate the Danube #tokens=4000"
+        for number in range(3):
+            self.end_engine_under(prompt, number % len(self.site.entries))
+        wait_for(self.is_held_everywhere, "the request held at all entries")
+        for entry in range(len(self.site.entries)):
+            began = time.monotonic()
+            answer = self.post(entry, prompt)
+            self.assertLess(time.monotonic() - began, 1.0)
+            self.assertEqual(answer.status_code, 503, answer.text)
+            self.assertEqual((answer.json()["title"], answer.json()["ran"]), ("held-back", "no"))
+            self.assertGreater(float(answer.headers["retry-after"]), 5.0)
+        caller = self.make_caller(CALLER)
+        self.check_whole(generate(caller, "bulletin", "Another prompt #tokens=4"), 4)
+
+    def post(self, entry: int, prompt: str) -> httpx.Response:
+        headers = {"authorization": f"Bearer {get_token(CALLER)}"}
+        body = {"route": "bulletin", "prompt": prompt, "max_tokens": 0, "stream": True}
+        url = f"{self.site.entries[entry].url}/v1/completions"
+        return httpx.post(url, json=body, headers=headers, timeout=60, trust_env=False)
+
+    def end_engine_under(self, prompt: str, entry: int) -> None:
+        """Ask for a stream, and kill its engine once it has begun."""
+        headers = {"authorization": f"Bearer {get_token(CALLER)}"}
+        body = {"route": "bulletin", "prompt": prompt, "max_tokens": 0, "stream": True}
+        url = f"{self.site.entries[entry].url}/v1/completions"
+        with httpx.stream(
+            "POST", url, json=body, headers=headers, timeout=60, trust_env=False
+        ) as s:
+            self.assertEqual(s.status_code, 200)
+            engine = s.headers["x-generation"].partition(".")[0]
+            pieces = s.iter_bytes()
+            next(pieces)
+            self.processes.kill(engine)
+            rest = b"".join(pieces)
+        self.assertIn(b"event: error", rest)
+
+    def is_held_everywhere(self) -> bool:
+        states = [httpx.get(f"{s.url}/status", trust_env=False).json() for s in self.site.entries]
+        return all(state["held"] for state in states)
