--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -58,7 +58,6 @@
 from daleroad.siterecord import Document, SiteRecord
 from daleroad.storage import Storage
 from daleroad.suspectfile import SuspectKeeper
-from daleroad.suspects import Standing, Trials
 from daleroad.voters import SILENT_SECONDS, plan_voters
 
 GROUP = "site"
@@ -105,7 +104,6 @@
         self._services: dict[str, ServiceRule] = {}
         self.peers = Peers(options.name, set(options.seeds))
         self.presence = Presence(options.name, links, self.peers, self._list_others, self._wake)
-        self._trials = Trials()
         self._placer = Placer(self.presence.fleet, self.presence.loads, options.heartbeat, random)
         self.epoch = uuid4().hex[:12]
         self._parse = parse
@@ -465,13 +463,13 @@
         refused = check_peer(request.headers, self.links.token)
         if refused is not None:
             return refused
-        return Response(200, encode(self.presence.list_suspects()))
+        return Response(200, encode(self.presence.shared.list_all()))
 
     async def _serve_release(self, request: Request) -> Answer:
         asked = self._take(request, ReleaseRequest)
         if isinstance(asked, Failure):
             return asked
-        failure = self.presence.release(asked.fingerprint)
+        failure = self.presence.shared.release(asked.fingerprint)
         return failure if failure is not None else Response(204)
 
     async def _serve_trial(self, request: Request) -> Answer:
@@ -480,10 +478,7 @@
             return asked
         if not self._ready or not self.group.is_leading():
             return Failure(FailureKind.NOT_LEADER, "another coordinator gives leave for trials")
-        now = anyio.current_time()
-        standing = self.presence.suspects.get_standing(asked.fingerprint, now)
-        held = standing is Standing.HELD
-        granted = not held and self._trials.take(asked.fingerprint, now)
+        granted = self.presence.shared.give_trial(asked.fingerprint)
         return Response(200, encode(TrialAnswer(granted)))
 
     def _note_document(self) -> None:
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -19,7 +19,6 @@
     LOADS_KNOWN_SHARE,
     LOOKUP_CHANGING_SECONDS,
     LOOKUP_KEPT_SECONDS,
-    LOOP_STALL_SECONDS,
     SHARE_SECONDS,
 )
 from daleroad.errors import Failure, FailureKind
@@ -31,24 +30,15 @@
     Load,
     ShareAnswer,
     ShareRequest,
-    SuspectsAnswer,
     WatchRequest,
 )
 from daleroad.peers import Peers
-from daleroad.suspects import Standing, Suspects, Suspicion
+from daleroad.sharedsuspects import SharedSuspects
 
 SNAPSHOT_SECONDS = 0.05
 """How long a snapshot of all gateways is used again; each of their questions needs one."""
 
 
-ALIVE_AFTER_SECONDS = 1.0
-"""An instance that is heard so long after a cut has not ended. A heartbeat sent before an end is
-mostly here within a tenth of that; one that is later costs one end that does not count."""
-
-DOUBTED_SECONDS = 10.0
-"""How long after a cut an instance that is silent may still turn out to live: many heartbeats."""
-
-
 @dataclass
 class _Gateway:
     notice: GatewayNotice
@@ -104,10 +94,8 @@
         wake: Callable[[], None],
     ) -> None:
         self.fleet = Fleet()
-        self.suspects = Suspects()
-        self._doubts: dict[str, float] = {}
-        self._turned_at = float("inf")
-        self._stalled_at = float("-inf")
+        self.shared = SharedSuspects(self.fleet, wake)
+        self.suspects = self.shared.suspects
         self._name = name
         self._links = links
         self._peers = peers
@@ -141,54 +129,9 @@
                 known.heard_at = max(known.heard_at, now - age)
         if changed:
             self._wake()
-        self._note_suspicions(asked.suspicions, now)
+        self.shared.note(asked.suspicions, now)
         return complete
 
-    def _note_suspicions(self, suspicions: tuple[Suspicion, ...], now: float) -> None:
-        """Take in what others hold against requests."""
-        news = [told for told in suspicions if self.suspects.merge(told, now)]
-        for told in news:
-            self._doubts.update(dict.fromkeys(told.crashes, now - told.age))
-        if news:
-            self._wake()
-
-    def list_suspects(self) -> SuspectsAnswer:
-        """Return the requests that are suspected, as operators see them."""
-        now = anyio.current_time()
-        known = self.suspects.list_changed(now)
-        standings = ((t.fingerprint, self.suspects.get_standing(t.fingerprint, now)) for t in known)
-        held = tuple(name for name, standing in standings if standing is Standing.HELD)
-        return SuspectsAnswer(known, held)
-
-    def release(self, fingerprint: str) -> Failure | None:
-        """Take back what is held against a request; return why that can't be done, if so.
-
-        :param fingerprint: the request.
-        """
-        now = anyio.current_time()
-        known = self.suspects.get(fingerprint, now)
-        if self.suspects.release(fingerprint, now) is None:
-            return Failure(FailureKind.NOT_FOUND, f"nothing is held against {fingerprint}")
-        assert known is not None
-        log_event(Event.REQUEST_RELEASED, fingerprint=fingerprint, ended=list(known.crashes))
-        self._wake()
-        return None
-
-    def _clear_alive(self, now: float) -> None:
-        """Take back ends of instances that were heard from well after them.
-
-        A cut, a reset and a lost answer look like an end to who waits for the answer.
-        """
-        for instance, ended_at in list(self._doubts.items()):
-            heard_at = now - self.fleet.get_age(instance, now)
-            # After a stall, heartbeats that waited for this process pass for new ones.
-            if heard_at >= max(ended_at, self._stalled_at) + ALIVE_AFTER_SECONDS:
-                if self.suspects.note_alive(instance, now):
-                    self._wake()
-                del self._doubts[instance]
-            elif now - ended_at > DOUBTED_SECONDS:
-                del self._doubts[instance]
-
     def note_watch(self, asked: WatchRequest) -> None:
         """Note what a gateway says of itself.
 
@@ -197,7 +140,7 @@
         now = anyio.current_time()
         self._note_gateway(asked.gateway, now)
         self.loads.note(asked.gateway.address, asked.loads, now)
-        self._note_suspicions(asked.suspicions, now)
+        self.shared.note(asked.suspicions, now)
 
     def knows_loads(self, now: float) -> bool:
         """Return whether nearly all gateways have said here of late what work they have.
@@ -212,11 +155,7 @@
         :param now: the time.
         """
         self.loads.prune(now)
-        self.suspects.prune(now)
-        if now - self._turned_at > LOOP_STALL_SECONDS:
-            self._stalled_at = now
-        self._turned_at = now
-        self._clear_alive(now)
+        self.shared.turn(now)
         for instance in self.fleet.prune(now):
             log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="age")
             self._wake()
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -27,11 +27,11 @@
 """Ends after which it reaches no upstream. With two, a request that ran beside two ends of another
 cause would be held; the third try goes where little is lost."""
 
-HELD_SECONDS = (30.0, 300.0, 86_400.0)
+HELD_SECONDS = (300.0, 3_600.0, 86_400.0)
 """Time since its last end after which a request that is held is tried once more, by one gateway
 for all: after CRASHES_HELD ends, after one more, and after any further one. One that was held by
-mistake is free again soon; one that ends each upstream ends two more in six minutes and then one a
-day."""
+mistake is free again after minutes; one that ends each upstream ends one more in five minutes, one
+in the next hour and then one a day."""
 
 SUSPECT_KEPT_SECONDS = 600.0
 """Time since its last end after which a request that is not held is forgotten."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -29,7 +29,7 @@
 import wire  # noqa: E402
 from clientface import make_job  # noqa: E402
 from engines import EngineClient, EventStream, make_options  # noqa: E402
-from faces import send_failure  # noqa: E402
+from faces import read_body, send_failure  # noqa: E402
 from nodefile import read_node  # noqa: E402
 from ports import prepare_gateway  # noqa: E402
 
@@ -49,6 +49,7 @@
 )
 from daleroad.errors import Failure, FailureKind, Ran  # noqa: E402
 from daleroad.evacuation import RunSize  # noqa: E402
+from daleroad.fingerprints import find_fingerprint  # noqa: E402
 from daleroad.fleet import Instance, InstanceState  # noqa: E402
 from daleroad.routing import Repeat, RoutingConfig, find_fault  # noqa: E402
 
@@ -294,6 +295,27 @@
         assert job.prompt is not None
         self.assertEqual((job.prompt.tokens, job.prompt.most_output), (1460, 80))
 
+    def test_a_body_is_the_same_however_it_comes_in(self) -> None:
+        async def read(*parts: bytes) -> bytes | Failure | None:
+            events = [
+                {"type": "http.request", "body": part, "more_body": number + 1 < len(parts)}
+                for number, part in enumerate(parts)
+            ]
+
+            async def receive() -> dict:
+                return events.pop(0)
+
+            return await read_body(receive, 100)
+
+        job = self.make((b"x-daleroad-attempt-id", b"abc"))
+        assert isinstance(job, Job)
+        found = set()
+        for parts in ((b"a long body",), (b"a lo", b"", b"ng body"), (b"a long body", b"")):
+            body = anyio.run(read, *parts)
+            assert isinstance(body, bytes)
+            found.add(find_fingerprint(replace(job, body=body), "org"))
+        self.assertEqual(len(found), 1)
+
     def test_a_request_without_an_id_is_refused(self) -> None:
         self.assertIsInstance(self.make(), Failure)
 
@@ -370,7 +392,7 @@
             found: list[Reply] = []
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(listener.serve, upstream.handle)
-                client = EngineClient()
+                client = self.client = EngineClient()
                 address = f"127.0.0.1:{port}"
                 instance = Instance("i-1", "s", address, "z", 4, InstanceState.READY, 1)
                 headers = ((b"x-other", b"2"), (b"authorization", b"Bearer k"))
@@ -411,6 +433,16 @@
             self.assertIn(line, head)
         self.assertNotIn(b"bearer", head)
 
+    def test_after_a_suspension_no_connection_that_rested_is_used(self) -> None:
+        upstream = Upstream(*[answer("200 OK", *SIGNED)] * 2)
+
+        async def suspend(reply: Reply) -> None:
+            self.client.forget_all()
+
+        found = self.ask(upstream, 2, look=suspend)
+        self.assertTrue(all(isinstance(reply, Whole) for reply in found))
+        self.assertEqual(upstream.connections, 2)
+
     def test_a_stream_made_anew_names_the_last_event_that_the_client_has(self) -> None:
         upstream = Upstream(*[answer("200 OK", *SIGNED)] * 2)
         self.ask(upstream, last_event="41")
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -223,7 +223,7 @@
             leader = sites.site.get_leader()
             assert leader is not None
             calls = ChannelCalls("secret")
-            (name,) = leader.presence.list_suspects().held
+            (name,) = leader.presence.shared.list_all().held
 
             async def ask(place: str, fingerprint: str) -> TrialAnswer | Failure:
                 asked = encode(TrialRequest(fingerprint))
--- /dev/null
+++ b/tools/measurespread.py
@@ -0,0 +1,72 @@
+"""Measures how soon all gateways hold a request that three of them have seen end an upstream.
+
+    python tools/measurespread.py [GATEWAYS...]
+
+Coordinators and gateways run in this one process and talk over loopback, so the time at many
+gateways is mostly that of one core doing the work of all.
+"""
+
+import logging
+import sys
+from dataclasses import replace
+from functools import partial
+from pathlib import Path
+from statistics import median
+
+import anyio
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from daleroad.codec import encode  # noqa: E402
+from daleroad.dispatch import Attempt  # noqa: E402
+from daleroad.suspects import CRASHES_HELD, Suspicion  # noqa: E402
+from tests.fakes import make_instance, make_job  # noqa: E402
+from tests.test_coordinator import Site, make_document, run_site  # noqa: E402
+from tests.test_spreading import Sites, all_hold  # noqa: E402
+
+ROUNDS = 10
+LIMIT_SECONDS = 60.0
+TURN_SECONDS = 0.002
+
+
+async def wait_until(holds: partial[bool]) -> None:
+    """Wait until something holds."""
+    with anyio.fail_after(LIMIT_SECONDS):
+        while not holds():
+            await anyio.sleep(TURN_SECONDS)
+
+
+async def measure(count: int, site: Site, names: list[str]) -> None:
+    """Print how long all of some gateways take."""
+    await site.get(names[0]).save(make_document(1))
+    sites = Sites(site)
+    gateways = sites.add(count)
+    await wait_until(partial(lambda: all(g.get_version() for g in gateways)))
+    taken: list[float] = []
+    for number in range(ROUNDS):
+        await anyio.sleep(1.0)
+        began = anyio.current_time()
+        job = replace(make_job(began), body=f"{count} {number}".encode())
+        for seen_by in range(CRASHES_HELD):
+            attempt = Attempt(job, make_instance(100 * number + seen_by), "", 1.0)
+            gateways[seen_by].guard.note_lost(attempt)
+        await wait_until(partial(all_hold, gateways, job))
+        taken.append(anyio.current_time() - began)
+    ends = tuple(f"i-{number:010x}@1768712629029" for number in range(CRASHES_HELD))
+    size = len(encode(Suspicion("f" * 32, "organisation", "host.example/path/x", ends)))
+    print(
+        f"{count} gateways: all hold it after {median(taken):.3f} s in the median, "
+        f"{max(taken):.3f} s at most of {ROUNDS}; {size} bytes a gateway before compression",
+        flush=True,
+    )
+
+
+def main() -> None:
+    """Measure with the numbers of gateways that the command line names."""
+    logging.disable(logging.CRITICAL)
+    for count in [int(word) for word in sys.argv[1:]] or [12, 70, 200]:
+        run_site(partial(measure, count))
+
+
+if __name__ == "__main__":
+    main()
