Wake gateways only for suspects that matter where they go

One end makes a suspect of each request that ran there, up to 24 an engine; a revision of those with two ends keeps all gateways from being answered for the others.

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -380,7 +380,7 @@
             while (
                 asked.epoch == self.epoch
                 and asked.revision == self.presence.fleet.revision
-                and asked.suspects == self.presence.suspects.revision
+                and asked.suspects == self.presence.suspects.marked_revision
                 and asked.version >= self.record.document.version
             ):
                 await self._news.wait()
@@ -412,7 +412,7 @@
             self.presence.count_others(asked.gateway.address),
             news.patch,
             suspects.list_changed(now, asked.suspects if same else 0, marked=True),
-            suspects.revision,
+            suspects.marked_revision,
             now - arrived_at,
         )
 
--- a/src/daleroad/sharedsuspects.py
+++ b/src/daleroad/sharedsuspects.py
@@ -44,10 +44,12 @@
         :param suspicions: what they hold.
         :param now: the time.
         """
-        news = [told for told in suspicions if self.suspects.merge(told, now)]
-        for told in news:
-            self._doubted.update(dict.fromkeys(told.crashes, now - told.age))
-        if news:
+        before = self.suspects.marked_revision
+        for told in suspicions:
+            if self.suspects.merge(told, now):
+                self._doubted.update(dict.fromkeys(told.crashes, now - told.age))
+        # One end makes a suspect of all that ran there; most matter to nobody.
+        if self.suspects.marked_revision != before:
             self._wake()
 
     def turn(self, now: float) -> None:
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -134,11 +134,13 @@
 class Suspects:
     """The requests that one process suspects.
 
-    ``revision`` grows with each change that others should know.
+    ``revision`` grows with each change that others should know; ``marked_revision`` is that of the
+    last change of a request for which it ever mattered where it goes.
     """
 
     def __init__(self) -> None:
         self.revision = 0
+        self.marked_revision = 0
         self._known: dict[str, _Suspect] = {}
         self._counts: dict[str, int] = {}
         self._vouched: OrderedDict[str, _Vouch] = OrderedDict()
@@ -235,6 +237,8 @@
             self.revision += 1
             suspect.revision = self.revision
             suspect.marked = suspect.marked or suspect.count() >= CRASHES_LAST
+            if suspect.marked:
+                self.marked_revision = self.revision
             self._recount()
         return added or cleared
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -180,6 +180,10 @@
         self.crash("twice", "i1", "i2")
         marked = self.suspects.list_changed(0.0, 0, marked=True)
         self.assertEqual([told.fingerprint for told in marked], ["twice"])
+        known = self.suspects.marked_revision
+        self.crash("another", "i3")
+        self.assertEqual(self.suspects.marked_revision, known)
+        self.assertEqual(self.suspects.list_changed(0.0, known, marked=True), ())
         revision = self.suspects.revision
         self.suspects.note_whole("twice", 0.0)
         (told,) = self.suspects.list_changed(0.0, revision, marked=True)
