--- a/tests/test_finishing.py
+++ b/tests/test_finishing.py
@@ -16,6 +16,7 @@
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.finishing import expect_tokens, find_latest_start
 from daleroad.generations import Generations
+from daleroad.holding import Holding
 from daleroad.lengths import Lengths
 from daleroad.limiting import Limits
 from daleroad.links import Links
@@ -105,7 +106,7 @@
         catalog.follow(3, SetUpstream(upstream))
         self.steward = FakeStewardship(give)
         limits = Limits(self.env)
-        self.generations = Generations(self.env, self.steward, limits)
+        self.generations = Generations(self.env, self.steward, limits, Holding(self.env))
 
     async def serve(self) -> Answer:
         body = orjson.dumps({"route": "r", "prompt": "p", "max_tokens": 100, "stream": True})
