--- a/tools/crashtrial.py
+++ b/tools/crashtrial.py
@@ -32,8 +32,7 @@
 )
 
 SECONDS = 20.0
-NETWORK = "127.0.6"
-UPSTREAM_NETWORK = "127.0.7"
+NETWORK = "127.6"
 GATEWAYS, COORDINATORS, UPSTREAMS, CALLERS, CRASHERS = 4, 3, 5, 8, 2
 
 CONTACT_SECONDS = 3.0
@@ -118,10 +117,10 @@
         self._began = 0.0
         self._number = 0
         self.report = CrashReport()
-        entries = [f"{NETWORK}.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
+        entries = [f"{NETWORK}.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
         shape = Engine if kind is TrialKind.STREAMS else Upstream
         self._upstreams = [
-            shape(number, Ledger(), Random(f"{seed} {number}"), entries, UPSTREAM_NETWORK, False)
+            shape(number, Ledger(), Random(f"{seed} {number}"), entries, NETWORK, False)
             for number in range(UPSTREAMS)
         ]
 
@@ -180,7 +179,7 @@
         with anyio.fail_after(30.0):
             while True:
                 try:
-                    place = f"http://{NETWORK}.1:{CONTROL_PORT}"
+                    place = f"http://{NETWORK}.0.1:{CONTROL_PORT}"
                     if (await client.put(f"{place}/-/config", json=config)).status_code == 200:
                         return
                 except httpx.HTTPError:
@@ -212,7 +211,7 @@
         A gateway that was killed can't be reached; the status is NOT_CONNECTED then.
         """
         self._number += 1
-        gateway = f"http://{NETWORK}.{self._random.randrange(GATEWAYS) + 1}:{CLIENT_PORT}"
+        gateway = f"http://{NETWORK}.0.{self._random.randrange(GATEWAYS) + 1}:{CLIENT_PORT}"
         headers = {
             "host": "h",
             "x-daleroad-attempt-id": f"a{self._number}",
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -2,6 +2,7 @@
 
     python tools/soak.py SEED [SECONDS]       one plan
     python tools/soak.py FIRST-LAST [SECONDS] many, one after the other
+    python tools/soak.py ... --at=127.1       at other addresses, beside another soak
 
 Each VM is an address of the loopback network. Stand-in upstreams send heartbeats and note what
 they run; clients and an operator ask and check the promises while processes are killed, paused,
@@ -73,8 +74,8 @@
 LINK_SHARE = 0.35
 """Parts of the faults that hurt a coordinator and the link to an upstream; the rest, a gateway."""
 
-NETWORK = "127.0.0"
-"""Begins the addresses of a site's VMs; sites that run beside each other need one each."""
+NETWORK = "127.0"
+"""Begins the addresses of a site; sites that run beside each other need one each."""
 
 GATEWAYS = 4
 COORDINATORS = 3
@@ -213,7 +214,7 @@
             )
 
     def _write_settings(self, name: str, role: str, number: int) -> Path:
-        ip = f"{self._network}.{number + 1}"
+        ip = f"{self._network}.0.{number + 1}"
         settings = {
             "node_name": name,
             "ip": ip,
@@ -222,7 +223,8 @@
             "listen": {"frontend": f"{ip}:{CLIENT_PORT}", "readiness": f"{ip}:{READY_PORT}"},
             "internal_ports": [OUR_PORT, OUR_PORT + 15],
             "seeds": [
-                f"{self._network}.{n + 1}:{CONTROL_PORT}" for n in range(min(3, self._coordinators))
+                f"{self._network}.0.{n + 1}:{CONTROL_PORT}"
+                for n in range(min(3, self._coordinators))
             ],
             "bootstrap": self._founding,
             "heartbeat_ms": int(HEARTBEAT_SECONDS * 1000),
@@ -275,9 +277,11 @@
 
     :param seed: fixes the plan.
     :param seconds: its length.
+    :param network: begins its addresses.
     """
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(self, seed: int, seconds: float, network: str = NETWORK) -> None:
+        self._network = network
         self.random = Random(seed)
         self.seconds = seconds
         # The other faults of a seed are the same with and without the stops.
@@ -287,13 +291,13 @@
         self.steps = sorted(faults + self.stops + restarts, key=lambda step: step.at)
         self.ledger = Ledger()
         self.idempotent: set[str] = set()
-        entries = [f"127.0.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
+        entries = [f"{network}.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
         self.upstreams = [
-            kind(number, self.ledger, self.random, entries)
+            kind(number, self.ledger, self.random, entries, network)
             for kind in (Upstream, Engine)
             for number in range(UPSTREAMS)
         ]
-        gateways = {f"gateway-{n}": f"127.0.0.{n + 1}:{CLIENT_PORT}" for n in range(GATEWAYS)}
+        gateways = {f"gateway-{n}": f"{network}.0.{n + 1}:{CLIENT_PORT}" for n in range(GATEWAYS)}
         self._gateways = gateways
         self._stream_clients = [
             StreamClient(
@@ -316,7 +320,7 @@
     async def run(self) -> Ledger:
         """Play the plan and return what was found."""
         with tempfile.TemporaryDirectory(prefix="daleroad-soak-") as folder:
-            processes = Processes(Path(folder))
+            processes = Processes(Path(folder), network=self._network)
             processes.start_all()
             try:
                 await self._play(processes)
@@ -400,6 +404,9 @@
                             upstream.restart()
                         tasks.start_soon(upstream.link.hurt, fault, step.hold)
 
+    def _draw_coordinator(self, random: Random) -> str:
+        return f"http://{self._network}.0.{random.randrange(COORDINATORS) + 1}:{CONTROL_PORT}"
+
     async def _write_aliens(self, client: httpx.AsyncClient) -> None:
         """Send entries from another writer, which must count for nothing."""
         random = Random(f"{self.seconds} aliens")
@@ -409,7 +416,7 @@
             body = json.dumps(upstream.make_heartbeat() | random.choice(ALIEN_FIELDS))
             if random.random() < 0.2:
                 body = body[: random.randrange(len(body))]
-            place = f"http://127.0.0.{random.randrange(COORDINATORS) + 1}:{CONTROL_PORT}"
+            place = self._draw_coordinator(random)
             try:
                 answer = await client.put(f"{place}/-/instances/{upstream.id}", content=body)
             except httpx.HTTPError:
@@ -451,7 +458,7 @@
         config = {"version": version, "routes": [*routes, stream], "services": services}
         with anyio.move_on_after(limit):
             while True:
-                place = f"http://127.0.0.{self.random.randrange(COORDINATORS) + 1}:{CONTROL_PORT}"
+                place = self._draw_coordinator(self.random)
                 try:
                     answer = await client.put(f"{place}/-/config", json=config)
                 except httpx.HTTPError:
@@ -475,7 +482,7 @@
 
     async def _read(self, client: httpx.AsyncClient) -> bool:
         acknowledged = self.ledger.acknowledged
-        place = f"http://127.0.0.{self.random.randrange(COORDINATORS) + 1}:{CONTROL_PORT}"
+        place = self._draw_coordinator(self.random)
         try:
             answer = await client.get(f"{place}/-/config")
         except httpx.HTTPError:
@@ -571,11 +578,14 @@
     """Play the plans that the command line names; return 1 if a promise was broken."""
     # A soak that is ended from outside ends its processes too.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
-    first, _, last = sys.argv[1].partition("-")
-    seconds = float(sys.argv[2]) if len(sys.argv) > 2 else SECONDS
+    words = [word for word in sys.argv[1:] if not word.startswith("--")]
+    places = [word.removeprefix("--at=") for word in sys.argv[1:] if word.startswith("--at=")]
+    network = places[0] if places else NETWORK
+    first, _, last = words[0].partition("-")
+    seconds = float(words[1]) if len(words) > 1 else SECONDS
     bad = 0
     for seed in range(int(first), int(last or first) + 1):
-        soak = Soak(seed, seconds)
+        soak = Soak(seed, seconds, network)
         found = anyio.run(soak.run)
         print(
             f"seed {seed}: {len(soak.steps) - len(soak.stops)} faults, {len(soak.stops)} stops in "
--- a/tools/soakupstreams.py
+++ b/tools/soakupstreams.py
@@ -44,7 +44,7 @@
     :param ledger: where it notes what it runs.
     :param random: draws how long it takes.
     :param entries: addresses that take heartbeats.
-    :param network: begins its address.
+    :param network: begins the addresses of its site.
     :param linked: whether it announces the address of the link before it, not its own.
     """
 
@@ -58,11 +58,11 @@
         ledger: Ledger,
         random: Random,
         entries: list[str],
-        network: str = "127.0.1",
+        network: str,
         linked: bool = True,
     ) -> None:
-        self.address = f"{network}.{number + 1}:{self.port}"
-        self.link = FaultyLink(f"127.0.2.{number + 1}:{self.port}", self.address)
+        self.address = f"{network}.1.{number + 1}:{self.port}"
+        self.link = FaultyLink(f"{network}.2.{number + 1}:{self.port}", self.address)
         self._announced = self.link.address if linked else self.address
         self.link_name = f"link-{number}"
         self.id = f"{self.service}-{number}"
