Found on reading: ends beyond those kept are no news; what is held blames no upstream

Two processes that each keep the most ends of one request, and different ones, would have told each other for ever. A request that becomes held between its placing and its sending counted against the upstream that it was placed at.

--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -113,11 +113,13 @@
 
     :param gone: whether the address belongs to another instance now.
     :param sent: whether any byte reached the upstream.
+    :param held: whether it was held back before the upstream was asked.
     """
 
     reason: str
     gone: bool = False
     sent: bool = True
+    held: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -266,11 +266,11 @@
 
     def _judge(self, way: _Way, instance: Instance, reply: Reply) -> Outcome | None:
         match reply:
-            case NotRun(reason, gone, sent):
+            case NotRun(reason, gone, sent, held):
                 self._log_try(way, instance, "not run", reason)
                 if gone:
                     self._gateway.note_replaced(instance)
-                elif not sent:
+                elif not sent and not held:
                     self._gateway.note_result(instance, False)
                 return None
             case Lost(reason):
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -156,7 +156,7 @@
     async def send(self, attempt: Attempt) -> Reply:
         """Send a request and return its answer, or the stream that it began."""
         if self._guard.get_standing(attempt.job, attempt.organisation) is Standing.HELD:
-            return NotRun("held back: upstreams ended while they ran it", sent=False)
+            return NotRun("upstreams ended while they ran it", sent=False, held=True)
         reply = await self._inner.send(attempt)
         match reply:
             case NotRun():
--- a/src/daleroad/suspectmodel.py
+++ b/src/daleroad/suspectmodel.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from enum import StrEnum
 from itertools import count
 from random import Random
 from typing import Protocol
@@ -42,6 +43,15 @@
 _CRASHER = "crasher"
 
 
+class _What(StrEnum):
+    """What happens next in a play."""
+
+    ARRIVE = "a request comes"
+    FINISH = "a run is over"
+    END = "an engine ends"
+    HERD = "some engines end at once"
+
+
 class Rule(Protocol):
     """Decides which requests are held back."""
 
@@ -185,8 +195,7 @@
         self._random = Random(f"{case.name} {seed}")
         self._numbers = count()
         self._engines = [_Engine(f"e{next(self._numbers)}") for _ in range(ENGINES)]
-        self._heap: list[tuple[float, int, str, _Asked | None, _Engine | None]] = []
-        self._done: set[int] = set()
+        self._heap: list[tuple[float, int, _What, _Asked | None, _Engine | None]] = []
         self.found = HeldCount()
 
     def run(self) -> HeldCount:
@@ -196,28 +205,32 @@
         while self._heap:
             now, number, what, asked, engine = heapq.heappop(self._heap)
             match what:
-                case "arrive" if asked is not None:
+                case _What.ARRIVE if asked is not None:
                     self._arrive(asked, now)
-                case "end" if engine is not None:
-                    self._end(engine, number, now)
-                case "crash":
+                case _What.FINISH if engine is not None:
+                    self._finish(engine, number, now)
+                case _What.END:
                     self._crash_some(1, now)
-                case "herd":
+                case _What.HERD:
                     self._crash_some(self._case.herd, now)
         return self.found
 
-    def _plan(self) -> Iterator[tuple[float, str, _Asked | None]]:
+    def _plan(self) -> Iterator[tuple[float, _What, _Asked | None]]:
         case, random = self._case, self._random
         for at in self._draw(1 / REQUESTS_A_SECOND):
-            yield at, "arrive", _Asked(self._draw_request(), RETRIES)
+            yield at, _What.ARRIVE, _Asked(self._draw_request(), RETRIES)
         if case.each:
-            yield from ((at, "crash", None) for at in self._draw(case.each))
+            yield from ((at, _What.END, None) for at in self._draw(case.each))
         if case.herd_each:
-            yield from ((at, "herd", None) for at in self._draw(case.herd_each))
+            yield from ((at, _What.HERD, None) for at in self._draw(case.herd_each))
         if case.crasher_each:
             for number, at in enumerate(self._draw(case.crasher_each)):
                 self.found.crashers += 1
-                yield at + random.random(), "arrive", _Asked(f"{_CRASHER} {number}", CRASHER_TIMES)
+                yield (
+                    at + random.random(),
+                    _What.ARRIVE,
+                    _Asked(f"{_CRASHER} {number}", CRASHER_TIMES),
+                )
 
     def _draw(self, gap: float) -> Iterator[float]:
         at = self._random.expovariate(1 / gap)
@@ -231,7 +244,7 @@
         return f"request {next(self._numbers)}"
 
     def _push(
-        self, at: float, what: str, asked: _Asked | None, engine: _Engine | None = None
+        self, at: float, what: _What, asked: _Asked | None, engine: _Engine | None = None
     ) -> int:
         number = next(self._numbers)
         heapq.heappush(self._heap, (at, number, what, asked, engine))
@@ -248,9 +261,9 @@
             return
         engine = self._random.choice(alive)
         seconds = CRASHER_SECONDS if crasher else self._random.expovariate(1 / MEAN_SECONDS)
-        engine.runs[self._push(now + seconds, "end", asked, engine)] = asked
+        engine.runs[self._push(now + seconds, _What.FINISH, asked, engine)] = asked
 
-    def _end(self, engine: _Engine, number: int, now: float) -> None:
+    def _finish(self, engine: _Engine, number: int, now: float) -> None:
         asked = engine.runs.get(number)
         if asked is None:
             return
@@ -274,7 +287,7 @@
                 crasher = asked.request.startswith(_CRASHER)
                 pause = CRASHER_AGAIN_SECONDS if crasher else AGAIN_SECONDS
                 at = now + pause * self._random.uniform(0.5, 1.5)
-                self._push(at, "arrive", _Asked(asked.request, asked.again - 1))
+                self._push(at, _What.ARRIVE, _Asked(asked.request, asked.again - 1))
         engine.name = f"e{next(self._numbers)}"
         engine.up_at = now + DOWN_SECONDS
 
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -107,10 +107,11 @@
         return len(self.crashes)
 
     def add_crashes(self, instances: Iterable[str]) -> bool:
-        """Note ends that are not known yet; return whether there were any."""
+        """Note ends that are not known yet, as many as are kept; return whether there were any."""
         fresh = [i for i in instances if i not in self.crashes and i not in self.cleared]
-        self.crashes.update(dict.fromkeys(fresh[: ENDS_KEPT - len(self.crashes)]))
-        return bool(fresh)
+        kept = fresh[: ENDS_KEPT - len(self.crashes)]
+        self.crashes.update(dict.fromkeys(kept))
+        return bool(kept)
 
     def clear(self, instances: Iterable[str]) -> bool:
         """Take ends back; return whether that is news."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -20,7 +20,10 @@
 )
 from daleroad.errors import Failure, FailureKind
 from daleroad.fleet import Instance, InstanceState, Sighting
+from daleroad.forwarding import Forwarder
 from daleroad.gateway import Gateway, GatewayOptions
+from daleroad.metrics import Metrics, RequestMetrics
+from daleroad.moving import EngineMover
 from daleroad.routing import (
     EngineRule,
     Repeat,
@@ -29,6 +32,7 @@
     ServiceRule,
     Target,
 )
+from daleroad.runs import Runs
 
 ENGINE = EngineRule(24, 34_000, 0.00005, True, True)
 PROMPT = Prompt((("p", 3000),), 3000, 2000)
@@ -134,3 +138,9 @@
     for number in (1, 2, 3):
         gateway.fleet.note(Sighting(make_instance(number), 0.0), now)
     return gateway
+
+
+def make_forwarder(gateway: Gateway) -> Forwarder:
+    """Return what serves requests for a gateway."""
+    runs = Runs(gateway, EngineMover(gateway))
+    return Forwarder(gateway, runs, RequestMetrics(Metrics()))
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -22,18 +22,21 @@
 from daleroad.errors import Failure, FailureKind
 from daleroad.fleet import Sighting
 from daleroad.follower import Follower
-from daleroad.forwarding import Forwarder
 from daleroad.gateway import Gateway, GatewayOptions
 from daleroad.loopback import make_site
 from daleroad.messages import FollowAnswer
-from daleroad.metrics import Metrics, RequestMetrics
-from daleroad.moving import EngineMover
 from daleroad.notices import ShareRequest, WatchAnswer, WatchRequest
 from daleroad.routing import Repeat
-from daleroad.runs import Runs
 from daleroad.suspects import Suspicion
 from daleroad.watching import Watcher
-from tests.fakes import FakeDispatcher, make_config, make_gateway, make_instance, make_job
+from tests.fakes import (
+    FakeDispatcher,
+    make_config,
+    make_forwarder,
+    make_gateway,
+    make_instance,
+    make_job,
+)
 from tests.test_coordinator import Site, make_document, parse, pick_addresses, wait_for
 
 SUSPENDED_SECONDS = 30.0
@@ -114,9 +117,7 @@
             gateway = Gateway(options, FakeDispatcher(), Random(1))
             gateway.replace_config(make_config(Repeat.ONCE))
             gateway.heard_at = anyio.current_time()
-            forwarder = Forwarder(
-                gateway, Runs(gateway, EngineMover(gateway)), RequestMetrics(Metrics())
-            )
+            forwarder = make_forwarder(gateway)
             self.assertFalse(gateway.is_outdated())
             clock.suspend()
             outcome = await forwarder.serve(make_job(anyio.current_time()))
@@ -149,9 +150,7 @@
             gateway = make_gateway(
                 dispatcher, make_config(Repeat.IDEMPOTENT, 3), anyio.current_time()
             )
-            forwarder = Forwarder(
-                gateway, Runs(gateway, EngineMover(gateway)), RequestMetrics(Metrics())
-            )
+            forwarder = make_forwarder(gateway)
             outcome = await forwarder.serve(make_job(anyio.current_time()))
             self.assertIsInstance(outcome, Failure)
             self.assertEqual(len(dispatcher.attempts), 1)
@@ -162,9 +161,7 @@
         async def main(clock: JumpingClock) -> None:
             dispatcher = FakeDispatcher()
             gateway = make_gateway(dispatcher, make_config(Repeat.ONCE), anyio.current_time())
-            forwarder = Forwarder(
-                gateway, Runs(gateway, EngineMover(gateway)), RequestMetrics(Metrics())
-            )
+            forwarder = make_forwarder(gateway)
             gateway.begin_drain(anyio.current_time() + 7.0)
             clock.suspend()
             outcome = await forwarder.serve(make_job(anyio.current_time()))
--- a/tests/test_crashing.py
+++ b/tests/test_crashing.py
@@ -22,13 +22,17 @@
 
 from daleroad.dispatch import Attempt, Lost, Reply
 from daleroad.fleet import Instance, InstanceState, Sighting
-from daleroad.forwarding import Flow, Forwarder
+from daleroad.forwarding import Flow
 from daleroad.gateway import Gateway
-from daleroad.metrics import Metrics, RequestMetrics
-from daleroad.moving import EngineMover
 from daleroad.routing import Repeat
-from daleroad.runs import Runs
-from tests.fakes import FakeDispatcher, FakeStream, make_config, make_gateway, make_job
+from tests.fakes import (
+    FakeDispatcher,
+    FakeStream,
+    make_config,
+    make_forwarder,
+    make_gateway,
+    make_job,
+)
 from tools.crashtrial import CONTACT_SECONDS, CRASHES_BORNE, CrashReport, CrashTrial, TrialKind
 
 RETRIES_BORNE = 3
@@ -70,8 +74,7 @@
             config = make_config(repeat, attempts, engine=repeat is Repeat.STREAM)
             gateway = make_gateway(dispatcher, config, anyio.current_time())
             dispatcher.gateway = gateway
-            runs = Runs(gateway, EngineMover(gateway))
-            forwarder = Forwarder(gateway, runs, RequestMetrics(Metrics()))
+            forwarder = make_forwarder(gateway)
             for number in range(times):
                 job = replace(make_job(anyio.current_time()), id=f"attempt {number}")
                 outcome = await forwarder.serve(job)
--- a/tests/test_guarding.py
+++ b/tests/test_guarding.py
@@ -12,18 +12,15 @@
 from daleroad.dispatch import Attempt, Lost, NotRun, Reply, Source, Whole
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.fleet import Instance, InstanceState, Sighting
-from daleroad.forwarding import Forwarder
 from daleroad.gateway import Gateway
-from daleroad.metrics import Metrics, RequestMetrics
-from daleroad.moving import EngineMover
 from daleroad.routing import Repeat
-from daleroad.runs import Runs
 from daleroad.suspects import HELD_SECONDS, TRIAL_SECONDS, Standing
 from tests.fakes import (
     WHOLE,
     FakeDispatcher,
     FakeStream,
     make_config,
+    make_forwarder,
     make_gateway,
     make_instance,
     make_job,
@@ -132,8 +129,7 @@
             gateway = make_gateway(dispatcher, config, anyio.current_time())
             for number in range(ends):
                 gateway.guard.note_lost(make_attempt(4 + number))
-            runs = Runs(gateway, EngineMover(gateway))
-            forwarder = Forwarder(gateway, runs, RequestMetrics(Metrics()))
+            forwarder = make_forwarder(gateway)
             began = anyio.current_time()
             outcome = await forwarder.serve(make_job(began))
             self.assertEqual(anyio.current_time(), began)
@@ -156,6 +152,25 @@
         self.assertIsNone(outcome.retry_after)
         self.assertEqual(len(dispatcher.attempts), 1)
 
+    def test_what_is_held_meanwhile_says_nothing_against_its_upstream(self) -> None:
+        async def main() -> None:
+            dispatcher = FakeDispatcher()
+            gateway = make_gateway(dispatcher, make_config(Repeat.ONCE), anyio.current_time())
+            noted: list[Instance] = []
+            gateway.note_result = lambda instance, ok: noted.append(instance)
+            place = gateway.place
+
+            async def place_late(*args: Any) -> Instance | None:
+                await hold(gateway)
+                return await place(*args)
+
+            gateway.place = place_late
+            outcome = await make_forwarder(gateway).serve(make_job(anyio.current_time()))
+            self.assertIs(outcome.kind, FailureKind.HELD)
+            self.assertEqual((noted, dispatcher.attempts), ([], []))
+
+        run(main)
+
     def test_the_last_try_goes_where_least_runs(self) -> None:
         async def main() -> None:
             dispatcher = FakeDispatcher(WHOLE)
@@ -164,8 +179,7 @@
                 gateway.guard.note_lost(make_attempt(number))
             for number, count in ((1, 3), (2, 1), (3, 2)):
                 gateway.add_load(make_instance(number), count, 0)
-            runs = Runs(gateway, EngineMover(gateway))
-            forwarder = Forwarder(gateway, runs, RequestMetrics(Metrics()))
+            forwarder = make_forwarder(gateway)
             self.assertEqual(await forwarder.serve(make_job(anyio.current_time())), WHOLE)
             (attempt,) = dispatcher.attempts
             self.assertEqual(attempt.instance.id, "i2")
@@ -185,8 +199,7 @@
                 return granted
 
             gateway.ask_trial = ask
-            runs = Runs(gateway, EngineMover(gateway))
-            forwarder = Forwarder(gateway, runs, RequestMetrics(Metrics()))
+            forwarder = make_forwarder(gateway)
             gateway.add_load(make_instance(1), 1, 0)
             gateway.add_load(make_instance(3), 1, 0)
             await anyio.sleep(HELD_SECONDS[0] + 0.01)
@@ -208,8 +221,7 @@
             dispatcher = FakeDispatcher()
             gateway = make_gateway(dispatcher, make_config(Repeat.ONCE), anyio.current_time())
             await hold(gateway)
-            runs = Runs(gateway, EngineMover(gateway))
-            forwarder = Forwarder(gateway, runs, RequestMetrics(Metrics()))
+            forwarder = make_forwarder(gateway)
             await anyio.sleep(HELD_SECONDS[0] + 0.01)
             outcome = await forwarder.serve(make_job(anyio.current_time()))
             self.assertIs(outcome.kind, FailureKind.HELD)
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -1,11 +1,16 @@
 """Tests of how gateways learn which requests are held, over coordinators on loopback."""
 
+import io
+import json
+import os
 import unittest
 from collections.abc import Callable
+from contextlib import redirect_stdout
 from dataclasses import replace
 from functools import partial
 from random import Random
 from statistics import median
+from unittest.mock import patch
 
 import anyio
 
@@ -24,6 +29,7 @@
     TrialRequest,
     WatchAnswer,
 )
+from daleroad.suspectcommands import SECRET_VARIABLE, SuspectCommands
 from daleroad.suspects import CRASHES_HELD, Standing, Suspicion
 from daleroad.watching import Watcher
 from tests.fakes import FakeDispatcher, make_instance, make_job
@@ -217,6 +223,21 @@
 
         self.play(body)
 
+    def test_the_commands_list_and_release_it(self) -> None:
+        async def body(sites: Sites, names: list[str]) -> None:
+            gateways = sites.add(3)
+            await self.hold(sites, gateways)
+            commands = SuspectCommands()
+            said = io.StringIO()
+            with patch.dict(os.environ, {SECRET_VARIABLE: "secret"}), redirect_stdout(said):
+                await anyio.to_thread.run_sync(commands.list, names[0])
+                row = json.loads(said.getvalue())
+                await anyio.to_thread.run_sync(commands.release, names[0], row["fingerprint"])
+            self.assertEqual((row["held"], len(row["ended"])), (True, CRASHES_HELD))
+            await wait_for(lambda: all(get_standing(g) is Standing.CLEAR for g in gateways))
+
+        self.play(body)
+
     def test_the_leader_lets_one_gateway_try_what_was_held_for_long(self) -> None:
         async def body(sites: Sites, names: list[str]) -> None:
             await self.hold(sites, sites.add(3))
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -7,6 +7,7 @@
 from daleroad.suspects import (
     CRASHES_HELD,
     CRASHES_LAST,
+    ENDS_KEPT,
     HELD_KEPT_SECONDS,
     HELD_SECONDS,
     SUSPECT_KEPT_SECONDS,
@@ -175,6 +176,14 @@
             self.suspects.note_crash(f"f{number}", "org", "h/x", f"j{number}", float(number))
         self.assertIs(self.get("bad"), Standing.HELD)
 
+    def test_more_ends_than_are_kept_are_no_news_again_and_again(self) -> None:
+        many = tuple(f"i{number}" for number in range(3 * ENDS_KEPT))
+        told = Suspicion("bad", "org", "h/x", many)
+        self.assertTrue(self.suspects.merge(told, 0.0))
+        revision = self.suspects.revision
+        self.assertFalse(self.suspects.merge(told, 0.0))
+        self.assertEqual(self.suspects.revision, revision)
+
     def test_only_what_matters_is_told_to_gateways(self) -> None:
         self.crash("once", "i1")
         self.crash("twice", "i1", "i2")
