Let no request hide behind another, and free what all clients ask for sooner

Change: one with three ends and no whole answer is held whatever else is; an end uses up one whole answer, which takes it back everywhere; one that ever ended whole is held for 10 s, doubling, and not for ends at which a held one was running.

--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -7,12 +7,12 @@
 - it never has a whole answer; one takes back an end, seen by whichever gateway, that came shortly
   before or after it;
 - an instance that is heard from after a cut has not ended, so that cut is taken back;
-- ends at which a request was running that is held already are not held against the others, unless
-  they were there at every one of its ends.
+- ends at which a request was running that is held and never had a whole answer are not held
+  against those that had one, nor against those that were at fewer ends than hold them.
 
-What each process knows is a set that only grows: ends by instance, and those of them that were
-taken back. Processes tell each other parts of it in any order and any number of times, and come to
-the same view.
+What each process knows only grows: ends by instance, those of them that were taken back, and
+whether there was a whole answer. Processes tell each other parts of it in any order and any number
+of times, and come to the same view.
 """
 
 from collections import Counter, OrderedDict
@@ -33,6 +33,10 @@
 mistake is free again after minutes; one that ends each upstream ends one more in five minutes, one
 in the next hour and then one a day."""
 
+WHOLE_HELD_SECONDS = 10.0
+"""The same for one that had a whole answer; twice as long for each further end, up to the first of
+HELD_SECONDS. What ends each upstream that runs it never has one."""
+
 SUSPECT_KEPT_SECONDS = 600.0
 """Time since its last end after which a request that is not held is forgotten."""
 
@@ -51,7 +55,7 @@
 VOUCHED_MOST = 4096
 """Requests remembered that had a whole answer lately; one takes some 150 bytes."""
 
-VOUCHES_EACH = CRASHES_HELD
+VOUCHES_EACH = 10
 """Ends that whole answers make up for in advance, at each gateway. Requests that are the same to
 the letter and come all the time run wherever an upstream ends."""
 
@@ -82,6 +86,7 @@
     :param crashes: ids of instances that ended while they ran it.
     :param cleared: those of them that count no more.
     :param age: seconds since the last of these ends.
+    :param whole: whether it is known to have had a whole answer.
     """
 
     fingerprint: str
@@ -90,6 +95,7 @@
     crashes: tuple[str, ...] = ()
     cleared: tuple[str, ...] = ()
     age: float = 0.0
+    whole: bool = False
 
 
 @dataclass
@@ -101,6 +107,11 @@
     crashes: dict[str, None] = field(default_factory=dict)
     cleared: dict[str, None] = field(default_factory=dict)
     marked: bool = False
+    whole: bool = False
+
+    def knows(self, instance: str) -> bool:
+        """Return whether an end is known, whether it counts or was taken back."""
+        return instance in self.crashes or instance in self.cleared
 
     def count(self) -> int:
         """Return how many ends there were, whatever else explains them."""
@@ -157,9 +168,14 @@
         :param instance: the instance's id.
         :param now: the time.
         """
-        if self._take_vouches(fingerprint, 1, now):
+        suspect = self._known.get(fingerprint)
+        if suspect is not None and suspect.knows(instance):
+            # Several runs of it ended there; that is one end.
             return None
-        told = Suspicion(fingerprint, caller, route, (instance,))
+        ends = (instance,)
+        told = Suspicion(fingerprint, caller, route, ends)
+        if self._take_vouches(fingerprint, 1, now):
+            told = Suspicion(fingerprint, caller, route, ends, ends, whole=True)
         return told if self.merge(told, now) else None
 
     def note_whole(self, fingerprint: str, now: float) -> Suspicion | None:
@@ -172,7 +188,8 @@
         if suspect is None or not suspect.crashes:
             self._vouch(fingerprint, now)
             return None
-        return self._take_back(fingerprint, suspect, [next(iter(suspect.crashes))], now)
+        first = next(iter(suspect.crashes))
+        return self._take_back(fingerprint, suspect, [first], now, whole=True)
 
     def refute(self, fingerprint: str, now: float) -> Suspicion | None:
         """Take back ends that others saw for whole answers here; return what others should know.
@@ -186,7 +203,8 @@
         taken = self._take_vouches(fingerprint, len(suspect.crashes), now)
         if not taken:
             return None
-        return self._take_back(fingerprint, suspect, list(suspect.crashes)[:taken], now)
+        ends = list(suspect.crashes)[:taken]
+        return self._take_back(fingerprint, suspect, ends, now, whole=True)
 
     def release(self, fingerprint: str, now: float) -> Suspicion | None:
         """Take back all ends of a request, as an operator asks; return what others should know.
@@ -209,11 +227,16 @@
         return [self._take_back(f, s, [instance], now) for f, s in found]
 
     def _take_back(
-        self, fingerprint: str, suspect: _Suspect, instances: list[str], now: float
+        self,
+        fingerprint: str,
+        suspect: _Suspect,
+        instances: list[str],
+        now: float,
+        whole: bool = False,
     ) -> Suspicion:
         cleared = tuple(instances)
         age = now - suspect.last_at
-        told = Suspicion(fingerprint, suspect.caller, suspect.route, (), cleared, age)
+        told = Suspicion(fingerprint, suspect.caller, suspect.route, (), cleared, age, whole)
         self.merge(told, now)
         return told
 
@@ -232,16 +255,18 @@
             self._known[told.fingerprint] = suspect
         cleared = suspect.clear(told.cleared)
         added = suspect.add_crashes(told.crashes)
+        proved = told.whole and not suspect.whole
+        suspect.whole = suspect.whole or told.whole
         if added:
             suspect.last_at = max(suspect.last_at, now - told.age)
-        if added or cleared:
+        if added or cleared or proved:
             self.revision += 1
             suspect.revision = self.revision
             suspect.marked = suspect.marked or suspect.count() >= CRASHES_LAST
             if suspect.marked:
                 self.marked_revision = self.revision
             self._recount()
-        return added or cleared
+        return added or cleared or proved
 
     def _make_room(self) -> None:
         if len(self._known) < SUSPECTS_MOST:
@@ -252,20 +277,18 @@
         del self._known[least]
 
     def _recount(self) -> None:
-        """Count the ends of each request that others don't explain, those with most first."""
+        """Count the ends of each request that others don't explain."""
         marked = [(f, s) for f, s in self._known.items() if s.count() >= CRASHES_LAST]
-        marked.sort(key=lambda pair: (-pair[1].count(), pair[0]))
-        held: list[_Suspect] = []
+        explained: set[str] = set()
+        for _, suspect in marked:
+            if suspect.count() >= CRASHES_HELD and not suspect.whole:
+                explained |= suspect.crashes.keys()
         self._counts = {}
         for fingerprint, suspect in marked:
-            explained: set[str] = set()
-            for other in held:
-                if not other.crashes.keys() <= suspect.crashes.keys():
-                    explained |= other.crashes.keys()
-            count = len(suspect.crashes.keys() - explained)
-            self._counts[fingerprint] = count
-            if count >= CRASHES_HELD:
-                held.append(suspect)
+            # One that may end upstreams itself must not hide behind another one.
+            hides = suspect.count() >= CRASHES_HELD and not suspect.whole
+            ends = suspect.crashes.keys()
+            self._counts[fingerprint] = len(ends if hides else ends - explained)
 
     def is_empty(self) -> bool:
         """Return whether nothing is suspected so much that it matters where it goes."""
@@ -294,7 +317,10 @@
         if suspect is None:
             return 0.0
         further = max(0, self._counts.get(fingerprint, 0) - CRASHES_HELD)
-        seconds = HELD_SECONDS[min(further, len(HELD_SECONDS) - 1)]
+        if suspect.whole:
+            seconds = min(HELD_SECONDS[0], WHOLE_HELD_SECONDS * 2**further)
+        else:
+            seconds = HELD_SECONDS[min(further, len(HELD_SECONDS) - 1)]
         return max(0.0, suspect.last_at + seconds - now)
 
     def count_held(self, now: float) -> int:
@@ -384,4 +410,5 @@
         tuple(suspect.crashes),
         tuple(suspect.cleared),
         now - suspect.last_at,
+        suspect.whole,
     )
