--- a/tests/test_suspectmodel.py
+++ b/tests/test_suspectmodel.py
@@ -2,9 +2,9 @@
 
 Ten plays of 300 s a case, of a million innocent requests those held: single ends of engines,
 115,633 by a plain count of three, 1,615 by Wald's sequential test, 53 by the rule in use; ends of
-four engines at once 129,058, 29,655, 744 (5,160 before whole answers took back ends that others
-saw); a crashing request 34,825, 7,224, 55. Each rule lets a crashing request end three engines
-(the count of two: two, and holds up to a quarter of the others).
+four engines at once 129,058, 29,655, 3,163 (5,160 before an end used up one whole answer only); a
+crashing request 34,825, 7,224, 109. Each rule lets a crashing request end three engines (the count
+of two: two, and holds up to a quarter of the others).
 """
 
 import unittest
