--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -129,13 +129,17 @@
 
     async def pieces(self) -> AsyncIterator[Piece | Lost]:
         """Yield whole events; a cut stream ends with :class:`Lost`, a complete one without."""
+        begun = False
         async for piece in self._stream.pieces():
             if isinstance(piece, Lost):
                 self._guard.note_lost(self._attempt)
                 yield piece
                 return
+            begun = True
             yield piece
-        self._guard.note_whole(self._attempt)
+        # A stream that ends with its connection ends like that too where its upstream does.
+        if begun:
+            self._guard.note_whole(self._attempt)
 
     async def close(self) -> None:
         """Close the connection if the stream is not over."""
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -359,12 +359,15 @@
 
         :param now: the time.
         """
+        forgotten = False
         for fingerprint, suspect in list(self._known.items()):
             held = self._counts.get(fingerprint, 0) >= CRASHES_HELD
             kept = HELD_KEPT_SECONDS if held else SUSPECT_KEPT_SECONDS
             if now - suspect.last_at > kept:
                 del self._known[fingerprint]
-                self._counts.pop(fingerprint, None)
+                forgotten = True
+        if forgotten:
+            self._recount()
 
     def _vouch(self, fingerprint: str, now: float) -> None:
         known = self._vouched.pop(fingerprint, _Vouch(0, now))
--- a/tests/test_guarding.py
+++ b/tests/test_guarding.py
@@ -70,6 +70,10 @@
     def test_a_stream_counts_at_its_end_only(self) -> None:
         self.assertIs(self.judge(FakeStream(1, 2), CUT, CUT, CUT), Standing.LAST)
 
+    def test_a_stream_without_an_event_is_no_whole_answer(self) -> None:
+        self.assertIs(self.judge(CUT, CUT, FakeStream(1, 0)), Standing.LAST)
+        self.assertIs(self.judge(CUT, CUT, FakeStream(1, 1)), Standing.CLEAR)
+
     def test_what_did_not_run_or_failed_there_says_nothing(self) -> None:
         failed = Whole(500, (), b"")
         self.assertIs(self.judge(CUT, CUT, NotRun("full")), Standing.LAST)
