Name a coordinator that is one in a test of a suspended one

The share came from a name without a port, which the coordinator then called in its next turn: the test failed where that turn came before its end (once, in a whole run at load 30).

--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -268,7 +268,7 @@
                     presence = site.get(site.seeds[0]).presence
                     await anyio.sleep(2 * SHARE_SECONDS)
                     ended = Suspicion("f", "org", "h/x", ("i1",), (), 0.0)
-                    presence.take_share(ShareRequest("another", suspicions=(ended,)))
+                    presence.take_share(ShareRequest(site.seeds[1], suspicions=(ended,)))
                     clock.suspend(5.0)
                     await presence.hear(Sighting(make_instance(1), 0.0))
                     await anyio.sleep(2 * SHARE_SECONDS)
