Say once what was written again: a failed answer, the line of a suspect, a site on a test's clock

Cause, found on reading the whole change: the first status of a server's failure stood in two modules beside each other, entries logged a suspect by a copy of the gateways' line that had left out which upstreams ended, and two tests of the clock started a site by hand as run_site does. Change: Whole.is_failed, log_suspicion and run_site are called instead. No assertion is changed.

--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from enum import StrEnum
+from http import HTTPStatus
 from typing import Protocol
 
 from daleroad.defaults import MOVE_WORTH_SECONDS, SILENCE_SECONDS, TOKEN_SECONDS
@@ -137,6 +138,10 @@
     headers: Headers
     body: bytes
 
+    def is_failed(self) -> bool:
+        """Return whether the upstream says that it failed."""
+        return self.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+
 
 @dataclass(frozen=True)
 class Piece:
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -40,8 +40,6 @@
 from daleroad.runs import Run, Runs, Tries
 from daleroad.suspects import TRIAL_SECONDS, Standing
 
-_SERVER_ERROR = 500
-
 
 @dataclass(frozen=True)
 class Flow:
@@ -283,8 +281,8 @@
                 return Failure(FailureKind.UPSTREAM_LOST, reason, Ran.UNKNOWN)
             case Whole(status):
                 way.ran += 1
-                self._gateway.note_result(instance, status < _SERVER_ERROR)
-                if status < _SERVER_ERROR or not way.route.is_repeatable():
+                self._gateway.note_result(instance, not reply.is_failed())
+                if not reply.is_failed() or not way.route.is_repeatable():
                     return reply
                 self._log_try(way, instance, "failed", str(status))
                 way.last = reply
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -31,8 +31,6 @@
 from daleroad.fleet import Fleet, Instance, InstanceState
 from daleroad.suspects import Standing, Suspects, Suspicion
 
-_SERVER_ERROR = 500
-
 
 @dataclass
 class Guard:
@@ -167,8 +165,8 @@
                 pass
             case Lost():
                 self._guard.note_lost(attempt)
-            case Whole(status):
-                if status < _SERVER_ERROR:
+            case Whole():
+                if not reply.is_failed():
                     self._guard.note_whole(attempt)
             case _:
                 return _GuardedStream(reply, attempt, self._guard)
--- a/src/daleroad/holding.py
+++ b/src/daleroad/holding.py
@@ -13,8 +13,8 @@
 from daleroad.defaults import STILL_THERE_SECONDS
 from daleroad.environment import Environment
 from daleroad.errors import Failure, FailureKind, Ran
-from daleroad.events import Event, log_event
 from daleroad.fingerprints import make_fingerprint
+from daleroad.guarding import log_suspicion
 from daleroad.messages import Suspicions
 from daleroad.records import Organisation, Route, State
 from daleroad.suspects import Standing, Suspicion
@@ -64,13 +64,7 @@
             return
         standing = self._env.suspects.get_standing(fingerprint, now)
         if standing is not Standing.CLEAR:
-            log_event(
-                Event.REQUEST_SUSPECTED,
-                fingerprint=fingerprint,
-                caller=organisation.name,
-                route=route.name,
-                standing=standing.value,
-            )
+            log_suspicion(self._env.suspects.get(fingerprint, now), standing)
         self._env.spawn(self._tell, [news])
         self._env.spawn(self._check_there, upstream)
 
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -9,6 +9,7 @@
 import time
 import unittest
 from collections.abc import Callable, Coroutine
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -37,7 +38,7 @@
     make_instance,
     make_job,
 )
-from tests.test_coordinator import Site, make_document, parse, pick_addresses, wait_for
+from tests.test_coordinator import Site, make_document, parse, run_site, wait_for
 
 SUSPENDED_SECONDS = 30.0
 
@@ -61,6 +62,16 @@
     return run_on_clock(body, clock, read=clock.read)
 
 
+def run_beside(body: Callable[[JumpingClock, Site], Coroutine]) -> None:
+    """Run something with the coordinators of a site, on a clock that it may let jump."""
+    clock = JumpingClock()
+
+    async def main(site: Site, names: list[str]) -> None:
+        await body(clock, site)
+
+    run_site(main, run=partial(run_on_clock, read=clock.read))
+
+
 class ClockTest(unittest.TestCase):
     def test_the_clock_of_processes_counts_suspensions(self) -> None:
         async def main() -> None:
@@ -91,23 +102,16 @@
 
 class CoordinatorTest(unittest.TestCase):
     def test_a_leader_that_was_suspended_reads_nothing_by_its_old_lease(self) -> None:
-        async def main(clock: JumpingClock) -> None:
-            with tempfile.TemporaryDirectory(prefix="daleroad-test-") as folder:
-                async with anyio.create_task_group() as tasks:
-                    site = Site(tasks, folder, pick_addresses(3))
-                    for name in site.seeds:
-                        await site.start(name)
-                    await wait_for(site.get_leader)
-                    leader = site.get_leader()
-                    assert leader is not None
-                    await leader.save(make_document(1))
-                    self.assertTrue(leader.is_leading())
-                    clock.suspend()
-                    self.assertFalse(leader.is_leading())
-                    self.assertFalse(leader.group.has_served_term())
-                    tasks.cancel_scope.cancel()
+        async def main(clock: JumpingClock, site: Site) -> None:
+            leader = site.get_leader()
+            assert leader is not None
+            await leader.save(make_document(1))
+            self.assertTrue(leader.is_leading())
+            clock.suspend()
+            self.assertFalse(leader.is_leading())
+            self.assertFalse(leader.group.has_served_term())
 
-        run(main)
+        run_beside(main)
 
 
 class GatewayTest(unittest.TestCase):
@@ -258,23 +262,16 @@
     def test_a_heartbeat_that_waited_takes_no_end_back(self) -> None:
         """A coordinator that was suspended reads what its upstreams sent before they ended."""
 
-        async def main(clock: JumpingClock) -> None:
-            with tempfile.TemporaryDirectory(prefix="daleroad-test-") as folder:
-                async with anyio.create_task_group() as tasks:
-                    site = Site(tasks, folder, pick_addresses(3))
-                    for name in site.seeds:
-                        await site.start(name)
-                    await wait_for(site.get_leader)
-                    presence = site.get(site.seeds[0]).presence
-                    await anyio.sleep(2 * SHARE_SECONDS)
-                    ended = Suspicion("f", "org", "h/x", ("i1",), (), 0.0)
-                    presence.take_share(ShareRequest(site.seeds[1], suspicions=(ended,)))
-                    clock.suspend(5.0)
-                    await presence.hear(Sighting(make_instance(1), 0.0))
-                    await anyio.sleep(2 * SHARE_SECONDS)
-                    known = presence.suspects.get("f", anyio.current_time())
-                    assert known is not None
-                    self.assertEqual(known.crashes, ("i1",))
-                    tasks.cancel_scope.cancel()
-
-        run(main)
+        async def main(clock: JumpingClock, site: Site) -> None:
+            presence = site.get(site.seeds[0]).presence
+            await anyio.sleep(2 * SHARE_SECONDS)
+            ended = Suspicion("f", "org", "h/x", ("i1",), (), 0.0)
+            presence.take_share(ShareRequest(site.seeds[1], suspicions=(ended,)))
+            clock.suspend(5.0)
+            await presence.hear(Sighting(make_instance(1), 0.0))
+            await anyio.sleep(2 * SHARE_SECONDS)
+            known = presence.suspects.get("f", anyio.current_time())
+            assert known is not None
+            self.assertEqual(known.crashes, ("i1",))
+
+        run_beside(main)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -120,8 +120,11 @@
         return leaders[0] if leaders else None
 
 
-def run_site(body: Callable, count: int = 4) -> None:
-    """Run something with the three coordinators of a new site that have a leader."""
+def run_site(body: Callable, count: int = 4, run: Callable = anyio.run) -> None:
+    """Run something with the three coordinators of a new site that have a leader.
+
+    :param run: runs the event loop.
+    """
 
     async def main() -> None:
         with tempfile.TemporaryDirectory(prefix="daleroad-test-") as folder:
@@ -134,7 +137,7 @@
                 await body(site, names)
                 tasks.cancel_scope.cancel()
 
-    anyio.run(main)
+    run(main)
 
 
 class CoordinatorTest(unittest.TestCase):
