Call the schedule of an engine's copies by what it is

Operators get an order to evacuate an availability zone, so the word must mean that alone: the module that plans when the runs of a leaving engine are copied is copyschedule, its event COPIES_PLANNED (D334 as before). No behaviour changes.

--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -11,7 +11,7 @@
 
 from daleroad.defaults import MOVE_WORTH_SECONDS, SILENCE_SECONDS, TOKEN_SECONDS
 from daleroad.errors import Failure
-from daleroad.evacuation import RunSize
+from daleroad.copyschedule import RunSize
 from daleroad.fleet import Instance
 
 Headers = tuple[tuple[bytes, bytes], ...]
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -89,7 +89,7 @@
     REQUEST_RELEASED = Kind(338, logging.WARNING, "An operator released a request that was held.")
     EVENT_DOUBLED = Kind(336, logging.WARNING, "An upstream sent an event that the client has.")
     STREAM_COPIED = Kind(330, logging.INFO, "A generation's memory was copied to another engine.")
-    EVACUATION_PLANNED = Kind(334, logging.INFO, "A schedule for getting off an engine was made.")
+    COPIES_PLANNED = Kind(334, logging.INFO, "A schedule for getting off an engine was made.")
     REPORT_FAILED = Kind(335, logging.WARNING, "An engine's report could not be had.")
     MOVE_FAILED = Kind(328, logging.WARNING, "A generation could not be copied elsewhere.")
     ANSWER_CUT = Kind(329, logging.INFO, "An answer to a client ended before it was whole.")
--- a/src/daleroad/moving.py
+++ b/src/daleroad/moving.py
@@ -16,7 +16,7 @@
 )
 from daleroad.dispatch import Copied, CopyFault, EngineReport, NotCopied, Source
 from daleroad.errors import Failure
-from daleroad.evacuation import Room, RunSize
+from daleroad.copyschedule import Room, RunSize
 from daleroad.events import Event, log_event
 from daleroad.fleet import GONE_KEPT_SECONDS, Instance, InstanceState
 from daleroad.gateway import Gateway
@@ -225,7 +225,7 @@
 
     def _log_plan(self, plan: Plan, origin: Instance, report: EngineReport) -> None:
         log_event(
-            Event.EVACUATION_PLANNED,
+            Event.COPIES_PLANNED,
             upstream=origin.id,
             leaves_in=report.leaves_in,
             ends_in=round(plan.ends_at - anyio.current_time(), 3),
--- a/src/daleroad/plans.py
+++ b/src/daleroad/plans.py
@@ -11,7 +11,7 @@
 import anyio
 
 from daleroad.defaults import NOTICE_SECONDS, REPORT_LAG_SECONDS
-from daleroad.evacuation import (
+from daleroad.copyschedule import (
     STOP_AFTER_SECONDS,
     STOP_EACH_SECONDS,
     STOP_MARGIN_SECONDS,
--- a/tests/test_evacuation.py
+++ b/tests/test_copyschedule.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from daleroad.evacuation import (
+from daleroad.copyschedule import (
     COPY_EACH_SECONDS,
     DIRECT_MARGIN_SECONDS,
     STOP_MARGIN_SECONDS,
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -3,7 +3,7 @@
 import unittest
 
 from daleroad.defaults import NOTICE_SECONDS, REPORT_LAG_SECONDS
-from daleroad.evacuation import (
+from daleroad.copyschedule import (
     COPY_EACH_SECONDS,
     STOP_AFTER_SECONDS,
     STOP_EACH_SECONDS,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -48,7 +48,7 @@
     Whole,
 )
 from daleroad.errors import Failure, FailureKind, Ran  # noqa: E402
-from daleroad.evacuation import RunSize  # noqa: E402
+from daleroad.copyschedule import RunSize  # noqa: E402
 from daleroad.fingerprints import find_fingerprint  # noqa: E402
 from daleroad.fleet import Instance, InstanceState  # noqa: E402
 from daleroad.routing import Repeat, RoutingConfig, find_fault  # noqa: E402
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -10,7 +10,7 @@
 from daleroad.dispatch import Attempt, Copied, CopyFault, EngineReport, Lost, NotCopied, NotRun
 from daleroad.draining import Need
 from daleroad.errors import Failure, Ran
-from daleroad.evacuation import (
+from daleroad.copyschedule import (
     COPY_EACH_SECONDS,
     STOP_AFTER_SECONDS,
     STOP_EACH_SECONDS,
