--- a/src/daleroad/candidates.py
+++ b/src/daleroad/candidates.py
@@ -19,12 +19,14 @@
     :param heartbeat: interval of their heartbeats in seconds.
     :param get_load: returns the work of all gateways at an instance.
     :param is_failing: returns whether an instance's answers failed of late.
+    :param evacuated: availability zones whose upstreams get nothing.
     """
 
     fleet: Fleet
     heartbeat: float
     get_load: Callable[[str], Load]
     is_failing: Callable[[str], bool]
+    evacuated: Container[str] = ()
 
     def list_candidates(
         self, service: ServiceRule, tokens: int, excluded: Container[str], now: float
@@ -40,7 +42,7 @@
         ready = self.fleet.list_ready(service.name)
         zones = Counter(instance.zone for instance in ready)
         for instance in ready:
-            if instance.id in excluded:
+            if instance.id in excluded or instance.zone in self.evacuated:
                 continue
             expected = self.get_load(instance.id).add(Load(instance.id, 1, tokens))
             missed = self.fleet.get_age(instance.id, now) / self.heartbeat
--- a/src/daleroad/cli.py
+++ b/src/daleroad/cli.py
@@ -25,6 +25,7 @@
 from daleroad.detection import compare_detectors
 from daleroad.engine import Engine, EngineOptions
 from daleroad.errors import DaleroadError, Failure
+from daleroad.evacuationcommands import EvacuationCommands
 from daleroad.events import Event, log_event
 from daleroad.explain import explain, parse_lines
 from daleroad.operating import OperatorClient
@@ -188,6 +189,7 @@
         self.standin = Standin()
         self.operate = Operate
         self.suspects = SuspectCommands()
+        self.evacuations = EvacuationCommands()
 
     def serve(self, settings: str) -> None:
         """Run the process that a settings file describes.
--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -4,7 +4,6 @@
 to the other and lost with a restart, until the next heartbeats.
 """
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -23,16 +22,17 @@
     FOUNDING_CALL_SECONDS,
     FOUNDING_PAUSE_SECONDS,
     JOIN_SECONDS,
-    LEADER_WAIT_SECONDS,
     STANDBY_SILENT_SECONDS,
 )
 from daleroad.documents import DocumentHistory
-from daleroad.errors import Failure, FailureKind, Ran
+from daleroad.errors import Failure, FailureKind
+from daleroad.evacuations import ZoneOrder
 from daleroad.events import Event, log_event
 from daleroad.fleetfile import FleetKeeper
 from daleroad.group import Group, decode_messages
 from daleroad.logtypes import Member
 from daleroad.notices import (
+    EvacuateRequest,
     IdentifyAnswer,
     JoinRequest,
     LoadsRequest,
@@ -40,7 +40,6 @@
     PlaceRequest,
     ReadAnswer,
     ReleaseRequest,
-    SaveAnswer,
     SaveRequest,
     ShareAnswer,
     ShareRequest,
@@ -52,10 +51,11 @@
 from daleroad.peers import Peers
 from daleroad.placer import Placer
 from daleroad.presence import Presence
-from daleroad.routing import RoutingConfig, ServiceRule, find_fault
+from daleroad.routing import ServiceRule
 from daleroad.security import check_peer
 from daleroad.serving import Answer, Request, Response, Router
-from daleroad.siterecord import Document, SiteRecord
+from daleroad.sitelog import Parse, SiteLog
+from daleroad.siterecord import SiteRecord
 from daleroad.storage import Storage
 from daleroad.suspectfile import SuspectKeeper
 from daleroad.voters import SILENT_SECONDS, plan_voters
@@ -63,8 +63,6 @@
 GROUP = "site"
 _ROUTER_BYTES = 64_000_000
 
-Parse = Callable[[bytes], RoutingConfig | Failure]
-
 
 @dataclass(frozen=True)
 class CoordinatorOptions:
@@ -75,6 +73,7 @@
     :param data: folder on a disk, or nothing on a VM without one.
     :param founding: whether the whole site starts for the first time.
     :param heartbeat: interval of upstreams' heartbeats in seconds.
+    :param zones: the site's availability zones; nothing where they are not known.
     """
 
     name: str
@@ -82,6 +81,7 @@
     data: str
     founding: bool
     heartbeat: float = 1.0
+    zones: tuple[str, ...] = ()
 
 
 class Coordinator:
@@ -100,6 +100,7 @@
         self.links = links
         self.record = SiteRecord()
         self.record.on_change = self._note_document
+        self.record.on_zones = self._wake
         self._history = DocumentHistory()
         self._services: dict[str, ServiceRule] = {}
         self.peers = Peers(options.name, set(options.seeds))
@@ -117,6 +118,7 @@
         self.group = Group(
             GROUP, options.name, {}, self._storage, self.record, links, random, make_url
         )
+        self.log = SiteLog(options.name, self.group, self.record, links, parse, options.zones)
         self._ready = False
         self._standbys: dict[str, tuple[bool, float]] = {}
         self._news = anyio.Event()
@@ -154,6 +156,10 @@
         """Return the newest version that is committed here."""
         return self.record.document.version
 
+    def count_evacuated(self) -> int:
+        """Return how many availability zones are evacuated, as it is committed here."""
+        return len(self.record.zones.zones)
+
     def replace_seeds(self, seeds: tuple[str, ...]) -> None:
         """Take other addresses to begin with.
 
@@ -250,62 +256,6 @@
             silent = sorted({member.name for member in replica.members} - heard)
             log_event(Event.MEMBERS_PLANNED, members=names, silent=silent, index=outcome)
 
-    # The routing configuration.
-
-    async def save(self, document: bytes) -> SaveAnswer | Failure:
-        """Bring a routing configuration into force on a majority of disks.
-
-        :param document: its text.
-        """
-        config = self._parse(document)
-        if isinstance(config, Failure):
-            return config
-        fault = find_fault(config)
-        if fault is not None:
-            return fault
-        text = document.decode()
-        with anyio.move_on_after(LEADER_WAIT_SECONDS):
-            while True:
-                answer = await self._save_once(config.version, text)
-                if not isinstance(answer, Failure) or answer.kind is FailureKind.INVALID:
-                    return answer
-                await anyio.sleep(COORDINATOR_TURN_SECONDS)
-        return Failure(FailureKind.NO_MAJORITY, "no leader in time", Ran.UNKNOWN, JOIN_SECONDS)
-
-    async def _save_once(self, version: int, text: str) -> SaveAnswer | Failure:
-        if self.group.is_leading():
-            payload = encode(Document(version, text)).decode()
-            outcome = await self.group.propose(payload)
-            return outcome if isinstance(outcome, Failure) else SaveAnswer(outcome.version)
-        leader = self.group.get_leader_url()
-        if leader is None or self.group.replica.leader == self.options.name:
-            return Failure(FailureKind.NO_MAJORITY, "no leader is known")
-        body = encode(SaveRequest(text))
-        return await self.links.call(
-            f"{leader}/site/save", body, SaveAnswer, COORDINATOR_CALL_SECONDS
-        )
-
-    async def read(self) -> ReadAnswer | Failure:
-        """Return the newest routing configuration, or a failure where that is not sure."""
-        with anyio.move_on_after(LEADER_WAIT_SECONDS):
-            while True:
-                answer = await self._read_once()
-                if not isinstance(answer, Failure):
-                    return answer
-                await anyio.sleep(COORDINATOR_TURN_SECONDS)
-        return Failure(FailureKind.NO_MAJORITY, "no leader in time", Ran.NO, JOIN_SECONDS)
-
-    async def _read_once(self) -> ReadAnswer | Failure:
-        if self.group.has_served_term():
-            document = self.record.document
-            return ReadAnswer(document.version, document.text)
-        leader = self.group.get_leader_url()
-        if leader is None or self.group.replica.leader == self.options.name:
-            return Failure(FailureKind.NO_MAJORITY, "no leader is known")
-        return await self.links.call(
-            f"{leader}/site/read", b"{}", ReadAnswer, COORDINATOR_CALL_SECONDS
-        )
-
     # Calls of the other processes of this system.
 
     def make_router(self) -> Router:
@@ -320,6 +270,9 @@
         router.add("POST", "/site/place", self._serve_place)
         router.add("POST", "/site/save", self._serve_save)
         router.add("POST", "/site/read", self._serve_read)
+        router.add("POST", "/site/order-zone", self._serve_zone_order)
+        router.add("POST", "/site/evacuations", self._serve_evacuations)
+        router.add("POST", "/site/evacuate", self._serve_evacuate)
         router.add("POST", "/site/suspects", self._serve_suspects)
         router.add("POST", "/site/release", self._serve_release)
         router.add("POST", "/site/trial", self._serve_trial)
@@ -381,14 +334,19 @@
                 asked.epoch == self.epoch
                 and asked.revision == self.presence.fleet.revision
                 and asked.suspects == self.presence.suspects.marked_revision
-                and asked.version >= self.record.document.version
+                and not self._is_behind(asked)
             ):
                 await self._news.wait()
-            # Upstreams come and go several at a time; a newer configuration waits for nothing.
+            # Upstreams come and go several at a time; what operators ask for waits for nothing.
             with anyio.move_on_after(asked.gather if asked.epoch == self.epoch else 0):
-                while asked.version >= self.record.document.version:
+                while not self._is_behind(asked):
                     await self._news.wait()
 
+    def _is_behind(self, asked: WatchRequest) -> bool:
+        """Return whether a gateway lacks something that operators ordered."""
+        record = self.record
+        return asked.version < record.document.version or asked.zones < record.zones.version
+
     def _make_answer(self, asked: WatchRequest, arrived_at: float) -> WatchAnswer:
         now = anyio.current_time()
         document = self.record.document
@@ -414,6 +372,7 @@
             suspects.list_changed(now, asked.suspects if same else 0, marked=True),
             suspects.marked_revision,
             now - arrived_at,
+            self.record.zones if asked.zones < self.record.zones.version else None,
         )
 
     async def _serve_loads(self, request: Request) -> Answer:
@@ -435,7 +394,7 @@
         service = self._services.get(asked.service)
         if service is None:
             return Failure(FailureKind.NOT_FOUND, f"no service {asked.service}")
-        found = self._placer.place(asked, service, now)
+        found = self._placer.place(asked, service, now, self.record.zones.zones)
         return Response(200, encode(PlaceAnswer(found.id if found is not None else "")))
 
     async def _serve_save(self, request: Request) -> Answer:
@@ -447,9 +406,33 @@
         config = self._parse(asked.document.encode())
         if isinstance(config, Failure):
             return config
-        answer = await self._save_once(config.version, asked.document)
+        answer = await self.log.save_once(config.version, asked.document)
+        return answer if isinstance(answer, Failure) else Response(200, encode(answer))
+
+    async def _serve_zone_order(self, request: Request) -> Answer:
+        """Carry out an order that another coordinator took."""
+        asked = self._take(request, ZoneOrder)
+        if isinstance(asked, Failure):
+            return asked
+        if not self.group.is_leading():
+            return self.group.refuse()
+        answer = await self.log.order_once(asked)
         return answer if isinstance(answer, Failure) else Response(200, encode(answer))
 
+    async def _serve_evacuate(self, request: Request) -> Answer:
+        """Carry out an order of the command line."""
+        asked = self._take(request, EvacuateRequest)
+        if isinstance(asked, Failure):
+            return asked
+        answer = await self.log.order_zone(asked.zone, asked.evacuated)
+        return answer if isinstance(answer, Failure) else Response(200, encode(answer))
+
+    async def _serve_evacuations(self, request: Request) -> Answer:
+        refused = check_peer(request.headers, self.links.token)
+        if refused is not None:
+            return refused
+        return Response(200, encode(self.record.evacuations))
+
     async def _serve_read(self, request: Request) -> Answer:
         refused = check_peer(request.headers, self.links.token)
         if refused is not None:
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -291,6 +291,10 @@
 ENGINE_RETRY_AFTER_SECONDS = 0.4
 """When to come back to engines that are full; about one prompt's reading."""
 
+EVACUATED_RETRY_SECONDS = 1.0
+"""When to come back where all zones with upstreams are evacuated. How long that lasts only
+operators know; a client comes back after a third of the time that it has left at the latest."""
+
 DRAIN_OBJECTIVES = 2.0
 """A gateway that stops takes a request only if its answer may begin after so many of its route's
 objectives. In 218 streams beside rolled stops the latest first output came after 0.75 objectives;
--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -9,9 +9,9 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from daleroad.copyschedule import RunSize
 from daleroad.defaults import MOVE_WORTH_SECONDS, SILENCE_SECONDS, TOKEN_SECONDS
 from daleroad.errors import Failure
-from daleroad.copyschedule import RunSize
 from daleroad.fleet import Instance
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -89,7 +89,7 @@
     :param seconds: time left for the answer.
     :param rank: urgency for an engine, or nothing.
     :param source: set when a generation goes on from a copy.
-    :param backup: IP:PORT of an engine that should get a running copy, or empty.
+    :param backup: an engine that should get a running copy, if any.
     :param last_event: id of the last event that the client has, when a stream is made anew from
         there; empty where the client's own word stands.
     :param own_connection: whether no connection that rested may carry it. A new one shows at once
@@ -102,7 +102,7 @@
     seconds: float
     rank: int | None = None
     source: Source | None = None
-    backup: str = ""
+    backup: Instance | None = None
     own_connection: bool = False
     silence: float = SILENCE_SECONDS
     last_event: str = ""
@@ -114,7 +114,7 @@
 
     :param gone: whether the address belongs to another instance now.
     :param sent: whether any byte reached the upstream.
-    :param held: whether it was held back before the upstream was asked.
+    :param held: whether it was held back here; the upstream was not asked.
     """
 
     reason: str
--- a/src/daleroad/errors.py
+++ b/src/daleroad/errors.py
@@ -44,6 +44,7 @@
     STALLED = "stalled"
     DRAINING = "draining"
     HELD = "held-back"
+    EVACUATED = "evacuated"
     UNREACHABLE = "unreachable"
     STALE_FENCING = "stale-fencing"
     DAMAGED = "damaged-storage"
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -66,6 +66,13 @@
     FLEET_NOT_KEPT = Kind(
         229, logging.WARNING, "The list of upstreams could not be written or read; none is needed."
     )
+    ZONE_ORDER_COMMITTED = Kind(
+        234,
+        logging.INFO,
+        "An operator's order about an availability zone is on a majority of disks.",
+    )
+    ZONE_ORDER_REFUSED = Kind(235, logging.WARNING, "An order about a zone was not accepted.")
+    ZONES_IN_FORCE = Kind(307, logging.WARNING, "A gateway goes by other evacuated zones.")
     CONFIG_IN_FORCE = Kind(302, logging.INFO, "A gateway serves by a newer configuration.")
     COORDINATOR_LOST = Kind(303, logging.WARNING, "A gateway's watch of a coordinator failed.")
     COORDINATOR_REGAINED = Kind(304, logging.INFO, "A coordinator answers a gateway again.")
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -12,6 +12,7 @@
 
 from daleroad.defaults import (
     ENGINE_RETRY_AFTER_SECONDS,
+    EVACUATED_RETRY_SECONDS,
     LAST_ANSWER_SECONDS,
     NO_CONFIG_RETRY_SECONDS,
     PLAIN_RETRY_AFTER_SECONDS,
@@ -66,6 +67,7 @@
     :param deadline: when its client or its route's timeout ends it.
     :param limit: the same, less the time of the answer's way.
     :param need: time that it may need.
+    :param stayed: whether its last try never left this process.
     """
 
     job: Job
@@ -81,6 +83,7 @@
     ran: int = 0
     sends: int = 0
     last: Whole | None = None
+    stayed: bool = False
 
 
 class Forwarder:
@@ -203,7 +206,7 @@
             way.organisation,
             seconds,
             rank,
-            backup=backup.address if backup else "",
+            backup=backup,
             own_connection=way.route.repeat is Repeat.STREAM,
             silence=way.route.find_silence(),
         )
@@ -266,6 +269,7 @@
         match reply:
             case NotRun(reason, gone, sent, held):
                 self._log_try(way, instance, "not run", reason)
+                way.stayed = held
                 if gone:
                     self._gateway.note_replaced(instance)
                 elif not sent and not held:
@@ -290,6 +294,10 @@
         return None
 
     def _may_repeat(self, way: _Way) -> bool:
+        if way.stayed:
+            # No upstream saw it, so nothing is repeated.
+            way.stayed = False
+            return True
         if way.ran >= max(1, way.route.attempts):
             return False
         gateway = self._gateway
@@ -301,6 +309,9 @@
             return way.last
         if way.ran:
             return Failure(FailureKind.UPSTREAM_LOST, reason, Ran.UNKNOWN)
+        if self._gateway.is_evacuated(way.service):
+            reason = "all zones with upstreams are evacuated"
+            return Failure(FailureKind.EVACUATED, reason, Ran.NO, EVACUATED_RETRY_SECONDS)
         after = ENGINE_RETRY_AFTER_SECONDS if way.service.engine else PLAIN_RETRY_AFTER_SECONDS
         return Failure(FailureKind.NO_UPSTREAM, reason, Ran.NO, after)
 
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -16,6 +16,7 @@
     LAST_ANSWER_SECONDS,
 )
 from daleroad.dispatch import Dispatcher, Prompt
+from daleroad.evacuations import EvacuatedZones
 from daleroad.events import Event, log_event
 from daleroad.fleet import GONE_KEPT_SECONDS, Fleet, Instance, InstanceState
 from daleroad.guarding import Guard, GuardedDispatcher
@@ -187,6 +188,24 @@
             self.table = RoutingTable(config)
             self.configured.set()
 
+    def replace_zones(self, zones: EvacuatedZones) -> bool:
+        """Go by a newer state of the evacuated zones; return whether it is newer.
+
+        :param zones: the state.
+        """
+        if zones.version <= self.guard.zones.version:
+            return False
+        self.guard.zones = zones
+        return True
+
+    def is_evacuated(self, service: ServiceRule) -> bool:
+        """Return whether a service has upstreams, but all of them in evacuated zones.
+
+        :param service: the service.
+        """
+        ready = self.fleet.list_ready(service.name)
+        return bool(ready) and all(self.guard.is_evacuated(instance) for instance in ready)
+
     def get_version(self) -> int:
         """Return the version of the configuration in force, 0 for none."""
         return self.table.config.version if self.table else 0
@@ -384,7 +403,13 @@
         :param excluded: instances that it must not go to.
         """
         now = anyio.current_time()
-        judge = Judge(self.fleet, self.options.heartbeat, self.get_load, self._is_failing)
+        judge = Judge(
+            self.fleet,
+            self.options.heartbeat,
+            self.get_load,
+            self._is_failing,
+            self.guard.zones.zones,
+        )
         return judge.list_candidates(service, tokens, excluded, now)
 
     def take_repeat(self, service: str) -> bool:
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -2,17 +2,19 @@
 
 First tries, repeats, streams made anew, runs that go on from a copy or a backup: all are sent here.
 So here it is seen which requests ran where an upstream ended, and a request that is held goes no
-further, whatever the caller of this module has overlooked.
+further, nor does anything go to an availability zone that is evacuated, whatever the caller of this
+module has overlooked.
 """
 
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 
 from daleroad.dispatch import (
     Attempt,
     Copied,
+    CopyFault,
     Dispatcher,
     EngineReport,
     Headers,
@@ -26,6 +28,7 @@
     Whole,
 )
 from daleroad.errors import Failure
+from daleroad.evacuations import EvacuatedZones
 from daleroad.events import Event, log_event
 from daleroad.fingerprints import find_fingerprint
 from daleroad.fleet import Fleet, Instance, InstanceState
@@ -39,11 +42,20 @@
     :param suspects: the requests that are suspected.
     :param fleet: the upstreams that are alive.
     :param tell: called with what other processes should know.
+    :param zones: the availability zones whose upstreams get nothing.
     """
 
     suspects: Suspects
     fleet: Fleet
     tell: Callable[[Suspicion], None]
+    zones: EvacuatedZones = EvacuatedZones()
+
+    def is_evacuated(self, instance: Instance) -> bool:
+        """Return whether an operator wants nothing more sent to an upstream.
+
+        :param instance: the upstream.
+        """
+        return instance.zone in self.zones.zones
 
     def get_standing(self, job: Job, organisation: str) -> Standing:
         """Return what may be done with a request.
@@ -159,6 +171,10 @@
         """Send a request and return its answer, or the stream that it began."""
         if self._guard.get_standing(attempt.job, attempt.organisation) is Standing.HELD:
             return NotRun("upstreams ended while they ran it", sent=False, held=True)
+        if self._guard.is_evacuated(attempt.instance):
+            return NotRun("its availability zone is evacuated", sent=False, held=True)
+        if attempt.backup is not None and self._guard.is_evacuated(attempt.backup):
+            attempt = replace(attempt, backup=None)
         reply = await self._inner.send(attempt)
         match reply:
             case NotRun():
@@ -176,6 +192,9 @@
         self, job: Job, source: Instance, destination: Instance, final: bool
     ) -> Copied | NotCopied:
         """Copy a running generation's memory; a final copy stops it first."""
+        if self._guard.is_evacuated(destination):
+            reason = "the destination's availability zone is evacuated"
+            return NotCopied(reason, CopyFault.NO_ROOM)
         return await self._inner.copy(job, source, destination, final)
 
     async def report(self, instance: Instance) -> EngineReport | Failure:
--- a/src/daleroad/moving.py
+++ b/src/daleroad/moving.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from daleroad.copyschedule import Room, RunSize
 from daleroad.defaults import (
     LATE_PLAN_SECONDS,
     MOVE_RETRY_SECONDS,
@@ -16,7 +17,6 @@
 )
 from daleroad.dispatch import Copied, CopyFault, EngineReport, NotCopied, Source
 from daleroad.errors import Failure
-from daleroad.copyschedule import Room, RunSize
 from daleroad.events import Event, log_event
 from daleroad.fleet import GONE_KEPT_SECONDS, Instance, InstanceState
 from daleroad.gateway import Gateway
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from daleroad.evacuations import EvacuatedZones
 from daleroad.fleet import Sighting
 from daleroad.patches import Patch
 from daleroad.suspects import Suspicion
@@ -132,6 +133,7 @@
     :param whole: whether a newer configuration must be told whole, not as what differs.
     :param suspicions: what it holds against requests and has not told this coordinator yet.
     :param suspects: the newest revision of the suspects that it has from that run.
+    :param zones: the version of the evacuated zones that it goes by.
     """
 
     gateway: GatewayNotice
@@ -145,6 +147,7 @@
     whole: bool = True
     suspicions: tuple[Suspicion, ...] = ()
     suspects: int = 0
+    zones: int = 0
 
 
 @dataclass(frozen=True)
@@ -207,6 +210,7 @@
         with, where it matters where they go.
     :param suspects: the revision of the suspects.
     :param held: seconds that the question waited for this answer.
+    :param zones: the evacuated zones, when the gateway's state of them is older.
     """
 
     epoch: str
@@ -224,6 +228,7 @@
     suspicions: tuple[Suspicion, ...] = ()
     suspects: int = 0
     held: float = 0.0
+    zones: EvacuatedZones | None = None
 
 
 @dataclass(frozen=True)
@@ -265,6 +270,17 @@
     granted: bool
 
 
+@dataclass(frozen=True)
+class EvacuateRequest:
+    """Asks any coordinator for an order about an availability zone.
+
+    :param evacuated: whether the zone's upstreams get nothing from now on.
+    """
+
+    zone: str
+    evacuated: bool
+
+
 @dataclass(frozen=True)
 class SaveRequest:
     """Asks the leader to commit a routing configuration."""
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -7,6 +7,7 @@
 process chooses; the mean time to the first token is 0.65 and 0.37 s (``daleroad placing``).
 """
 
+from collections.abc import Container
 from random import Random
 
 from daleroad.candidates import Judge
@@ -32,15 +33,24 @@
         self._heartbeat = heartbeat
         self._random = random
 
-    def place(self, asked: PlaceRequest, service: ServiceRule, now: float) -> Instance | None:
+    def place(
+        self,
+        asked: PlaceRequest,
+        service: ServiceRule,
+        now: float,
+        evacuated: Container[str] = (),
+    ) -> Instance | None:
         """Return the engine that a prompt should go to, if there is one, and book the prompt there.
 
         :param asked: the gateway's question.
         :param service: the service that the prompt is for.
         :param now: the time.
+        :param evacuated: availability zones whose engines get nothing.
         """
         failing = frozenset(asked.failing)
-        judge = Judge(self._fleet, self._heartbeat, self._loads.get_total, failing.__contains__)
+        judge = Judge(
+            self._fleet, self._heartbeat, self._loads.get_total, failing.__contains__, evacuated
+        )
         candidates = judge.list_candidates(service, asked.tokens, asked.excluded, now)
         found = pick_upstream(candidates, asked.zone, self._random)
         if found is None:
--- a/src/daleroad/plans.py
+++ b/src/daleroad/plans.py
@@ -10,7 +10,6 @@
 
 import anyio
 
-from daleroad.defaults import NOTICE_SECONDS, REPORT_LAG_SECONDS
 from daleroad.copyschedule import (
     STOP_AFTER_SECONDS,
     STOP_EACH_SECONDS,
@@ -21,6 +20,7 @@
     schedule_copies,
     sum_seconds,
 )
+from daleroad.defaults import NOTICE_SECONDS, REPORT_LAG_SECONDS
 
 FOLLOW_SLACK_SECONDS = 0.1
 """What a gateway that came late gives the others for their schedule beyond its own sum of it; their
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -237,7 +237,7 @@
             instance=instance,
             seconds=seconds,
             source=source,
-            backup=backup.address if backup else "",
+            backup=backup,
             last_event=run.last_event,
         )
         reply = await self._gateway.dispatcher.send(attempt)
--- a/src/daleroad/suspectcommands.py
+++ b/src/daleroad/suspectcommands.py
@@ -1,22 +1,14 @@
 """Commands about requests under which upstreams ended: list, release, weigh the rule."""
 
 import json
-import os
-import sys
 
-import anyio
 from fire.decorators import SetParseFn
 
-from daleroad.calls import make_url
-from daleroad.channels import ChannelCalls
 from daleroad.codec import encode
-from daleroad.errors import Failure
+from daleroad.commandcalls import ask_coordinator
 from daleroad.notices import ReleaseRequest, SuspectsAnswer
 from daleroad.suspectmodel import CASES, compare_rules
 
-SECRET_VARIABLE = "DALEROAD_SECRET"
-_FAILED = 1
-
 
 class SuspectCommands:
     """Requests under which upstreams ended. The secret of our processes is in DALEROAD_SECRET."""
@@ -27,8 +19,7 @@
         Args:
             coordinator: IP:PORT where our processes call it.
         """
-        answer = anyio.run(_call, coordinator, "suspects", b"{}", SuspectsAnswer)
-        assert isinstance(answer, SuspectsAnswer)
+        answer = ask_coordinator(coordinator, "suspects", b"{}", SuspectsAnswer)
         for known in answer.suspicions:
             row = {
                 "fingerprint": known.fingerprint,
@@ -49,7 +40,7 @@
             coordinator: IP:PORT where our processes call it.
             fingerprint: the request, as ``list`` prints it.
         """
-        anyio.run(_call, coordinator, "release", encode(ReleaseRequest(fingerprint)), type(None))
+        ask_coordinator(coordinator, "release", encode(ReleaseRequest(fingerprint)), type(None))
         print("released")
 
     def weigh(self, seeds: int = 10) -> None:
@@ -60,13 +51,3 @@
         """
         for line in compare_rules(CASES, seeds):
             print(line)
-
-
-async def _call(coordinator: str, name: str, body: bytes, shape: type) -> object:
-    """Return a coordinator's answer; end with an error line where there is none."""
-    calls = ChannelCalls(os.environ.get(SECRET_VARIABLE, "daleroad"))
-    answer = await calls.call(f"{make_url(coordinator)}/site/{name}", body, shape)
-    if isinstance(answer, Failure):
-        print(f"{answer.kind}: {answer.reason}", file=sys.stderr)
-        sys.exit(_FAILED)
-    return answer
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -4,6 +4,7 @@
 merged so that it only goes forward: versions grow, instances that left stay away.
 """
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -22,6 +23,7 @@
     WATCHES,
 )
 from daleroad.errors import Failure
+from daleroad.evacuations import EvacuatedZones
 from daleroad.events import Event, log_event
 from daleroad.fleet import InstanceState
 from daleroad.gateway import Gateway
@@ -174,6 +176,7 @@
                 whole,
                 gateway.news.list_after(known.told),
                 known.suspects,
+                gateway.guard.zones.version,
             )
             return _Asked(encode(asked), anyio.current_time(), gateway.news.newest)
 
@@ -219,6 +222,8 @@
         if self._is_fast(name):
             # One that has just started has not heard of all gateways yet; the leader mostly has.
             gateway.others = answer.others
+        if answer.zones is not None and gateway.replace_zones(answer.zones):
+            _log_zones(answer.zones, name)
         self._known = answer.coordinators
         self._leader = answer.leader or self._leader
         self._failed_at = {n: at for n, at in self._failed_at.items() if n in self._known}
@@ -286,6 +291,14 @@
         log_event(event, id=instance_id, by=name, revision=self._gateway.fleet.revision)
 
 
+def _log_zones(zones: EvacuatedZones, name: str) -> None:
+    """Log which zones get nothing from now on, and how long after the order."""
+    age = round(time.time() - zones.at, 3)
+    log_event(
+        Event.ZONES_IN_FORCE, version=zones.version, zones=list(zones.zones), age=age, by=name
+    )
+
+
 def find_fast_wait(gateways: int) -> float:
     """Return the interval at which a gateway exchanges loads, in seconds.
 
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -105,7 +105,7 @@
         async def main(clock: JumpingClock, site: Site) -> None:
             leader = site.get_leader()
             assert leader is not None
-            await leader.save(make_document(1))
+            await leader.log.save(make_document(1))
             self.assertTrue(leader.is_leading())
             clock.suspend()
             self.assertFalse(leader.is_leading())
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -142,11 +142,11 @@
 
 class CoordinatorTest(unittest.TestCase):
     async def save(self, coordinator: Coordinator, version: int, note: str = "") -> None:
-        answer = await coordinator.save(make_document(version, note))
+        answer = await coordinator.log.save(make_document(version, note))
         self.assertIsInstance(answer, SaveAnswer)
 
     async def read(self, coordinator: Coordinator) -> tuple[int, str]:
-        answer = await coordinator.read()
+        answer = await coordinator.log.read()
         assert not isinstance(answer, Failure), answer
         return answer.version, orjson.loads(answer.document)["note"]
 
@@ -157,7 +157,7 @@
             await self.save(site.get(names[2]), 3, "other content")
             for name in names[:3]:
                 self.assertEqual(await self.read(site.get(name)), (3, "three"))
-            refused = await site.get(names[0]).save(b'{"versi')
+            refused = await site.get(names[0]).log.save(b'{"versi')
             assert isinstance(refused, Failure)
             self.assertIs(refused.kind, FailureKind.INVALID)
 
@@ -184,7 +184,7 @@
             alone = await site.start(names[0], founding=False)
             # The last commit is known by the next entry only, which never came.
             await wait_for(lambda: alone.get_version() >= 6)
-            self.assertIsInstance(await alone.read(), Failure)
+            self.assertIsInstance(await alone.log.read(), Failure)
 
         run_site(body)
 
@@ -208,8 +208,8 @@
             await site.kill(names[2])
             left = site.get(names[0])
             await wait_for(lambda: not left.is_leading())
-            self.assertIsInstance(await left.read(), Failure)
-            self.assertIsInstance(await left.save(make_document(2)), Failure)
+            self.assertIsInstance(await left.log.read(), Failure)
+            self.assertIsInstance(await left.log.save(make_document(2)), Failure)
 
         run_site(body)
 
--- /dev/null
+++ b/tests/test_evacuations.py
@@ -0,0 +1,430 @@
+"""Tests of evacuated availability zones: the orders in the log, how they spread, what they stop."""
+
+import ast
+import io
+import json
+import os
+import shutil
+import unittest
+from collections.abc import Callable
+from contextlib import redirect_stderr, redirect_stdout
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from typing import Any
+from unittest.mock import patch
+
+import anyio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from daleroad.codec import encode
+from daleroad.commandcalls import SECRET_VARIABLE
+from daleroad.defaults import EVACUATED_RETRY_SECONDS
+from daleroad.dispatch import Attempt, CopyFault, NotCopied, NotRun, Source, Whole
+from daleroad.errors import Failure, FailureKind, Ran
+from daleroad.evacuationcommands import EvacuationCommands
+from daleroad.evacuations import HISTORY_MOST, EvacuatedZones, Evacuations, ZoneOrder
+from daleroad.fleet import Fleet, Instance, Sighting
+from daleroad.gateway import Gateway
+from daleroad.loads import LoadTotals
+from daleroad.notices import PlaceRequest
+from daleroad.placer import Placer
+from daleroad.routing import Repeat, ServiceRule
+from daleroad.siterecord import Document, SiteRecord
+from tests.fakes import (
+    ENGINE,
+    PROMPT,
+    WHOLE,
+    FakeDispatcher,
+    make_config,
+    make_forwarder,
+    make_gateway,
+    make_instance,
+    make_job,
+)
+from tests.test_coordinator import Site, make_document, run_site, wait_for
+from tests.test_spreading import Sites
+
+ZONES = ("a", "b", "c")
+GATEWAYS = 71
+SPREAD_SECONDS = 2.0
+"""Time in which all gateways go by an order; two fifths of what the platform grants."""
+
+ORDERS = st.lists(st.builds(ZoneOrder, st.sampled_from(ZONES), st.booleans()), max_size=20)
+
+
+class EvacuationsTest(unittest.TestCase):
+    def apply(self, orders: list[ZoneOrder]) -> Evacuations:
+        known = Evacuations()
+        for index, order in enumerate(orders, start=1):
+            known = known.apply(index, order)
+        return known
+
+    def test_orders_count_in_the_sequence_of_the_log(self) -> None:
+        known = self.apply([ZoneOrder("a", True), ZoneOrder("b", True), ZoneOrder("a", False)])
+        self.assertEqual(known.current.zones, ("b",))
+        self.assertEqual(known.current.version, 3)
+
+    def test_an_order_that_changes_nothing_leaves_no_trace(self) -> None:
+        once = self.apply([ZoneOrder("a", True)])
+        again = self.apply([ZoneOrder("a", True), ZoneOrder("a", True), ZoneOrder("b", False)])
+        self.assertEqual(once, again)
+
+    def test_the_history_is_bounded(self) -> None:
+        orders = [ZoneOrder("a", bool(n % 2)) for n in range(1, 4 * HISTORY_MOST)]
+        self.assertEqual(len(self.apply(orders).history), HISTORY_MOST)
+
+    @given(ORDERS, st.data())
+    def test_entries_that_are_applied_again_change_nothing(
+        self, orders: list[ZoneOrder], data: Any
+    ) -> None:
+        known = self.apply(orders)
+        begin = data.draw(st.integers(0, len(orders)))
+        again = known
+        for index, order in enumerate(orders[begin:], start=begin + 1):
+            again = again.apply(index, order)
+        self.assertEqual(again, known)
+
+
+class RecordTest(unittest.TestCase):
+    def test_a_dumped_state_has_the_zones_and_the_configuration(self) -> None:
+        record, fresh = SiteRecord(), SiteRecord()
+        record.apply_payload(1, encode(Document(5, "text")).decode())
+        record.apply_payload(2, encode(ZoneOrder("a", True, 7.0, "c:1")).decode())
+        fresh.load(record.dump())
+        self.assertEqual(fresh.document, Document(5, "text"))
+        self.assertEqual(fresh.evacuations, record.evacuations)
+
+    def test_a_state_of_an_earlier_program_is_read(self) -> None:
+        record = SiteRecord()
+        record.load('{"version":5,"text":"text"}')
+        self.assertEqual((record.document, record.zones.zones), (Document(5, "text"), ()))
+
+    def test_an_older_state_takes_nothing_back(self) -> None:
+        record = SiteRecord()
+        older = record.dump()
+        record.apply_payload(4, encode(ZoneOrder("a", True)).decode())
+        record.load(older)
+        self.assertEqual(record.zones.zones, ("a",))
+
+
+class OrderTest(unittest.TestCase):
+    """Orders at coordinators that speak over loopback."""
+
+    def play(self, body: Callable, count: int = 3) -> None:
+        async def main(site: Site, names: list[str]) -> None:
+            for name in names[:3]:
+                site.get(name).log._zones = ZONES
+            await body(site, names)
+
+        run_site(main, count)
+
+    async def order(self, site: Site, name: str, zone: str, evacuated: bool) -> EvacuatedZones:
+        answer = await site.get(name).log.order_zone(zone, evacuated)
+        assert isinstance(answer, EvacuatedZones), answer
+        return answer
+
+    def test_the_same_order_gets_the_same_answer_everywhere_and_one_entry(self) -> None:
+        async def body(site: Site, names: list[str]) -> None:
+            answers = [await self.order(site, name, "a", True) for name in (*names, *names)]
+            self.assertEqual(len(set(answers)), 1)
+            leader = site.get_leader()
+            assert leader is not None
+            self.assertEqual(len(leader.record.evacuations.history), 1)
+            taken_back = [await self.order(site, name, "a", False) for name in names]
+            self.assertEqual({answer.zones for answer in taken_back}, {()})
+
+        self.play(body)
+
+    def test_taking_back_what_is_not_evacuated_is_fine(self) -> None:
+        async def body(site: Site, names: list[str]) -> None:
+            self.assertEqual((await self.order(site, names[0], "b", False)).zones, ())
+
+        self.play(body)
+
+    def test_a_zone_that_no_settings_know_is_refused(self) -> None:
+        async def body(site: Site, names: list[str]) -> None:
+            for zone in ("z", "", "a" * 10_000):
+                answer = await site.get(names[0]).log.order_zone(zone, True)
+                assert isinstance(answer, Failure)
+                self.assertIs(answer.kind, FailureKind.INVALID)
+
+        self.play(body)
+
+    def test_without_a_majority_nothing_is_acknowledged(self) -> None:
+        async def body(site: Site, names: list[str]) -> None:
+            await site.kill(names[1])
+            await site.kill(names[2])
+            answer = await site.get(names[0]).log.order_zone("a", True)
+            self.assertIsInstance(answer, Failure)
+
+        self.play(body)
+
+    def test_what_was_acknowledged_outlives_a_lost_disk_and_all_processes(self) -> None:
+        async def body(site: Site, names: list[str]) -> None:
+            await site.get(names[0]).log.save(make_document(1))
+            await self.order(site, names[0], "a", True)
+            for name in names[:3]:
+                await site.kill(name)
+            shutil.rmtree(site.folder / names[0].replace(":", "-"))
+            await site.start(names[0], founding=False)
+            for name in names[1:3]:
+                await site.start(name)
+            await wait_for(site.get_leader)
+            await wait_for(lambda: all(site.get(n).record.zones.zones == ("a",) for n in names[:3]))
+
+        self.play(body)
+
+    def test_an_order_whose_leader_ends_counts_whole_or_not_at_all(self) -> None:
+        async def body(site: Site, names: list[str]) -> None:
+            leader = site.get_leader()
+            assert leader is not None
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(leader.log.order_zone, "a", True)
+                await anyio.sleep(0)
+                tasks.cancel_scope.cancel()
+            await site.kill(leader.options.name)
+            rest = [name for name in names if name != leader.options.name]
+            await wait_for(site.get_leader)
+            # It is sent again, to another coordinator, and acknowledged there.
+            await wait_for(lambda: site.get_leader() is not None)
+            answer = await self.order(site, rest[0], "a", True)
+            self.assertEqual(answer.zones, ("a",))
+            await wait_for(lambda: all(site.get(n).record.zones == answer for n in rest))
+
+        self.play(body)
+
+    def test_two_operators_race_and_all_coordinators_agree_who_was_last(self) -> None:
+        async def body(site: Site, names: list[str]) -> None:
+            for _ in range(5):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self.order, site, names[0], "a", True)
+                    tasks.start_soon(self.order, site, names[1], "a", False)
+                    tasks.start_soon(self.order, site, names[2], "b", True)
+                newest = await self.order(site, names[0], "c", True)
+                await wait_for(lambda: len({site.get(n).record.zones for n in names}) == 1)
+                self.assertLessEqual({"b", "c"}, set(newest.zones))
+                await self.order(site, names[2], "c", False)
+
+        self.play(body)
+
+    def test_orders_outlive_a_change_of_the_members(self) -> None:
+        async def body(site: Site, names: list[str]) -> None:
+            await self.order(site, names[0], "a", True)
+            await site.kill(names[2])
+            fresh = await site.start(names[3], founding=False)
+            await wait_for(lambda: fresh.record.zones.zones == ("a",))
+            await wait_for(lambda: fresh._is_voter())
+            await site.kill(names[0])
+            await wait_for(site.get_leader)
+            self.assertEqual((await self.order(site, names[3], "b", True)).zones, ("a", "b"))
+
+        self.play(body, 4)
+
+    def test_the_command_line_lists_begins_and_ends(self) -> None:
+        async def body(site: Site, names: list[str]) -> None:
+            def run(name: str, *args: str) -> str:
+                out = io.StringIO()
+                with redirect_stdout(out), patch.dict(os.environ, {SECRET_VARIABLE: "secret"}):
+                    getattr(EvacuationCommands(), name)(*args)
+                return out.getvalue()
+
+            def refuse() -> str:
+                err = io.StringIO()
+                with redirect_stderr(err), patch.dict(os.environ, {SECRET_VARIABLE: "secret"}):
+                    try:
+                        EvacuationCommands().begin(names[0], "nowhere")
+                    except SystemExit as end:
+                        return f"{end.code} {err.getvalue()}"
+                return ""
+
+            await anyio.to_thread.run_sync(run, "begin", names[0], "a")
+            await anyio.to_thread.run_sync(run, "begin", names[1], "b")
+            await anyio.to_thread.run_sync(run, "end", names[1], "a")
+            await wait_for(lambda: site.get(names[2]).record.zones.zones == ("b",))
+            listed = await anyio.to_thread.run_sync(run, "list", names[2])
+            rows = [json.loads(line) for line in listed.splitlines()]
+            self.assertEqual([r["zone"] for r in rows if r["evacuated_now"]], ["b"])
+            orders = [(r["zone"], r["evacuated"]) for r in rows if "index" in r]
+            self.assertEqual(orders, [("a", True), ("b", True), ("a", False)])
+            self.assertIn("1 invalid-change", await anyio.to_thread.run_sync(refuse))
+
+        self.play(body)
+
+    def test_all_gateways_go_by_an_order_soon_and_know_before_their_first_request(self) -> None:
+        async def body(site: Site, names: list[str]) -> None:
+            await site.get(names[0]).log.save(make_document(1))
+            sites = Sites(site)
+            gateways = sites.add(GATEWAYS)
+            await wait_for(lambda: all(g.get_version() for g in gateways))
+            began = anyio.current_time()
+            await self.order(site, names[1], "a", True)
+            await wait_for(lambda: all(g.guard.zones.zones == ("a",) for g in gateways))
+            self.assertLess(anyio.current_time() - began, SPREAD_SECONDS)
+            (late,) = sites.add(1)
+            await late.configured.wait()
+            self.assertEqual(late.guard.zones.zones, ("a",))
+
+        self.play(body)
+
+
+def evacuate(gateway: Gateway, *zones: str, version: int = 9) -> None:
+    gateway.replace_zones(EvacuatedZones(version, zones))
+
+
+def place(gateway: Gateway, number: int, zone: str) -> Instance:
+    """Let an upstream of the gateway be in a zone."""
+    instance = replace(make_instance(number), zone=zone, sequence=2)
+    gateway.fleet.note(Sighting(instance, 0.0), anyio.current_time())
+    return instance
+
+
+class GateTest(unittest.TestCase):
+    """Nothing is sent into a zone that is evacuated, by whatever way."""
+
+    def test_no_kind_of_send_or_copy_reaches_the_zone(self) -> None:
+        async def main() -> None:
+            dispatcher = FakeDispatcher(WHOLE)
+            config = make_config(Repeat.STREAM, 2, engine=True, resumable=True)
+            gateway = make_gateway(dispatcher, config, anyio.current_time())
+            inside, outside = place(gateway, 1, "a"), place(gateway, 2, "b")
+            evacuate(gateway, "a")
+            job = make_job(anyio.current_time())
+            for changes in (
+                {},
+                {"last_event": "7", "own_connection": True},
+                {"source": Source(outside.address, "handle", "7")},
+                {"backup": outside},
+            ):
+                reply = await gateway.dispatcher.send(Attempt(job, inside, "", 1.0, **changes))
+                assert isinstance(reply, NotRun)
+                self.assertTrue(reply.held)
+            copied = await gateway.dispatcher.copy(job, outside, inside, False)
+            assert isinstance(copied, NotCopied)
+            self.assertIs(copied.fault, CopyFault.NO_ROOM)
+            # A run elsewhere goes on, without its copy into the zone.
+            attempt = Attempt(job, outside, "", 1.0, backup=inside)
+            self.assertIsInstance(await gateway.dispatcher.send(attempt), Whole)
+            self.assertIsNone(dispatcher.attempts[0].backup)
+            self.assertEqual((len(dispatcher.attempts), dispatcher.copies), (1, []))
+
+        anyio.run(main)
+
+    def test_an_older_state_of_the_zones_changes_nothing(self) -> None:
+        async def main() -> None:
+            gateway = make_gateway(FakeDispatcher(), None, anyio.current_time())
+            evacuate(gateway, "a", version=9)
+            evacuate(gateway, version=8)
+            self.assertEqual(gateway.guard.zones.zones, ("a",))
+            evacuate(gateway, version=10)
+            self.assertEqual(gateway.guard.zones.zones, ())
+
+        anyio.run(main)
+
+    def test_neither_gateways_nor_the_leader_name_an_upstream_there(self) -> None:
+        async def main() -> None:
+            config = make_config(Repeat.STREAM, engine=True)
+            gateway = make_gateway(FakeDispatcher(), config, anyio.current_time())
+            for number, zone in ((1, "a"), (2, "b"), (3, "c")):
+                place(gateway, number, zone)
+            evacuate(gateway, "a", "c")
+            service = config.services[0]
+            named = {gateway.pick(service, 100, (), PROMPT) for _ in range(20)}
+            named.add(gateway.pick_quiet(service, 100, ()))
+            self.assertEqual({instance.id for instance in named if instance}, {"i2"})
+            asked = PlaceRequest("g", "a", service.name, 100, 100, (), ())
+            placer = Placer(gateway.fleet, LoadTotals(9.0), 1.0, Random(1))
+            found = {placer.place(asked, service, anyio.current_time(), ("a", "c")).id}
+            self.assertEqual(found, {"i2"})
+
+        anyio.run(main)
+
+    def test_where_all_zones_are_evacuated_it_is_refused_at_once_as_not_run(self) -> None:
+        async def main() -> None:
+            dispatcher = FakeDispatcher()
+            gateway = make_gateway(dispatcher, make_config(Repeat.ONCE), anyio.current_time())
+            evacuate(gateway, "z")
+            began = anyio.current_time()
+            answer = await make_forwarder(gateway).serve(make_job(began))
+            assert isinstance(answer, Failure)
+            self.assertEqual(
+                (answer.kind, answer.ran, answer.retry_after),
+                (FailureKind.EVACUATED, Ran.NO, EVACUATED_RETRY_SECONDS),
+            )
+            self.assertLess(anyio.current_time() - began, 0.2)
+            self.assertEqual(dispatcher.attempts, [])
+
+        anyio.run(main)
+
+    def test_what_the_leader_named_just_before_the_order_goes_elsewhere(self) -> None:
+        async def main() -> None:
+            dispatcher = FakeDispatcher(WHOLE)
+            gateway = make_gateway(
+                dispatcher, make_config(Repeat.ONCE, engine=True), anyio.current_time()
+            )
+            for number, zone in ((1, "a"), (2, "b"), (3, "b")):
+                place(gateway, number, zone)
+            gateway.gateways = 2
+
+            async def name_first(asked: PlaceRequest) -> str | None:
+                evacuate(gateway, "a")
+                return "i1"
+
+            gateway.ask_place = name_first
+            job = make_job(anyio.current_time(), prompt=PROMPT)
+            answer = await make_forwarder(gateway).serve(job)
+            self.assertIsInstance(answer, Whole)
+            self.assertEqual([a.instance.zone for a in dispatcher.attempts], ["b"])
+
+        anyio.run(main)
+
+    def test_a_try_that_never_left_takes_nothing_of_the_retry_budget(self) -> None:
+        async def main() -> None:
+            dispatcher = FakeDispatcher(WHOLE)
+            gateway = make_gateway(dispatcher, make_config(Repeat.ONCE), anyio.current_time())
+            inside = place(gateway, 1, "a")
+            outside = place(gateway, 2, "b")
+            evacuate(gateway, "a")
+            named = [inside, outside]
+
+            async def place_late(*args: Any) -> Instance:
+                return named.pop(0)
+
+            gateway.place = place_late  # type: ignore[method-assign, assignment]
+            gateway.take_repeat = lambda service: False  # type: ignore[method-assign]
+            answer = await make_forwarder(gateway).serve(make_job(anyio.current_time()))
+            self.assertIsInstance(answer, Whole)
+
+        anyio.run(main)
+
+    def test_no_other_module_has_a_way_to_upstreams(self) -> None:
+        """All sends go by ``gateway.dispatcher``, which is guarded from the gateway's start."""
+        root = Path(__file__).resolve().parent.parent
+        for path in (*root.glob("src/daleroad/*.py"), *root.glob("platform/*.py")):
+            for node in ast.walk(ast.parse(path.read_text())):
+                if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute):
+                    self.check_call(path.name, node, ast.unparse(node.func))
+
+    def check_call(self, name: str, node: ast.Call, func: str) -> None:
+        sends = func.endswith(".send") and [ast.unparse(a) for a in node.args] == ["attempt"]
+        copies = func.endswith((".copy",)) and len(node.args) == 4
+        if sends or copies:
+            allowed = {"guarding.py": "self._inner"}.get(name)
+            guarded = func.rpartition(".")[0].endswith("_gateway.dispatcher")
+            own = func.rpartition(".")[0] in (allowed, "gateway.dispatcher")
+            self.assertTrue(guarded or own, f"{name}: {func}")
+
+
+class PlacedServiceTest(unittest.TestCase):
+    def test_the_leader_names_nothing_where_all_are_evacuated(self) -> None:
+        fleet = Fleet()
+        fleet.note(Sighting(make_instance(1), 0.0), 0.0)
+        placer = Placer(fleet, LoadTotals(9.0), 1.0, Random(1))
+        asked = PlaceRequest("g", "z", "s", 100, 100, (), ())
+        service = ServiceRule("s", "/", 100, ENGINE)
+        self.assertIsNone(placer.place(asked, service, 0.0, ("z",)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_guarding.py
+++ b/tests/test_guarding.py
@@ -117,7 +117,7 @@
                 {},
                 {"last_event": "7", "own_connection": True},
                 {"source": Source("10.0.0.2:1", "handle", "7")},
-                {"backup": "10.0.0.3:1"},
+                {"backup": make_instance(3)},
             ):
                 reply = await gateway.dispatcher.send(make_attempt(1, **changes))
                 self.assertIsInstance(reply, NotRun)
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -2,7 +2,6 @@
 
 import unittest
 
-from daleroad.defaults import NOTICE_SECONDS, REPORT_LAG_SECONDS
 from daleroad.copyschedule import (
     COPY_EACH_SECONDS,
     STOP_AFTER_SECONDS,
@@ -10,6 +9,7 @@
     Room,
     RunSize,
 )
+from daleroad.defaults import NOTICE_SECONDS, REPORT_LAG_SECONDS
 from daleroad.plans import Plan
 
 NEAR = Room("near", True, 30_000)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,6 +14,7 @@
 from contextlib import contextmanager
 from dataclasses import replace
 from pathlib import Path
+from types import SimpleNamespace
 
 import anyio
 import orjson
@@ -28,11 +29,13 @@
 import gatewayprocess  # noqa: E402
 import wire  # noqa: E402
 from clientface import make_job  # noqa: E402
+from controlface import ControlFace  # noqa: E402
 from engines import EngineClient, EventStream, make_options  # noqa: E402
 from faces import read_body, send_failure  # noqa: E402
 from nodefile import read_node  # noqa: E402
 from ports import prepare_gateway  # noqa: E402
 
+from daleroad.copyschedule import RunSize  # noqa: E402
 from daleroad.defaults import FIRST_CONFIG_SECONDS  # noqa: E402
 from daleroad.dispatch import (  # noqa: E402
     Attempt,
@@ -48,7 +51,7 @@
     Whole,
 )
 from daleroad.errors import Failure, FailureKind, Ran  # noqa: E402
-from daleroad.copyschedule import RunSize  # noqa: E402
+from daleroad.evacuations import EvacuatedZones  # noqa: E402
 from daleroad.fingerprints import find_fingerprint  # noqa: E402
 from daleroad.fleet import Instance, InstanceState  # noqa: E402
 from daleroad.routing import Repeat, RoutingConfig, find_fault  # noqa: E402
@@ -341,6 +344,62 @@
         self.assertEqual((status, headers[b"retry-after"]), (503, b"0.4"))
 
 
+class ZoneLog:
+    """Stands for a coordinator's log: notes orders about zones, or refuses them."""
+
+    def __init__(self, refusal: Failure | None = None) -> None:
+        self.orders: list[tuple[str, bool]] = []
+        self.refusal = refusal
+
+    async def order_zone(self, zone: str, evacuated: bool) -> EvacuatedZones | Failure:
+        self.orders.append((zone, evacuated))
+        return self.refusal or EvacuatedZones(1, (zone,) if evacuated else ())
+
+
+class EvacuationCallTest(unittest.TestCase):
+    def call(self, log: ZoneLog, method: str, path: str, body: bytes = b"") -> int:
+        sent: list[dict] = []
+
+        async def receive() -> dict:
+            return {"type": "http.request", "body": body, "more_body": False}
+
+        async def send(event: dict) -> None:
+            sent.append(event)
+
+        face = ControlFace(SimpleNamespace(log=log))  # type: ignore[arg-type]
+        scope = {"type": "http", "method": method, "path": path}
+        anyio.run(face.answer, scope, receive, send)
+        return sent[0]["status"]
+
+    def test_zones_are_evacuated_and_taken_back(self) -> None:
+        log = ZoneLog()
+        self.assertEqual(self.call(log, "POST", "/-/evacuations/hall-a"), 200)
+        self.assertEqual(self.call(log, "DELETE", "/-/evacuations/hall-a"), 200)
+        self.assertEqual(log.orders, [("hall-a", True), ("hall-a", False)])
+
+    def test_a_body_is_not_looked_at(self) -> None:
+        log = ZoneLog()
+        for body in (b"{", b"\xff" * 100, b'{"zone":"hall-b"}'):
+            self.assertEqual(self.call(log, "POST", "/-/evacuations/hall-a", body), 200)
+        self.assertEqual(set(log.orders), {("hall-a", True)})
+
+    def test_a_zone_that_is_not_known_is_refused_and_no_leader_is_told_apart(self) -> None:
+        unknown = ZoneLog(Failure(FailureKind.INVALID, "no such zone"))
+        self.assertEqual(self.call(unknown, "POST", "/-/evacuations/nowhere"), 400)
+        late = ZoneLog(Failure(FailureKind.NO_MAJORITY, "no leader", Ran.UNKNOWN))
+        self.assertGreaterEqual(self.call(late, "POST", "/-/evacuations/hall-a"), 500)
+
+    def test_other_paths_are_unknown(self) -> None:
+        log = ZoneLog()
+        for method, path in (
+            ("PUT", "/-/evacuations/hall-a"),
+            ("POST", "/-/evacuations"),
+            ("POST", "/-/evacuations/hall-a/more"),
+        ):
+            self.assertEqual(self.call(log, method, path), 404)
+        self.assertEqual(log.orders, [])
+
+
 class Upstream:
     """A stand-in upstream that answers each request with bytes that a test chose."""
 
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -7,15 +7,15 @@
 import trio
 import trio.testing
 
-from daleroad.dispatch import Attempt, Copied, CopyFault, EngineReport, Lost, NotCopied, NotRun
-from daleroad.draining import Need
-from daleroad.errors import Failure, Ran
 from daleroad.copyschedule import (
     COPY_EACH_SECONDS,
     STOP_AFTER_SECONDS,
     STOP_EACH_SECONDS,
     RunSize,
 )
+from daleroad.dispatch import Attempt, Copied, CopyFault, EngineReport, Lost, NotCopied, NotRun
+from daleroad.draining import Need
+from daleroad.errors import Failure, Ran
 from daleroad.fleet import InstanceState, Sighting
 from daleroad.gateway import Gateway
 from daleroad.moving import EngineMover
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -17,6 +17,7 @@
 from daleroad.calls import make_url
 from daleroad.channels import ChannelCalls
 from daleroad.codec import encode
+from daleroad.commandcalls import SECRET_VARIABLE
 from daleroad.defaults import FLEET_KEPT_SECONDS
 from daleroad.dispatch import Attempt, Job
 from daleroad.errors import Failure, FailureKind
@@ -29,7 +30,7 @@
     TrialRequest,
     WatchAnswer,
 )
-from daleroad.suspectcommands import SECRET_VARIABLE, SuspectCommands
+from daleroad.suspectcommands import SuspectCommands
 from daleroad.suspects import CRASHES_HELD, Standing, Suspicion
 from daleroad.watching import Watcher
 from tests.fakes import FakeDispatcher, make_instance, make_job
@@ -100,7 +101,7 @@
 class SpreadingTest(unittest.TestCase):
     def play(self, body: Callable) -> None:
         async def main(site: Site, names: list[str]) -> None:
-            await site.get(names[0]).save(make_document(1))
+            await site.get(names[0]).log.save(make_document(1))
             await body(Sites(site), names)
 
         run_site(main)
--- a/tools/measurespread.py
+++ b/tools/measurespread.py
@@ -38,7 +38,7 @@
 
 async def measure(count: int, site: Site, names: list[str]) -> None:
     """Print how long all of some gateways take."""
-    await site.get(names[0]).save(make_document(1))
+    await site.get(names[0]).log.save(make_document(1))
     sites = Sites(site)
     gateways = sites.add(count)
     await wait_until(partial(lambda: all(g.get_version() for g in gateways)))
