Bound what a cold engine gets by grants of the process that places

Gateways send to an engine that they know to be cold only what was granted (guarding), by whatever way; alone they choose none, and runs don't move there. Engines not known to be cold are counted too and filled up last. That an engine became cold spreads as news; those of a zone that is used again count as cold until they are heard. Ruled out: a share of the bound for each gateway.

--- a/src/daleroad/cli.py
+++ b/src/daleroad/cli.py
@@ -20,6 +20,8 @@
 from daleroad.bench import run_matrix
 from daleroad.caller import Caller, Token, Whole
 from daleroad.clock import run_on_clock
+from daleroad.coldmodel import CASES as COLD_CASES
+from daleroad.coldmodel import format_cases as format_cold_cases
 from daleroad.control import found
 from daleroad.demo import run_demo
 from daleroad.detection import compare_detectors
@@ -349,6 +351,14 @@
         """
         print("\n".join(format_cases(CASES, seeds, seconds)))
 
+    def cold(self, seed: int = 1) -> None:
+        """Compare ways to bound what a cold upstream gets: its fullest second, share refused.
+
+        Args:
+            seed: seed of arrivals and choices.
+        """
+        print("\n".join(format_cold_cases(COLD_CASES, seed)))
+
     def demo(self, seconds: float = 15.0, rate: float = 8.0, seed: int = 1) -> None:
         """Serve a slice of both partners' day on a whole site in this process.
 
--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -16,12 +16,14 @@
 from daleroad.calls import Calls, make_url
 from daleroad.channelserver import ChannelServer
 from daleroad.codec import decode, encode
+from daleroad.coldlimits import ColdRule, SendLimits
 from daleroad.defaults import (
     COORDINATOR_CALL_SECONDS,
     COORDINATOR_TURN_SECONDS,
     FOUNDING_CALL_SECONDS,
     FOUNDING_PAUSE_SECONDS,
     JOIN_SECONDS,
+    OVERDUE_HEARTBEATS,
     STANDBY_SILENT_SECONDS,
 )
 from daleroad.documents import DocumentHistory
@@ -74,6 +76,7 @@
     :param founding: whether the whole site starts for the first time.
     :param heartbeat: interval of upstreams' heartbeats in seconds.
     :param zones: the site's availability zones; nothing where they are not known.
+    :param cold: what upstreams bear while they are cold.
     """
 
     name: str
@@ -82,6 +85,7 @@
     founding: bool
     heartbeat: float = 1.0
     zones: tuple[str, ...] = ()
+    cold: ColdRule = ColdRule()
 
 
 class Coordinator:
@@ -100,12 +104,16 @@
         self.links = links
         self.record = SiteRecord()
         self.record.on_change = self._note_document
-        self.record.on_zones = self._wake
+        self.record.on_zones = self._note_zones
+        self._evacuated: tuple[str, ...] = ()
         self._history = DocumentHistory()
         self._services: dict[str, ServiceRule] = {}
         self.peers = Peers(options.name, set(options.seeds))
         self.presence = Presence(options.name, links, self.peers, self._list_others, self._wake)
-        self._placer = Placer(self.presence.fleet, self.presence.loads, options.heartbeat, random)
+        self._limits = SendLimits(options.cold)
+        self._placer = Placer(
+            self.presence.fleet, self.presence.loads, options.heartbeat, random, self._limits
+        )
         self.epoch = uuid4().hex[:12]
         self._parse = parse
         folder = Path(options.data) if options.data else None
@@ -232,7 +240,9 @@
             now = anyio.current_time()
             self.peers.prune(now)
             self.presence.prune(now)
+            self._limits.prune(now)
             if self.group.is_leading():
+                self._limits.begin(self.group.replica.term, now)
                 self._plan(now)
 
     def _plan(self, now: float) -> None:
@@ -394,8 +404,10 @@
         service = self._services.get(asked.service)
         if service is None:
             return Failure(FailureKind.NOT_FOUND, f"no service {asked.service}")
+        self._limits.begin(self.group.replica.term, now)
         found = self._placer.place(asked, service, now, self.record.zones.zones)
-        return Response(200, encode(PlaceAnswer(found.id if found is not None else "")))
+        counted = found is not None and bool(service.cold_rate)
+        return Response(200, encode(PlaceAnswer(found.id if found is not None else "", counted)))
 
     async def _serve_save(self, request: Request) -> Answer:
         asked = self._take(request, SaveRequest)
@@ -464,6 +476,19 @@
         granted = self.presence.shared.give_trial(asked.fingerprint)
         return Response(200, encode(TrialAnswer(granted)))
 
+    def _note_zones(self) -> None:
+        """Take the upstreams of a zone that is used again as cold until they are heard.
+
+        They may have become so shortly before, and only their next heartbeats tell.
+        """
+        now = anyio.current_time()
+        zones = self.record.zones.zones
+        seconds = OVERDUE_HEARTBEATS * self.options.heartbeat
+        for zone in set(self._evacuated) - set(zones):
+            self.presence.fleet.note_cold_zone(zone, seconds, now)
+        self._evacuated = zones
+        self._wake()
+
     def _note_document(self) -> None:
         document = self.record.document
         self._history.note(document)
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -180,7 +180,7 @@
         if not forward and fresh.state is not old.state:
             return False
         known.instance = fresh
-        known.warm_at = now + sighting.cold
+        self._set_warm_at(known, now + sighting.cold, now)
         changed = (fresh.state, fresh.address, fresh.service) != (
             old.state,
             old.address,
@@ -191,6 +191,35 @@
             known.revision = self.revision
         return changed
 
+    def _set_warm_at(self, known: _Known, warm_at: float, now: float) -> None:
+        """Note until when an instance is cold; that it has become so is news to others."""
+        if warm_at > now >= known.warm_at:
+            self.revision += 1
+            known.revision = self.revision
+        known.warm_at = warm_at
+
+    def note_cold(self, instance_id: str, seconds: float, now: float) -> None:
+        """Note that an instance is cold, until it says something else.
+
+        :param instance_id: the instance.
+        :param seconds: how much longer.
+        :param now: the time.
+        """
+        known = self._known.get(instance_id)
+        if known is not None:
+            self._set_warm_at(known, now + seconds, now)
+
+    def note_cold_zone(self, zone: str, seconds: float, now: float) -> None:
+        """Note that the instances of an availability zone are cold, until they say something else.
+
+        :param zone: the zone.
+        :param seconds: how much longer.
+        :param now: the time.
+        """
+        for known in self._known.values():
+            if known.instance.zone == zone:
+                self._set_warm_at(known, max(known.warm_at, now + seconds), now)
+
     def leave(self, name: str, now: float, born: int = 0) -> list[Instance]:
         """Note that an upstream said it is gone; return the instance if that is news.
 
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup
 
 from daleroad.candidates import Judge
+from daleroad.coldlimits import GRANT_SECONDS
 from daleroad.defaults import (
     BACKUP_ROOM,
     BACKUP_WORTH_SECONDS,
@@ -21,7 +22,7 @@
 from daleroad.fleet import GONE_KEPT_SECONDS, Fleet, Instance, InstanceState
 from daleroad.guarding import Guard, GuardedDispatcher
 from daleroad.health import Ejector
-from daleroad.notices import GatewayNotice, Load, PlaceRequest
+from daleroad.notices import GatewayNotice, Load, PlaceAnswer, PlaceRequest
 from daleroad.outbox import Outbox
 from daleroad.picking import (
     Candidate,
@@ -33,8 +34,8 @@
 from daleroad.routing import RoutingConfig, RoutingTable, ServiceRule
 from daleroad.suspects import Suspects, Suspicion
 
-AskPlace = Callable[[PlaceRequest], Awaitable[str | None]]
-"""Asks another process for an engine; returns its id, or nothing where it names none."""
+AskPlace = Callable[[PlaceRequest], Awaitable[PlaceAnswer | None]]
+"""Asks another process for an engine; returns what it names, or nothing where it names none."""
 
 
 AskTrial = Callable[[str], Awaitable[bool]]
@@ -186,6 +187,7 @@
         """
         if self.table is None or config.version > self.table.config.version:
             self.table = RoutingTable(config)
+            self.guard.limited = frozenset(s.name for s in config.services if s.cold_rate)
             self.configured.set()
 
     def replace_zones(self, zones: EvacuatedZones) -> bool:
@@ -361,17 +363,17 @@
         :param excluded: instances that it must not go to.
         :param prompt: the request's prompt, if it has one.
         """
-        if service.engine is not None and prompt is not None:
+        if (service.engine is not None and prompt is not None) or self._has_limited(service):
             named = await self._place_remotely(service, tokens, excluded, prompt)
             if named is not None:
                 return named
         return self.pick(service, tokens, excluded, prompt)
 
     async def _place_remotely(
-        self, service: ServiceRule, tokens: int, excluded: Collection[str], prompt: Prompt
+        self, service: ServiceRule, tokens: int, excluded: Collection[str], prompt: Prompt | None
     ) -> Instance | None:
-        """Return the engine that is named for a prompt, if one is that may be used."""
-        if self.ask_place is None or self.gateways <= 1:
+        """Return the upstream that is named for a request, if one is that may be used."""
+        if self.ask_place is None or (self.gateways <= 1 and not service.cold_rate):
             return None
         ready = self.fleet.list_ready(service.name)
         failing = tuple(instance.id for instance in ready if self._is_failing(instance.id))
@@ -381,15 +383,35 @@
             options.zone,
             service.name,
             tokens,
-            prompt.tokens,
+            prompt.tokens if prompt is not None else 0,
             tuple(excluded),
             failing,
         )
-        named = await self.ask_place(asked)
+        asked_at = anyio.current_time()
+        answer = await self.ask_place(asked)
+        if answer is None:
+            return None
+        named = answer.instance
+        if answer.granted:
+            self.guard.grants.add(named, asked_at + GRANT_SECONDS, anyio.current_time())
         # It may have left meanwhile, or the other side may not have heard that it did.
         ready = self.fleet.list_ready(service.name)
         return next((i for i in ready if i.id == named and i.id not in excluded), None)
 
+    def _has_limited(self, service: ServiceRule) -> bool:
+        """Return whether a service has upstreams that get only what is granted."""
+        if not service.cold_rate:
+            return False
+        return any(map(self.guard.is_limited, self.fleet.list_ready(service.name)))
+
+    def note_cold(self, instance: Instance, seconds: float) -> None:
+        """Take in that an upstream said it is cold.
+
+        :param instance: the upstream.
+        :param seconds: how much longer it is so.
+        """
+        self.fleet.note_cold(instance.id, seconds, anyio.current_time())
+
     def _is_failing(self, instance_id: str) -> bool:
         return not self.ejector.is_open(instance_id, anyio.current_time())
 
@@ -410,7 +432,10 @@
             self._is_failing,
             self.guard.zones.zones,
         )
-        return judge.list_candidates(service, tokens, excluded, now)
+        for candidate in judge.list_candidates(service, tokens, excluded, now):
+            # What a cold one may get, the process that chooses for all gateways grants.
+            if not (candidate.cold and service.cold_rate):
+                yield candidate
 
     def take_repeat(self, service: str) -> bool:
         """Take one repeat of the budget that all gateways share; return whether it is allowed.
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -2,15 +2,16 @@
 
 First tries, repeats, streams made anew, runs that go on from a copy or a backup: all are sent here.
 So here it is seen which requests ran where an upstream ended, and a request that is held goes no
-further, nor does anything go to an availability zone that is evacuated, whatever the caller of this
-module has overlooked.
+further, nor does anything go to an availability zone that is evacuated, or to a cold upstream what
+was not granted, whatever the caller of this module has overlooked.
 """
 
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import anyio
 
+from daleroad.coldlimits import Grants
 from daleroad.dispatch import (
     Attempt,
     Copied,
@@ -43,12 +44,16 @@
     :param fleet: the upstreams that are alive.
     :param tell: called with what other processes should know.
     :param zones: the availability zones whose upstreams get nothing.
+    :param limited: services whose upstreams bear only so much while they are cold.
+    :param grants: requests that may go to such upstreams.
     """
 
     suspects: Suspects
     fleet: Fleet
     tell: Callable[[Suspicion], None]
     zones: EvacuatedZones = EvacuatedZones()
+    limited: frozenset[str] = frozenset()
+    grants: Grants = field(default_factory=Grants)
 
     def is_evacuated(self, instance: Instance) -> bool:
         """Return whether an operator wants nothing more sent to an upstream.
@@ -57,6 +62,29 @@
         """
         return instance.zone in self.zones.zones
 
+    def is_limited(self, instance: Instance) -> bool:
+        """Return whether an upstream gets only what was granted, since it is cold.
+
+        :param instance: the upstream.
+        """
+        cold = self.fleet.is_cold(instance.id, anyio.current_time())
+        return cold and instance.service in self.limited
+
+    def find_obstacle(self, attempt: Attempt) -> str:
+        """Return why a request must not be sent where it should go, or an empty text.
+
+        :param attempt: the request.
+        """
+        instance = attempt.instance
+        if self.get_standing(attempt.job, attempt.organisation) is Standing.HELD:
+            return "upstreams ended while they ran it"
+        if self.is_evacuated(instance):
+            return "its availability zone is evacuated"
+        granted = self.grants.take(instance.id, anyio.current_time())
+        if self.is_limited(instance) and not granted:
+            return "it is cold, and nothing was granted"
+        return ""
+
     def get_standing(self, job: Job, organisation: str) -> Standing:
         """Return what may be done with a request.
 
@@ -169,10 +197,9 @@
 
     async def send(self, attempt: Attempt) -> Reply:
         """Send a request and return its answer, or the stream that it began."""
-        if self._guard.get_standing(attempt.job, attempt.organisation) is Standing.HELD:
-            return NotRun("upstreams ended while they ran it", sent=False, held=True)
-        if self._guard.is_evacuated(attempt.instance):
-            return NotRun("its availability zone is evacuated", sent=False, held=True)
+        obstacle = self._guard.find_obstacle(attempt)
+        if obstacle:
+            return NotRun(obstacle, sent=False, held=True)
         if attempt.backup is not None and self._guard.is_evacuated(attempt.backup):
             attempt = replace(attempt, backup=None)
         reply = await self._inner.send(attempt)
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -189,9 +189,12 @@
     """Names the engine for a prompt.
 
     :param instance: its id; empty where there is none.
+    :param granted: whether the prompt was counted there, so that it may go though the engine is
+        cold.
     """
 
     instance: str
+    granted: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -7,14 +7,16 @@
 process chooses; the mean time to the first token is 0.65 and 0.37 s (``daleroad placing``).
 """
 
-from collections.abc import Container
+from collections.abc import Container, Iterable, Iterator
+from dataclasses import replace
 from random import Random
 
 from daleroad.candidates import Judge
+from daleroad.coldlimits import ColdRule, SendLimits
 from daleroad.fleet import Fleet, Instance
 from daleroad.loads import LoadTotals
 from daleroad.notices import Load, PlaceRequest
-from daleroad.picking import pick_upstream
+from daleroad.picking import Candidate, pick_upstream
 from daleroad.routing import ServiceRule
 
 
@@ -25,9 +27,18 @@
     :param loads: the work of all gateways there.
     :param heartbeat: interval of the engines' heartbeats in seconds.
     :param random: source of choices between equals.
+    :param limits: counts what goes to engines that may be cold.
     """
 
-    def __init__(self, fleet: Fleet, loads: LoadTotals, heartbeat: float, random: Random) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        loads: LoadTotals,
+        heartbeat: float,
+        random: Random,
+        limits: SendLimits | None = None,
+    ) -> None:
+        self._limits = limits or SendLimits(ColdRule())
         self._fleet = fleet
         self._loads = loads
         self._heartbeat = heartbeat
@@ -52,9 +63,31 @@
             self._fleet, self._heartbeat, self._loads.get_total, failing.__contains__, evacuated
         )
         candidates = judge.list_candidates(service, asked.tokens, asked.excluded, now)
+        if service.cold_rate:
+            candidates = self._heed_limits(candidates, service.cold_rate, now)
         found = pick_upstream(candidates, asked.zone, self._random)
         if found is None:
             return None
+        if service.cold_rate:
+            self._limits.grant(found.instance.id, now)
         load = Load(found.instance.id, 1, asked.tokens, asked.unread)
         self._loads.book(asked.gateway, load, now)
         return found.instance
+
+    def _heed_limits(
+        self, candidates: Iterable[Candidate], rate: float, now: float
+    ) -> Iterator[Candidate]:
+        """Leave out cold engines that may get nothing now.
+
+        One that is not known to be cold may have become so since its last heartbeat. Where it has
+        had as much as a cold one may, others are preferred.
+        """
+        for candidate in candidates:
+            instance_id = candidate.instance.id
+            if candidate.cold:
+                if self._limits.may_get(instance_id, rate, now):
+                    yield candidate
+            elif self._limits.is_full(instance_id, rate, now):
+                yield replace(candidate, doubtful=True)
+            else:
+                yield candidate
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -115,6 +115,7 @@
         """
         now = anyio.current_time()
         self._peers.note_alive(asked.sender, now)
+        before = self.fleet.revision
         changed = self.fleet.note_all(asked.sightings, now)
         for instance in changed:
             self._log_change(instance)
@@ -127,7 +128,7 @@
                 complete = False
             else:
                 known.heard_at = max(known.heard_at, now - age)
-        if changed:
+        if self.fleet.revision != before:
             self._wake()
         self.shared.note(asked.suspicions, now)
         return complete
@@ -187,10 +188,11 @@
         :param sighting: what it says.
         """
         now = anyio.current_time()
+        before = self.fleet.revision
         changed = self.fleet.note(sighting, now)
         for instance in changed:
             self._log_change(instance)
-        if changed:
+        if self.fleet.revision != before:
             self._wake()
         if sighting.instance in changed and sighting.instance.state is not InstanceState.READY:
             return await self._tell_leaving(sighting.instance)
--- a/src/daleroad/routing.py
+++ b/src/daleroad/routing.py
@@ -104,12 +104,14 @@
     """A service; ``engine`` is set where model engines serve it.
 
     :param connections: connections that one upstream takes from all callers together.
+    :param cold_rate: requests a second that one upstream bears while it is cold; 0 for any number.
     """
 
     name: str
     health_path: str
     connections: int
     engine: EngineRule | None
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -28,7 +28,7 @@
 from daleroad.fleet import Fleet, Instance, Sighting
 from daleroad.gateway import Gateway
 from daleroad.loads import LoadTotals
-from daleroad.notices import PlaceRequest
+from daleroad.notices import PlaceAnswer, PlaceRequest
 from daleroad.placer import Placer
 from daleroad.routing import Repeat, ServiceRule
 from daleroad.siterecord import Document, SiteRecord
@@ -367,9 +367,9 @@
                 place(gateway, number, zone)
             gateway.gateways = 2
 
-            async def name_first(asked: PlaceRequest) -> str | None:
+            async def name_first(asked: PlaceRequest) -> PlaceAnswer:
                 evacuate(gateway, "a")
-                return "i1"
+                return PlaceAnswer("i1")
 
             gateway.ask_place = name_first
             job = make_job(anyio.current_time(), prompt=PROMPT)
