Watch a leader again that failed once

Cause: a coordinator that had failed a gateway was chosen again only where no other was sound, also when it leads. Short prompts then follow each gateway's own order, nearly blind to load. Change: the leader is tried again 2 s after it failed. Ruled out: fewer known gateways (0.67) as enough: a third of the load would be unknown.

--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -262,6 +262,10 @@
 WATCH_SLACK_SECONDS = 0.6
 """Time beyond its wait after which a watch counts as failed."""
 
+LEADER_AGAIN_SECONDS = 2.0
+"""How long a gateway leaves a leader alone that failed it. A try of one that can't be reached takes
+up to 1.6 s of one of three watches."""
+
 WATCH_PAUSE_SECONDS = 0.1
 """Pause after a watch that failed."""
 
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -13,6 +13,7 @@
 from daleroad.calls import Calls
 from daleroad.codec import encode
 from daleroad.defaults import (
+    LEADER_AGAIN_SECONDS,
     WATCH_FAST_GATEWAYS,
     WATCH_FAST_GATHER_SECONDS,
     WATCH_FAST_SECONDS,
@@ -137,7 +138,7 @@
         names = [n for n in dict.fromkeys([*self._known, *self._seeds]) if n not in taken]
         if not names:
             return None
-        if self._leader in names and self._leader not in self._failed_at:
+        if self._leader in names and self._may_watch_leader():
             return self._leader
         current = self._watched.get(slot)
         if current in names and current not in self._failed_at:
@@ -149,6 +150,17 @@
             return self._gateway.random.choice(sound)
         return min(names, key=lambda name: self._failed_at[name])
 
+    def _may_watch_leader(self) -> bool:
+        """Return whether the leader did not fail this gateway of late.
+
+        Others say that it leads, so it lives; one that failed once is tried again. Without that a
+        gateway whose first call came before the leader listened never watched it, nor got engines
+        named by it: of 71 gateways that started at one moment 23, and so few of the others' loads
+        were known that no engine was named for anybody.
+        """
+        failed_at = self._failed_at.get(self._leader, float("-inf"))
+        return anyio.current_time() - failed_at >= LEADER_AGAIN_SECONDS
+
     def _is_fast(self, name: str) -> bool:
         if self._leader in self._watched.values():
             return name == self._leader
