Let all gateways of a zone know which engines one could not reach

Cause: a gateway learnt alone, after five failures of its own, that an engine had ended without a word; 71 gateways went on trying it until its heartbeat was overdue, up to three seconds. Change: an upstream that could not be reached gets nothing from that gateway until it is heard again; the placing leader is told with the next question, and heeds it for the gateways of that zone, for all once two zones have tried. Ruled out: one zone's word for all (a cut between two zones would hide a third of the engines from all).

--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -273,7 +273,7 @@
                 if gone:
                     self._gateway.note_replaced(instance)
                 elif not sent and not held:
-                    self._gateway.note_result(instance, False)
+                    self._gateway.note_unreached(instance)
                 return None
             case Lost(reason):
                 way.ran += 1
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -33,6 +33,7 @@
 from daleroad.retries import WindowBudget
 from daleroad.routing import RoutingConfig, RoutingTable, ServiceRule
 from daleroad.suspects import Suspects, Suspicion
+from daleroad.unreached import Unreached
 
 AskPlace = Callable[[PlaceRequest], Awaitable[PlaceAnswer | None]]
 """Asks another process for an engine; returns what it names, or nothing where it names none."""
@@ -105,6 +106,7 @@
     def __post_init__(self) -> None:
         options = self.options
         self.fleet = Fleet(options.heartbeat)
+        self.unreached = Unreached(self.fleet)
         self.suspects = Suspects()
         self.news: Outbox[Suspicion] = Outbox()
         self.guard = Guard(self.suspects, self.fleet, self.tell)
@@ -386,6 +388,7 @@
             prompt.tokens if prompt is not None else 0,
             tuple(excluded),
             failing,
+            tuple(instance.id for instance in ready if self._is_out_of_reach(instance.id)),
         )
         asked_at = anyio.current_time()
         answer = await self.ask_place(asked)
@@ -413,7 +416,20 @@
         self.fleet.note_cold(instance.id, seconds, anyio.current_time())
 
     def _is_failing(self, instance_id: str) -> bool:
-        return not self.ejector.is_open(instance_id, anyio.current_time())
+        now = anyio.current_time()
+        return not self.ejector.is_open(instance_id, now) or self._is_out_of_reach(instance_id)
+
+    def _is_out_of_reach(self, instance_id: str) -> bool:
+        return self.unreached.is_out_of_reach(instance_id, self.options.zone, anyio.current_time())
+
+    def note_unreached(self, instance: Instance) -> None:
+        """Take in that no connection to an upstream could be made.
+
+        :param instance: the upstream.
+        """
+        self.unreached.prune()
+        self.unreached.note(instance.id, self.options.zone, anyio.current_time())
+        self.note_result(instance, False)
 
     def list_candidates(
         self, service: ServiceRule, tokens: int, excluded: Container[str]
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -173,6 +173,7 @@
     :param unread: tokens of the prompt.
     :param excluded: instances that it must not go to.
     :param failing: instances whose answers to this gateway failed of late.
+    :param unreached: instances that it could not reach since they were heard.
     """
 
     gateway: str
@@ -182,6 +183,7 @@
     unread: int
     excluded: tuple[str, ...]
     failing: tuple[str, ...]
+    unreached: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -18,6 +18,7 @@
 from daleroad.notices import Load, PlaceRequest
 from daleroad.picking import Candidate, pick_upstream
 from daleroad.routing import ServiceRule
+from daleroad.unreached import Unreached
 
 
 class Placer:
@@ -40,6 +41,7 @@
     ) -> None:
         self._limits = limits or SendLimits(ColdRule())
         self._fleet = fleet
+        self._unreached = Unreached(fleet)
         self._loads = loads
         self._heartbeat = heartbeat
         self._random = random
@@ -58,10 +60,14 @@
         :param now: the time.
         :param evacuated: availability zones whose engines get nothing.
         """
+        self._note_unreached(asked, now)
         failing = frozenset(asked.failing)
-        judge = Judge(
-            self._fleet, self._heartbeat, self._loads.get_total, failing.__contains__, evacuated
-        )
+
+        def is_failing(instance_id: str) -> bool:
+            out_of_reach = self._unreached.is_out_of_reach(instance_id, asked.zone, now)
+            return out_of_reach or instance_id in failing
+
+        judge = Judge(self._fleet, self._heartbeat, self._loads.get_total, is_failing, evacuated)
         candidates = judge.list_candidates(service, asked.tokens, asked.excluded, now)
         if service.cold_rate:
             candidates = self._heed_limits(candidates, service.cold_rate, now)
@@ -74,6 +80,13 @@
         self._loads.book(asked.gateway, load, now)
         return found.instance
 
+    def _note_unreached(self, asked: PlaceRequest, now: float) -> None:
+        """Let all gateways know what one has tried in vain."""
+        if asked.unreached:
+            self._unreached.prune()
+        for instance_id in asked.unreached:
+            self._unreached.note(instance_id, asked.zone, now)
+
     def _heed_limits(
         self, candidates: Iterable[Candidate], rate: float, now: float
     ) -> Iterator[Candidate]:
