--- a/src/daleroad/coldlimits.py
+++ b/src/daleroad/coldlimits.py
@@ -10,7 +10,6 @@
 """
 
 import math
-from collections import deque
 from dataclasses import dataclass, field
 
 from daleroad.defaults import CONNECT_SECONDS
@@ -56,7 +55,7 @@
     rule: ColdRule
     _term: int = -1
     _begun_at: float = float("inf")
-    _granted: dict[str, deque[float]] = field(default_factory=dict)
+    _granted: dict[str, list[float]] = field(default_factory=dict)
 
     def begin(self, term: int, now: float) -> None:
         """Note that this process grants in some term; the same one may be noted again and again.
@@ -75,12 +74,9 @@
         :param rate: requests a second that a cold upstream of its service bears.
         :param now: the time.
         """
-        granted = self._granted.get(instance_id)
-        if granted is None:
-            return self.rule.find_most(rate) < 1
-        while granted and granted[0] <= now - COUNTED_SECONDS:
-            granted.popleft()
-        return len(granted) >= self.rule.find_most(rate)
+        granted = self._granted.get(instance_id, ())
+        counted = sum(at > now - COUNTED_SECONDS for at in granted)
+        return counted >= self.rule.find_most(rate)
 
     def may_get(self, instance_id: str, rate: float, now: float) -> bool:
         """Return whether an upstream that is cold may get another request now.
@@ -98,7 +94,7 @@
         :param instance_id: the upstream.
         :param now: the time.
         """
-        self._granted.setdefault(instance_id, deque()).append(now)
+        self._granted.setdefault(instance_id, []).append(now)
 
     def prune(self, now: float) -> None:
         """Forget upstreams that got nothing of late.
@@ -106,7 +102,10 @@
         :param now: the time.
         """
         oldest = now - COUNTED_SECONDS
-        self._granted = {name: times for name, times in self._granted.items() if times[-1] > oldest}
+        kept = (
+            (name, [at for at in times if at > oldest]) for name, times in self._granted.items()
+        )
+        self._granted = {name: times for name, times in kept if times}
 
 
 @dataclass
--- a/tests/test_coldlimits.py
+++ b/tests/test_coldlimits.py
@@ -54,6 +54,18 @@
         limits.begin(5, 20.0)
         self.assertFalse(limits.may_get("i", RATE, 20.0))
 
+    def test_upstreams_that_got_nothing_of_late_are_forgotten(self) -> None:
+        limits = SendLimits(RULE)
+        limits.grant("i", 10.0)
+        limits.grant("j", 10.0)
+        later = 10.0 + COUNTED_SECONDS
+        self.assertFalse(limits.is_full("i", RATE, later))
+        limits.prune(later)
+        self.assertEqual(limits._granted, {})
+        limits.grant("i", later)
+        limits.prune(later)
+        self.assertEqual(list(limits._granted), ["i"])
+
     def test_a_grant_serves_one_request_and_not_for_long(self) -> None:
         grants = Grants()
         grants.add("i", 1.0, 0.5)
