Let long prompts wait for room in an engine instead of being preempted

Cause: nobody checked whether a prompt fits into an engine's memory (six long generations); where it did not, the engine preempted the newest of the least urgent and read it in again, late by the pause. Change: engines where a prompt fits go before others, whatever they have to read; where it fits into none the placing leader says so, and a long prompt asks again for up to 0.45 of its objective (forwarding, a look at deadline, drain and held requests each time). Short prompts go at once. A placement is typed. Ruled out: refusing at once (room comes with each run that ends, every 0.03 s).

--- a/src/daleroad/candidates.py
+++ b/src/daleroad/candidates.py
@@ -53,4 +53,5 @@
                 cold=self.fleet.is_cold(instance.id, now),
                 lone=bool(memory) and zones[instance.zone] == 1,
                 overdue=missed > OVERDUE_HEARTBEATS,
+                crowded=bool(memory) and expected.tokens > memory,
             )
--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -38,7 +38,6 @@
     IdentifyAnswer,
     JoinRequest,
     LoadsRequest,
-    PlaceAnswer,
     PlaceRequest,
     ReadAnswer,
     ReleaseRequest,
@@ -405,9 +404,8 @@
         if service is None:
             return Failure(FailureKind.NOT_FOUND, f"no service {asked.service}")
         self._limits.begin(self.group.replica.term, now)
-        found = self._placer.place(asked, service, now, self.record.zones.zones)
-        counted = found is not None and bool(service.cold_rate)
-        return Response(200, encode(PlaceAnswer(found.id if found is not None else "", counted)))
+        answer = self._placer.place(asked, service, now, self.record.zones.zones)
+        return Response(200, encode(answer))
 
     async def _serve_save(self, request: Request) -> Answer:
         asked = self._take(request, SaveRequest)
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -247,6 +247,14 @@
 PLACE_PAUSE_SECONDS = 0.5
 """How long a gateway chooses engines alone after that failed; about one election."""
 
+CROWDED_OBJECTIVES = 0.45
+"""Part of its objective that a long generation waits for room in an engine; what is left is twice
+what reading its prompt takes (0.4 s of 1.8 s)."""
+
+CROWDED_PAUSE_SECONDS = 0.06
+"""Pause before a generation that waits for room asks again; runs end every 0.03 s on a site with a
+hundred of them."""
+
 TELL_LOADS_SECONDS = 0.01
 """How long a gateway gathers changes of its work before it tells the leading coordinator; far below
 the time between two prompts of one gateway, which is a second on a small site."""
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -11,6 +11,8 @@
 import anyio
 
 from daleroad.defaults import (
+    CROWDED_OBJECTIVES,
+    CROWDED_PAUSE_SECONDS,
     ENGINE_RETRY_AFTER_SECONDS,
     EVACUATED_RETRY_SECONDS,
     LAST_ANSWER_SECONDS,
@@ -35,7 +37,7 @@
 from daleroad.events import Event, log_event
 from daleroad.fingerprints import find_fingerprint
 from daleroad.fleet import Instance
-from daleroad.gateway import Gateway
+from daleroad.gateway import Crowded, Gateway
 from daleroad.metrics import RequestMetrics
 from daleroad.routing import Repeat, RouteRule, RoutingTable, ServiceRule
 from daleroad.runs import Run, Runs, Tries
@@ -156,6 +158,9 @@
             if standing is Standing.HELD or not await self._may_try(way, standing):
                 return self._hold_back(way)
             instance = await self._place(way, standing)
+            if isinstance(instance, Crowded):
+                await anyio.sleep(CROWDED_PAUSE_SECONDS)
+                continue
             if instance is None:
                 return self._give_up(way, "no upstream is left")
             way.sends += 1
@@ -165,13 +170,24 @@
             if not self._may_repeat(way):
                 return self._give_up(way, "no repeat is allowed")
 
-    async def _place(self, way: _Way, standing: Standing) -> Instance | None:
+    async def _place(self, way: _Way, standing: Standing) -> Instance | Crowded | None:
         gateway = self._gateway
         prompt = way.job.prompt
         tokens = count_tokens(prompt)
         if standing is not Standing.CLEAR:
             return gateway.pick_quiet(way.service, tokens, way.tried)
-        return await gateway.place(way.service, tokens, way.tried, prompt)
+        patient = self._is_patient(way, anyio.current_time())
+        return await gateway.place(way.service, tokens, way.tried, prompt, patient)
+
+    def _is_patient(self, way: _Way, now: float) -> bool:
+        """Return whether a long generation may wait for room and still begin in time.
+
+        Where none is left it would be preempted, or preempt another, and be late by the pause.
+        """
+        prompt = way.job.prompt
+        if prompt is None or prompt.ends_soon():
+            return False
+        return now - way.job.received_at < CROWDED_OBJECTIVES * way.route.objective
 
     async def _may_try(self, way: _Way, standing: Standing) -> bool:
         """Return whether nobody else tries this request where only one may."""
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -43,6 +43,11 @@
 """Asks another process whether a request that was held for long may be tried here."""
 
 
+@dataclass(frozen=True)
+class Crowded:
+    """Stands for an engine where there are some, but a prompt fits into none for now."""
+
+
 @dataclass(frozen=True)
 class GatewayOptions:
     """What a gateway is told at its start. Times are in seconds.
@@ -355,7 +360,8 @@
         tokens: int,
         excluded: Collection[str],
         prompt: Prompt | None = None,
-    ) -> Instance | None:
+        patient: bool = False,
+    ) -> Instance | Crowded | None:
         """Return the upstream that a request should go to, if there is one.
 
         For a prompt the process that chooses for all gateways is asked first.
@@ -364,16 +370,22 @@
         :param tokens: tokens of memory that the request may take.
         :param excluded: instances that it must not go to.
         :param prompt: the request's prompt, if it has one.
+        :param patient: whether it would rather wait a little than go where it does not fit.
         """
         if (service.engine is not None and prompt is not None) or self._has_limited(service):
-            named = await self._place_remotely(service, tokens, excluded, prompt)
+            named = await self._place_remotely(service, tokens, excluded, prompt, patient)
             if named is not None:
                 return named
         return self.pick(service, tokens, excluded, prompt)
 
     async def _place_remotely(
-        self, service: ServiceRule, tokens: int, excluded: Collection[str], prompt: Prompt | None
-    ) -> Instance | None:
+        self,
+        service: ServiceRule,
+        tokens: int,
+        excluded: Collection[str],
+        prompt: Prompt | None,
+        patient: bool,
+    ) -> Instance | Crowded | None:
         """Return the upstream that is named for a request, if one is that may be used."""
         if self.ask_place is None or (self.gateways <= 1 and not service.cold_rate):
             return None
@@ -389,11 +401,14 @@
             tuple(excluded),
             failing,
             tuple(instance.id for instance in ready if self._is_out_of_reach(instance.id)),
+            patient,
         )
         asked_at = anyio.current_time()
         answer = await self.ask_place(asked)
         if answer is None:
             return None
+        if answer.crowded:
+            return Crowded()
         named = answer.instance
         if answer.granted:
             self.guard.grants.add(named, asked_at + GRANT_SECONDS, anyio.current_time())
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -174,6 +174,7 @@
     :param excluded: instances that it must not go to.
     :param failing: instances whose answers to this gateway failed of late.
     :param unreached: instances that it could not reach since they were heard.
+    :param patient: whether it would rather wait a little than have it sent where it does not fit.
     """
 
     gateway: str
@@ -184,6 +185,7 @@
     excluded: tuple[str, ...]
     failing: tuple[str, ...]
     unreached: tuple[str, ...] = ()
+    patient: bool = False
 
 
 @dataclass(frozen=True)
@@ -193,10 +195,12 @@
     :param instance: its id; empty where there is none.
     :param granted: whether the prompt was counted there, so that it may go though the engine is
         cold.
+    :param crowded: whether there are engines, but the prompt fits into none and should wait.
     """
 
     instance: str
     granted: bool = False
+    crowded: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/picking.py
+++ b/src/daleroad/picking.py
@@ -63,6 +63,7 @@
     :param lone: whether generations there would have to move far.
     :param doubtful: whether its heartbeat is missing or its answers failed of late.
     :param overdue: whether a heartbeat should have come by now.
+    :param crowded: whether the request does not fit into what memory is expected to be left.
     """
 
     instance: Instance
@@ -71,6 +72,7 @@
     cold: bool = False
     lone: bool = False
     overdue: bool = False
+    crowded: bool = False
 
 
 @dataclass(frozen=True)
@@ -112,7 +114,8 @@
 ) -> Candidate | None:
     """Return the candidate to use, or nothing without any.
 
-    Doubtful ones are used only when no other is there.
+    Doubtful ones are used only when no other is there, crowded ones only when no other fits: there
+    the request or another would be preempted, read in again and late by it.
 
     :param candidates: all that may serve the request.
     :param zone: the availability zone to prefer.
@@ -122,14 +125,14 @@
     """
     scale = 1 + spread.weight
     best: Candidate | None = None
-    best_score = (True, 0.0)
+    best_score = (True, True, 0.0)
     for candidate in candidates:
         score = candidate.load + random.uniform(0, NOISE)
         score -= bonus * (candidate.instance.zone == zone)
         score += spread.rate(candidate.instance.id)
         score += scale * COLD_PENALTY * candidate.cold + scale * LONE_PENALTY * candidate.lone
         score += scale * OVERDUE_PENALTY * candidate.overdue
-        ranked = (candidate.doubtful, score)
+        ranked = (candidate.doubtful, candidate.crowded, score)
         if best is None or ranked < best_score:
             best, best_score = candidate, ranked
     return best
--- a/src/daleroad/placeclient.py
+++ b/src/daleroad/placeclient.py
@@ -54,7 +54,7 @@
             answer = await self._calls.call(url, encode(asked), PlaceAnswer, PLACE_SECONDS)
         if isinstance(answer, PlaceAnswer):
             self._note_failing(False, leader, "")
-            return answer if answer.instance else None
+            return answer if answer.instance or answer.crowded else None
         self._failed_at = now
         reason = answer.reason if isinstance(answer, Failure) else "no answer in time"
         self._note_failing(True, leader, reason)
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -13,9 +13,9 @@
 
 from daleroad.candidates import Judge
 from daleroad.coldlimits import ColdRule, SendLimits
-from daleroad.fleet import Fleet, Instance
+from daleroad.fleet import Fleet
 from daleroad.loads import LoadTotals
-from daleroad.notices import Load, PlaceRequest
+from daleroad.notices import Load, PlaceAnswer, PlaceRequest
 from daleroad.picking import Candidate, pick_upstream
 from daleroad.routing import ServiceRule
 from daleroad.unreached import Unreached
@@ -52,8 +52,8 @@
         service: ServiceRule,
         now: float,
         evacuated: Container[str] = (),
-    ) -> Instance | None:
-        """Return the engine that a prompt should go to, if there is one, and book the prompt there.
+    ) -> PlaceAnswer:
+        """Name the engine that a prompt should go to, if there is one, and book the prompt there.
 
         :param asked: the gateway's question.
         :param service: the service that the prompt is for.
@@ -73,12 +73,14 @@
             candidates = self._heed_limits(candidates, service.cold_rate, now)
         found = pick_upstream(candidates, asked.zone, self._random)
         if found is None:
-            return None
+            return PlaceAnswer("")
+        if found.crowded and asked.patient:
+            return PlaceAnswer("", crowded=True)
         if service.cold_rate:
             self._limits.grant(found.instance.id, now)
         load = Load(found.instance.id, 1, asked.tokens, asked.unread)
         self._loads.book(asked.gateway, load, now)
-        return found.instance
+        return PlaceAnswer(found.instance.id, bool(service.cold_rate))
 
     def _note_unreached(self, asked: PlaceRequest, now: float) -> None:
         """Let all gateways know what one has tried in vain."""
--- a/tests/test_coldlimits.py
+++ b/tests/test_coldlimits.py
@@ -183,7 +183,7 @@
         limits.begin(1, 10.0 - led_for)
         placer = Placer(fleet, LoadTotals(9.0), 1.0, Random(1), limits)
         found = (placer.place(ASKED, COLD, 10.0) for _ in range(count))
-        return [instance.id for instance in found if instance is not None]
+        return [answer.instance for answer in found if answer.instance]
 
     def test_cold_engines_get_what_they_bear_and_no_more(self) -> None:
         named = self.place((1, 2), 100)
@@ -204,7 +204,7 @@
         fleet.note(Sighting(make_instance(1), 0.0, 9.0), 10.0)
         placer = Placer(fleet, LoadTotals(9.0), 1.0, Random(1))
         rule = replace(COLD, cold_rate=0.0)
-        self.assertTrue(all(placer.place(ASKED, rule, 10.0) for _ in range(50)))
+        self.assertTrue(all(placer.place(ASKED, rule, 10.0).instance for _ in range(50)))
 
 
 class GateTest(unittest.TestCase):
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -335,7 +335,7 @@
             self.assertEqual({instance.id for instance in named if instance}, {"i2"})
             asked = PlaceRequest("g", "a", service.name, 100, 100, (), ())
             placer = Placer(gateway.fleet, LoadTotals(9.0), 1.0, Random(1))
-            found = {placer.place(asked, service, anyio.current_time(), ("a", "c")).id}
+            found = {placer.place(asked, service, anyio.current_time(), ("a", "c")).instance}
             self.assertEqual(found, {"i2"})
 
         anyio.run(main)
@@ -423,7 +423,7 @@
         placer = Placer(fleet, LoadTotals(9.0), 1.0, Random(1))
         asked = PlaceRequest("g", "z", "s", 100, 100, (), ())
         service = ServiceRule("s", "/", 100, ENGINE)
-        self.assertIsNone(placer.place(asked, service, 0.0, ("z",)))
+        self.assertEqual(placer.place(asked, service, 0.0, ("z",)).instance, "")
 
 
 if __name__ == "__main__":
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -41,8 +41,7 @@
             self.fleet.note(Sighting(make_instance(number), 0.0), 0.0)
 
     def place(self, question: PlaceRequest) -> str:
-        found = self.placer.place(question, SERVICE, 0.1)
-        return found.id if found else ""
+        return self.placer.place(question, SERVICE, 0.1).instance
 
     def test_prompts_of_many_gateways_at_once_are_spread_evenly(self) -> None:
         # Each gateway alone would have chosen without knowing of any other.
--- a/tests/test_unreached.py
+++ b/tests/test_unreached.py
@@ -56,8 +56,7 @@
 
 class LeaderTest(unittest.TestCase):
     def place(self, asked: PlaceRequest) -> str:
-        found = self.placer.place(asked, SERVICE, 10.5)
-        return found.id if found is not None else ""
+        return self.placer.place(asked, SERVICE, 10.5).instance
 
     def test_what_one_gateway_tried_in_vain_the_others_of_its_zone_do_not_try(self) -> None:
         fleet = Fleet()
