Keep files by one loop; a name that is no address ends no coordinator

Cause: the keepers of fleet and suspects were twins but for what they write; a coordinator's name without a port, told by another, raised out of a call and ended the process. Change: keep_file serves both; a name that is not IP:PORT is a typed failure of the call. Measured: tests; the second fails before.

--- a/src/daleroad/channels.py
+++ b/src/daleroad/channels.py
@@ -35,6 +35,7 @@
 _BODY_MOST_BYTES = 64_000_000
 """Largest answer; a routing configuration with thousands of routes takes a hundredth."""
 
+_PORT_MOST = 65_535
 _OK = 200
 _STREAM_ERRORS = (
     OSError,
@@ -239,6 +240,9 @@
 
     async def _open(self, host: str) -> Channel | Failure:
         address, _, port = host.partition(":")
+        if not port.isdecimal() or int(port) > _PORT_MOST:
+            # A name that another process told may be no address at all.
+            return Failure(FailureKind.UNREACHABLE, f"{host}: not IP:PORT")
         with anyio.move_on_after(CONNECT_SECONDS):
             try:
                 stream = await anyio.connect_tcp(address, int(port))
--- a/src/daleroad/fleetfile.py
+++ b/src/daleroad/fleetfile.py
@@ -11,11 +11,10 @@
 import anyio
 
 from daleroad.codec import decode, encode
-from daleroad.defaults import FLEET_KEPT_SECONDS
 from daleroad.errors import Failure
 from daleroad.events import Event, log_event
 from daleroad.fleet import Fleet, Sighting
-from daleroad.keptfile import read_file, replace_file
+from daleroad.keptfile import keep_file, read_file
 
 RECOVERED_HEARTBEATS = 1.75
 """Age of what was read, in heartbeats: overdue, so that those that are heard get more work, and for
@@ -50,24 +49,21 @@
 
     async def run(self) -> None:
         """Write the known upstreams down whenever they changed, until cancelled."""
-        kept = 0
-        while True:
-            if self._fleet.revision != kept:
-                kept = self._fleet.revision
-                sightings = tuple(self._fleet.list_sightings(anyio.current_time()))
-                failure = await anyio.to_thread.run_sync(save_fleet, self._path, sightings)
-                if failure is not None:
-                    log_event(Event.FLEET_NOT_KEPT, reason=failure.reason)
-            await anyio.sleep(FLEET_KEPT_SECONDS)
+        fleet = self._fleet
+        await keep_file(
+            self._path, lambda: fleet.revision, self._dump, Event.FLEET_NOT_KEPT, kept=0
+        )
 
+    def _dump(self) -> bytes:
+        return dump_fleet(tuple(self._fleet.list_sightings(anyio.current_time())))
 
-def save_fleet(path: Path, sightings: tuple[Sighting, ...]) -> Failure | None:
-    """Replace the list, also for after a loss of power; return why that failed, if so.
 
-    :param path: the file.
+def dump_fleet(sightings: tuple[Sighting, ...]) -> bytes:
+    """Return a list of instances as it is written.
+
     :param sightings: all instances, also those that left.
     """
-    return replace_file(path, encode(sightings, tuple[Sighting, ...]))
+    return encode(sightings, tuple[Sighting, ...])
 
 
 def load_fleet(path: Path, age: float) -> tuple[Sighting, ...] | Failure:
--- a/src/daleroad/keptfile.py
+++ b/src/daleroad/keptfile.py
@@ -1,9 +1,35 @@
 """A small file that is replaced as a whole, and is whole after a loss of power."""
 
 import os
+from collections.abc import Callable
 from pathlib import Path
 
+import anyio
+
+from daleroad.defaults import FLEET_KEPT_SECONDS
 from daleroad.errors import Failure, FailureKind
+from daleroad.events import Event, log_event
+
+
+async def keep_file(
+    path: Path, get_revision: Callable[[], int], dump: Callable[[], bytes], failed: Event, kept: int
+) -> None:
+    """Write something down whenever it changed, until cancelled.
+
+    :param path: the file.
+    :param get_revision: returns a number that grows with each change.
+    :param dump: returns what should be written.
+    :param failed: logged where it could not be written.
+    :param kept: the revision that the file has.
+    """
+    while True:
+        revision = get_revision()
+        if revision != kept:
+            kept = revision
+            failure = await anyio.to_thread.run_sync(replace_file, path, dump())
+            if failure is not None:
+                log_event(failed, reason=failure.reason)
+        await anyio.sleep(FLEET_KEPT_SECONDS)
 
 
 def replace_file(path: Path, body: bytes) -> Failure | None:
--- a/src/daleroad/suspectfile.py
+++ b/src/daleroad/suspectfile.py
@@ -10,10 +10,9 @@
 import anyio
 
 from daleroad.codec import decode, encode
-from daleroad.defaults import FLEET_KEPT_SECONDS
 from daleroad.errors import Failure
 from daleroad.events import Event, log_event
-from daleroad.keptfile import read_file, replace_file
+from daleroad.keptfile import keep_file, read_file
 from daleroad.suspects import Suspects, Suspicion
 
 _NAME = "suspects.json"
@@ -45,15 +44,13 @@
 
     async def run(self) -> None:
         """Write the suspects down whenever they changed, until cancelled."""
-        while True:
-            await anyio.sleep(FLEET_KEPT_SECONDS)
-            if self._suspects.revision == self._kept:
-                continue
-            self._kept = self._suspects.revision
-            body = encode(self._suspects.list_changed(anyio.current_time()), tuple[Suspicion, ...])
-            failure = await anyio.to_thread.run_sync(replace_file, self._path, body)
-            if failure is not None:
-                log_event(Event.SUSPECTS_NOT_KEPT, reason=failure.reason)
+        suspects = self._suspects
+        await keep_file(
+            self._path, lambda: suspects.revision, self._dump, Event.SUSPECTS_NOT_KEPT, self._kept
+        )
+
+    def _dump(self) -> bytes:
+        return encode(self._suspects.list_changed(anyio.current_time()), tuple[Suspicion, ...])
 
 
 def load_suspects(path: Path) -> tuple[Suspicion, ...] | Failure:
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -250,6 +250,16 @@
         with mock.patch("daleroad.channelserver.IDLE_SECONDS", 0.1):
             self.play(body)
 
+    def test_a_name_that_is_no_address_is_a_failure(self) -> None:
+        async def main() -> None:
+            calls = ChannelCalls("secret")
+            for name in ("127.0.0.1", "127.0.0.1:port", "127.0.0.1:70000", "127.0.0.1:-1"):
+                answer = await calls.call(f"http://{name}/x", b"{}", type(None), 1.0)
+                assert isinstance(answer, Failure), name
+                self.assertIs(answer.kind, FailureKind.UNREACHABLE)
+
+        anyio.run(main)
+
     def test_a_server_that_is_no_channel_is_a_failure(self) -> None:
         async def main() -> None:
             peer, calls = Peer(), ChannelCalls("secret")
--- a/tests/test_fleetfile.py
+++ b/tests/test_fleetfile.py
@@ -9,7 +9,8 @@
 from daleroad.defaults import LATE_HEARTBEATS, OVERDUE_HEARTBEATS
 from daleroad.errors import Failure
 from daleroad.fleet import Fleet, Instance, InstanceState, Sighting
-from daleroad.fleetfile import RECOVERED_HEARTBEATS, load_fleet, save_fleet
+from daleroad.fleetfile import RECOVERED_HEARTBEATS, dump_fleet, load_fleet
+from daleroad.keptfile import replace_file
 
 AGE = 2.5
 READY = Instance("i", "s", "1:1", "z", 4, InstanceState.READY, 5)
@@ -27,7 +28,8 @@
         self.path = Path(folder.name) / "fleet.json"
 
     def test_what_was_written_is_known_with_the_age_that_is_assumed(self) -> None:
-        self.assertIsNone(save_fleet(self.path, (Sighting(READY, 0.1), Sighting(GONE, 3.0))))
+        written = dump_fleet((Sighting(READY, 0.1), Sighting(GONE, 3.0)))
+        self.assertIsNone(replace_file(self.path, written))
         found = load_fleet(self.path, AGE)
         assert not isinstance(found, Failure)
         fleet = Fleet()
@@ -43,7 +45,7 @@
         self.assertGreater(LATE_HEARTBEATS - RECOVERED_HEARTBEATS, 0.8)
 
     def test_a_heartbeat_makes_one_that_was_read_certain(self) -> None:
-        save_fleet(self.path, (Sighting(READY, 0.1),))
+        replace_file(self.path, dump_fleet((Sighting(READY, 0.1),)))
         fleet = Fleet()
         found = load_fleet(self.path, AGE)
         assert not isinstance(found, Failure)
@@ -53,7 +55,7 @@
 
     def test_a_list_that_is_missing_or_torn_is_a_failure(self) -> None:
         self.assertIsInstance(load_fleet(self.path, AGE), Failure)
-        save_fleet(self.path, (Sighting(READY, 0.1),))
+        replace_file(self.path, dump_fleet((Sighting(READY, 0.1),)))
         whole = self.path.read_bytes()
         for cut in (0, 1, len(whole) // 2, len(whole) - 1):
             self.path.write_bytes(whole[:cut])
@@ -62,8 +64,8 @@
     def test_all_is_written_when_it_is_synced(self) -> None:
         sizes: list[int] = []
         with mock.patch("os.fsync", side_effect=lambda number: sizes.append(_find_size(number))):
-            save_fleet(self.path, (Sighting(READY, 0.1),))
+            replace_file(self.path, dump_fleet((Sighting(READY, 0.1),)))
         self.assertEqual(sizes[0], self.path.stat().st_size)
 
     def test_a_disk_that_refuses_is_a_failure(self) -> None:
-        self.assertIsInstance(save_fleet(self.path / "no" / "folder", ()), Failure)
+        self.assertIsInstance(replace_file(self.path / "no" / "folder", dump_fleet(())), Failure)
