--- a/src/daleroad/cli.py
+++ b/src/daleroad/cli.py
@@ -35,6 +35,8 @@
 from daleroad.plain import PlainOptions, PlainService
 from daleroad.process import move_damaged, run_process, serve
 from daleroad.report import format_rows, make_rows, write_json, write_plot
+from daleroad.roommodel import CASES as ROOM_CASES
+from daleroad.roommodel import format_cases as format_room_cases
 from daleroad.security import hash_token
 from daleroad.settings import load_settings, parse_settings
 from daleroad.suspectcommands import SuspectCommands
@@ -359,6 +361,14 @@
         """
         print("\n".join(format_cold_cases(COLD_CASES, seed)))
 
+    def room(self, seed: int = 1) -> None:
+        """Compare how prompts are placed on engines whose memory is scarce, in virtual time.
+
+        Args:
+            seed: seed of arrivals and lengths.
+        """
+        print("\n".join(format_room_cases(ROOM_CASES, seed)))
+
     def demo(self, seconds: float = 15.0, rate: float = 8.0, seed: int = 1) -> None:
         """Serve a slice of both partners' day on a whole site in this process.
 
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from daleroad.choosing import Crowded
 from daleroad.defaults import (
     CROWDED_OBJECTIVES,
     CROWDED_PAUSE_SECONDS,
@@ -37,7 +38,7 @@
 from daleroad.events import Event, log_event
 from daleroad.fingerprints import find_fingerprint
 from daleroad.fleet import Instance
-from daleroad.gateway import Crowded, Gateway
+from daleroad.gateway import Gateway
 from daleroad.metrics import RequestMetrics
 from daleroad.routing import Repeat, RouteRule, RoutingTable, ServiceRule
 from daleroad.runs import Run, Runs, Tries
@@ -175,9 +176,9 @@
         prompt = way.job.prompt
         tokens = count_tokens(prompt)
         if standing is not Standing.CLEAR:
-            return gateway.pick_quiet(way.service, tokens, way.tried)
+            return gateway.chooser.pick_quiet(way.service, tokens, way.tried)
         patient = self._is_patient(way, anyio.current_time())
-        return await gateway.place(way.service, tokens, way.tried, prompt, patient)
+        return await gateway.chooser.place(way.service, tokens, way.tried, prompt, patient)
 
     def _is_patient(self, way: _Way, now: float) -> bool:
         """Return whether a long generation may wait for room and still begin in time.
@@ -212,10 +213,10 @@
         """Send to one instance; return the outcome, or nothing if another may be tried."""
         gateway = self._gateway
         way.tried[instance.id] = None
-        gateway.ejector.take_trial(instance.id, anyio.current_time())
+        gateway.chooser.ejector.take_trial(instance.id, anyio.current_time())
         tokens = count_tokens(way.job.prompt)
         rank = way.rank if way.service.engine else None
-        backup = gateway.pick_backup(instance, tokens, way.job.prompt)
+        backup = gateway.chooser.pick_backup(instance, tokens, way.job.prompt)
         attempt = Attempt(
             way.job,
             instance,
@@ -227,9 +228,9 @@
             silence=way.route.find_silence(),
         )
         unread = way.job.prompt.tokens if way.job.prompt else 0
-        gateway.add_load(instance, 1, tokens, unread)
+        gateway.loads.add(instance, 1, tokens, unread)
         if backup is not None:
-            gateway.add_load(backup, 0, tokens)
+            gateway.loads.add(backup, 0, tokens)
         kept = False
         try:
             latest_begin = self._find_latest_begin(way)
@@ -244,14 +245,14 @@
             stopped = scope.deadline < way.limit
             if stopped:
                 return Failure(FailureKind.DRAINING, "this gateway stops", Ran.UNKNOWN)
-            gateway.note_result(instance, False)
+            gateway.chooser.note_result(instance, False)
             return Failure(FailureKind.DEADLINE, f"{instance.id} took too long", Ran.UNKNOWN)
         finally:
-            gateway.add_load(instance, 0, 0, -unread)
+            gateway.loads.add(instance, 0, 0, -unread)
             if not kept:
-                gateway.add_load(instance, -1, -tokens)
+                gateway.loads.add(instance, -1, -tokens)
                 if backup is not None:
-                    gateway.add_load(backup, 0, -tokens)
+                    gateway.loads.add(backup, 0, -tokens)
 
     def _refuse_late(self, way: _Way, now: float) -> Failure | None:
         """Return a refusal of what this gateway's stop would break off, if nothing ran of it."""
@@ -259,7 +260,7 @@
         if gateway.serving or way.ran:
             return None
         left = gateway.ends_at - LAST_ANSWER_SECONDS - now
-        back = find_return(left, gateway.others, gateway.gateways)
+        back = find_return(left, gateway.others, gateway.chooser.gateways)
         if takes(way.need, left, way.limit - now, back):
             return None
         reason = "this gateway stops before the answer could be whole"
@@ -289,19 +290,19 @@
                 if gone:
                     self._gateway.note_replaced(instance)
                 elif not sent and not held:
-                    self._gateway.note_unreached(instance)
+                    self._gateway.chooser.note_unreached(instance)
                 return None
             case Lost(reason):
                 way.ran += 1
                 fingerprint = find_fingerprint(way.job, way.organisation)
                 self._log_try(way, instance, "lost", reason, fingerprint)
-                self._gateway.note_result(instance, False)
+                self._gateway.chooser.note_result(instance, False)
                 if way.route.is_repeatable():
                     return None
                 return Failure(FailureKind.UPSTREAM_LOST, reason, Ran.UNKNOWN)
             case Whole(status):
                 way.ran += 1
-                self._gateway.note_result(instance, not reply.is_failed())
+                self._gateway.chooser.note_result(instance, not reply.is_failed())
                 if not reply.is_failed() or not way.route.is_repeatable():
                     return reply
                 self._log_try(way, instance, "failed", str(status))
--- a/src/daleroad/loads.py
+++ b/src/daleroad/loads.py
@@ -7,6 +7,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import anyio
+
+from daleroad.fleet import Instance
 from daleroad.notices import Load
 
 
@@ -98,3 +101,53 @@
                 self._totals.pop(load.instance, None)
             else:
                 self._totals[load.instance] = total
+
+
+class GatewayLoads:
+    """The work of one gateway at each upstream, and what it was told of the others'.
+
+    :ivar changed: set when this gateway's memory or unread prompts somewhere changed.
+    """
+
+    def __init__(self) -> None:
+        self.changed = anyio.Event()
+        self._own: dict[str, Load] = {}
+        self._others: dict[str, Load] = {}
+
+    def add(self, instance: Instance, runs: int, tokens: int, unread: int = 0) -> None:
+        """Note work that begins at an instance, or with negative figures that it ended.
+
+        :param instance: the instance.
+        :param runs: requests; 0 for the backup of a run elsewhere.
+        :param tokens: tokens of memory that it may take.
+        :param unread: prompt tokens that it has yet to read before it answers.
+        """
+        fresh = Load(instance.id, runs, tokens, unread)
+        known = self._own.get(instance.id)
+        fresh = known.add(fresh) if known else fresh
+        if fresh.runs or fresh.tokens or fresh.unread:
+            self._own[instance.id] = fresh
+        else:
+            self._own.pop(instance.id, None)
+        if tokens or unread:
+            self.changed.set()
+
+    def list_own(self) -> tuple[Load, ...]:
+        """Return this gateway's own work at each instance."""
+        return tuple(self._own.values())
+
+    def replace_others(self, loads: tuple[Load, ...]) -> None:
+        """Take in the work of the other gateways.
+
+        :param loads: their work at each instance.
+        """
+        self._others = {load.instance: load for load in loads}
+
+    def get_total(self, instance_id: str) -> Load:
+        """Return the work of all gateways at an instance.
+
+        :param instance_id: the instance.
+        """
+        nothing = Load(instance_id)
+        own = self._own.get(instance_id, nothing)
+        return own.add(self._others.get(instance_id, nothing))
--- a/src/daleroad/moving.py
+++ b/src/daleroad/moving.py
@@ -119,7 +119,7 @@
     async def _copy_twice(self, run: Run, destination: Instance, plan: Plan) -> Copied | NotCopied:
         """Copy in the run's turn, then stop it; without a turn, copy only after the others."""
         job = run.attempt.job
-        self._gateway.add_load(destination, 1, run.tokens)
+        self._gateway.loads.add(destination, 1, run.tokens)
         try:
             slot = plan.slots.get(job.id)
             if slot is None or slot.start is not None:
@@ -131,7 +131,7 @@
             await anyio.sleep_until(plan.get_stop(job.id))
             return await self._copy(run, destination, final=True)
         finally:
-            self._gateway.add_load(destination, -1, -run.tokens)
+            self._gateway.loads.add(destination, -1, -run.tokens)
 
     async def _find_plan(self, origin: Instance, run_id: str) -> Plan:
         """Return the plan in which a run has its turn; each is made once."""
@@ -237,9 +237,9 @@
 
     def _list_rooms(self, origin: Instance, service: ServiceRule) -> Iterator[Room]:
         memory = service.engine.memory_tokens if service.engine else 0
-        for candidate in self._gateway.list_candidates(service, 0, {origin.id}):
+        for candidate in self._gateway.chooser.list_candidates(service, 0, {origin.id}):
             other = candidate.instance
-            free = memory - self._gateway.get_load(other.id).tokens
+            free = memory - self._gateway.loads.get_total(other.id).tokens
             if not candidate.doubtful and not candidate.overdue:
                 yield Room(other.id, other.zone == origin.zone, free)
 
@@ -291,7 +291,7 @@
         service = gateway.get_service(origin.service)
         if service is None:
             return None
-        candidates = gateway.list_candidates(service, run.tokens, excluded)
+        candidates = gateway.chooser.list_candidates(service, run.tokens, excluded)
         # A copy to another availability zone takes twice as long, and time is short.
         found = pick_upstream(candidates, origin.zone, gateway.random, COPY_ZONE_BONUS)
         return found.instance if found else None
--- a/src/daleroad/placeclient.py
+++ b/src/daleroad/placeclient.py
@@ -77,13 +77,13 @@
         """Tell of work that began or ended soon after it did, until cancelled."""
         gateway = self._gateway
         while True:
-            await gateway.loads_changed.wait()
-            gateway.loads_changed = anyio.Event()
+            await gateway.loads.changed.wait()
+            gateway.loads.changed = anyio.Event()
             await anyio.sleep(TELL_LOADS_SECONDS)
             leader = self._get_leader()
             if leader is None:
                 continue
-            told = LoadsRequest(gateway.options.address, gateway.list_loads())
+            told = LoadsRequest(gateway.options.address, gateway.loads.list_own())
             url = f"{make_url(leader)}/site/loads"
             # What is lost is told again with the next question of the watch.
             await self._calls.call(url, encode(told), type(None), PLACE_PAUSE_SECONDS)
--- a/src/daleroad/placing.py
+++ b/src/daleroad/placing.py
@@ -219,8 +219,8 @@
         random = world.random
         kind = LONG if random.random() < LONG.share else SHORT
         gateway = random.randrange(world.case.gateways)
-        prompt = int(_draw(random, *kind.tokens))
-        output = int(_draw(random, *kind.output))
+        prompt = int(draw(random, *kind.tokens))
+        output = int(draw(random, *kind.output))
         tokens = prompt + int(kind.output[0])
         engine = world.choose(gateway, kind, prompt)
         world.add(gateway, Load(engine, 1, tokens, prompt))
@@ -249,7 +249,13 @@
     return change
 
 
-def _draw(random: Random, mean: float, spread: float) -> float:
+def draw(random: Random, mean: float, spread: float) -> float:
+    """Return a length of a log-normal distribution, bounded as prompts are.
+
+    :param random: draws it.
+    :param mean: its mean in tokens.
+    :param spread: its standard deviation over its mean.
+    """
     sigma = math.sqrt(math.log(1 + spread * spread))
     return min(_MOST_TOKENS, mean * math.exp(random.gauss(-sigma * sigma / 2, sigma)))
 
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -187,7 +187,7 @@
         if found is not None:
             failure = await self._go_on_at(run, found.instance, found.source, cut_at)
         else:
-            self._gateway.note_result(run.attempt.instance, False)
+            self._gateway.chooser.note_result(run.attempt.instance, False)
             failure = Failure(FailureKind.UPSTREAM_LOST, cut.reason, Ran.PARTIAL)
         while failure is not None and failure.kind is FailureKind.UPSTREAM_LOST:
             instance = self._pick_anew(run)
@@ -212,7 +212,7 @@
             # This gateway stops before it would be over; the client can resume elsewhere at once.
             return None
         prompt = run.attempt.job.prompt
-        found = gateway.pick(service, run.tokens, tries.upstreams, prompt)
+        found = gateway.chooser.pick(service, run.tokens, tries.upstreams, prompt)
         if found is None or not gateway.take_repeat(service.name):
             return None
         return found
@@ -231,7 +231,7 @@
             await run.stream.close()
         else:
             source = replace(source, last_event=run.last_event)
-            backup = self._gateway.pick_backup(instance, run.tokens, run.attempt.job.prompt)
+            backup = self._gateway.chooser.pick_backup(instance, run.tokens, run.attempt.job.prompt)
         attempt = replace(
             run.attempt,
             instance=instance,
@@ -281,9 +281,9 @@
         run.moving = False
         run.continuation = None
         run.settled = anyio.Event()
-        self._gateway.add_load(attempt.instance, 1, run.tokens)
+        self._gateway.loads.add(attempt.instance, 1, run.tokens)
         if backup is not None:
-            self._gateway.add_load(backup, 0, run.tokens)
+            self._gateway.loads.add(backup, 0, run.tokens)
 
     def _move_if_leaving(self, run: Run) -> None:
         known = self._gateway.fleet.get(run.attempt.instance.id)
@@ -293,9 +293,9 @@
             self._mover.begin(run)
 
     def _remove_loads(self, run: Run) -> None:
-        self._gateway.add_load(run.attempt.instance, -1, -run.tokens)
+        self._gateway.loads.add(run.attempt.instance, -1, -run.tokens)
         if run.backup is not None:
-            self._gateway.add_load(run.backup, 0, -run.tokens)
+            self._gateway.loads.add(run.backup, 0, -run.tokens)
 
     def _log_end(self, run: Run) -> None:
         fingerprint = ""
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -170,7 +170,7 @@
         """Return a coordinator's answer, and the question that it answers."""
         gateway = self._gateway
         fast = self._is_fast(name)
-        wait = find_fast_wait(gateway.gateways) if fast else WATCH_SLOW_SECONDS
+        wait = find_fast_wait(gateway.chooser.gateways) if fast else WATCH_SLOW_SECONDS
         gather = WATCH_FAST_GATHER_SECONDS if fast else WATCH_SLOW_GATHER_SECONDS
         version = gateway.get_version()
 
@@ -181,7 +181,7 @@
                 known.epoch,
                 known.revision,
                 version,
-                gateway.list_loads(),
+                gateway.loads.list_own(),
                 wait,
                 gather,
                 fast,
@@ -230,7 +230,7 @@
         gateway = self._gateway
         now = anyio.current_time()
         gateway.heard_at = max(gateway.heard_at, made_at)
-        gateway.gateways = max(1, answer.gateways)
+        gateway.chooser.gateways = max(1, answer.gateways)
         if self._is_fast(name):
             # One that has just started has not heard of all gateways yet; the leader mostly has.
             gateway.others = answer.others
@@ -249,7 +249,7 @@
         gateway.fleet.note_ages(answer.ages, made_at)
         self._apply_suspicions(answer, now)
         if answer.loads is not None:
-            gateway.replace_other_loads(answer.loads)
+            gateway.loads.replace_others(answer.loads)
         for instance in gateway.fleet.prune(now):
             log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="age")
             gateway.dispatcher.forget(instance)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from daleroad.choosing import GatewayOptions
 from daleroad.dispatch import (
     Attempt,
     Copied,
@@ -21,7 +22,7 @@
 from daleroad.errors import Failure, FailureKind
 from daleroad.fleet import Instance, InstanceState, Sighting
 from daleroad.forwarding import Forwarder
-from daleroad.gateway import Gateway, GatewayOptions
+from daleroad.gateway import Gateway
 from daleroad.metrics import Metrics, RequestMetrics
 from daleroad.moving import EngineMover
 from daleroad.routing import (
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -16,6 +16,7 @@
 import anyio
 
 from daleroad.catalog import Catalog
+from daleroad.choosing import GatewayOptions
 from daleroad.clock import read_clock, read_running_clock, run_on_clock, watch_clock
 from daleroad.codec import decode
 from daleroad.defaults import CLOCK_TURN_SECONDS, SHARE_SECONDS
@@ -23,7 +24,7 @@
 from daleroad.errors import Failure, FailureKind
 from daleroad.fleet import Sighting
 from daleroad.follower import Follower
-from daleroad.gateway import Gateway, GatewayOptions
+from daleroad.gateway import Gateway
 from daleroad.loopback import make_site
 from daleroad.messages import FollowAnswer
 from daleroad.notices import ShareRequest, WatchAnswer, WatchRequest
@@ -135,10 +136,10 @@
             config = make_config(Repeat.ONCE)
             gateway = make_gateway(FakeDispatcher(), config, anyio.current_time())
             (service,) = config.services
-            candidates = list(gateway.list_candidates(service, 0, ()))
+            candidates = list(gateway.chooser.list_candidates(service, 0, ()))
             self.assertFalse(any(candidate.doubtful for candidate in candidates))
             clock.suspend()
-            candidates = list(gateway.list_candidates(service, 0, ()))
+            candidates = list(gateway.chooser.list_candidates(service, 0, ()))
             self.assertTrue(all(candidate.doubtful for candidate in candidates))
 
         run(main)
--- a/tests/test_coldlimits.py
+++ b/tests/test_coldlimits.py
@@ -14,7 +14,7 @@
 from daleroad.defaults import CONNECT_SECONDS
 from daleroad.dispatch import Attempt, NotRun, Whole
 from daleroad.errors import Failure, FailureKind, Ran
-from daleroad.fleet import Fleet, Instance, Sighting
+from daleroad.fleet import Fleet, Sighting
 from daleroad.gateway import Gateway
 from daleroad.loads import LoadTotals
 from daleroad.notices import PlaceAnswer, PlaceRequest
@@ -242,7 +242,7 @@
             self.chill(gateway, 1, 3)
             service = gateway.get_service("s")
             assert service is not None
-            named = {gateway.pick(service, 100, (), PROMPT) for _ in range(20)}
+            named = {gateway.chooser.pick(service, 100, (), PROMPT) for _ in range(20)}
             self.assertEqual({instance.id for instance in named if instance}, {"i2"})
 
         self.play(body)
@@ -251,8 +251,8 @@
         async def name(asked: PlaceRequest) -> PlaceAnswer | None:
             return answer
 
-        gateway.ask_place = name
-        gateway.gateways = 2
+        gateway.chooser.ask_place = name
+        gateway.chooser.gateways = 2
         return make_forwarder(gateway).serve
 
     def test_what_is_granted_goes_to_a_cold_one(self) -> None:
@@ -291,10 +291,8 @@
             self.chill(gateway, 2)
             service = gateway.get_service("s")
             assert service is not None
-            found: list[Instance] = [
-                candidate.instance for candidate in gateway.list_candidates(service, 10, {"i1"})
-            ]
-            self.assertEqual([instance.id for instance in found], ["i3"])
+            found = gateway.chooser.list_candidates(service, 10, {"i1"})
+            self.assertEqual([candidate.instance.id for candidate in found], ["i3"])
 
         self.play(body)
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -14,6 +14,7 @@
 from anyio.abc import TaskGroup
 
 from daleroad.channels import ChannelCalls
+from daleroad.choosing import GatewayOptions
 from daleroad.codec import encode
 from daleroad.coordinator import Coordinator, CoordinatorOptions
 from daleroad.defaults import (
@@ -24,7 +25,7 @@
 from daleroad.errors import Failure, FailureKind
 from daleroad.fleet import Instance, InstanceState, Sighting
 from daleroad.fleetfile import RECOVERED_HEARTBEATS
-from daleroad.gateway import Gateway, GatewayOptions
+from daleroad.gateway import Gateway
 from daleroad.notices import (
     GatewayNotice,
     PlaceAnswer,
--- a/tests/test_crowded.py
+++ b/tests/test_crowded.py
@@ -65,7 +65,7 @@
             gateway = make_gateway(
                 dispatcher, make_config(Repeat.STREAM, engine=True), anyio.current_time()
             )
-            gateway.gateways = 2
+            gateway.chooser.gateways = 2
             began = anyio.current_time()
             asked: list[bool] = []
 
@@ -75,7 +75,7 @@
                     return PlaceAnswer("", crowded=True)
                 return PlaceAnswer("i1")
 
-            gateway.ask_place = name
+            gateway.chooser.ask_place = name
             answer = await make_forwarder(gateway).serve(make_job(began, prompt=prompt))
             assert isinstance(answer, Whole)
             return anyio.current_time() - began, asked
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -321,7 +321,8 @@
             route = replace(config.routes[0], timeout=20.0, pause=TOKEN_SECONDS)
             config = replace(config, routes=(route,))
             self.gateway = make_gateway(self.dispatcher, config, now)
-            self.gateway.note_result = lambda instance, ok: ok or self.blamed.append(instance.id)
+            chooser = self.gateway.chooser
+            chooser.note_result = lambda instance, ok: ok or self.blamed.append(instance.id)
             runs = Runs(self.gateway, EngineMover(self.gateway))
             forwarder = Forwarder(self.gateway, runs, RequestMetrics(Metrics()))
             prompt = Prompt((), 3000, most) if most else None
@@ -376,7 +377,7 @@
                 assert isinstance(outcome, Failure)
                 self.assertEqual((outcome.kind, outcome.ran), (FailureKind.DRAINING, Ran.UNKNOWN))
                 self.assertAlmostEqual(self.seconds, 8.3 - LAST_ANSWER_SECONDS, delta=0.01)
-                self.assertEqual(self.gateway.list_loads(), ())
+                self.assertEqual(self.gateway.loads.list_own(), ())
                 self.assertEqual(self.blamed, [])
 
     def test_a_stream_that_begins_too_late_to_end_is_not_begun(self) -> None:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -330,8 +330,8 @@
                 place(gateway, number, zone)
             evacuate(gateway, "a", "c")
             service = config.services[0]
-            named = {gateway.pick(service, 100, (), PROMPT) for _ in range(20)}
-            named.add(gateway.pick_quiet(service, 100, ()))
+            named = {gateway.chooser.pick(service, 100, (), PROMPT) for _ in range(20)}
+            named.add(gateway.chooser.pick_quiet(service, 100, ()))
             self.assertEqual({instance.id for instance in named if instance}, {"i2"})
             asked = PlaceRequest("g", "a", service.name, 100, 100, (), ())
             placer = Placer(gateway.fleet, LoadTotals(9.0), 1.0, Random(1))
@@ -365,13 +365,13 @@
             )
             for number, zone in ((1, "a"), (2, "b"), (3, "b")):
                 place(gateway, number, zone)
-            gateway.gateways = 2
+            gateway.chooser.gateways = 2
 
             async def name_first(asked: PlaceRequest) -> PlaceAnswer:
                 evacuate(gateway, "a")
                 return PlaceAnswer("i1")
 
-            gateway.ask_place = name_first
+            gateway.chooser.ask_place = name_first
             job = make_job(anyio.current_time(), prompt=PROMPT)
             answer = await make_forwarder(gateway).serve(job)
             self.assertIsInstance(answer, Whole)
@@ -391,7 +391,7 @@
             async def place_late(*args: Any) -> Instance:
                 return named.pop(0)
 
-            gateway.place = place_late  # type: ignore[method-assign, assignment]
+            gateway.chooser.place = place_late  # type: ignore[method-assign, assignment]
             gateway.take_repeat = lambda service: False  # type: ignore[method-assign]
             answer = await make_forwarder(gateway).serve(make_job(anyio.current_time()))
             self.assertIsInstance(answer, Whole)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -52,7 +52,7 @@
         dispatcher = FakeDispatcher(WHOLE)
         self.assertEqual(self.serve(dispatcher, make_config(Repeat.ONCE)), WHOLE)
         self.assertEqual(len(dispatcher.attempts), 1)
-        self.assertEqual(self.gateway.list_loads(), ())
+        self.assertEqual(self.gateway.loads.list_own(), ())
 
     def test_what_may_have_run_is_never_sent_again_unless_idempotent(self) -> None:
         for repeat in (Repeat.ONCE, Repeat.STREAM):
@@ -151,7 +151,7 @@
         assert isinstance(outcome, Failure)
         self.assertIs(outcome.kind, FailureKind.DEADLINE)
         self.assertIs(outcome.ran, Ran.UNKNOWN)
-        self.assertEqual(self.gateway.list_loads(), ())
+        self.assertEqual(self.gateway.loads.list_own(), ())
 
     def test_without_a_configuration_nothing_is_denied_and_a_time_is_named(self) -> None:
         outcome = self.serve(FakeDispatcher(), None)
--- a/tests/test_guarding.py
+++ b/tests/test_guarding.py
@@ -137,7 +137,7 @@
             began = anyio.current_time()
             outcome = await forwarder.serve(make_job(began))
             self.assertEqual(anyio.current_time(), began)
-            self.assertEqual(gateway.list_loads(), ())
+            self.assertEqual(gateway.loads.list_own(), ())
             return outcome
 
         return run(main)
@@ -161,14 +161,14 @@
             dispatcher = FakeDispatcher()
             gateway = make_gateway(dispatcher, make_config(Repeat.ONCE), anyio.current_time())
             noted: list[Instance] = []
-            gateway.note_result = lambda instance, ok: noted.append(instance)
-            place = gateway.place
+            gateway.chooser.note_result = lambda instance, ok: noted.append(instance)
+            place = gateway.chooser.place
 
             async def place_late(*args: Any) -> Instance | None:
                 await hold(gateway)
                 return await place(*args)
 
-            gateway.place = place_late
+            gateway.chooser.place = place_late
             outcome = await make_forwarder(gateway).serve(make_job(anyio.current_time()))
             self.assertIs(outcome.kind, FailureKind.HELD)
             self.assertEqual((noted, dispatcher.attempts), ([], []))
@@ -182,7 +182,7 @@
             for number in (4, 5):
                 gateway.guard.note_lost(make_attempt(number))
             for number, count in ((1, 3), (2, 1), (3, 2)):
-                gateway.add_load(make_instance(number), count, 0)
+                gateway.loads.add(make_instance(number), count, 0)
             forwarder = make_forwarder(gateway)
             self.assertEqual(await forwarder.serve(make_job(anyio.current_time())), WHOLE)
             (attempt,) = dispatcher.attempts
@@ -204,8 +204,8 @@
 
             gateway.ask_trial = ask
             forwarder = make_forwarder(gateway)
-            gateway.add_load(make_instance(1), 1, 0)
-            gateway.add_load(make_instance(3), 1, 0)
+            gateway.loads.add(make_instance(1), 1, 0)
+            gateway.loads.add(make_instance(3), 1, 0)
             await anyio.sleep(HELD_SECONDS[0] + 0.01)
             for number in (1, 2, 3):
                 sighting = Sighting(make_instance(number), 0.0)
--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -70,11 +70,11 @@
         async def main() -> None:
             config = make_config(Repeat.STREAM, engine=True)
             gateway = make_gateway(FakeDispatcher(), config, anyio.current_time())
-            gateway.gateways = 40
+            gateway.chooser.gateways = 40
             service = config.services[0]
             for most_output, expected in ((20, 1), (2000, 3)):
                 prompt = Prompt((), 100, most_output)
-                picks = (gateway.pick(service, 200, (), prompt) for _ in range(60))
+                picks = (gateway.chooser.pick(service, 200, (), prompt) for _ in range(60))
                 self.assertEqual(len({p.id for p in picks if p}), expected)
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -90,9 +90,9 @@
             gateway.fleet.note(Sighting(replace(make_instance(1), sequence=2), 0.0), now)
             chosen = set()
             for _ in range(12):
-                found = gateway.pick(config.services[0], 4000, ())
+                found = gateway.chooser.pick(config.services[0], 4000, ())
                 assert found is not None
-                gateway.add_load(found, 1, 4000, 3000)
+                gateway.loads.add(found, 1, 4000, 3000)
                 chosen.add(found.id)
             return len(chosen)
 
@@ -128,7 +128,7 @@
             for number in (4, 5):
                 gateway.fleet.note(Sighting(make_instance(number), 0.0), heard_at)
             await anyio.sleep(age)
-            candidates = list(gateway.list_candidates(service, 0, ()))
+            candidates = list(gateway.chooser.list_candidates(service, 0, ()))
             return {(found.overdue, found.doubtful) for found in candidates}
 
         for instance in gateway.fleet.list_ready("s"):
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -85,7 +85,7 @@
         async def main() -> None:
             config = make_config(Repeat.STREAM, engine=True)
             gateway = make_gateway(FakeDispatcher(), config, anyio.current_time())
-            gateway.gateways = 40
+            gateway.chooser.gateways = 40
             await body(gateway)
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -95,14 +95,14 @@
             return await answer() if callable(answer) else answer
 
         calls = FakeCalls(give)
-        gateway.ask_place = PlaceClient(gateway, calls, lambda: leader).ask
+        gateway.chooser.ask_place = PlaceClient(gateway, calls, lambda: leader).ask
         return calls
 
     def test_the_engine_that_is_named_gets_the_prompt(self) -> None:
         async def body(gateway: Gateway) -> None:
             calls = self.connect(gateway, PlaceAnswer("i3"))
             for _ in range(5):
-                found = await gateway.place(SERVICE, 4000, ("i1",), PROMPT)
+                found = await gateway.chooser.place(SERVICE, 4000, ("i1",), PROMPT)
                 assert found is not None
                 self.assertEqual(found.id, "i3")
             asked = decode(PlaceRequest, calls.asked[0][1])
@@ -121,11 +121,11 @@
                 calls = self.connect(gateway, answer)
                 for _ in range(3):
                     began = anyio.current_time()
-                    self.assertIsNotNone(await gateway.place(SERVICE, 4000, (), PROMPT))
+                    self.assertIsNotNone(await gateway.chooser.place(SERVICE, 4000, (), PROMPT))
                     self.assertLess(anyio.current_time() - began, PLACE_SECONDS + 0.001)
                 self.assertEqual(len(calls.asked), 1)
                 await anyio.sleep(PLACE_PAUSE_SECONDS)
-                await gateway.place(SERVICE, 4000, (), PROMPT)
+                await gateway.chooser.place(SERVICE, 4000, (), PROMPT)
                 self.assertEqual(len(calls.asked), 2)
 
         self.play(body)
@@ -136,7 +136,7 @@
             gateway.fleet.note(leaving, anyio.current_time())
             for named in ("i3", "i1", "i9", ""):
                 self.connect(gateway, PlaceAnswer(named))
-                found = await gateway.place(SERVICE, 4000, ("i1",), PROMPT)
+                found = await gateway.chooser.place(SERVICE, 4000, ("i1",), PROMPT)
                 assert found is not None
                 self.assertEqual(found.id, "i2")
 
@@ -146,9 +146,9 @@
         async def body(gateway: Gateway) -> None:
             calls = self.connect(gateway, PlaceAnswer("i3"))
             plain = ServiceRule("s", "/", 100, None)
-            await gateway.place(plain, 0, (), None)
-            gateway.gateways = 1
-            await gateway.place(SERVICE, 4000, (), PROMPT)
+            await gateway.chooser.place(plain, 0, (), None)
+            gateway.chooser.gateways = 1
+            await gateway.chooser.place(SERVICE, 4000, (), PROMPT)
             self.assertEqual(calls.asked, [])
 
         self.play(body)
@@ -165,10 +165,10 @@
                 await anyio.sleep(1.0)
                 self.assertEqual(calls.asked, [])
                 instance = make_instance(1)
-                gateway.add_load(instance, 1, 4000, 3000)
-                gateway.add_load(instance, 1, 4000, 3000)
+                gateway.loads.add(instance, 1, 4000, 3000)
+                gateway.loads.add(instance, 1, 4000, 3000)
                 await anyio.sleep(0.1)
-                gateway.add_load(instance, 0, 0, -3000)
+                gateway.loads.add(instance, 0, 0, -3000)
                 await anyio.sleep(0.1)
                 tasks.cancel_scope.cancel()
             told = [decode(LoadsRequest, body).loads for _, body in calls.asked]
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -16,13 +16,14 @@
 
 from daleroad.calls import make_url
 from daleroad.channels import ChannelCalls
+from daleroad.choosing import GatewayOptions
 from daleroad.codec import encode
 from daleroad.commandcalls import SECRET_VARIABLE
 from daleroad.defaults import FLEET_KEPT_SECONDS
 from daleroad.dispatch import Attempt, Job
 from daleroad.errors import Failure, FailureKind
 from daleroad.fleet import Sighting
-from daleroad.gateway import Gateway, GatewayOptions
+from daleroad.gateway import Gateway
 from daleroad.notices import (
     ReleaseRequest,
     SuspectsAnswer,
--- a/tests/test_unreached.py
+++ b/tests/test_unreached.py
@@ -76,14 +76,14 @@
             dispatcher = FakeDispatcher(NotRun("refused", sent=False), WHOLE, WHOLE)
             config = make_config(Repeat.ONCE, engine=True)
             gateway = make_gateway(dispatcher, config, anyio.current_time() - 0.01)
-            gateway.gateways = 2
+            gateway.chooser.gateways = 2
             asked: list[PlaceRequest] = []
 
             async def name(request: PlaceRequest) -> PlaceAnswer | None:
                 asked.append(request)
                 return PlaceAnswer("i1") if len(asked) == 1 else None
 
-            gateway.ask_place = name
+            gateway.chooser.ask_place = name
             forwarder = make_forwarder(gateway)
             for _ in range(2):
                 await forwarder.serve(make_job(anyio.current_time(), prompt=PROMPT))
