--- a/src/daleroad/coldlimits.py
+++ b/src/daleroad/coldlimits.py
@@ -10,6 +10,7 @@
 """
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 
 from daleroad.defaults import CONNECT_SECONDS
@@ -55,7 +56,7 @@
     rule: ColdRule
     _term: int = -1
     _begun_at: float = float("inf")
-    _granted: dict[str, list[float]] = field(default_factory=dict)
+    _granted: dict[str, deque[float]] = field(default_factory=dict)
 
     def begin(self, term: int, now: float) -> None:
         """Note that this process grants in some term; the same one may be noted again and again.
@@ -74,9 +75,11 @@
         :param rate: requests a second that a cold upstream of its service bears.
         :param now: the time.
         """
-        granted = self._granted.get(instance_id, ())
-        counted = sum(at > now - COUNTED_SECONDS for at in granted)
-        return counted >= self.rule.find_most(rate)
+        granted = self._granted.get(instance_id)
+        if granted is None:
+            return self.rule.find_most(rate) < 1
+        _drop_old(granted, now)
+        return len(granted) >= self.rule.find_most(rate)
 
     def may_get(self, instance_id: str, rate: float, now: float) -> bool:
         """Return whether an upstream that is cold may get another request now.
@@ -94,18 +97,23 @@
         :param instance_id: the upstream.
         :param now: the time.
         """
-        self._granted.setdefault(instance_id, []).append(now)
+        self._granted.setdefault(instance_id, deque()).append(now)
 
     def prune(self, now: float) -> None:
         """Forget upstreams that got nothing of late.
 
         :param now: the time.
         """
-        oldest = now - COUNTED_SECONDS
-        kept = (
-            (name, [at for at in times if at > oldest]) for name, times in self._granted.items()
-        )
-        self._granted = {name: times for name, times in kept if times}
+        for instance_id, granted in list(self._granted.items()):
+            _drop_old(granted, now)
+            if not granted:
+                del self._granted[instance_id]
+
+
+def _drop_old(granted: deque[float], now: float) -> None:
+    """Drop the times of grants that don't count any more."""
+    while granted and granted[0] <= now - COUNTED_SECONDS:
+        granted.popleft()
 
 
 @dataclass
