--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -11,8 +11,9 @@
 
 from daleroad.defaults import LATE_HEARTBEATS, OVERDUE_HEARTBEATS
 from daleroad.dispatch import Prompt
-from daleroad.fleet import Fleet, Instance, InstanceState, Sighting
+from daleroad.fleet import Instance, InstanceState, Sighting
 from daleroad.fleetfile import RECOVERED_HEARTBEATS
+from daleroad.gateway import Gateway
 from daleroad.notices import Load
 from daleroad.picking import (
     SPREAD_MOST,
@@ -83,9 +84,9 @@
         async def main(age: float) -> int:
             now = anyio.current_time()
             config = make_config(Repeat.STREAM, engine=True)
-            gateway = make_gateway(FakeDispatcher(), None, now)
+            options = make_gateway(FakeDispatcher(), None, now).options
+            gateway = Gateway(options, FakeDispatcher(), Random(1))
             gateway.replace_config(config)
-            gateway.fleet = Fleet(gateway.options.heartbeat)
             gateway.fleet.note_all([Sighting(make_instance(n), age) for n in (1, 2, 3)], now)
             gateway.fleet.note(Sighting(replace(make_instance(1), sequence=2), 0.0), now)
             chosen = set()
