--- a/tools/soak.py
+++ b/tools/soak.py
@@ -8,8 +8,8 @@
 they run; clients and an operator ask and check the promises while processes are killed, paused,
 stopped and started, disks are lost, and the links to upstreams delay, reset, cut and silence
 connections, in series that overlap. Beside these faults gateways are stopped in turn, as at an
-update, while clients ask for streams that last up to longer than a gateway may drain. A seed fixes
-the plan. Ends only what it started.
+update, while clients ask for streams that last up to longer than a gateway may drain, and operators
+evacuate one zone after the other. A seed fixes the plan. Ends only what it started.
 
 Two requests end each upstream that begins them and come again all the time; from the third end on
 they must reach none. The others' requests are the same to the letter, and must not be held for it.
@@ -56,6 +56,7 @@
     Engine,
     Upstream,
 )
+from tools.soakzones import ZoneOperator  # noqa: E402
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -219,6 +220,7 @@
             "node_name": name,
             "ip": ip,
             "zone": f"z{number % 3}",
+            "zones": {f"z{zone}": "r" for zone in range(UPSTREAMS)},
             "region": "r",
             "listen": {"frontend": f"{ip}:{CLIENT_PORT}", "readiness": f"{ip}:{READY_PORT}"},
             "internal_ports": [OUR_PORT, OUR_PORT + 15],
@@ -297,6 +299,8 @@
             for kind in (Upstream, Engine)
             for number in range(UPSTREAMS)
         ]
+        zones = sorted({upstream.zone for upstream in self.upstreams})
+        self.zones = ZoneOperator(f"{seed} zones", self.ledger, entries, zones)
         gateways = {f"gateway-{n}": f"{network}.0.{n + 1}:{CLIENT_PORT}" for n in range(GATEWAYS)}
         self._gateways = gateways
         self._stream_clients = [
@@ -328,6 +332,8 @@
                 processes.end_all()
         self.ledger.check_runs(self.idempotent)
         self.ledger.check_stops()
+        for upstream in self.upstreams:
+            self.zones.check(upstream.zone, upstream.arrivals)
         for kind in (Upstream, Engine):
             crashed = [at for u in self.upstreams if type(u) is kind for at in u.crashed_at]
             reached = [r for u in self.upstreams if type(u) is kind for r in u.reached]
@@ -347,6 +353,7 @@
                 began = anyio.current_time()
                 tasks.start_soon(self._operate, client)
                 tasks.start_soon(self._write_aliens, client)
+                tasks.start_soon(self.zones.run, client)
                 tasks.start_soon(self._restart, processes)
                 for number in range(CLIENTS):
                     tasks.start_soon(self._ask, number, began)
@@ -429,6 +436,9 @@
         now = anyio.current_time()
         for upstream in self.upstreams:
             idle = upstream.ran_at < upstream.restarted_at
+            if self.zones.was_evacuated(upstream.zone, upstream.restarted_at, now):
+                # An upstream in a zone that is evacuated gets nothing, by order.
+                continue
             if idle and now - upstream.restarted_at > AGAIN_SECONDS:
                 self.ledger.broken.append(f"{upstream.id} was not used after its start")
 
@@ -591,6 +601,7 @@
             f"seed {seed}: {len(soak.steps) - len(soak.stops)} faults, {len(soak.stops)} stops in "
             f"turn, {found.whole} whole, {found.refused} refused, {found.failed} failed, "
             f"{soak.count_crashes()} upstreams ended by two requests, {found.held} others held, "
+            f"{len(soak.zones.spans)} evacuations, "
             f"version {found.acknowledged}, {len(found.broken)} broken\n{found.render_streams()}",
             flush=True,
         )
--- a/tools/soakupstreams.py
+++ b/tools/soakupstreams.py
@@ -66,6 +66,8 @@
         self._announced = self.link.address if linked else self.address
         self.link_name = f"link-{number}"
         self.id = f"{self.service}-{number}"
+        self.zone = f"z{number}"
+        self.arrivals: list[tuple[float, str]] = []
         self._ledger = ledger
         self._random = random
         self._entries = entries
@@ -116,6 +118,7 @@
             await stream.send(b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
             return
         self.ran_at = anyio.current_time()
+        self.arrivals.append((self.ran_at, request))
         if asked.body == CRASHING_BODY:
             self.reached.append((self.ran_at, request))
         self._ledger.runs[request] = self._ledger.runs.get(request, 0) + 1
@@ -154,7 +157,7 @@
         """Return what this upstream says of itself."""
         return {
             "service": self.service,
-            "zone": "z0",
+            "zone": self.zone,
             "address": self._announced,
             "slots": self.slots,
             "state": "ready",
