Take heartbeats that waited in a suspended coordinator's sockets as old

Cause: a coordinator that stood still reads what its upstreams sent meanwhile and took it as heard now, so one that had ended since seemed alive for 1.3 s to 2.6 intervals. Change: what is read right after a stall counts as heard when the stall began. Ruled out: no wait known for each heartbeat (upstreams' clocks are not ours). Measured: a test with a clock that jumps by 5 s fails before and passes after.

--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -19,6 +19,7 @@
     LOADS_KNOWN_SHARE,
     LOOKUP_CHANGING_SECONDS,
     LOOKUP_KEPT_SECONDS,
+    LOOP_STALL_SECONDS,
     SHARE_SECONDS,
 )
 from daleroad.errors import Failure, FailureKind
@@ -62,6 +63,18 @@
     suspects: int = -1
 
 
+@dataclass(frozen=True)
+class _Waited:
+    """A time for which this process stood still.
+
+    :param seconds: how long.
+    :param until: until when what waited meanwhile is still being read.
+    """
+
+    seconds: float
+    until: float
+
+
 @dataclass(frozen=True)
 class _Snapshot:
     """The gateways at one moment.
@@ -107,6 +120,8 @@
         self._revision = 0
         self._shared_at = float("-inf")
         self._told: dict[str, _Told] = {}
+        self._turned_at = float("inf")
+        self._waited: _Waited | None = None
 
     def take_share(self, asked: ShareRequest) -> bool:
         """Take in what another coordinator heard; return whether all whom it names are known here.
@@ -155,12 +170,29 @@
 
         :param now: the time.
         """
+        wait = now - self._turned_at
+        if wait > LOOP_STALL_SECONDS:
+            self._waited = _Waited(wait, now + LOOP_STALL_SECONDS)
+        self._turned_at = now
         self.loads.prune(now)
         self.shared.turn(now)
         for instance in self.fleet.prune(now):
             log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="age")
             self._wake()
 
+    def _find_wait(self, now: float) -> float:
+        """Return how long a heartbeat that is read now may have waited for this process.
+
+        One that stood still reads what came meanwhile in one go; an upstream that ended since
+        would seem alive for as many heartbeats as are borne.
+        """
+        wait = now - self._turned_at
+        if wait > LOOP_STALL_SECONDS:
+            return wait
+        if self._waited is not None and now < self._waited.until:
+            return self._waited.seconds
+        return 0.0
+
     def count_gateways(self, now: float) -> int:
         """Return how many gateways were heard of late, whether they take clients or not.
 
@@ -189,6 +221,7 @@
         """
         now = anyio.current_time()
         before = self.fleet.revision
+        sighting = replace(sighting, age=self._find_wait(now))
         changed = self.fleet.note(sighting, now)
         for instance in changed:
             self._log_change(instance)
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -9,6 +9,7 @@
 import time
 import unittest
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from functools import partial
 from random import Random
 from typing import Any
@@ -19,7 +20,7 @@
 from daleroad.choosing import GatewayOptions
 from daleroad.clock import read_clock, read_running_clock, run_on_clock, watch_clock
 from daleroad.codec import decode
-from daleroad.defaults import CLOCK_TURN_SECONDS, SHARE_SECONDS
+from daleroad.defaults import CLOCK_TURN_SECONDS, LOOP_STALL_SECONDS, SHARE_SECONDS
 from daleroad.dispatch import Lost
 from daleroad.errors import Failure, FailureKind
 from daleroad.fleet import Sighting
@@ -260,6 +261,20 @@
 
 
 class PresenceTest(unittest.TestCase):
+    def test_a_heartbeat_that_waited_is_as_old_as_it_may_be(self) -> None:
+        async def main(clock: JumpingClock, site: Site) -> None:
+            presence = site.get(site.seeds[0]).presence
+            await anyio.sleep(2 * SHARE_SECONDS)
+            clock.suspend(5.0)
+            await presence.hear(Sighting(make_instance(1), 0.0))
+            self.assertGreaterEqual(presence.fleet.get_age("i1", anyio.current_time()), 5.0)
+            await anyio.sleep(2 * LOOP_STALL_SECONDS)
+            fresh = replace(make_instance(1), sequence=2)
+            await presence.hear(Sighting(fresh, 0.0))
+            self.assertLess(presence.fleet.get_age("i1", anyio.current_time()), 1.0)
+
+        run_beside(main)
+
     def test_a_heartbeat_that_waited_takes_no_end_back(self) -> None:
         """A coordinator that was suspended reads what its upstreams sent before they ended."""
 
