--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -322,6 +322,21 @@
 
         anyio.run(main)
 
+    def test_a_gateway_that_hears_nobody_goes_by_what_it_heard_last(self) -> None:
+        """It may go on sending to a zone that was evacuated since; it never sends to one before."""
+
+        async def main() -> None:
+            gateway = make_gateway(FakeDispatcher(WHOLE), None, anyio.current_time())
+            inside = place(gateway, 1, "a")
+            evacuate(gateway, "a")
+            attempt = Attempt(make_job(anyio.current_time()), inside, "", 1.0)
+            gateway.heard_at = anyio.current_time() - 1000.0
+            self.assertIsInstance(await gateway.dispatcher.send(attempt), NotRun)
+            elsewhere = replace(attempt, instance=place(gateway, 2, "b"))
+            self.assertIsInstance(await gateway.dispatcher.send(elsewhere), Whole)
+
+        anyio.run(main)
+
     def test_neither_gateways_nor_the_leader_name_an_upstream_there(self) -> None:
         async def main() -> None:
             config = make_config(Repeat.STREAM, engine=True)
