Hear what upstreams say of themselves in any answer, and log it

Cause of the blindness: of an answer's head only X-Daleroad-Cold-Ms was read, and only where the request had run, so nothing told when a gateway had heard of a limit, of a rest that was asked for, or that an upstream leaves. Change: the client of upstreams reads Server-Limit, Server-Leaving, Retry-After (of 503) and the cold time from every answer but 421 (200, 500, 503, heads of streams, answers to reports and orders); a gateway logs what changed (D314 to D317) and keeps the newest limit with the instance, where news of instances already spread. Nothing is sent otherwise yet, but for what is cold, which counts now from answers that fail or turn away too.

--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -84,6 +84,14 @@
     UPSTREAM_DRAINING = Kind(311, logging.INFO, "An upstream is leaving and gets no new work.")
     UPSTREAM_LEFT = Kind(312, logging.WARNING, "An upstream is gone.")
     UPSTREAM_EJECTED = Kind(313, logging.WARNING, "An upstream was ejected on evidence.")
+    UPSTREAM_LIMITED = Kind(
+        314, logging.WARNING, "An upstream named, changed or lifted a limit on its requests."
+    )
+    UPSTREAM_RESTS = Kind(315, logging.INFO, "An upstream asked a gateway for rest.")
+    UPSTREAM_SAYS_LEAVING = Kind(316, logging.INFO, "An upstream said in an answer that it leaves.")
+    BACKPRESSURE_UNREADABLE = Kind(
+        317, logging.WARNING, "What an answer says of its upstream can't be read."
+    )
     REQUEST_REFUSED = Kind(320, logging.INFO, "A request was refused.")
     REQUEST_MOVED = Kind(321, logging.INFO, "A request moved to another upstream before output.")
     STREAM_RESUMED = Kind(322, logging.INFO, "A generation was resumed after a gap or a cut.")
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -73,17 +73,31 @@
     return f"{name}@{born}" if born else name
 
 
+@dataclass(frozen=True)
+class RateLimit:
+    """What an instance said of the requests that it takes from all gateways together.
+
+    :param rate: requests a second; nothing where it names no limit any more.
+    :param age: seconds since it said so.
+    """
+
+    rate: float | None
+    age: float = 0.0
+
+
 @dataclass(frozen=True)
 class Sighting:
     """An instance as one process tells another of it, with ages instead of times.
 
     :param age: seconds since its last heartbeat.
     :param cold: seconds for which it will still be slow after its start.
+    :param limit: the newest that it said of what it takes, if it ever named a limit.
     """
 
     instance: Instance
     age: float
     cold: float = 0.0
+    limit: RateLimit | None = None
 
 
 @dataclass
@@ -94,10 +108,18 @@
     warm_at: float
     started_at: float
     revision: int
+    limit: float | None = None
+    limit_at: float = float("-inf")
+    ever_limited: bool = False
 
     def tell(self, now: float) -> Sighting:
         """Return the instance as others are told of it."""
-        return Sighting(self.instance, now - self.heard_at, max(0.0, self.warm_at - now))
+        cold = max(0.0, self.warm_at - now)
+        return Sighting(self.instance, now - self.heard_at, cold, self.tell_limit(now))
+
+    def tell_limit(self, now: float) -> RateLimit | None:
+        """Return what it takes as others are told of it, if it ever named a limit."""
+        return RateLimit(self.limit, now - self.limit_at) if self.ever_limited else None
 
 
 @dataclass
@@ -121,6 +143,13 @@
         :param sighting: the instance, and how long ago it was heard.
         :param now: the time.
         """
+        changed = self._note_start(sighting, now)
+        if sighting.limit is not None:
+            self.note_limit(sighting.instance.id, sighting.limit, now)
+        return changed
+
+    def _note_start(self, sighting: Sighting, now: float) -> list[Instance]:
+        """Take in which start of an upstream is alive, and in which state."""
         fresh = sighting.instance
         youngest = self._find_youngest(fresh.get_name())
         if youngest is None or fresh.born == youngest.instance.born:
@@ -209,6 +238,42 @@
         if known is not None:
             self._set_warm_at(known, now + seconds, now)
 
+    def note_limit(self, instance_id: str, limit: RateLimit, now: float) -> bool:
+        """Note what an instance says of the requests that it takes; return whether that changed.
+
+        :param instance_id: the instance.
+        :param limit: what it said, and how long ago; the newest counts.
+        :param now: the time.
+        """
+        known = self._known.get(instance_id)
+        if known is None or now - limit.age < known.limit_at:
+            return False
+        known.limit_at = now - limit.age
+        if limit.rate == known.limit:
+            return False
+        known.limit = limit.rate
+        known.ever_limited = True
+        self.revision += 1
+        known.revision = self.revision
+        return True
+
+    def get_rate_limit(self, instance_id: str) -> float | None:
+        """Return the requests a second that an instance takes from all gateways, if it named them.
+
+        :param instance_id: its id.
+        """
+        known = self._known.get(instance_id)
+        return known.limit if known is not None else None
+
+    def tell_limit(self, instance_id: str, now: float) -> RateLimit | None:
+        """Return the newest that an instance said of what it takes, if it ever named a limit.
+
+        :param instance_id: its id.
+        :param now: the time.
+        """
+        known = self._known.get(instance_id)
+        return known.tell_limit(now) if known is not None else None
+
     def note_cold_zone(self, zone: str, seconds: float, now: float) -> None:
         """Note that the instances of an availability zone are cold, until they say something else.
 
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -9,12 +9,13 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from daleroad.backpressure import Backpressure
 from daleroad.choosing import Chooser, GatewayOptions
 from daleroad.defaults import LAST_ANSWER_SECONDS
 from daleroad.dispatch import Dispatcher
 from daleroad.evacuations import EvacuatedZones
 from daleroad.events import Event, log_event
-from daleroad.fleet import GONE_KEPT_SECONDS, Fleet, Instance, InstanceState
+from daleroad.fleet import GONE_KEPT_SECONDS, Fleet, Instance, InstanceState, RateLimit
 from daleroad.guarding import Guard, GuardedDispatcher
 from daleroad.loads import GatewayLoads
 from daleroad.notices import GatewayNotice
@@ -198,13 +199,21 @@
         """
         return self.ask_trial is not None and await self.ask_trial(fingerprint)
 
-    def note_cold(self, instance: Instance, seconds: float) -> None:
-        """Take in that an upstream said it is cold.
+    def note_backpressure(self, instance: Instance, told: Backpressure) -> None:
+        """Take in what an upstream says of itself in an answer.
 
         :param instance: the upstream.
-        :param seconds: how much longer it is so.
+        :param told: what it says.
         """
-        self.fleet.note_cold(instance.id, seconds, anyio.current_time())
+        now = anyio.current_time()
+        if told.cold is not None:
+            self.fleet.note_cold(instance.id, told.cold, now)
+        if self.fleet.note_limit(instance.id, RateLimit(told.limit), now):
+            log_event(Event.UPSTREAM_LIMITED, id=instance.id, rate=told.limit, by="its answer")
+        if told.rest:
+            log_event(Event.UPSTREAM_RESTS, id=instance.id, seconds=told.rest)
+        if told.leaving:
+            log_event(Event.UPSTREAM_SAYS_LEAVING, id=instance.id)
 
     def take_repeat(self, service: str) -> bool:
         """Take one repeat of the budget that all gateways share; return whether it is allowed.
--- a/tests/test_coldlimits.py
+++ b/tests/test_coldlimits.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from daleroad.backpressure import Backpressure
 from daleroad.coldlimits import COUNTED_SECONDS, GRANT_SECONDS, ColdRule, Grants, SendLimits
 from daleroad.coldmodel import CASES, Way, play
 from daleroad.defaults import CONNECT_SECONDS
@@ -226,7 +227,7 @@
 
     def chill(self, gateway: Gateway, *numbers: int) -> None:
         for number in numbers:
-            gateway.note_cold(make_instance(number), 9.0)
+            gateway.note_backpressure(make_instance(number), Backpressure(cold=9.0))
 
     def test_without_a_grant_nothing_is_sent(self) -> None:
         async def body(gateway: Gateway, dispatcher: FakeDispatcher) -> None:
