Keep to the limit that an upstream names, over all gateways

What callers saw: two of three upstreams of a service named how many requests a second they take, got as many as before and failed half of them, while the third had room. Cause: nobody read the word; and a word that each gateway keeps by itself is twelve times as much. Change: the grants of the process that places for all gateways, which cold engines had already, hold any bound now (sendlimits, one mechanism for both): a named limit as so many in a second and in four. A gateway that hears a limit tells the coordinators at once, they tell all others with the news of instances, and each question for a place repeats it, so that a leader that lost it learns it. The one gate before every send asks for a grant where the request has none: streams that go on from a copy or are made anew, moves, what was on its way. Without a leader each gateway draws few moments by lot (OwnShare); shares that are saved up would come at once. Limited upstreams get less while others have room, and are the last resort of moves. Why it holds: arrivals in any span are grants within that span and the longest way; a new leader waits a second of them; what it doesn't know of is even by the bound on a second. Ruled out: a share for each gateway (below one request in 4 s at 71 gateways). A refusal of the leader is now told apart from its silence, so a gateway doesn't add its own share.

--- a/src/daleroad/candidates.py
+++ b/src/daleroad/candidates.py
@@ -54,4 +54,5 @@
                 lone=bool(memory) and zones[instance.zone] == 1,
                 overdue=missed > OVERDUE_HEARTBEATS,
                 crowded=bool(memory) and expected.tokens > memory,
+                limited=self.fleet.get_rate_limit(instance.id) is not None,
             )
--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -1,22 +1,22 @@
 """How one gateway chooses upstreams: what it asks for, and what it decides by itself."""
 
-from collections.abc import Awaitable, Callable, Collection, Container, Iterator
+from collections.abc import Awaitable, Callable, Collection, Container, Iterable, Iterator
 from dataclasses import dataclass
 from random import Random
 
 import anyio
 
 from daleroad.candidates import Judge
-from daleroad.coldlimits import GRANT_SECONDS
 from daleroad.defaults import BACKUP_ROOM, BACKUP_WORTH_SECONDS
-from daleroad.dispatch import Prompt
+from daleroad.dispatch import Attempt, Prompt
 from daleroad.fleet import Fleet, Instance
 from daleroad.guarding import Guard
 from daleroad.health import Ejector
 from daleroad.loads import GatewayLoads
-from daleroad.notices import PlaceAnswer, PlaceRequest
+from daleroad.notices import LimitNotice, PlaceAnswer, PlaceRequest
 from daleroad.picking import Candidate, draw_sample, make_spread, pick_upstream
 from daleroad.routing import ServiceRule
+from daleroad.sendlimits import GRANT_SECONDS, OwnShare
 from daleroad.unreached import Unreached
 
 AskPlace = Callable[[PlaceRequest], Awaitable[PlaceAnswer | None]]
@@ -78,6 +78,7 @@
         self.gateways = 1
         self.ask_place: AskPlace | None = None
         self.ejector = Ejector()
+        self._share = OwnShare(options.address)
         self._unreached = Unreached(fleet)
         self._options = options
         self._fleet = fleet
@@ -152,56 +153,124 @@
         :param prompt: the request's prompt, if it has one.
         :param patient: whether it would rather wait a little than go where it does not fit.
         """
-        if (service.engine is not None and prompt is not None) or self._has_limited(service):
-            named = await self._place_remotely(service, tokens, excluded, prompt, patient)
-            if named is not None:
-                return named
-        return self.pick(service, tokens, excluded, prompt)
+        asked_at = anyio.current_time()
+        answer = None
+        if self.ask_place is not None and self._is_placed_for_all(service, prompt):
+            question = self._make_question(service, tokens, prompt, excluded, patient)
+            answer = await self.ask_place(question)
+        if answer is None:
+            by_itself = self.pick(service, tokens, excluded, prompt)
+            return by_itself or self._pick_by_share(service, tokens, excluded)
+        if answer.crowded:
+            return Crowded()
+        named = self._take_named(answer, excluded, asked_at)
+        return named or self.pick(service, tokens, excluded, prompt)
+
+    def _is_placed_for_all(self, service: ServiceRule, prompt: Prompt | None) -> bool:
+        """Return whether one process should choose for all gateways."""
+        if self._has_limited(service):
+            return True
+        if service.engine is None or prompt is None:
+            return False
+        return self.gateways > 1 or bool(service.cold_rate)
 
-    async def _place_remotely(
+    def _make_question(
         self,
         service: ServiceRule,
         tokens: int,
-        excluded: Collection[str],
         prompt: Prompt | None,
-        patient: bool,
-    ) -> Instance | Crowded | None:
-        """Return the upstream that is named for a request, if one is that may be used."""
-        if self.ask_place is None or (self.gateways <= 1 and not service.cold_rate):
-            return None
-        ready = self._fleet.list_ready(service.name)
-        failing = tuple(instance.id for instance in ready if self._is_failing(instance.id))
+        excluded: Collection[str] = (),
+        patient: bool = False,
+        only: str = "",
+    ) -> PlaceRequest:
+        ready = [instance.id for instance in self._fleet.list_ready(service.name)]
         options = self._options
-        asked = PlaceRequest(
+        return PlaceRequest(
             options.address,
             options.zone,
             service.name,
             tokens,
             prompt.tokens if prompt is not None else 0,
             tuple(excluded),
-            failing,
-            tuple(instance.id for instance in ready if self._is_out_of_reach(instance.id)),
+            tuple(filter(self._is_failing, ready)),
+            tuple(filter(self._is_out_of_reach, ready)),
             patient,
+            tuple(list_limits(self._fleet, ready, anyio.current_time())),
+            only,
         )
-        asked_at = anyio.current_time()
-        answer = await self.ask_place(asked)
-        if answer is None:
-            return None
-        if answer.crowded:
-            return Crowded()
+
+    def _take_named(
+        self, answer: PlaceAnswer, excluded: Container[str], asked_at: float
+    ) -> Instance | None:
+        """Return the upstream that an answer names, if it may be used; keep its grant."""
         named = answer.instance
         if answer.granted:
             self._guard.grants.add(named, asked_at + GRANT_SECONDS, anyio.current_time())
         # It may have left meanwhile, or the other side may not have heard that it did.
-        ready = self._fleet.list_ready(service.name)
-        return next((i for i in ready if i.id == named and i.id not in excluded), None)
+        known = self._fleet.get(named)
+        if known is None or named in excluded or known not in self._fleet.list_ready(known.service):
+            return None
+        return known
 
     def _has_limited(self, service: ServiceRule) -> bool:
         """Return whether a service has upstreams that get only what is granted."""
-        if not service.cold_rate:
-            return False
         return any(map(self._guard.is_limited, self._fleet.list_ready(service.name)))
 
+    async def ask_grant(self, attempt: Attempt) -> bool:
+        """Return whether a request may go to the upstream that was chosen for it.
+
+        :param attempt: the request, for an upstream that bears only so much.
+        """
+        instance = attempt.instance
+        service = self._get_service(instance.service)
+        if service is None:
+            return False
+        answer = None
+        if self.ask_place is not None:
+            answer = await self.ask_place(self._make_question(service, 0, None, only=instance.id))
+        if answer is None:
+            return self._take_share(instance)
+        return answer.granted and answer.instance == instance.id
+
+    def _take_share(self, instance: Instance) -> bool:
+        """Use this gateway's own share of what an upstream takes, if there is some now."""
+        rate = self._fleet.get_rate_limit(instance.id)
+        if rate is None or self._guard.is_fragile(instance):
+            return False
+        return self._share.take(instance.id, rate, self.gateways, anyio.current_time())
+
+    def _pick_by_share(
+        self, service: ServiceRule, tokens: int, excluded: Container[str]
+    ) -> Instance | None:
+        """Return an upstream with a limit of which this gateway has a share left, if any."""
+        limited = (c.instance for c in self.list_limited(service, tokens, excluded))
+        found = next(filter(self._take_share, limited), None)
+        if found is not None:
+            now = anyio.current_time()
+            self._guard.grants.add(found.id, now + GRANT_SECONDS, now)
+        return found
+
+    def pick_limited(
+        self, service: ServiceRule, tokens: int, excluded: Container[str]
+    ) -> Instance | None:
+        """Return an upstream that names a limit; it gets the request if one is granted then.
+
+        :param service: the service.
+        :param tokens: tokens of memory that the request may take.
+        :param excluded: instances that it must not go to.
+        """
+        candidates = self.list_limited(service, tokens, excluded)
+        found = pick_upstream(candidates, self._options.zone, self._random)
+        return found.instance if found else None
+
+    def forget(self, instance_id: str) -> None:
+        """Forget an upstream that left.
+
+        :param instance_id: the upstream.
+        """
+        self.ejector.forget(instance_id)
+        self._share.forget(instance_id)
+
     def pick_backup(
         self, instance: Instance, tokens: int, prompt: Prompt | None
     ) -> Instance | None:
@@ -241,13 +310,32 @@
     def list_candidates(
         self, service: ServiceRule, tokens: int, excluded: Container[str]
     ) -> Iterator[Candidate]:
-        """Yield the upstreams of a service that may get a request.
+        """Yield the upstreams of a service that may get a request without a grant.
 
         :param service: the service.
         :param tokens: tokens of memory that the request may take.
         :param excluded: instances that it must not go to.
         """
-        now = anyio.current_time()
+        for candidate in self._judge(service, tokens, excluded):
+            if not self._guard.is_limited(candidate.instance):
+                yield candidate
+
+    def list_limited(
+        self, service: ServiceRule, tokens: int, excluded: Container[str]
+    ) -> Iterator[Candidate]:
+        """Yield the upstreams of a service that name a limit and aren't cold.
+
+        :param service: the service.
+        :param tokens: tokens of memory that the request may take.
+        :param excluded: instances that it must not go to.
+        """
+        for candidate in self._judge(service, tokens, excluded):
+            if candidate.limited and not self._guard.is_fragile(candidate.instance):
+                yield candidate
+
+    def _judge(
+        self, service: ServiceRule, tokens: int, excluded: Container[str]
+    ) -> Iterator[Candidate]:
         judge = Judge(
             self._fleet,
             self._options.heartbeat,
@@ -255,10 +343,7 @@
             self._is_failing,
             self._guard.zones.zones,
         )
-        for candidate in judge.list_candidates(service, tokens, excluded, now):
-            # What a cold one may get, the process that chooses for all gateways grants.
-            if not (candidate.cold and service.cold_rate):
-                yield candidate
+        return judge.list_candidates(service, tokens, excluded, anyio.current_time())
 
     def note_result(self, instance: Instance, ok: bool) -> None:
         """Take a request's result as evidence for or against an upstream.
@@ -268,3 +353,16 @@
         """
         among = len(self._fleet.list_ready(instance.service))
         self.ejector.note(instance.id, ok, among, anyio.current_time())
+
+
+def list_limits(fleet: Fleet, names: Iterable[str], now: float) -> Iterator[LimitNotice]:
+    """Yield what instances said of the requests that they take, where they named a limit.
+
+    :param fleet: what is known of them.
+    :param names: their ids.
+    :param now: the time.
+    """
+    for name in names:
+        limit = fleet.tell_limit(name, now)
+        if limit is not None:
+            yield LimitNotice(name, limit)
--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -16,7 +16,6 @@
 from daleroad.calls import Calls, make_url
 from daleroad.channelserver import ChannelServer
 from daleroad.codec import decode, encode
-from daleroad.coldlimits import ColdRule, SendLimits
 from daleroad.defaults import (
     COORDINATOR_CALL_SECONDS,
     COORDINATOR_TURN_SECONDS,
@@ -54,6 +53,7 @@
 from daleroad.presence import Presence
 from daleroad.routing import ServiceRule
 from daleroad.security import check_peer
+from daleroad.sendlimits import ColdRule, SendLimits
 from daleroad.serving import Answer, Request, Response, Router
 from daleroad.sitelog import Parse, SiteLog
 from daleroad.siterecord import SiteRecord
@@ -404,7 +404,10 @@
         if service is None:
             return Failure(FailureKind.NOT_FOUND, f"no service {asked.service}")
         self._limits.begin(self.group.replica.term, now)
+        before = self.presence.fleet.revision
         answer = self._placer.place(asked, service, now, self.record.zones.zones)
+        if self.presence.fleet.revision != before:
+            self._wake()
         return Response(200, encode(answer))
 
     async def _serve_save(self, request: Request) -> Answer:
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -10,7 +10,7 @@
 from anyio.abc import TaskGroup
 
 from daleroad.backpressure import Backpressure
-from daleroad.choosing import Chooser, GatewayOptions
+from daleroad.choosing import Chooser, GatewayOptions, list_limits
 from daleroad.defaults import LAST_ANSWER_SECONDS
 from daleroad.dispatch import Dispatcher
 from daleroad.evacuations import EvacuatedZones
@@ -18,7 +18,7 @@
 from daleroad.fleet import GONE_KEPT_SECONDS, Fleet, Instance, InstanceState, RateLimit
 from daleroad.guarding import Guard, GuardedDispatcher
 from daleroad.loads import GatewayLoads
-from daleroad.notices import GatewayNotice
+from daleroad.notices import GatewayNotice, LimitNotice
 from daleroad.outbox import Outbox
 from daleroad.retries import WindowBudget
 from daleroad.routing import RoutingConfig, RoutingTable, ServiceRule
@@ -62,6 +62,7 @@
         self.fleet = Fleet(options.heartbeat)
         self.suspects = Suspects()
         self.news: Outbox[Suspicion] = Outbox()
+        self.limit_news: Outbox[str] = Outbox()
         self.guard = Guard(self.suspects, self.fleet, self.tell)
         self.dispatcher = GuardedDispatcher(self.dispatcher, self.guard)
         self.budget = WindowBudget(options.retry_ratio, options.retry_slack, options.retry_window)
@@ -70,6 +71,7 @@
         self.chooser = Chooser(
             options, self.fleet, self.guard, self.loads, self.random, self.get_service
         )
+        self.guard.ask_grant = self.chooser.ask_grant
 
     def tell(self, suspicion: Suspicion) -> None:
         """Let the coordinators know at once what this gateway knows of a suspected request.
@@ -210,11 +212,21 @@
             self.fleet.note_cold(instance.id, told.cold, now)
         if self.fleet.note_limit(instance.id, RateLimit(told.limit), now):
             log_event(Event.UPSTREAM_LIMITED, id=instance.id, rate=told.limit, by="its answer")
+            self.limit_news.add(instance.id)
+            self.on_news()
         if told.rest:
             log_event(Event.UPSTREAM_RESTS, id=instance.id, seconds=told.rest)
         if told.leaving:
             log_event(Event.UPSTREAM_SAYS_LEAVING, id=instance.id)
 
+    def list_limit_news(self, after: int) -> tuple[LimitNotice, ...]:
+        """Return what upstreams said of the requests that they take, where that is news.
+
+        :param after: number of the last piece of such news that is known.
+        """
+        names = dict.fromkeys(self.limit_news.list_after(after))
+        return tuple(list_limits(self.fleet, names, anyio.current_time()))
+
     def take_repeat(self, service: str) -> bool:
         """Take one repeat of the budget that all gateways share; return whether it is allowed.
 
@@ -253,7 +265,7 @@
                     self._forget(instance)
 
     def _forget(self, instance: Instance) -> None:
-        self.chooser.ejector.forget(instance.id)
+        self.chooser.forget(instance.id)
         self.dispatcher.forget(instance)
 
     def _note_leaving(self, instance: Instance) -> None:
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -2,16 +2,15 @@
 
 First tries, repeats, streams made anew, runs that go on from a copy or a backup: all are sent here.
 So here it is seen which requests ran where an upstream ended, and a request that is held goes no
-further, nor does anything go to an availability zone that is evacuated, or to a cold upstream what
-was not granted, whatever the caller of this module has overlooked.
+further, nor does anything go to an availability zone that is evacuated, or to an upstream that
+bears only so much what was not granted, whatever the caller of this module has overlooked.
 """
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field, replace
 
 import anyio
 
-from daleroad.coldlimits import Grants
 from daleroad.dispatch import (
     Attempt,
     Copied,
@@ -33,8 +32,12 @@
 from daleroad.events import Event, log_event
 from daleroad.fingerprints import find_fingerprint
 from daleroad.fleet import Fleet, Instance, InstanceState
+from daleroad.sendlimits import Grants
 from daleroad.suspects import Standing, Suspects, Suspicion
 
+AskGrant = Callable[[Attempt], Awaitable[bool]]
+"""Asks whether a request may go to an upstream that bears only so much."""
+
 
 @dataclass
 class Guard:
@@ -45,7 +48,8 @@
     :param tell: called with what other processes should know.
     :param zones: the availability zones whose upstreams get nothing.
     :param limited: services whose upstreams bear only so much while they are cold.
-    :param grants: requests that may go to such upstreams.
+    :param grants: requests that may go to upstreams that bear only so much.
+    :param ask_grant: asks for another one.
     """
 
     suspects: Suspects
@@ -54,6 +58,7 @@
     zones: EvacuatedZones = EvacuatedZones()
     limited: frozenset[str] = frozenset()
     grants: Grants = field(default_factory=Grants)
+    ask_grant: AskGrant | None = None
 
     def is_evacuated(self, instance: Instance) -> bool:
         """Return whether an operator wants nothing more sent to an upstream.
@@ -63,7 +68,21 @@
         return instance.zone in self.zones.zones
 
     def is_limited(self, instance: Instance) -> bool:
-        """Return whether an upstream gets only what was granted, since it is cold.
+        """Return whether an upstream gets only what was granted: it is cold, or names a limit.
+
+        :param instance: the upstream.
+        """
+        return self.names_limit(instance) or self.is_fragile(instance)
+
+    def names_limit(self, instance: Instance) -> bool:
+        """Return whether an upstream names the requests a second that it takes.
+
+        :param instance: the upstream.
+        """
+        return self.fleet.get_rate_limit(instance.id) is not None
+
+    def is_fragile(self, instance: Instance) -> bool:
+        """Return whether an upstream is cold and would end under more than it bears then.
 
         :param instance: the upstream.
         """
@@ -80,11 +99,21 @@
             return "upstreams ended while they ran it"
         if self.is_evacuated(instance):
             return "its availability zone is evacuated"
-        granted = self.grants.take(instance.id, anyio.current_time())
-        if self.is_limited(instance) and not granted:
-            return "it is cold, and nothing was granted"
         return ""
 
+    async def take_grant(self, attempt: Attempt) -> bool:
+        """Return whether a request may go to its upstream, which may bear only so much.
+
+        What was placed for all gateways has its grant. Others ask for one here: streams that go on
+        elsewhere, and whatever was on its way when the upstream named its limit.
+
+        :param attempt: the request.
+        """
+        instance = attempt.instance
+        if self.grants.take(instance.id, anyio.current_time()) or not self.is_limited(instance):
+            return True
+        return self.ask_grant is not None and await self.ask_grant(attempt)
+
     def get_standing(self, job: Job, organisation: str) -> Standing:
         """Return what may be done with a request.
 
@@ -198,6 +227,10 @@
     async def send(self, attempt: Attempt) -> Reply:
         """Send a request and return its answer, or the stream that it began."""
         obstacle = self._guard.find_obstacle(attempt)
+        if not obstacle and not await self._guard.take_grant(attempt):
+            obstacle = "it bears only so much, and this was not granted"
+        # An order may have come while the grant was asked for.
+        obstacle = obstacle or self._guard.find_obstacle(attempt)
         if obstacle:
             return NotRun(obstacle, sent=False, held=True)
         if attempt.backup is not None and self._guard.is_evacuated(attempt.backup):
--- a/src/daleroad/moving.py
+++ b/src/daleroad/moving.py
@@ -294,7 +294,9 @@
         candidates = gateway.chooser.list_candidates(service, run.tokens, excluded)
         # A copy to another availability zone takes twice as long, and time is short.
         found = pick_upstream(candidates, origin.zone, gateway.random, COPY_ZONE_BONUS)
-        return found.instance if found else None
+        if found is None:
+            return gateway.chooser.pick_limited(service, run.tokens, excluded)
+        return found.instance
 
     def _log_not_copied(self, run: Run, to: str, reason: str) -> None:
         log_event(Event.MOVE_FAILED, request=run.attempt.job.id, to=to, reason=reason)
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from daleroad.evacuations import EvacuatedZones
-from daleroad.fleet import Sighting
+from daleroad.fleet import RateLimit, Sighting
 from daleroad.patches import Patch
 from daleroad.suspects import Suspicion
 
@@ -67,6 +67,17 @@
         return not (self.runs or self.tokens or self.unread)
 
 
+@dataclass(frozen=True)
+class LimitNotice:
+    """What a gateway heard an instance say of the requests that it takes.
+
+    :param instance: its id.
+    """
+
+    instance: str
+    limit: RateLimit
+
+
 @dataclass(frozen=True)
 class JoinRequest:
     """A coordinator asks to be sent the log.
@@ -134,6 +145,8 @@
     :param suspicions: what it holds against requests and has not told this coordinator yet.
     :param suspects: the newest revision of the suspects that it has from that run.
     :param zones: the version of the evacuated zones that it goes by.
+    :param limits: what instances said of the requests that they take, where that changed and was
+        not told this coordinator yet.
     """
 
     gateway: GatewayNotice
@@ -148,6 +161,7 @@
     suspicions: tuple[Suspicion, ...] = ()
     suspects: int = 0
     zones: int = 0
+    limits: tuple[LimitNotice, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -164,7 +178,7 @@
 
 @dataclass(frozen=True)
 class PlaceRequest:
-    """A gateway asks the leading coordinator for the engine that a prompt should go to.
+    """A gateway asks the leading coordinator for the upstream that a request should go to.
 
     :param gateway: its address.
     :param zone: its availability zone.
@@ -175,6 +189,9 @@
     :param failing: instances whose answers to this gateway failed of late.
     :param unreached: instances that it could not reach since they were heard.
     :param patient: whether it would rather wait a little than have it sent where it does not fit.
+    :param limits: the limits of the service's instances, as the gateway knows them. A leader that
+        lost its news learns them so.
+    :param only: the one instance that it may go to; empty for any.
     """
 
     gateway: str
@@ -186,6 +203,8 @@
     failing: tuple[str, ...]
     unreached: tuple[str, ...] = ()
     patient: bool = False
+    limits: tuple[LimitNotice, ...] = ()
+    only: str = ""
 
 
 @dataclass(frozen=True)
@@ -193,8 +212,8 @@
     """Names the engine for a prompt.
 
     :param instance: its id; empty where there is none.
-    :param granted: whether the prompt was counted there, so that it may go though the engine is
-        cold.
+    :param granted: whether the request was counted there, so that it may go though the instance
+        bears only so many.
     :param crowded: whether there are engines, but the prompt fits into none and should wait.
     """
 
--- a/src/daleroad/picking.py
+++ b/src/daleroad/picking.py
@@ -29,6 +29,9 @@
 COLD_PENALTY = 0.25
 """Load that stands for the slowness of an upstream that has just started."""
 
+LIMITED_PENALTY = 0.25
+"""Load that stands for the need of an upstream that names a limit."""
+
 OVERDUE_PENALTY = 0.4
 """Load that stands for a heartbeat that is overdue: the upstream may have ended without a word, and
 a generation begun there would be lost. Less than full, since heartbeats may be held up."""
@@ -64,6 +67,7 @@
     :param doubtful: whether its heartbeat is missing or its answers failed of late.
     :param overdue: whether a heartbeat should have come by now.
     :param crowded: whether the request does not fit into what memory is expected to be left.
+    :param limited: whether it names a limit on its requests.
     """
 
     instance: Instance
@@ -73,6 +77,7 @@
     lone: bool = False
     overdue: bool = False
     crowded: bool = False
+    limited: bool = False
 
 
 @dataclass(frozen=True)
@@ -132,6 +137,7 @@
         score += spread.rate(candidate.instance.id)
         score += scale * COLD_PENALTY * candidate.cold + scale * LONE_PENALTY * candidate.lone
         score += scale * OVERDUE_PENALTY * candidate.overdue
+        score += scale * LIMITED_PENALTY * candidate.limited
         ranked = (candidate.doubtful, candidate.crowded, score)
         if best is None or ranked < best_score:
             best, best_score = candidate, ranked
--- a/src/daleroad/placeclient.py
+++ b/src/daleroad/placeclient.py
@@ -40,7 +40,7 @@
         self._failing = False
 
     async def ask(self, asked: PlaceRequest) -> PlaceAnswer | None:
-        """Return the engine for a prompt, or nothing where the gateway must choose.
+        """Return the leading coordinator's answer, or nothing where the gateway must choose.
 
         :param asked: the question.
         """
@@ -54,7 +54,7 @@
             answer = await self._calls.call(url, encode(asked), PlaceAnswer, PLACE_SECONDS)
         if isinstance(answer, PlaceAnswer):
             self._note_failing(False, leader, "")
-            return answer if answer.instance or answer.crowded else None
+            return answer
         self._failed_at = now
         reason = answer.reason if isinstance(answer, Failure) else "no answer in time"
         self._note_failing(True, leader, reason)
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -7,17 +7,17 @@
 process chooses; the mean time to the first token is 0.65 and 0.37 s (``daleroad placing``).
 """
 
-from collections.abc import Container, Iterable, Iterator
+from collections.abc import Container, Iterator
 from dataclasses import replace
 from random import Random
 
 from daleroad.candidates import Judge
-from daleroad.coldlimits import ColdRule, SendLimits
 from daleroad.fleet import Fleet
 from daleroad.loads import LoadTotals
 from daleroad.notices import Load, PlaceAnswer, PlaceRequest
 from daleroad.picking import Candidate, pick_upstream
 from daleroad.routing import ServiceRule
+from daleroad.sendlimits import Bound, ColdRule, SendLimits, make_limit_bounds
 from daleroad.unreached import Unreached
 
 
@@ -28,7 +28,7 @@
     :param loads: the work of all gateways there.
     :param heartbeat: interval of the engines' heartbeats in seconds.
     :param random: source of choices between equals.
-    :param limits: counts what goes to engines that may be cold.
+    :param limits: counts what goes to upstreams that bear only so much.
     """
 
     def __init__(
@@ -53,14 +53,16 @@
         now: float,
         evacuated: Container[str] = (),
     ) -> PlaceAnswer:
-        """Name the engine that a prompt should go to, if there is one, and book the prompt there.
+        """Name the upstream that a request should go to, if there is one, and book it there.
 
         :param asked: the gateway's question.
-        :param service: the service that the prompt is for.
+        :param service: the service that the request is for.
         :param now: the time.
         :param evacuated: availability zones whose engines get nothing.
         """
         self._note_unreached(asked, now)
+        for notice in asked.limits:
+            self._fleet.note_limit(notice.instance, notice.limit, now)
         failing = frozenset(asked.failing)
 
         def is_failing(instance_id: str) -> bool:
@@ -69,18 +71,20 @@
 
         judge = Judge(self._fleet, self._heartbeat, self._loads.get_total, is_failing, evacuated)
         candidates = judge.list_candidates(service, asked.tokens, asked.excluded, now)
-        if service.cold_rate:
-            candidates = self._heed_limits(candidates, service.cold_rate, now)
+        if asked.only:
+            candidates = (c for c in candidates if c.instance.id == asked.only)
+        candidates = self._heed_limits(candidates, service, now)
         found = pick_upstream(candidates, asked.zone, self._random)
         if found is None:
             return PlaceAnswer("")
         if found.crowded and asked.patient:
             return PlaceAnswer("", crowded=True)
-        if service.cold_rate:
+        counted = bool(service.cold_rate) or found.limited
+        if counted:
             self._limits.grant(found.instance.id, now)
         load = Load(found.instance.id, 1, asked.tokens, asked.unread)
         self._loads.book(asked.gateway, load, now)
-        return PlaceAnswer(found.instance.id, bool(service.cold_rate))
+        return PlaceAnswer(found.instance.id, counted)
 
     def _note_unreached(self, asked: PlaceRequest, now: float) -> None:
         """Let all gateways know what one has tried in vain."""
@@ -90,19 +94,30 @@
             self._unreached.note(instance_id, asked.zone, now)
 
     def _heed_limits(
-        self, candidates: Iterable[Candidate], rate: float, now: float
+        self, candidates: Iterator[Candidate], service: ServiceRule, now: float
     ) -> Iterator[Candidate]:
-        """Leave out cold engines that may get nothing now.
+        """Leave out upstreams that may get nothing now, since they bear only so much.
 
         One that is not known to be cold may have become so since its last heartbeat. Where it has
         had as much as a cold one may, others are preferred.
         """
+        cold = self._limits.rule.make_bound(service.cold_rate)
         for candidate in candidates:
             instance_id = candidate.instance.id
-            if candidate.cold:
-                if self._limits.may_get(instance_id, rate, now):
-                    yield candidate
-            elif self._limits.is_full(instance_id, rate, now):
+            bounds = tuple(self._list_bounds(candidate, service, cold))
+            if bounds and not self._limits.may_get(instance_id, bounds, now):
+                continue
+            if service.cold_rate and self._limits.is_full(instance_id, (cold,), now):
                 yield replace(candidate, doubtful=True)
             else:
                 yield candidate
+
+    def _list_bounds(
+        self, candidate: Candidate, service: ServiceRule, cold: Bound
+    ) -> Iterator[Bound]:
+        """Yield all bounds on what an upstream may get."""
+        if candidate.cold and service.cold_rate:
+            yield cold
+        rate = self._fleet.get_rate_limit(candidate.instance.id)
+        if rate is not None:
+            yield from make_limit_bounds(rate)
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -157,6 +157,15 @@
         self._note_gateway(asked.gateway, now)
         self.loads.note(asked.gateway.address, asked.loads, now)
         self.shared.note(asked.suspicions, now)
+        self._note_limits(asked, now)
+
+    def _note_limits(self, asked: WatchRequest, now: float) -> None:
+        """Take in what a gateway heard upstreams say of the requests that they take."""
+        for notice in asked.limits:
+            if self.fleet.note_limit(notice.instance, notice.limit, now):
+                rate, by = notice.limit.rate, asked.gateway.address
+                log_event(Event.UPSTREAM_LIMITED, id=notice.instance, rate=rate, by=by)
+                self._wake()
 
     def knows_loads(self, now: float) -> bool:
         """Return whether nearly all gateways have said here of late what work they have.
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -212,7 +212,9 @@
             # This gateway stops before it would be over; the client can resume elsewhere at once.
             return None
         prompt = run.attempt.job.prompt
-        found = gateway.chooser.pick(service, run.tokens, tries.upstreams, prompt)
+        chooser = gateway.chooser
+        found = chooser.pick(service, run.tokens, tries.upstreams, prompt)
+        found = found or chooser.pick_limited(service, run.tokens, tries.upstreams)
         if found is None or not gateway.take_repeat(service.name):
             return None
         return found
