--- a/tests/test_sendlimits.py
+++ b/tests/test_sendlimits.py
@@ -10,26 +10,21 @@
 """
 
 import unittest
-from collections.abc import AsyncIterator, Callable, Iterator, Sequence
-from contextlib import asynccontextmanager, contextmanager
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import replace
 from random import Random
 
 import anyio
-from anyio.abc import SocketStream, TaskGroup
 from hypothesis import given
 from hypothesis import strategies as st
 
 from daleroad.backpressure import Backpressure
-from daleroad.channels import ChannelCalls
-from daleroad.choosing import GatewayOptions
 from daleroad.dispatch import Attempt, NotRun, Source, Whole
 from daleroad.errors import Failure, Ran
-from daleroad.fleet import Instance, InstanceState, Sighting
-from daleroad.forwarding import Forwarder, Outcome
-from daleroad.gateway import Gateway
+from daleroad.fleet import Sighting
+from daleroad.forwarding import Outcome
 from daleroad.notices import PlaceAnswer, PlaceRequest
-from daleroad.placeclient import PlaceClient
 from daleroad.routing import Repeat
 from daleroad.sendlimits import (
     COUNTED_SECONDS,
@@ -40,172 +35,24 @@
     SendLimits,
     make_limit_bounds,
 )
-from daleroad.watching import Watcher
-from tests.fakes import (
-    WHOLE,
-    FakeDispatcher,
-    make_config,
-    make_forwarder,
-    make_gateway,
-    make_instance,
-    make_job,
+from tests.fakes import WHOLE, FakeDispatcher, make_config, make_gateway, make_instance, make_job
+from tests.standins import (
+    GATEWAYS,
+    HEARTBEAT_SECONDS,
+    OVERAGE,
+    TOLERANCE,
+    WINDOW_SECONDS,
+    Gateways,
+    StandIn,
+    run_upstreams,
+    send_all,
+    tell_alone,
 )
-from tests.test_coordinator import Site, make_document, parse, run_site, wait_for
-from tests.test_platform import EngineClient
+from tests.test_coordinator import Site, make_document, run_site, wait_for
 
-GATEWAYS = 12
 LIMITS = (2.0, 2.8, None)
 """What the three upstreams name."""
 
-HEARTBEAT_SECONDS = 0.5
-PLAY_SECONDS = 6.0
-GAP_SECONDS = 0.04
-"""Time between two requests to all gateways: 25 a second."""
-
-TOLD_SECONDS = 0.5
-WINDOW_SECONDS = 4.0
-OVERAGE, TOLERANCE = 1.5, 5
-"""What the platform allows beyond a limit, and from when on it counts what a gateway sends."""
-
-STATUSES = (b"200 OK", b"500 Failed", b"503 Full", b"200 OK")
-"""Answers of an upstream in need, by turns; each names the limit."""
-
-
-@dataclass
-class LimitedUpstream:
-    """A stand-in plain upstream that names a limit in each answer.
-
-    :ivar told: when it had first answered each gateway.
-    :ivar arrivals: when a request came, and from which gateway.
-    """
-
-    number: int
-    limit: float | None
-    told: dict[str, float] = field(default_factory=dict)
-    arrivals: list[tuple[float, str]] = field(default_factory=list)
-    port: int = 0
-
-    def make_instance(self) -> Instance:
-        address = f"127.0.0.1:{self.port}"
-        return Instance(f"i{self.number}", "s", address, "z", 6, InstanceState.READY, 1)
-
-    async def handle(self, stream: SocketStream) -> None:
-        async with stream:
-            data = b""
-            while True:
-                try:
-                    while b"\r\n\r\n" not in data or not data.endswith(b"body"):
-                        data += await stream.receive()
-                except (anyio.EndOfStream, anyio.BrokenResourceError):
-                    return
-                head = data.decode()
-                data = b""
-                await self._answer(stream, head)
-
-    async def _answer(self, stream: SocketStream, head: str) -> None:
-        lines = (line.partition(": ") for line in head.split("\r\n"))
-        found = {name.lower(): value for name, _, value in lines}
-        gateway = found["x-gateway"]
-        self.arrivals.append((anyio.current_time(), gateway))
-        await anyio.sleep(0.02)
-        status = STATUSES[len(self.arrivals) % len(STATUSES)] if self.limit else STATUSES[0]
-        words = [
-            b"HTTP/1.1 " + status,
-            b"X-Daleroad-Attempt-Id: " + found["x-daleroad-attempt-id"].encode(),
-            b"X-Daleroad-Engine-Signature: s",
-            b"Content-Length: 2",
-        ]
-        if status.startswith(b"503"):
-            words.append(b"X-Daleroad-Not-Executed: 1")
-        if self.limit is not None:
-            words.append(f"Server-Limit: {self.limit}".encode())
-        await stream.send(b"\r\n".join([*words, b"", b"ok"]))
-        self.told.setdefault(gateway, anyio.current_time())
-
-    def find_fullest(self) -> int:
-        """Return the most requests in a window, from gateways that it had told before."""
-        times = [
-            at
-            for at, gateway in self.arrivals
-            if at >= self.told.get(gateway, float("inf")) + TOLD_SECONDS
-        ]
-        return max((sum(a <= b < a + WINDOW_SECONDS for b in times) for a in times), default=0)
-
-    def find_allowed(self) -> float:
-        """Return how many requests the platform allows in a window."""
-        assert self.limit is not None
-        return OVERAGE * self.limit * WINDOW_SECONDS + TOLERANCE
-
-
-class Gateways:
-    """Some gateways of one site, with the client of upstreams that they have in production."""
-
-    def __init__(self, tasks: TaskGroup, seeds: tuple[str, ...], repeat: Repeat) -> None:
-        self.all: list[Gateway] = []
-        self.forwarders: list[Forwarder] = []
-        self._clients: list[EngineClient] = []
-        for number in range(GATEWAYS):
-            self._add(tasks, number, seeds, repeat)
-
-    def _add(self, tasks: TaskGroup, number: int, seeds: tuple[str, ...], repeat: Repeat) -> None:
-        options = GatewayOptions(f"10.0.1.{number}:80", "z", "r", seeds, 1.0, 1.0, 999, 10.0)
-        client = EngineClient()
-        gateway = Gateway(options, client, Random(number))
-        client.on_backpressure = gateway.note_backpressure
-        gateway.heard_at = anyio.current_time()
-        gateway.replace_config(make_config(repeat, attempts=2))
-        if seeds:
-            calls = ChannelCalls("secret")
-            watcher = Watcher(gateway, calls, parse)
-            gateway.on_news = watcher.tell_now
-            gateway.chooser.ask_place = PlaceClient(gateway, calls, watcher.get_leader).ask
-            tasks.start_soon(watcher.run)
-        gateway.chooser.gateways = GATEWAYS
-        self.all.append(gateway)
-        self.forwarders.append(make_forwarder(gateway))
-        self._clients.append(client)
-
-    async def serve(self, number: int, name: str) -> Outcome:
-        """Return what one gateway answers to a request."""
-        job = make_job(anyio.current_time())
-        headers = (
-            (b"x-daleroad-attempt-id", name.encode()),
-            (b"x-gateway", str(number).encode()),
-        )
-        return await self.forwarders[number].serve(replace(job, id=name, headers=headers))
-
-    async def close(self) -> None:
-        """Close the connections to upstreams."""
-        for client in self._clients:
-            await client.close()
-
-
-@asynccontextmanager
-async def run_upstreams(
-    tasks: TaskGroup, limits: Sequence[float | None]
-) -> AsyncIterator[list[LimitedUpstream]]:
-    """Run upstreams, each with its limit or none."""
-    found = [LimitedUpstream(number, limit) for number, limit in enumerate(limits)]
-    for upstream in found:
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        upstream.port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        tasks.start_soon(listener.serve, upstream.handle)
-    yield found
-
-
-async def send_all(gateways: Gateways) -> list[Outcome]:
-    """Send requests to all gateways for a while, at a steady rate; return what came back."""
-    outcomes: list[Outcome] = []
-
-    async def ask(number: int, name: str) -> None:
-        outcomes.append(await gateways.serve(number, name))
-
-    async with anyio.create_task_group() as tasks:
-        for turn in range(int(PLAY_SECONDS / GAP_SECONDS)):
-            tasks.start_soon(ask, turn % GATEWAYS, f"id{turn}")
-            await anyio.sleep(GAP_SECONDS)
-    return outcomes
-
 
 class LimitTest(unittest.TestCase):
     limits: tuple[float | None, ...] = LIMITS
@@ -216,7 +63,7 @@
         self.limits = (*LIMITS[:2], 3.1)
         yield
 
-    def check(self, upstreams: list[LimitedUpstream], outcomes: list[Outcome]) -> None:
+    def check(self, upstreams: list[StandIn], outcomes: list[Outcome]) -> None:
         for upstream in (u for u in upstreams if u.limit is not None):
             self.assertLessEqual(upstream.find_fullest(), upstream.find_allowed())
             # It is spared, not given up.
@@ -232,10 +79,8 @@
     def play_led(self, repeat: Repeat) -> None:
         async def main(site: Site, names: list[str]) -> None:
             await site.get(names[0]).log.save(make_document(7))
-            async with (
-                anyio.create_task_group() as tasks,
-                run_upstreams(tasks, self.limits) as upstreams,
-            ):
+            upstreams = [StandIn(number, limit) for number, limit in enumerate(self.limits)]
+            async with anyio.create_task_group() as tasks, run_upstreams(tasks, upstreams):
 
                 async def beat() -> None:
                     while True:
@@ -258,21 +103,10 @@
 
     def play_alone(self, repeat: Repeat) -> None:
         async def main() -> None:
-            async with (
-                anyio.create_task_group() as tasks,
-                run_upstreams(tasks, self.limits) as upstreams,
-            ):
+            upstreams = [StandIn(number, limit) for number, limit in enumerate(self.limits)]
+            async with anyio.create_task_group() as tasks, run_upstreams(tasks, upstreams):
                 gateways = Gateways(tasks, (), repeat)
-
-                async def beat() -> None:
-                    while True:
-                        for gateway in gateways.all:
-                            for upstream in upstreams:
-                                sighting = Sighting(upstream.make_instance(), 0.0)
-                                gateway.fleet.note(sighting, anyio.current_time())
-                        await anyio.sleep(HEARTBEAT_SECONDS)
-
-                tasks.start_soon(beat)
+                tasks.start_soon(tell_alone, gateways, upstreams)
                 await anyio.sleep(0.1)
                 outcomes = await send_all(gateways)
                 await gateways.close()
