Give upstreams the rest that they ask for, and nothing new to those that say they leave

What callers saw: one of three upstreams turned all away and asked each gateway for 3 s of rest; it got 12 to 17 requests a second on, since one without work looks like the best choice, and its callers were served late elsewhere, or met a failure there that was final. Cause: nobody read Retry-After of an upstream, nor Server-Leaving. Change: a gateway keeps until when each upstream wants nothing from it (Rests). Such a one is no candidate for first tries, repeats, streams made anew, moves and backups, is excluded in what the leader is asked, and not taken where the leader names it; the gate before every send refuses it, also as the place of a copy. One that says it leaves counts as leaving from then on: nothing new goes there, its streams begin to move, and the coordinators hear it at once and tell all gateways. Rest is asked of one gateway, so it is not spread; a request that finds only resting upstreams is refused at once as not run, to come back soon, since another gateway may be welcome there. Why it holds: the gate is the only way to upstreams and reads the clock when it sends; the states of an instance only go forward. Tests of the guard: upstreams turned to leaving or back before the request was sent to them, which the gate now prevents; they do so while they have it, as in the case that the tests are about.

--- a/src/daleroad/backpressure.py
+++ b/src/daleroad/backpressure.py
@@ -1,6 +1,6 @@
 """What an upstream says of itself in an answer: what it takes, and for how long not. Pure."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True)
@@ -18,3 +18,34 @@
     rest: float = 0.0
     leaving: bool = False
     cold: float | None = None
+
+
+@dataclass
+class Rests:
+    """The upstreams that want nothing from this gateway for now.
+
+    One that turns all away has no work, so by its load it would be the best choice.
+    """
+
+    _until: dict[str, float] = field(default_factory=dict)
+
+    def note(self, instance_id: str, seconds: float, now: float) -> bool:
+        """Note that an upstream asked for rest; return whether it rests longer by that.
+
+        :param instance_id: the upstream.
+        :param seconds: for how long.
+        :param now: the time.
+        """
+        self._until = {name: until for name, until in self._until.items() if until > now}
+        if now + seconds <= self._until.get(instance_id, now):
+            return False
+        self._until[instance_id] = now + seconds
+        return True
+
+    def is_resting(self, instance_id: str, now: float) -> bool:
+        """Return whether an upstream wants nothing.
+
+        :param instance_id: the upstream.
+        :param now: the time.
+        """
+        return now < self._until.get(instance_id, now)
--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -9,11 +9,11 @@
 from daleroad.candidates import Judge
 from daleroad.defaults import BACKUP_ROOM, BACKUP_WORTH_SECONDS
 from daleroad.dispatch import Attempt, Prompt
-from daleroad.fleet import Fleet, Instance
+from daleroad.fleet import Fleet, Instance, InstanceState
 from daleroad.guarding import Guard
 from daleroad.health import Ejector
 from daleroad.loads import GatewayLoads
-from daleroad.notices import LimitNotice, PlaceAnswer, PlaceRequest
+from daleroad.notices import PlaceAnswer, PlaceRequest, UpstreamNotice
 from daleroad.picking import Candidate, draw_sample, make_spread, pick_upstream
 from daleroad.routing import ServiceRule
 from daleroad.sendlimits import GRANT_SECONDS, OwnShare
@@ -191,11 +191,11 @@
             service.name,
             tokens,
             prompt.tokens if prompt is not None else 0,
-            tuple(excluded),
+            (*excluded, *filter(self._is_resting, ready)),
             tuple(filter(self._is_failing, ready)),
             tuple(filter(self._is_out_of_reach, ready)),
             patient,
-            tuple(list_limits(self._fleet, ready, anyio.current_time())),
+            tuple(n for n in list_notices(self._fleet, ready, anyio.current_time()) if n.limit),
             only,
         )
 
@@ -208,9 +208,9 @@
             self._guard.grants.add(named, asked_at + GRANT_SECONDS, anyio.current_time())
         # It may have left meanwhile, or the other side may not have heard that it did.
         known = self._fleet.get(named)
-        if known is None or named in excluded or known not in self._fleet.list_ready(known.service):
+        if known is None or named in excluded or self._is_resting(named):
             return None
-        return known
+        return known if known in self._fleet.list_ready(known.service) else None
 
     def _has_limited(self, service: ServiceRule) -> bool:
         """Return whether a service has upstreams that get only what is granted."""
@@ -290,6 +290,9 @@
         found = pick_upstream(room, instance.zone, self._random)
         return found.instance if found else None
 
+    def _is_resting(self, instance_id: str) -> bool:
+        return self._guard.rests.is_resting(instance_id, anyio.current_time())
+
     def _is_failing(self, instance_id: str) -> bool:
         now = anyio.current_time()
         return not self.ejector.is_open(instance_id, now) or self._is_out_of_reach(instance_id)
@@ -343,7 +346,8 @@
             self._is_failing,
             self._guard.zones.zones,
         )
-        return judge.list_candidates(service, tokens, excluded, anyio.current_time())
+        candidates = judge.list_candidates(service, tokens, excluded, anyio.current_time())
+        return (c for c in candidates if not self._is_resting(c.instance.id))
 
     def note_result(self, instance: Instance, ok: bool) -> None:
         """Take a request's result as evidence for or against an upstream.
@@ -355,14 +359,14 @@
         self.ejector.note(instance.id, ok, among, anyio.current_time())
 
 
-def list_limits(fleet: Fleet, names: Iterable[str], now: float) -> Iterator[LimitNotice]:
-    """Yield what instances said of the requests that they take, where they named a limit.
+def list_notices(fleet: Fleet, names: Iterable[str], now: float) -> Iterator[UpstreamNotice]:
+    """Yield what instances said of themselves in their answers, as others are told of it.
 
     :param fleet: what is known of them.
     :param names: their ids.
     :param now: the time.
     """
     for name in names:
-        limit = fleet.tell_limit(name, now)
-        if limit is not None:
-            yield LimitNotice(name, limit)
+        known = fleet.get(name)
+        leaving = known is not None and known.state is InstanceState.LEAVING
+        yield UpstreamNotice(name, fleet.tell_limit(name, now), leaving)
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -257,6 +257,19 @@
         known.revision = self.revision
         return True
 
+    def note_leaving(self, instance_id: str) -> list[Instance]:
+        """Note that an instance said that it leaves; return it if that is news.
+
+        :param instance_id: the instance.
+        """
+        known = self._known.get(instance_id)
+        if known is None or known.instance.state is not InstanceState.READY:
+            return []
+        known.instance = replace(known.instance, state=InstanceState.LEAVING)
+        self.revision += 1
+        known.revision = self.revision
+        return [known.instance]
+
     def get_rate_limit(self, instance_id: str) -> float | None:
         """Return the requests a second that an instance takes from all gateways, if it named them.
 
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -10,7 +10,7 @@
 from anyio.abc import TaskGroup
 
 from daleroad.backpressure import Backpressure
-from daleroad.choosing import Chooser, GatewayOptions, list_limits
+from daleroad.choosing import Chooser, GatewayOptions, list_notices
 from daleroad.defaults import LAST_ANSWER_SECONDS
 from daleroad.dispatch import Dispatcher
 from daleroad.evacuations import EvacuatedZones
@@ -18,7 +18,7 @@
 from daleroad.fleet import GONE_KEPT_SECONDS, Fleet, Instance, InstanceState, RateLimit
 from daleroad.guarding import Guard, GuardedDispatcher
 from daleroad.loads import GatewayLoads
-from daleroad.notices import GatewayNotice, LimitNotice
+from daleroad.notices import GatewayNotice, UpstreamNotice
 from daleroad.outbox import Outbox
 from daleroad.retries import WindowBudget
 from daleroad.routing import RoutingConfig, RoutingTable, ServiceRule
@@ -62,7 +62,7 @@
         self.fleet = Fleet(options.heartbeat)
         self.suspects = Suspects()
         self.news: Outbox[Suspicion] = Outbox()
-        self.limit_news: Outbox[str] = Outbox()
+        self.upstream_news: Outbox[str] = Outbox()
         self.guard = Guard(self.suspects, self.fleet, self.tell)
         self.dispatcher = GuardedDispatcher(self.dispatcher, self.guard)
         self.budget = WindowBudget(options.retry_ratio, options.retry_slack, options.retry_window)
@@ -212,20 +212,27 @@
             self.fleet.note_cold(instance.id, told.cold, now)
         if self.fleet.note_limit(instance.id, RateLimit(told.limit), now):
             log_event(Event.UPSTREAM_LIMITED, id=instance.id, rate=told.limit, by="its answer")
-            self.limit_news.add(instance.id)
-            self.on_news()
-        if told.rest:
+            self._tell_of(instance)
+        if self.guard.rests.note(instance.id, told.rest, now):
             log_event(Event.UPSTREAM_RESTS, id=instance.id, seconds=told.rest)
-        if told.leaving:
+        leaving = self.fleet.note_leaving(instance.id) if told.leaving else []
+        if leaving:
             log_event(Event.UPSTREAM_SAYS_LEAVING, id=instance.id)
+            self.note_changes(leaving)
+            self._tell_of(instance)
 
-    def list_limit_news(self, after: int) -> tuple[LimitNotice, ...]:
-        """Return what upstreams said of the requests that they take, where that is news.
+    def _tell_of(self, instance: Instance) -> None:
+        """Let the coordinators know at once what an upstream said of itself."""
+        self.upstream_news.add(instance.id)
+        self.on_news()
+
+    def list_upstream_news(self, after: int) -> tuple[UpstreamNotice, ...]:
+        """Return what upstreams said of themselves, where that is news.
 
         :param after: number of the last piece of such news that is known.
         """
-        names = dict.fromkeys(self.limit_news.list_after(after))
-        return tuple(list_limits(self.fleet, names, anyio.current_time()))
+        names = dict.fromkeys(self.upstream_news.list_after(after))
+        return tuple(list_notices(self.fleet, names, anyio.current_time()))
 
     def take_repeat(self, service: str) -> bool:
         """Take one repeat of the budget that all gateways share; return whether it is allowed.
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -2,8 +2,9 @@
 
 First tries, repeats, streams made anew, runs that go on from a copy or a backup: all are sent here.
 So here it is seen which requests ran where an upstream ended, and a request that is held goes no
-further, nor does anything go to an availability zone that is evacuated, or to an upstream that
-bears only so much what was not granted, whatever the caller of this module has overlooked.
+further, nor does anything go to an availability zone that is evacuated, to an upstream that asked
+for rest or leaves, or to one that bears only so much what was not granted, whatever the caller of
+this module has overlooked.
 """
 
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -11,6 +12,7 @@
 
 import anyio
 
+from daleroad.backpressure import Rests
 from daleroad.dispatch import (
     Attempt,
     Copied,
@@ -47,6 +49,7 @@
     :param fleet: the upstreams that are alive.
     :param tell: called with what other processes should know.
     :param zones: the availability zones whose upstreams get nothing.
+    :param rests: the upstreams that asked this gateway for rest.
     :param limited: services whose upstreams bear only so much while they are cold.
     :param grants: requests that may go to upstreams that bear only so much.
     :param ask_grant: asks for another one.
@@ -56,6 +59,7 @@
     fleet: Fleet
     tell: Callable[[Suspicion], None]
     zones: EvacuatedZones = EvacuatedZones()
+    rests: Rests = field(default_factory=Rests)
     limited: frozenset[str] = frozenset()
     grants: Grants = field(default_factory=Grants)
     ask_grant: AskGrant | None = None
@@ -97,10 +101,28 @@
         instance = attempt.instance
         if self.get_standing(attempt.job, attempt.organisation) is Standing.HELD:
             return "upstreams ended while they ran it"
+        return self.find_closed(instance) or self._find_leaving(attempt)
+
+    def find_closed(self, instance: Instance) -> str:
+        """Return why an upstream gets nothing for now, or an empty text.
+
+        :param instance: the upstream.
+        """
         if self.is_evacuated(instance):
             return "its availability zone is evacuated"
+        if self.rests.is_resting(instance.id, anyio.current_time()):
+            return "it asked for rest"
         return ""
 
+    def _find_leaving(self, attempt: Attempt) -> str:
+        """Return whether something new would go to an upstream that leaves, as a reason.
+
+        A generation whose memory is there already goes on there for as long as it can.
+        """
+        known = self.fleet.get(attempt.instance.id)
+        ready = known is None or known.state is InstanceState.READY
+        return "" if ready or attempt.source is not None else "it leaves"
+
     async def take_grant(self, attempt: Attempt) -> bool:
         """Return whether a request may go to its upstream, which may bear only so much.
 
@@ -233,7 +255,7 @@
         obstacle = obstacle or self._guard.find_obstacle(attempt)
         if obstacle:
             return NotRun(obstacle, sent=False, held=True)
-        if attempt.backup is not None and self._guard.is_evacuated(attempt.backup):
+        if attempt.backup is not None and self._guard.find_closed(attempt.backup):
             attempt = replace(attempt, backup=None)
         reply = await self._inner.send(attempt)
         match reply:
@@ -252,9 +274,9 @@
         self, job: Job, source: Instance, destination: Instance, final: bool
     ) -> Copied | NotCopied:
         """Copy a running generation's memory; a final copy stops it first."""
-        if self._guard.is_evacuated(destination):
-            reason = "the destination's availability zone is evacuated"
-            return NotCopied(reason, CopyFault.NO_ROOM)
+        closed = self._guard.find_closed(destination)
+        if closed:
+            return NotCopied(f"the destination: {closed}", CopyFault.NO_ROOM)
         return await self._inner.copy(job, source, destination, final)
 
     async def report(self, instance: Instance) -> EngineReport | Failure:
--- a/src/daleroad/moving.py
+++ b/src/daleroad/moving.py
@@ -278,8 +278,9 @@
         if run.backup is None:
             return None
         known = self._gateway.fleet.get(run.backup.id)
-        ready = known is not None and known.state is InstanceState.READY
-        return run.backup if ready else None
+        if known is None or known.state is not InstanceState.READY:
+            return None
+        return None if self._gateway.guard.find_closed(known) else known
 
     def _ends_soon(self, run: Run) -> bool:
         prompt = run.attempt.job.prompt
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -68,14 +68,17 @@
 
 
 @dataclass(frozen=True)
-class LimitNotice:
-    """What a gateway heard an instance say of the requests that it takes.
+class UpstreamNotice:
+    """What a gateway heard an instance say of itself in its answers.
 
     :param instance: its id.
+    :param limit: the newest of the requests that it takes, if it ever named a limit.
+    :param leaving: whether it leaves.
     """
 
     instance: str
-    limit: RateLimit
+    limit: RateLimit | None = None
+    leaving: bool = False
 
 
 @dataclass(frozen=True)
@@ -145,8 +148,8 @@
     :param suspicions: what it holds against requests and has not told this coordinator yet.
     :param suspects: the newest revision of the suspects that it has from that run.
     :param zones: the version of the evacuated zones that it goes by.
-    :param limits: what instances said of the requests that they take, where that changed and was
-        not told this coordinator yet.
+    :param upstreams: what instances said of themselves, where that changed and was not told this
+        coordinator yet.
     """
 
     gateway: GatewayNotice
@@ -161,7 +164,7 @@
     suspicions: tuple[Suspicion, ...] = ()
     suspects: int = 0
     zones: int = 0
-    limits: tuple[LimitNotice, ...] = ()
+    upstreams: tuple[UpstreamNotice, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -203,7 +206,7 @@
     failing: tuple[str, ...]
     unreached: tuple[str, ...] = ()
     patient: bool = False
-    limits: tuple[LimitNotice, ...] = ()
+    limits: tuple[UpstreamNotice, ...] = ()
     only: str = ""
 
 
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -62,7 +62,8 @@
         """
         self._note_unreached(asked, now)
         for notice in asked.limits:
-            self._fleet.note_limit(notice.instance, notice.limit, now)
+            if notice.limit is not None:
+                self._fleet.note_limit(notice.instance, notice.limit, now)
         failing = frozenset(asked.failing)
 
         def is_failing(instance_id: str) -> bool:
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -31,6 +31,7 @@
     Load,
     ShareAnswer,
     ShareRequest,
+    UpstreamNotice,
     WatchRequest,
 )
 from daleroad.peers import Peers
@@ -157,15 +158,19 @@
         self._note_gateway(asked.gateway, now)
         self.loads.note(asked.gateway.address, asked.loads, now)
         self.shared.note(asked.suspicions, now)
-        self._note_limits(asked, now)
-
-    def _note_limits(self, asked: WatchRequest, now: float) -> None:
-        """Take in what a gateway heard upstreams say of the requests that they take."""
-        for notice in asked.limits:
-            if self.fleet.note_limit(notice.instance, notice.limit, now):
-                rate, by = notice.limit.rate, asked.gateway.address
-                log_event(Event.UPSTREAM_LIMITED, id=notice.instance, rate=rate, by=by)
-                self._wake()
+        before = self.fleet.revision
+        for notice in asked.upstreams:
+            self._note_upstream(notice, asked.gateway.address, now)
+        if self.fleet.revision != before:
+            self._wake()
+
+    def _note_upstream(self, notice: UpstreamNotice, by: str, now: float) -> None:
+        """Take in what a gateway heard an upstream say of itself."""
+        name, limit = notice.instance, notice.limit
+        if limit is not None and self.fleet.note_limit(name, limit, now):
+            log_event(Event.UPSTREAM_LIMITED, id=name, rate=limit.rate, by=by)
+        for instance in self.fleet.note_leaving(name) if notice.leaving else ():
+            self._log_change(instance)
 
     def knows_loads(self, now: float) -> bool:
         """Return whether nearly all gateways have said here of late what work they have.
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -45,14 +45,14 @@
     :param revision: the newest revision of the fleet that is known from that run.
     :param suspects: the same of the suspected requests.
     :param told: number of the last piece of this gateway's news that it has heard.
-    :param limits: the same of news of upstreams' limits.
+    :param upstreams: the same of what upstreams said of themselves.
     """
 
     epoch: str = ""
     revision: int = 0
     suspects: int = 0
     told: int = 0
-    limits: int = 0
+    upstreams: int = 0
 
 
 @dataclass(frozen=True)
@@ -61,13 +61,13 @@
 
     :param at: when, on the runtime's clock.
     :param told: number of the last piece of news in it.
-    :param limits: the same of news of upstreams' limits.
+    :param upstreams: the same of what upstreams said of themselves.
     """
 
     body: bytes
     at: float
     told: int
-    limits: int
+    upstreams: int
 
 
 class Watcher:
@@ -134,7 +134,7 @@
             if self._failed_at.pop(name, None) is not None:
                 log_event(Event.COORDINATOR_REGAINED, name=name)
             known = _Followed(
-                answer.epoch, answer.revision, answer.suspects, asked.told, asked.limits
+                answer.epoch, answer.revision, answer.suspects, asked.told, asked.upstreams
             )
             self._apply(answer, name, asked.at + answer.held)
 
@@ -195,10 +195,10 @@
                 gateway.news.list_after(known.told),
                 known.suspects,
                 gateway.guard.zones.version,
-                gateway.list_limit_news(known.limits),
+                gateway.list_upstream_news(known.upstreams),
             )
             now = anyio.current_time()
-            return _Asked(encode(asked), now, gateway.news.newest, gateway.limit_news.newest)
+            return _Asked(encode(asked), now, gateway.news.newest, gateway.upstream_news.newest)
 
         request = make_request()
         found: list[WatchAnswer | Failure] = []
--- a/tests/test_guarding.py
+++ b/tests/test_guarding.py
@@ -46,14 +46,23 @@
 
 
 class EvidenceTest(unittest.TestCase):
-    def judge(self, *replies: Reply, prepare: Callable[[Gateway], None] | None = None) -> Standing:
-        """Send a request to upstreams 1, 2 and 3; return its standing then."""
+    def judge(
+        self, *replies: Reply, meanwhile: Callable[[Gateway, int], None] | None = None
+    ) -> Standing:
+        """Send a request to upstreams 1, 2 and 3; return its standing then.
+
+        :param meanwhile: what happens while an upstream has the request.
+        """
 
         async def main() -> Standing:
             dispatcher = FakeDispatcher(*replies)
             gateway = make_gateway(dispatcher, make_config(Repeat.ONCE), anyio.current_time())
-            if prepare is not None:
-                prepare(gateway)
+
+            async def note() -> None:
+                if meanwhile is not None:
+                    meanwhile(gateway, len(dispatcher.attempts))
+
+            dispatcher.on_send = note
             for number in range(len(replies)):
                 reply = await gateway.dispatcher.send(make_attempt(1 + number))
                 if not isinstance(reply, NotRun | Lost | Whole):
@@ -85,23 +94,20 @@
     def test_an_upstream_that_said_that_it_leaves_has_not_ended_under_a_request(self) -> None:
         for state in (InstanceState.LEAVING, InstanceState.GONE):
 
-            def leave(gateway: Gateway, state: InstanceState = state) -> None:
-                now = anyio.current_time()
-                gateway.fleet.note(Sighting(make_instance(2, state), 0.0), now)
+            def leave(gateway: Gateway, number: int, state: InstanceState = state) -> None:
+                if number == 2:
+                    now = anyio.current_time()
+                    gateway.fleet.note(Sighting(make_instance(2, state), 0.0), now)
 
-            self.assertIs(self.judge(CUT, CUT, CUT, prepare=leave), Standing.LAST)
+            self.assertIs(self.judge(CUT, CUT, CUT, meanwhile=leave), Standing.LAST)
 
     def test_one_that_is_back_already_has_ended(self) -> None:
-        def restart(gateway: Gateway) -> None:
-            now = anyio.current_time()
-            for number in (1, 2, 3):
-                younger = Instance(
-                    f"i{number}@9", "s", "10.0.0.1:1", "z", 24, InstanceState.READY, 1
-                )
-                named = replace(younger, name=f"i{number}", born=9)
-                gateway.fleet.note(Sighting(named, 0.0), now)
+        def restart(gateway: Gateway, number: int) -> None:
+            younger = Instance(f"i{number}@9", "s", "10.0.0.1:1", "z", 24, InstanceState.READY, 1)
+            named = replace(younger, name=f"i{number}", born=9)
+            gateway.fleet.note(Sighting(named, 0.0), anyio.current_time())
 
-        self.assertIs(self.judge(CUT, CUT, CUT, prepare=restart), Standing.HELD)
+        self.assertIs(self.judge(CUT, CUT, CUT, meanwhile=restart), Standing.HELD)
 
 
 class HeldTest(unittest.TestCase):
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -14,11 +14,13 @@
 
 import anyio
 
-from daleroad.backpressure import Backpressure
-from daleroad.dispatch import Whole
+from daleroad.backpressure import Backpressure, Rests
+from daleroad.dispatch import Attempt, CopyFault, NotCopied, NotRun, Source, Whole
+from daleroad.errors import Failure, FailureKind, Ran
+from daleroad.fleet import InstanceState, Sighting
 from daleroad.forwarding import Outcome
 from daleroad.gateway import Gateway
-from daleroad.notices import PlaceAnswer, PlaceRequest
+from daleroad.notices import PlaceAnswer, PlaceRequest, UpstreamNotice
 from daleroad.routing import Repeat
 from tests.fakes import (
     PROMPT,
@@ -31,6 +33,8 @@
     make_job,
 )
 from tests.standins import Gateways, StandIn, run_upstreams, send_all, tell_alone
+from tests.test_coordinator import Site, make_document, run_site, wait_for
+from tests.test_spreading import Sites
 
 FEW = 4
 """Gateways, few enough that each sends several requests while an upstream rests."""
@@ -59,6 +63,21 @@
     return outcomes
 
 
+def has_left(gateway: Gateway, instance_id: str) -> bool:
+    known = gateway.fleet.get(instance_id)
+    return known is not None and known.state is InstanceState.LEAVING
+
+
+def run_sites(body: Callable) -> None:
+    """Run something with coordinators that gateways watch."""
+
+    async def main(site: Site, names: list[str]) -> None:
+        await site.get(names[0]).log.save(make_document(1))
+        await body(Sites(site), names)
+
+    run_site(main)
+
+
 def count_served(outcomes: list[Outcome]) -> int:
     return sum(isinstance(outcome, Whole) and outcome.status == 200 for outcome in outcomes)
 
@@ -98,8 +117,95 @@
 
         self.play(body)
 
+    def test_it_is_used_again_when_its_rest_is_over(self) -> None:
+        async def body(gateway: Gateway, dispatcher: FakeDispatcher) -> None:
+            gateway.note_backpressure(make_instance(2), Backpressure(rest=0.05))
+            attempt = Attempt(make_job(0.0), make_instance(2), "", 1.0)
+            refused = await gateway.dispatcher.send(attempt)
+            assert isinstance(refused, NotRun)
+            self.assertTrue(refused.held)
+            await anyio.sleep(0.06)
+            self.assertIsInstance(await gateway.dispatcher.send(attempt), Whole)
+
+        self.play(body)
+
+    def test_the_longest_rest_that_was_asked_for_counts(self) -> None:
+        rests = Rests()
+        self.assertTrue(rests.note("i", 3.0, 10.0))
+        self.assertFalse(rests.note("i", 0.0, 10.5))
+        self.assertFalse(rests.note("i", 1.0, 11.0))
+        self.assertTrue(rests.is_resting("i", 12.9))
+        self.assertFalse(rests.is_resting("i", 13.0))
+        self.assertTrue(rests.note("i", 1.0, 14.0))
+
+    def test_no_stream_goes_on_or_is_copied_there(self) -> None:
+        async def body(gateway: Gateway, dispatcher: FakeDispatcher) -> None:
+            gateway.note_backpressure(make_instance(2), Backpressure(rest=REST_SECONDS))
+            job = make_job(0.0, prompt=PROMPT)
+            source = Source("10.0.0.1:1", "h", "3")
+            moved = Attempt(job, make_instance(2), "", 1.0, source=source)
+            self.assertIsInstance(await gateway.dispatcher.send(moved), NotRun)
+            copied = await gateway.dispatcher.copy(job, make_instance(1), make_instance(2), True)
+            assert isinstance(copied, NotCopied)
+            self.assertIs(copied.fault, CopyFault.NO_ROOM)
+            backed = Attempt(job, make_instance(1), "", 1.0, backup=make_instance(2))
+            await gateway.dispatcher.send(backed)
+            self.assertEqual(
+                [(a.instance.id, a.backup) for a in dispatcher.attempts], [("i1", None)]
+            )
+            service = gateway.get_service("s")
+            assert service is not None
+            left = {c.instance.id for c in gateway.chooser.list_candidates(service, 10, ())}
+            self.assertEqual(left, {"i1", "i3"})
+
+        self.play(body)
+
+    def test_where_all_rest_a_request_is_refused_at_once_as_not_run(self) -> None:
+        async def body(gateway: Gateway, dispatcher: FakeDispatcher) -> None:
+            for number in (1, 2, 3):
+                gateway.note_backpressure(make_instance(number), Backpressure(rest=REST_SECONDS))
+            answer = await make_forwarder(gateway).serve(make_job(anyio.current_time()))
+            assert isinstance(answer, Failure)
+            self.assertEqual((answer.kind, answer.ran), (FailureKind.NO_UPSTREAM, Ran.NO))
+            self.assertEqual(dispatcher.attempts, [])
+
+        self.play(body)
+
 
 class LeavingTest(unittest.TestCase):
+    def test_its_streams_begin_to_move_and_the_coordinators_are_told(self) -> None:
+        async def main() -> None:
+            config = make_config(Repeat.STREAM, engine=True)
+            gateway = make_gateway(FakeDispatcher(), config, anyio.current_time())
+            moved: list[str] = []
+            gateway.on_leaving = lambda instance: moved.append(instance.id)
+            for _ in range(2):
+                gateway.note_backpressure(make_instance(2), Backpressure(leaving=True))
+            self.assertEqual(moved, ["i2"])
+            self.assertEqual(gateway.list_upstream_news(0), (UpstreamNotice("i2", None, True),))
+            fresh = Attempt(make_job(0.0), make_instance(2), "", 1.0)
+            self.assertIsInstance(await gateway.dispatcher.send(fresh), NotRun)
+
+        anyio.run(main)
+
+    def test_all_gateways_hear_of_limits_and_leaves_that_one_was_told(self) -> None:
+        async def body(sites: Sites, names: list[str]) -> None:
+            gateways = sites.add(FEW)
+            for number in (1, 2):
+                for coordinator, _, _ in sites.site.running.values():
+                    sighting = Sighting(make_instance(number), 0.0)
+                    coordinator.presence.fleet.note(sighting, anyio.current_time())
+            await wait_for(lambda: all(g.fleet.count() == 2 for g in gateways))
+            gateways[0].note_backpressure(make_instance(1), Backpressure(limit=2.5))
+            gateways[1].note_backpressure(make_instance(2), Backpressure(leaving=True))
+            await wait_for(lambda: all(g.fleet.get_rate_limit("i1") == 2.5 for g in gateways))
+            await wait_for(lambda: all(has_left(g, "i2") for g in gateways))
+            gateways[3].note_backpressure(make_instance(1), Backpressure())
+            await wait_for(lambda: all(g.fleet.get_rate_limit("i1") is None for g in gateways))
+            sites.end_all()
+
+        run_sites(body)
+
     def test_one_that_says_in_an_answer_that_it_leaves_gets_no_more(self) -> None:
         odd = StandIn(0, leaving=True)
         outcomes = play_beside(odd, Repeat.IDEMPOTENT, 3.0)
--- a/tests/test_sendlimits.py
+++ b/tests/test_sendlimits.py
@@ -257,8 +257,8 @@
             gateway.note_backpressure(make_instance(2), Backpressure())
             self.assertIsInstance(await gateway.dispatcher.send(attempt), Whole)
             self.assertEqual(asked, [])
-            told = gateway.list_limit_news(0)
-            self.assertEqual([notice.limit.rate for notice in told], [None])
+            told = gateway.list_upstream_news(0)
+            self.assertEqual([notice.limit and notice.limit.rate for notice in told], [None])
 
         self.play(body, None)
 
