Let the soak's upstreams name limits, ask for rest and say that they leave

Each stand-in does so by turns in its answers alone, while gateways, coordinators and links are hurt; what reaches it is checked against what it told, by gateway.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,7 +9,8 @@
 stopped and started, disks are lost, and the links to upstreams delay, reset, cut and silence
 connections, in series that overlap. Beside these faults gateways are stopped in turn, as at an
 update, while clients ask for streams that last up to longer than a gateway may drain, and operators
-evacuate one zone after the other. A seed fixes the plan. Ends only what it started.
+evacuate one zone after the other. Upstreams name limits, ask for rest, and say that they leave. A
+seed fixes the plan. Ends only what it started.
 
 Two requests end each upstream that begins them and come again all the time; from the third end on
 they must reach none. The others' requests are the same to the letter, and must not be held for it.
@@ -46,6 +47,7 @@
     Kind,
     Ledger,
 )
+from tools.soakneeds import GATEWAY_HEADER  # noqa: E402
 from tools.soakstreams import StreamClient  # noqa: E402
 from tools.soakupstreams import (  # noqa: E402
     CRASHING_BODY,
@@ -334,6 +336,7 @@
         self.ledger.check_stops()
         for upstream in self.upstreams:
             self.zones.check(upstream.zone, upstream.arrivals)
+            upstream.needs.check()
         for kind in (Upstream, Engine):
             crashed = [at for u in self.upstreams if type(u) is kind for at in u.crashed_at]
             reached = [r for u in self.upstreams if type(u) is kind for r in u.reached]
@@ -349,6 +352,7 @@
                     tasks.start_soon(upstream.run)
                     tasks.start_soon(upstream.link.run)
                     tasks.start_soon(upstream.beat, client)
+                    tasks.start_soon(self._let_need, upstream)
                 await self._save(client, 1, 30.0)
                 began = anyio.current_time()
                 tasks.start_soon(self._operate, client)
@@ -411,6 +415,12 @@
                             upstream.restart()
                         tasks.start_soon(upstream.link.hurt, fault, step.hold)
 
+    async def _let_need(self, upstream: Upstream) -> None:
+        """Let an upstream say what it needs, until the time in which all must be well again."""
+        with anyio.move_on_after(self.seconds - QUIET_SECONDS):
+            await upstream.needs.run()
+        upstream.needs.finish()
+
     def _draw_coordinator(self, random: Random) -> str:
         return f"http://{self._network}.0.{random.randrange(COORDINATORS) + 1}:{CONTROL_PORT}"
 
@@ -523,6 +533,7 @@
                     self.idempotent.add(request)
                 gateway = f"gateway-{random.randrange(GATEWAYS)}"
                 headers = {"host": "h", "x-daleroad-attempt-id": request}
+                headers |= {GATEWAY_HEADER: gateway}
                 url = f"http://{self._gateways[gateway]}" + ("/again/x" if again else "/once/x")
                 sent = anyio.current_time()
                 try:
@@ -551,7 +562,7 @@
                 gateway = f"gateway-{random.randrange(GATEWAYS)}"
                 self.ledger.crashing[request] = gateway
                 headers = {"host": "h", "x-daleroad-attempt-id": request, SIZE_HEADER: "1,0.01"}
-                headers |= {"x-daleroad-token-usage": "60,40"}
+                headers |= {"x-daleroad-token-usage": "60,40", GATEWAY_HEADER: gateway}
                 # However it ends, it comes again.
                 with suppress(httpx.HTTPError):
                     url = f"http://{self._gateways[gateway]}{path}"
@@ -602,6 +613,7 @@
             f"turn, {found.whole} whole, {found.refused} refused, {found.failed} failed, "
             f"{soak.count_crashes()} upstreams ended by two requests, {found.held} others held, "
             f"{len(soak.zones.spans)} evacuations, "
+            f"{sum(len(upstream.needs.episodes) for upstream in soak.upstreams)} times in need, "
             f"version {found.acknowledged}, {len(found.broken)} broken\n{found.render_streams()}",
             flush=True,
         )
--- a/tools/soakstreams.py
+++ b/tools/soakstreams.py
@@ -11,6 +11,7 @@
 import httpx
 
 from tools.soakledger import HELD_BACK, Asked, Ending, Kind, Ledger
+from tools.soakneeds import GATEWAY_HEADER
 from tools.soakupstreams import SIZE_HEADER
 
 GAP_SECONDS = 3.0
@@ -127,6 +128,7 @@
             "x-daleroad-prefix-hash": f"5c1e07a2:{SHARED_TOKENS},{request.encode().hex()}:{own}",
             "x-daleroad-deadline-ms": str(int(limit * 1000)),
             SIZE_HEADER: f"{size.events},{size.pause}",
+            GATEWAY_HEADER: gateway,
         }
         sent = anyio.current_time()
         ending: Ending | None = Ending.FAILED
--- a/tools/soakupstreams.py
+++ b/tools/soakupstreams.py
@@ -11,6 +11,7 @@
 
 from tools.faultylink import FaultyLink
 from tools.soakledger import Hurt, Ledger
+from tools.soakneeds import GATEWAY_HEADER, Needs
 
 PLAIN_SERVICE, ENGINE_SERVICE = "s", "e"
 
@@ -78,6 +79,8 @@
         self.ran_at = float("-inf")
         self.crashed_at: list[float] = []
         self.reached: list[tuple[float, str]] = []
+        drawn = Random(f"{random.random()} {self.id}")
+        self.needs = Needs(self.id, self.link_name, drawn, ledger, self._go_down)
 
     def restart(self) -> None:
         """Start again under the same id; what was open must be cut off by its link."""
@@ -105,8 +108,12 @@
                 await self._answer(stream, request)
 
     def _crash(self) -> None:
+        self.crashed_at.append(anyio.current_time())
+        self._go_down()
+
+    def _go_down(self) -> None:
+        """End; what it runs is cut off."""
         now = anyio.current_time()
-        self.crashed_at.append(now)
         self._ledger.history.hurts.append(Hurt(self.link_name, now, now + CRASHED_SECONDS))
         if self._life is not None:
             self._life.cancel()
@@ -117,6 +124,13 @@
         if head.get("x-daleroad-expect-instance") != self.id:
             await stream.send(b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
             return
+        gateway = head.get(GATEWAY_HEADER, "")
+        self.needs.take(gateway)
+        if self.needs.turns_away():
+            words = self.needs.list_words()
+            await _turn_away(stream, request, *words)
+            self.needs.note_told(gateway, words)
+            return
         self.ran_at = anyio.current_time()
         self.arrivals.append((self.ran_at, request))
         if asked.body == CRASHING_BODY:
@@ -135,8 +149,10 @@
 
     async def _run(self, stream: SocketStream, request: str, head: dict[str, str]) -> None:
         await anyio.sleep(self._random.uniform(0.005, 0.08))
-        await _send_head(stream, request, f"Content-Length: {len(request)}")
+        words = self.needs.list_words()
+        await _send_head(stream, request, f"Content-Length: {len(request)}", *words)
         await stream.send(request.encode())
+        self.needs.note_told(head.get(GATEWAY_HEADER, ""), words)
 
     async def beat(self, client: httpx.AsyncClient) -> None:
         """Send heartbeats to any coordinator until cancelled."""
@@ -178,15 +194,16 @@
         await self._send_stream_head(stream, request)
         await super()._begin_and_crash(stream, request)
 
-    async def _send_stream_head(self, stream: SocketStream, request: str) -> None:
-        await _send_head(
-            stream, request, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"
-        )
+    async def _send_stream_head(self, stream: SocketStream, request: str, *words: str) -> None:
+        kind = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+        await _send_head(stream, request, *kind, *words)
 
     async def _run(self, stream: SocketStream, request: str, head: dict[str, str]) -> None:
         events, pause = head[SIZE_HEADER].split(",")
+        words = self.needs.list_words()
         try:
-            await self._send_stream_head(stream, request)
+            await self._send_stream_head(stream, request, *words)
+            self.needs.note_told(head.get(GATEWAY_HEADER, ""), words)
             for number in range(1, int(events) + 1):
                 await anyio.sleep(float(pause))
                 event = f"id: {number}\ndata: {request}\n\n"
@@ -202,6 +219,17 @@
     return int(time.time() * 1000)
 
 
+async def _turn_away(stream: SocketStream, request: str, *words: str) -> None:
+    lines = [
+        "HTTP/1.1 503 Full",
+        f"X-Daleroad-Attempt-Id: {request}",
+        "X-Daleroad-Not-Executed: 1",
+        "Content-Length: 0",
+        *words,
+    ]
+    await stream.send(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+
 async def _send_head(stream: SocketStream, request: str, *more: str) -> None:
     lines = [
         "HTTP/1.1 200 OK",
