--- a/src/daleroad/backpressure.py
+++ b/src/daleroad/backpressure.py
@@ -42,6 +42,13 @@
         self._until[instance_id] = now + seconds
         return True
 
+    def count(self, now: float) -> int:
+        """Return how many upstreams want nothing.
+
+        :param now: the time.
+        """
+        return sum(until > now for until in self._until.values())
+
     def is_resting(self, instance_id: str, now: float) -> bool:
         """Return whether an upstream wants nothing.
 
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -278,6 +278,11 @@
         known = self._known.get(instance_id)
         return known.limit if known is not None else None
 
+    def count_limited(self) -> int:
+        """Return how many instances that are alive name a limit on their requests."""
+        alive = (k for k in self._known.values() if k.instance.state is not InstanceState.GONE)
+        return sum(known.limit is not None for known in alive)
+
     def tell_limit(self, instance_id: str, now: float) -> RateLimit | None:
         """Return the newest that an instance said of what it takes, if it ever named a limit.
 
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -180,6 +180,14 @@
         """Return how many requests reach no upstream, since upstreams ended while they ran them."""
         return self.suspects.count_held(anyio.current_time())
 
+    def count_limited(self) -> int:
+        """Return how many upstreams name a limit on their requests."""
+        return self.fleet.count_limited()
+
+    def count_resting(self) -> int:
+        """Return how many upstreams want nothing from this gateway for now."""
+        return self.guard.rests.count(anyio.current_time())
+
     def get_service(self, name: str) -> ServiceRule | None:
         """Return a service of the present configuration.
 
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -135,6 +135,7 @@
         self.assertFalse(rests.note("i", 0.0, 10.5))
         self.assertFalse(rests.note("i", 1.0, 11.0))
         self.assertTrue(rests.is_resting("i", 12.9))
+        self.assertEqual((rests.count(12.9), rests.count(13.0)), (1, 0))
         self.assertFalse(rests.is_resting("i", 13.0))
         self.assertTrue(rests.note("i", 1.0, 14.0))
 
--- a/tests/test_sendlimits.py
+++ b/tests/test_sendlimits.py
@@ -254,6 +254,7 @@
     def test_a_limit_that_is_lifted_needs_no_grant_any_more(self) -> None:
         async def body(gateway, dispatcher, asked, attempt) -> None:
             self.assertTrue(gateway.guard.is_limited(make_instance(2)))
+            self.assertEqual((gateway.count_limited(), gateway.count_resting()), (1, 0))
             gateway.note_backpressure(make_instance(2), Backpressure())
             self.assertIsInstance(await gateway.dispatcher.send(attempt), Whole)
             self.assertEqual(asked, [])
