Take small changes of a limit, and answers without it, as no news; what a gateway may send apart

An upstream that reckons its limit anew for each answer, or says it in some answers only, would have woken all processes of a site with each of them, and have lifted its limit with each answer that was on its way. A limit that differs by a tenth or less is no news, and an answer without one lifts it half a second after the last that named it, or later. Found by reading; a test of both.

--- a/src/daleroad/backpressure.py
+++ b/src/daleroad/backpressure.py
@@ -36,6 +36,8 @@
         :param seconds: for how long.
         :param now: the time.
         """
+        if seconds <= 0:
+            return False
         self._until = {name: until for name, until in self._until.items() if until > now}
         if now + seconds <= self._until.get(instance_id, now):
             return False
--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -1,6 +1,6 @@
 """How one gateway chooses upstreams: what it asks for, and what it decides by itself."""
 
-from collections.abc import Awaitable, Callable, Collection, Container, Iterable, Iterator
+from collections.abc import Awaitable, Callable, Collection, Container, Iterator
 from dataclasses import dataclass
 from random import Random
 
@@ -9,14 +9,14 @@
 from daleroad.candidates import Judge
 from daleroad.defaults import BACKUP_ROOM, BACKUP_WORTH_SECONDS
 from daleroad.dispatch import Attempt, Prompt
-from daleroad.fleet import Fleet, Instance, InstanceState
+from daleroad.fleet import Fleet, Instance
 from daleroad.guarding import Guard
 from daleroad.health import Ejector
+from daleroad.limitedsends import LimitedSends, list_notices
 from daleroad.loads import GatewayLoads
-from daleroad.notices import PlaceAnswer, PlaceRequest, UpstreamNotice
+from daleroad.notices import PlaceAnswer, PlaceRequest
 from daleroad.picking import Candidate, draw_sample, make_spread, pick_upstream
 from daleroad.routing import ServiceRule
-from daleroad.sendlimits import GRANT_SECONDS, OwnShare
 from daleroad.unreached import Unreached
 
 AskPlace = Callable[[PlaceRequest], Awaitable[PlaceAnswer | None]]
@@ -78,7 +78,7 @@
         self.gateways = 1
         self.ask_place: AskPlace | None = None
         self.ejector = Ejector()
-        self._share = OwnShare(options.address)
+        self._limited = LimitedSends(options.address, fleet, guard)
         self._unreached = Unreached(fleet)
         self._options = options
         self._fleet = fleet
@@ -163,12 +163,13 @@
             return by_itself or self._pick_by_share(service, tokens, excluded)
         if answer.crowded:
             return Crowded()
-        named = self._take_named(answer, excluded, asked_at)
+        self._limited.keep_grant(answer, asked_at)
+        named = self._find_named(answer.instance, excluded)
         return named or self.pick(service, tokens, excluded, prompt)
 
     def _is_placed_for_all(self, service: ServiceRule, prompt: Prompt | None) -> bool:
         """Return whether one process should choose for all gateways."""
-        if self._has_limited(service):
+        if self._limited.are_among(service.name):
             return True
         if service.engine is None or prompt is None:
             return False
@@ -199,23 +200,14 @@
             only,
         )
 
-    def _take_named(
-        self, answer: PlaceAnswer, excluded: Container[str], asked_at: float
-    ) -> Instance | None:
-        """Return the upstream that an answer names, if it may be used; keep its grant."""
-        named = answer.instance
-        if answer.granted:
-            self._guard.grants.add(named, asked_at + GRANT_SECONDS, anyio.current_time())
+    def _find_named(self, named: str, excluded: Container[str]) -> Instance | None:
+        """Return the upstream that was named for a request, if it may be used."""
         # It may have left meanwhile, or the other side may not have heard that it did.
         known = self._fleet.get(named)
         if known is None or named in excluded or self._is_resting(named):
             return None
         return known if known in self._fleet.list_ready(known.service) else None
 
-    def _has_limited(self, service: ServiceRule) -> bool:
-        """Return whether a service has upstreams that get only what is granted."""
-        return any(map(self._guard.is_limited, self._fleet.list_ready(service.name)))
-
     async def ask_grant(self, attempt: Attempt) -> bool:
         """Return whether a request may go to the upstream that was chosen for it.
 
@@ -229,26 +221,15 @@
         if self.ask_place is not None:
             answer = await self.ask_place(self._make_question(service, 0, None, only=instance.id))
         if answer is None:
-            return self._take_share(instance)
+            return self._limited.take_share(instance, self.gateways)
         return answer.granted and answer.instance == instance.id
 
-    def _take_share(self, instance: Instance) -> bool:
-        """Use this gateway's own share of what an upstream takes, if there is some now."""
-        rate = self._fleet.get_rate_limit(instance.id)
-        if rate is None or self._guard.is_fragile(instance):
-            return False
-        return self._share.take(instance.id, rate, self.gateways, anyio.current_time())
-
     def _pick_by_share(
         self, service: ServiceRule, tokens: int, excluded: Container[str]
     ) -> Instance | None:
         """Return an upstream with a limit of which this gateway has a share left, if any."""
         limited = (c.instance for c in self.list_limited(service, tokens, excluded))
-        found = next(filter(self._take_share, limited), None)
-        if found is not None:
-            now = anyio.current_time()
-            self._guard.grants.add(found.id, now + GRANT_SECONDS, now)
-        return found
+        return next((i for i in limited if self._limited.grant_share(i, self.gateways)), None)
 
     def pick_limited(
         self, service: ServiceRule, tokens: int, excluded: Container[str]
@@ -269,7 +250,7 @@
         :param instance_id: the upstream.
         """
         self.ejector.forget(instance_id)
-        self._share.forget(instance_id)
+        self._limited.forget(instance_id)
 
     def pick_backup(
         self, instance: Instance, tokens: int, prompt: Prompt | None
@@ -357,16 +338,3 @@
         """
         among = len(self._fleet.list_ready(instance.service))
         self.ejector.note(instance.id, ok, among, anyio.current_time())
-
-
-def list_notices(fleet: Fleet, names: Iterable[str], now: float) -> Iterator[UpstreamNotice]:
-    """Yield what instances said of themselves in their answers, as others are told of it.
-
-    :param fleet: what is known of them.
-    :param names: their ids.
-    :param now: the time.
-    """
-    for name in names:
-        known = fleet.get(name)
-        leaving = known is not None and known.state is InstanceState.LEAVING
-        yield UpstreamNotice(name, fleet.tell_limit(name, now), leaving)
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -27,6 +27,15 @@
 """An instance without a heartbeat for so long is dropped; many missed heartbeats."""
 
 
+LIFT_SECONDS = 0.5
+"""An answer without a limit so soon after one with it lifts nothing: it may have been on its way,
+or not all answers of that instance say so."""
+
+SAME_LIMIT_SHARE = 0.1
+"""Part by which a limit may differ from the one that is known and still be no news. One that an
+instance reckons anew for each answer would wake all processes of a site with each."""
+
+
 class InstanceState(StrEnum):
     """How far an instance is on its way; states only go forward."""
 
@@ -122,6 +131,13 @@
         return RateLimit(self.limit, now - self.limit_at) if self.ever_limited else None
 
 
+def _is_other_limit(known: float | None, said: float | None) -> bool:
+    """Return whether a limit differs from the one that is known by enough to be news."""
+    if known is None or said is None:
+        return known is not said
+    return abs(said - known) > SAME_LIMIT_SHARE * known
+
+
 @dataclass
 class Fleet:
     """All instances known to one process.
@@ -246,10 +262,14 @@
         :param now: the time.
         """
         known = self._known.get(instance_id)
-        if known is None or now - limit.age < known.limit_at:
+        said_at = now - limit.age
+        if known is None or said_at < known.limit_at:
+            return False
+        lifted = limit.rate is None and known.limit is not None
+        if lifted and said_at < known.limit_at + LIFT_SECONDS:
             return False
-        known.limit_at = now - limit.age
-        if limit.rate == known.limit:
+        known.limit_at = said_at
+        if not _is_other_limit(known.limit, limit.rate):
             return False
         known.limit = limit.rate
         known.ever_limited = True
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -10,13 +10,14 @@
 from anyio.abc import TaskGroup
 
 from daleroad.backpressure import Backpressure
-from daleroad.choosing import Chooser, GatewayOptions, list_notices
+from daleroad.choosing import Chooser, GatewayOptions
 from daleroad.defaults import LAST_ANSWER_SECONDS
 from daleroad.dispatch import Dispatcher
 from daleroad.evacuations import EvacuatedZones
 from daleroad.events import Event, log_event
 from daleroad.fleet import GONE_KEPT_SECONDS, Fleet, Instance, InstanceState, RateLimit
 from daleroad.guarding import Guard, GuardedDispatcher
+from daleroad.limitedsends import list_notices
 from daleroad.loads import GatewayLoads
 from daleroad.notices import GatewayNotice, UpstreamNotice
 from daleroad.outbox import Outbox
--- /dev/null
+++ b/src/daleroad/limitedsends.py
@@ -0,0 +1,84 @@
+"""What one gateway may send to upstreams that bear only so much: what was granted, or its own share."""
+
+from collections.abc import Iterable, Iterator
+
+import anyio
+
+from daleroad.fleet import Fleet, Instance, InstanceState
+from daleroad.guarding import Guard
+from daleroad.notices import PlaceAnswer, UpstreamNotice
+from daleroad.sendlimits import GRANT_SECONDS, OwnShare
+
+
+class LimitedSends:
+    """Leave of one gateway to send to upstreams that bear only so much.
+
+    :param owner: the gateway.
+    :param fleet: the upstreams that are alive.
+    :param guard: keeps the grants and looks for one before each send.
+    """
+
+    def __init__(self, owner: str, fleet: Fleet, guard: Guard) -> None:
+        self._fleet = fleet
+        self._guard = guard
+        self._share = OwnShare(owner)
+
+    def are_among(self, service: str) -> bool:
+        """Return whether a service has upstreams that get only what is granted.
+
+        :param service: its name.
+        """
+        return any(map(self._guard.is_limited, self._fleet.list_ready(service)))
+
+    def keep_grant(self, answer: PlaceAnswer, asked_at: float) -> None:
+        """Keep the grant that an answer of the process that places for all gateways holds, if any.
+
+        :param answer: the answer.
+        :param asked_at: when it was asked for.
+        """
+        if answer.granted:
+            now = anyio.current_time()
+            self._guard.grants.add(answer.instance, asked_at + GRANT_SECONDS, now)
+
+    def take_share(self, instance: Instance, gateways: int) -> bool:
+        """Use this gateway's own share of what an upstream takes; return whether there is some now.
+
+        :param instance: the upstream.
+        :param gateways: how many gateways there are.
+        """
+        rate = self._fleet.get_rate_limit(instance.id)
+        if rate is None or self._guard.is_fragile(instance):
+            return False
+        return self._share.take(instance.id, rate, gateways, anyio.current_time())
+
+    def grant_share(self, instance: Instance, gateways: int) -> bool:
+        """Keep a grant out of this gateway's own share; return whether there is some now.
+
+        :param instance: the upstream.
+        :param gateways: how many gateways there are.
+        """
+        if not self.take_share(instance, gateways):
+            return False
+        now = anyio.current_time()
+        self._guard.grants.add(instance.id, now + GRANT_SECONDS, now)
+        return True
+
+    def forget(self, instance_id: str) -> None:
+        """Forget an upstream that left.
+
+        :param instance_id: the upstream.
+        """
+        self._share.forget(instance_id)
+
+
+def list_notices(fleet: Fleet, names: Iterable[str], now: float) -> Iterator[UpstreamNotice]:
+    """Yield what instances said of themselves in their answers, as others are told of it.
+
+    :param fleet: what is known of them.
+    :param names: their ids.
+    :param now: the time.
+    """
+    for name in names:
+        known = fleet.get(name)
+        leaving = known is not None and known.state is InstanceState.LEAVING
+        yield UpstreamNotice(name, fleet.tell_limit(name, now), leaving)
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -8,7 +8,7 @@
 from daleroad.backpressure import Backpressure
 from daleroad.dispatch import Attempt
 from daleroad.errors import Failure
-from daleroad.fleet import Fleet, Instance, InstanceState, RateLimit, Sighting
+from daleroad.fleet import LIFT_SECONDS, Fleet, Instance, InstanceState, RateLimit, Sighting
 from tests.fakes import make_instance, make_job
 from tests.test_platform import SIGNED, EngineClient, Upstream, answer, wire
 
@@ -110,9 +110,21 @@
         self.assertEqual(self.fleet.get_rate_limit("i1"), 2.0)
         (told,) = self.fleet.list_changed(12.0, known)
         self.assertEqual(told.limit, RateLimit(2.0, 1.0))
+        self.assertFalse(self.fleet.note_limit("i1", RateLimit(None), 11.0 + LIFT_SECONDS - 0.01))
         self.assertTrue(self.fleet.note_limit("i1", RateLimit(None), 13.0))
         self.assertIsNone(self.fleet.get_rate_limit("i1"))
 
+    def test_one_that_says_it_in_some_answers_only_keeps_its_limit_and_is_no_news(self) -> None:
+        self.fleet.note_limit("i1", RateLimit(2.0), 11.0)
+        known = self.fleet.revision
+        for step in range(100):
+            rate = 2.1 if step % 2 else None
+            self.assertFalse(self.fleet.note_limit("i1", RateLimit(rate), 11.0 + step / 10))
+        self.assertEqual((self.fleet.get_rate_limit("i1"), self.fleet.revision), (2.0, known))
+        self.assertTrue(self.fleet.note_limit("i1", RateLimit(2.3), 30.0))
+        self.assertTrue(self.fleet.note_limit("i1", RateLimit(0.0), 31.0))
+        self.assertTrue(self.fleet.note_limit("i1", RateLimit(0.1), 32.0))
+
     def test_others_hear_it_with_the_instance_whatever_its_heartbeats_number(self) -> None:
         other = Fleet()
         other.note(Sighting(make_instance(1), 0.0), 10.0)
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -17,7 +17,7 @@
 from daleroad.backpressure import Backpressure, Rests
 from daleroad.dispatch import Attempt, CopyFault, NotCopied, NotRun, Source, Whole
 from daleroad.errors import Failure, FailureKind, Ran
-from daleroad.fleet import InstanceState, Sighting
+from daleroad.fleet import LIFT_SECONDS, InstanceState, Sighting
 from daleroad.forwarding import Outcome
 from daleroad.gateway import Gateway
 from daleroad.notices import PlaceAnswer, PlaceRequest, UpstreamNotice
@@ -201,6 +201,7 @@
             gateways[1].note_backpressure(make_instance(2), Backpressure(leaving=True))
             await wait_for(lambda: all(g.fleet.get_rate_limit("i1") == 2.5 for g in gateways))
             await wait_for(lambda: all(has_left(g, "i2") for g in gateways))
+            await anyio.sleep(LIFT_SECONDS)
             gateways[3].note_backpressure(make_instance(1), Backpressure())
             await wait_for(lambda: all(g.fleet.get_rate_limit("i1") is None for g in gateways))
             sites.end_all()
--- a/tests/test_sendlimits.py
+++ b/tests/test_sendlimits.py
@@ -22,7 +22,7 @@
 from daleroad.backpressure import Backpressure
 from daleroad.dispatch import Attempt, NotRun, Source, Whole
 from daleroad.errors import Failure, Ran
-from daleroad.fleet import Sighting
+from daleroad.fleet import LIFT_SECONDS, Sighting
 from daleroad.forwarding import Outcome
 from daleroad.notices import PlaceAnswer, PlaceRequest
 from daleroad.routing import Repeat
@@ -255,6 +255,7 @@
         async def body(gateway, dispatcher, asked, attempt) -> None:
             self.assertTrue(gateway.guard.is_limited(make_instance(2)))
             self.assertEqual((gateway.count_limited(), gateway.count_resting()), (1, 0))
+            await anyio.sleep(LIFT_SECONDS)
             gateway.note_backpressure(make_instance(2), Backpressure())
             self.assertIsInstance(await gateway.dispatcher.send(attempt), Whole)
             self.assertEqual(asked, [])
