--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -9,9 +9,10 @@
 from daleroad.candidates import Judge
 from daleroad.defaults import BACKUP_ROOM, BACKUP_WORTH_SECONDS
 from daleroad.dispatch import Attempt, Prompt
-from daleroad.fleet import Fleet, Instance
+from daleroad.fleet import Fleet
 from daleroad.guarding import Guard
 from daleroad.health import Ejector
+from daleroad.instances import Instance
 from daleroad.limitedsends import LimitedSends, list_notices
 from daleroad.loads import GatewayLoads
 from daleroad.notices import PlaceAnswer, PlaceRequest
--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -12,7 +12,7 @@
 from daleroad.copyschedule import RunSize
 from daleroad.defaults import MOVE_WORTH_SECONDS, SILENCE_SECONDS, TOKEN_SECONDS
 from daleroad.errors import Failure
-from daleroad.fleet import Instance
+from daleroad.instances import Instance
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -14,7 +14,9 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field, replace
-from enum import StrEnum
+
+from daleroad.instances import Instance, InstanceState, Sighting, make_instance_id
+from daleroad.ratelimits import KnownLimit, RateLimit
 
 GONE_KEPT_SECONDS = 60.0
 """How long an instance that left is remembered; heartbeats arrive seconds late, not minutes."""
@@ -26,89 +28,9 @@
 FORGET_SECONDS = 20.0
 """An instance without a heartbeat for so long is dropped; many missed heartbeats."""
 
-
-LIFT_SECONDS = 0.5
-"""An answer without a limit so soon after one with it lifts nothing: it may have been on its way,
-or not all answers of that instance say so."""
-
-SAME_LIMIT_SHARE = 0.1
-"""Part by which a limit may differ from the one that is known and still be no news. One that an
-instance reckons anew for each answer would wake all processes of a site with each."""
-
-
-class InstanceState(StrEnum):
-    """How far an instance is on its way; states only go forward."""
-
-    READY = "ready"
-    LEAVING = "leaving"
-    GONE = "gone"
-
-
 _ORDER = list(InstanceState)
 
 
-@dataclass(frozen=True)
-class Instance:
-    """One process of an upstream, as it describes itself.
-
-    :param id: tells it from all other starts, as :func:`make_instance_id` returns it.
-    :param sequence: number of the heartbeat that said so.
-    :param slots: requests that it works on at a time.
-    :param name: what it calls itself, if that is not its id; it may start again under this name.
-    :param born: when it started, in milliseconds since 1970 by its own clock; 0 if it does not say.
-    """
-
-    id: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    state: InstanceState
-    sequence: int
-    name: str = ""
-    born: int = 0
-
-    def get_name(self) -> str:
-        """Return what the upstream calls itself."""
-        return self.name or self.id
-
-
-def make_instance_id(name: str, born: int) -> str:
-    """Return the id of one start of an upstream.
-
-    :param name: what it calls itself.
-    :param born: when it started, in milliseconds since 1970; 0 if it does not say.
-    """
-    return f"{name}@{born}" if born else name
-
-
-@dataclass(frozen=True)
-class RateLimit:
-    """What an instance said of the requests that it takes from all gateways together.
-
-    :param rate: requests a second; nothing where it names no limit any more.
-    :param age: seconds since it said so.
-    """
-
-    rate: float | None
-    age: float = 0.0
-
-
-@dataclass(frozen=True)
-class Sighting:
-    """An instance as one process tells another of it, with ages instead of times.
-
-    :param age: seconds since its last heartbeat.
-    :param cold: seconds for which it will still be slow after its start.
-    :param limit: the newest that it said of what it takes, if it ever named a limit.
-    """
-
-    instance: Instance
-    age: float
-    cold: float = 0.0
-    limit: RateLimit | None = None
-
-
 @dataclass
 class _Known:
     instance: Instance
@@ -117,25 +39,12 @@
     warm_at: float
     started_at: float
     revision: int
-    limit: float | None = None
-    limit_at: float = float("-inf")
-    ever_limited: bool = False
+    limit: KnownLimit = field(default_factory=KnownLimit)
 
     def tell(self, now: float) -> Sighting:
         """Return the instance as others are told of it."""
         cold = max(0.0, self.warm_at - now)
-        return Sighting(self.instance, now - self.heard_at, cold, self.tell_limit(now))
-
-    def tell_limit(self, now: float) -> RateLimit | None:
-        """Return what it takes as others are told of it, if it ever named a limit."""
-        return RateLimit(self.limit, now - self.limit_at) if self.ever_limited else None
-
-
-def _is_other_limit(known: float | None, said: float | None) -> bool:
-    """Return whether a limit differs from the one that is known by enough to be news."""
-    if known is None or said is None:
-        return known is not said
-    return abs(said - known) > SAME_LIMIT_SHARE * known
+        return Sighting(self.instance, now - self.heard_at, cold, self.limit.tell(now))
 
 
 @dataclass
@@ -262,17 +171,8 @@
         :param now: the time.
         """
         known = self._known.get(instance_id)
-        said_at = now - limit.age
-        if known is None or said_at < known.limit_at:
-            return False
-        lifted = limit.rate is None and known.limit is not None
-        if lifted and said_at < known.limit_at + LIFT_SECONDS:
-            return False
-        known.limit_at = said_at
-        if not _is_other_limit(known.limit, limit.rate):
+        if known is None or not known.limit.note(limit, now):
             return False
-        known.limit = limit.rate
-        known.ever_limited = True
         self.revision += 1
         known.revision = self.revision
         return True
@@ -296,12 +196,12 @@
         :param instance_id: its id.
         """
         known = self._known.get(instance_id)
-        return known.limit if known is not None else None
+        return known.limit.rate if known is not None else None
 
     def count_limited(self) -> int:
         """Return how many instances that are alive name a limit on their requests."""
         alive = (k for k in self._known.values() if k.instance.state is not InstanceState.GONE)
-        return sum(known.limit is not None for known in alive)
+        return sum(known.limit.rate is not None for known in alive)
 
     def tell_limit(self, instance_id: str, now: float) -> RateLimit | None:
         """Return the newest that an instance said of what it takes, if it ever named a limit.
@@ -310,7 +210,7 @@
         :param now: the time.
         """
         known = self._known.get(instance_id)
-        return known.tell_limit(now) if known is not None else None
+        return known.limit.tell(now) if known is not None else None
 
     def note_cold_zone(self, zone: str, seconds: float, now: float) -> None:
         """Note that the instances of an availability zone are cold, until they say something else.
--- a/src/daleroad/fleetfile.py
+++ b/src/daleroad/fleetfile.py
@@ -13,7 +13,8 @@
 from daleroad.codec import decode, encode
 from daleroad.errors import Failure
 from daleroad.events import Event, log_event
-from daleroad.fleet import Fleet, Sighting
+from daleroad.fleet import Fleet
+from daleroad.instances import Sighting
 from daleroad.keptfile import keep_file, read_file
 
 RECOVERED_HEARTBEATS = 1.75
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -37,8 +37,8 @@
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
 from daleroad.fingerprints import find_fingerprint
-from daleroad.fleet import Instance
 from daleroad.gateway import Gateway
+from daleroad.instances import Instance
 from daleroad.metrics import RequestMetrics
 from daleroad.routing import Repeat, RouteRule, RoutingTable, ServiceRule
 from daleroad.runs import Run, Runs, Tries
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -15,12 +15,14 @@
 from daleroad.dispatch import Dispatcher
 from daleroad.evacuations import EvacuatedZones
 from daleroad.events import Event, log_event
-from daleroad.fleet import GONE_KEPT_SECONDS, Fleet, Instance, InstanceState, RateLimit
+from daleroad.fleet import GONE_KEPT_SECONDS, Fleet
 from daleroad.guarding import Guard, GuardedDispatcher
+from daleroad.instances import Instance, InstanceState
 from daleroad.limitedsends import list_notices
 from daleroad.loads import GatewayLoads
 from daleroad.notices import GatewayNotice, UpstreamNotice
 from daleroad.outbox import Outbox
+from daleroad.ratelimits import RateLimit
 from daleroad.retries import WindowBudget
 from daleroad.routing import RoutingConfig, RoutingTable, ServiceRule
 from daleroad.suspects import Suspects, Suspicion
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -33,7 +33,8 @@
 from daleroad.evacuations import EvacuatedZones
 from daleroad.events import Event, log_event
 from daleroad.fingerprints import find_fingerprint
-from daleroad.fleet import Fleet, Instance, InstanceState
+from daleroad.fleet import Fleet
+from daleroad.instances import Instance, InstanceState
 from daleroad.sendlimits import Grants
 from daleroad.suspects import Standing, Suspects, Suspicion
 
--- a/src/daleroad/limitedsends.py
+++ b/src/daleroad/limitedsends.py
@@ -1,11 +1,12 @@
-"""What one gateway may send to upstreams that bear only so much: what was granted, or its own share."""
+"""Leave of one gateway to send to upstreams that bear only so much."""
 
 from collections.abc import Iterable, Iterator
 
 import anyio
 
-from daleroad.fleet import Fleet, Instance, InstanceState
+from daleroad.fleet import Fleet
 from daleroad.guarding import Guard
+from daleroad.instances import Instance, InstanceState
 from daleroad.notices import PlaceAnswer, UpstreamNotice
 from daleroad.sendlimits import GRANT_SECONDS, OwnShare
 
--- a/src/daleroad/loads.py
+++ b/src/daleroad/loads.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from daleroad.fleet import Instance
+from daleroad.instances import Instance
 from daleroad.notices import Load
 
 
--- a/src/daleroad/moving.py
+++ b/src/daleroad/moving.py
@@ -18,8 +18,9 @@
 from daleroad.dispatch import Copied, CopyFault, EngineReport, NotCopied, Source
 from daleroad.errors import Failure
 from daleroad.events import Event, log_event
-from daleroad.fleet import GONE_KEPT_SECONDS, Instance, InstanceState
+from daleroad.fleet import GONE_KEPT_SECONDS
 from daleroad.gateway import Gateway
+from daleroad.instances import Instance, InstanceState
 from daleroad.picking import COPY_ZONE_BONUS, pick_upstream
 from daleroad.plans import Plan
 from daleroad.routing import ServiceRule
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass, field
 
 from daleroad.evacuations import EvacuatedZones
-from daleroad.fleet import RateLimit, Sighting
+from daleroad.instances import Sighting
 from daleroad.patches import Patch
+from daleroad.ratelimits import RateLimit
 from daleroad.suspects import Suspicion
 
 
--- a/src/daleroad/picking.py
+++ b/src/daleroad/picking.py
@@ -10,7 +10,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from daleroad.fleet import Instance
+from daleroad.instances import Instance
 from daleroad.notices import Load
 
 NOISE = 0.06
--- a/src/daleroad/placing.py
+++ b/src/daleroad/placing.py
@@ -14,7 +14,7 @@
 from statistics import mean
 from typing import Any
 
-from daleroad.fleet import Instance, InstanceState
+from daleroad.instances import Instance, InstanceState
 from daleroad.notices import Load
 from daleroad.picking import Candidate, Spread, estimate_load, make_spread, pick_upstream
 
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -24,7 +24,8 @@
 )
 from daleroad.errors import Failure, FailureKind
 from daleroad.events import Event, log_event
-from daleroad.fleet import Fleet, Instance, InstanceState, Sighting
+from daleroad.fleet import Fleet
+from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.loads import LoadTotals
 from daleroad.notices import (
     GatewayNotice,
--- a/src/daleroad/roommodel.py
+++ b/src/daleroad/roommodel.py
@@ -13,7 +13,8 @@
 
 from daleroad.candidates import Judge
 from daleroad.defaults import CROWDED_OBJECTIVES, CROWDED_PAUSE_SECONDS
-from daleroad.fleet import Fleet, Instance, InstanceState, Sighting
+from daleroad.fleet import Fleet
+from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.loads import LoadTotals
 from daleroad.notices import Load
 from daleroad.picking import Candidate, pick_upstream
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -16,8 +16,8 @@
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
 from daleroad.fingerprints import find_fingerprint
-from daleroad.fleet import Instance, InstanceState
 from daleroad.gateway import Gateway
+from daleroad.instances import Instance, InstanceState
 from daleroad.suspects import Standing
 
 
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -26,9 +26,9 @@
 from daleroad.errors import Failure
 from daleroad.evacuations import EvacuatedZones
 from daleroad.events import Event, log_event
-from daleroad.fleet import InstanceState
 from daleroad.gateway import Gateway
 from daleroad.guarding import log_suspicion
+from daleroad.instances import InstanceState
 from daleroad.notices import WatchAnswer, WatchRequest
 from daleroad.patches import apply_patch
 from daleroad.routing import RoutingConfig
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -20,9 +20,9 @@
     Whole,
 )
 from daleroad.errors import Failure, FailureKind
-from daleroad.fleet import Instance, InstanceState, Sighting
 from daleroad.forwarding import Forwarder
 from daleroad.gateway import Gateway
+from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.metrics import Metrics, RequestMetrics
 from daleroad.moving import EngineMover
 from daleroad.routing import (
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -11,9 +11,9 @@
 
 from daleroad.channels import ChannelCalls
 from daleroad.choosing import GatewayOptions
-from daleroad.fleet import Instance, InstanceState, Sighting
 from daleroad.forwarding import Forwarder, Outcome
 from daleroad.gateway import Gateway
+from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.placeclient import PlaceClient
 from daleroad.routing import Repeat
 from daleroad.watching import Watcher
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -8,7 +8,9 @@
 from daleroad.backpressure import Backpressure
 from daleroad.dispatch import Attempt
 from daleroad.errors import Failure
-from daleroad.fleet import LIFT_SECONDS, Fleet, Instance, InstanceState, RateLimit, Sighting
+from daleroad.fleet import Fleet
+from daleroad.instances import Instance, InstanceState, Sighting
+from daleroad.ratelimits import LIFT_SECONDS, RateLimit
 from tests.fakes import make_instance, make_job
 from tests.test_platform import SIGNED, EngineClient, Upstream, answer, wire
 
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -23,9 +23,9 @@
 from daleroad.defaults import CLOCK_TURN_SECONDS, LOOP_STALL_SECONDS, SHARE_SECONDS
 from daleroad.dispatch import Lost
 from daleroad.errors import Failure, FailureKind
-from daleroad.fleet import Sighting
 from daleroad.follower import Follower
 from daleroad.gateway import Gateway
+from daleroad.instances import Sighting
 from daleroad.loopback import make_site
 from daleroad.messages import FollowAnswer
 from daleroad.notices import ShareRequest, WatchAnswer, WatchRequest
--- a/tests/test_coldlimits.py
+++ b/tests/test_coldlimits.py
@@ -14,8 +14,9 @@
 from daleroad.defaults import CONNECT_SECONDS
 from daleroad.dispatch import Attempt, NotRun, Whole
 from daleroad.errors import Failure, FailureKind, Ran
-from daleroad.fleet import Fleet, Sighting
+from daleroad.fleet import Fleet
 from daleroad.gateway import Gateway
+from daleroad.instances import Sighting
 from daleroad.loads import LoadTotals
 from daleroad.notices import PlaceAnswer, PlaceRequest
 from daleroad.placer import Placer
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -23,9 +23,9 @@
     LOOKUP_KEPT_SECONDS,
 )
 from daleroad.errors import Failure, FailureKind
-from daleroad.fleet import Instance, InstanceState, Sighting
 from daleroad.fleetfile import RECOVERED_HEARTBEATS
 from daleroad.gateway import Gateway
+from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.notices import (
     GatewayNotice,
     PlaceAnswer,
--- a/tests/test_crashing.py
+++ b/tests/test_crashing.py
@@ -21,9 +21,9 @@
 import trio.testing
 
 from daleroad.dispatch import Attempt, Lost, Reply
-from daleroad.fleet import Instance, InstanceState, Sighting
 from daleroad.forwarding import Flow
 from daleroad.gateway import Gateway
+from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.routing import Repeat
 from tests.fakes import (
     FakeDispatcher,
--- a/tests/test_crowded.py
+++ b/tests/test_crowded.py
@@ -9,7 +9,8 @@
 
 from daleroad.defaults import CROWDED_OBJECTIVES, CROWDED_PAUSE_SECONDS
 from daleroad.dispatch import Prompt, Whole
-from daleroad.fleet import Fleet, Sighting
+from daleroad.fleet import Fleet
+from daleroad.instances import Sighting
 from daleroad.loads import LoadTotals
 from daleroad.notices import Load, PlaceAnswer, PlaceRequest
 from daleroad.placer import Placer
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -41,8 +41,8 @@
 from daleroad.dispatch import Lost, NotRun, Prompt  # noqa: E402
 from daleroad.draining import estimate_need, find_return, takes  # noqa: E402
 from daleroad.errors import Failure, FailureKind, Ran  # noqa: E402
-from daleroad.fleet import Sighting  # noqa: E402
 from daleroad.forwarding import Flow, Forwarder, Outcome  # noqa: E402
+from daleroad.instances import Sighting  # noqa: E402
 from daleroad.metrics import Metrics, RequestMetrics  # noqa: E402
 from daleroad.moving import EngineMover  # noqa: E402
 from daleroad.routing import Repeat, RoutingConfig  # noqa: E402
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -26,8 +26,9 @@
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.evacuationcommands import EvacuationCommands
 from daleroad.evacuations import HISTORY_MOST, EvacuatedZones, Evacuations, ZoneOrder
-from daleroad.fleet import Fleet, Instance, Sighting
+from daleroad.fleet import Fleet
 from daleroad.gateway import Gateway
+from daleroad.instances import Instance, Sighting
 from daleroad.loads import LoadTotals
 from daleroad.notices import PlaceAnswer, PlaceRequest
 from daleroad.placer import Placer
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,14 +5,8 @@
 from dataclasses import replace
 from random import Random
 
-from daleroad.fleet import (
-    FORGET_SECONDS,
-    GONE_KEPT_SECONDS,
-    Fleet,
-    Instance,
-    InstanceState,
-    Sighting,
-)
+from daleroad.fleet import FORGET_SECONDS, GONE_KEPT_SECONDS, Fleet
+from daleroad.instances import Instance, InstanceState, Sighting
 
 READY = Instance("i", "s", "1:1", "z", 4, InstanceState.READY, 5)
 
--- a/tests/test_fleetfile.py
+++ b/tests/test_fleetfile.py
@@ -8,8 +8,9 @@
 
 from daleroad.defaults import LATE_HEARTBEATS, OVERDUE_HEARTBEATS
 from daleroad.errors import Failure
-from daleroad.fleet import Fleet, Instance, InstanceState, Sighting
+from daleroad.fleet import Fleet
 from daleroad.fleetfile import RECOVERED_HEARTBEATS, dump_fleet, load_fleet
+from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.keptfile import replace_file
 
 AGE = 2.5
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -11,9 +11,9 @@
 from daleroad.defaults import SILENCE_SECONDS, START_SECONDS
 from daleroad.dispatch import Lost, NotRun, Whole
 from daleroad.errors import Failure, FailureKind, Ran
-from daleroad.fleet import InstanceState, Sighting
 from daleroad.forwarding import Flow, Forwarder
 from daleroad.gateway import Gateway
+from daleroad.instances import InstanceState, Sighting
 from daleroad.metrics import Metrics, RequestMetrics
 from daleroad.moving import EngineMover
 from daleroad.routing import OrganisationRule, Repeat, RoutingConfig
--- a/tests/test_guarding.py
+++ b/tests/test_guarding.py
@@ -11,8 +11,8 @@
 
 from daleroad.dispatch import Attempt, Lost, NotRun, Reply, Source, Whole
 from daleroad.errors import Failure, FailureKind, Ran
-from daleroad.fleet import Instance, InstanceState, Sighting
 from daleroad.gateway import Gateway
+from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.routing import Repeat
 from daleroad.suspects import HELD_SECONDS, TRIAL_SECONDS, Standing
 from tests.fakes import (
--- a/tests/test_picking.py
+++ b/tests/test_picking.py
@@ -11,9 +11,9 @@
 
 from daleroad.defaults import LATE_HEARTBEATS, OVERDUE_HEARTBEATS
 from daleroad.dispatch import Prompt
-from daleroad.fleet import Instance, InstanceState, Sighting
 from daleroad.fleetfile import RECOVERED_HEARTBEATS
 from daleroad.gateway import Gateway
+from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.notices import Load
 from daleroad.picking import (
     SPREAD_MOST,
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -14,8 +14,9 @@
 from daleroad.defaults import PLACE_PAUSE_SECONDS, PLACE_SECONDS
 from daleroad.dispatch import Prompt
 from daleroad.errors import Failure, FailureKind
-from daleroad.fleet import Fleet, InstanceState, Sighting
+from daleroad.fleet import Fleet
 from daleroad.gateway import Gateway
+from daleroad.instances import InstanceState, Sighting
 from daleroad.loads import LoadTotals
 from daleroad.notices import Load, LoadsRequest, PlaceAnswer, PlaceRequest
 from daleroad.placeclient import PlaceClient
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -53,7 +53,7 @@
 from daleroad.errors import Failure, FailureKind, Ran  # noqa: E402
 from daleroad.evacuations import EvacuatedZones  # noqa: E402
 from daleroad.fingerprints import find_fingerprint  # noqa: E402
-from daleroad.fleet import Instance, InstanceState  # noqa: E402
+from daleroad.instances import Instance, InstanceState  # noqa: E402
 from daleroad.routing import Repeat, RoutingConfig, find_fault  # noqa: E402
 
 CONFIG = {
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -17,10 +17,11 @@
 from daleroad.backpressure import Backpressure, Rests
 from daleroad.dispatch import Attempt, CopyFault, NotCopied, NotRun, Source, Whole
 from daleroad.errors import Failure, FailureKind, Ran
-from daleroad.fleet import LIFT_SECONDS, InstanceState, Sighting
 from daleroad.forwarding import Outcome
 from daleroad.gateway import Gateway
+from daleroad.instances import InstanceState, Sighting
 from daleroad.notices import PlaceAnswer, PlaceRequest, UpstreamNotice
+from daleroad.ratelimits import LIFT_SECONDS
 from daleroad.routing import Repeat
 from tests.fakes import (
     PROMPT,
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -16,8 +16,8 @@
 from daleroad.dispatch import Attempt, Copied, CopyFault, EngineReport, Lost, NotCopied, NotRun
 from daleroad.draining import Need
 from daleroad.errors import Failure, Ran
-from daleroad.fleet import InstanceState, Sighting
 from daleroad.gateway import Gateway
+from daleroad.instances import InstanceState, Sighting
 from daleroad.moving import EngineMover
 from daleroad.routing import Repeat
 from daleroad.runs import Run, Runs, StreamEnd, Tries
--- a/tests/test_sendlimits.py
+++ b/tests/test_sendlimits.py
@@ -22,9 +22,10 @@
 from daleroad.backpressure import Backpressure
 from daleroad.dispatch import Attempt, NotRun, Source, Whole
 from daleroad.errors import Failure, Ran
-from daleroad.fleet import LIFT_SECONDS, Sighting
 from daleroad.forwarding import Outcome
+from daleroad.instances import Sighting
 from daleroad.notices import PlaceAnswer, PlaceRequest
+from daleroad.ratelimits import LIFT_SECONDS
 from daleroad.routing import Repeat
 from daleroad.sendlimits import (
     COUNTED_SECONDS,
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -22,8 +22,8 @@
 from daleroad.defaults import FLEET_KEPT_SECONDS
 from daleroad.dispatch import Attempt, Job
 from daleroad.errors import Failure, FailureKind
-from daleroad.fleet import Sighting
 from daleroad.gateway import Gateway
+from daleroad.instances import Sighting
 from daleroad.notices import (
     ReleaseRequest,
     SuspectsAnswer,
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -6,14 +6,8 @@
 
 import anyio
 
-from daleroad.fleet import (
-    FORGET_SECONDS,
-    Fleet,
-    Instance,
-    InstanceState,
-    Sighting,
-    make_instance_id,
-)
+from daleroad.fleet import FORGET_SECONDS, Fleet
+from daleroad.instances import Instance, InstanceState, Sighting, make_instance_id
 from daleroad.routing import Repeat
 from tests.fakes import FakeDispatcher, make_config, make_gateway
 
--- a/tests/test_unreached.py
+++ b/tests/test_unreached.py
@@ -7,7 +7,8 @@
 import anyio
 
 from daleroad.dispatch import NotRun
-from daleroad.fleet import Fleet, Sighting
+from daleroad.fleet import Fleet
+from daleroad.instances import Sighting
 from daleroad.loads import LoadTotals
 from daleroad.notices import PlaceAnswer, PlaceRequest
 from daleroad.placer import Placer
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -28,7 +28,8 @@
 from daleroad.control import found
 from daleroad.demo import write_records
 from daleroad.directory import Directory
-from daleroad.fleet import Fleet, Instance, InstanceState, Sighting
+from daleroad.fleet import Fleet
+from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.lengths import Lengths
 from daleroad.links import Links
 from daleroad.location import pick_addresses
