Take back how an upstream of the soak that starts again says what it needs

The trace was misread at first: the upstream started again under its id 0.2 s before it asked for rest, so the new process asked. The gateway heard of the new start 0.5 s later, kept the rest for the old one's id and forgot it. The check was right, and the fault is the gateway's. Ruled out: a gateway that stood still (its time on the run queue was sampled, 0.07 s at most).

--- a/tools/soakneeds.py
+++ b/tools/soakneeds.py
@@ -94,12 +94,6 @@
             if leaves:
                 self._end()
 
-    def start_again(self) -> None:
-        """Say the same as a process that has just started; what the one before said is over."""
-        if self._now is not None:
-            self._now = Episode(self._now.need, self._now.value)
-            self.episodes.append(self._now)
-
     def finish(self) -> None:
         """Need nothing more."""
         self._now = None
--- a/tools/soakupstreams.py
+++ b/tools/soakupstreams.py
@@ -87,7 +87,6 @@
         self._sequence = 0
         self.born = max(self.born + 1, read_clock())
         self.restarted_at = anyio.current_time()
-        self.needs.start_again()
 
     async def run(self) -> None:
         """Serve until cancelled, with a pause after each crash."""
