Do less for each request that needs no grant

Cause: each send looked twice for an obstacle, though the second look is for what came while a grant was asked for; and each question for a place made a notice of every ready instance, to drop those that never named a limit. Change: the second look follows a question only, and notices are made of limits only. The two ways in which a gateway keeps a grant are one. No change of what is sent or told. Measured: 198 tests of the changed modules pass; the saving itself was not measured.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -13,7 +13,7 @@
 from daleroad.guarding import Guard
 from daleroad.health import Ejector
 from daleroad.instances import Instance
-from daleroad.limitedsends import LimitedSends, list_notices
+from daleroad.limitedsends import LimitedSends, list_limits
 from daleroad.loads import GatewayLoads
 from daleroad.notices import PlaceAnswer, PlaceRequest
 from daleroad.picking import Candidate, draw_sample, make_spread, pick_upstream
@@ -199,7 +199,7 @@
             tuple(filter(self._is_failing, ready)),
             tuple(filter(self._is_out_of_reach, ready)),
             patient,
-            tuple(n for n in list_notices(self._fleet, ready, anyio.current_time()) if n.limit),
+            tuple(list_limits(self._fleet, ready, anyio.current_time())),
             only,
         )
 
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -41,6 +41,8 @@
 AskGrant = Callable[[Attempt], Awaitable[bool]]
 """Asks whether a request may go to an upstream that bears only so much."""
 
+_NOT_GRANTED = "it bears only so much, and this was not granted"
+
 
 @dataclass
 class Guard:
@@ -131,17 +133,23 @@
         ready = known is None or known.state is InstanceState.READY
         return "" if ready or attempt.source is not None else "it leaves"
 
-    async def take_grant(self, attempt: Attempt) -> bool:
-        """Return whether a request may go to its upstream, which may bear only so much.
+    def take_grant(self, attempt: Attempt) -> bool:
+        """Return whether a request needs no grant, or has one, which is used up.
 
-        What was placed for all gateways has its grant. Others ask for one here: streams that go on
+        :param attempt: the request.
+        """
+        instance = attempt.instance
+        held = self.grants.take(instance.id, anyio.current_time())
+        return held or not self.is_limited(instance)
+
+    async def ask_for_grant(self, attempt: Attempt) -> bool:
+        """Return whether a request that has no grant gets one.
+
+        What was placed for all gateways has its grant. Others ask here: streams that go on
         elsewhere, and whatever was on its way when the upstream named its limit.
 
         :param attempt: the request.
         """
-        instance = attempt.instance
-        if self.grants.take(instance.id, anyio.current_time()) or not self.is_limited(instance):
-            return True
         return self.ask_grant is not None and await self.ask_grant(attempt)
 
     def get_standing(self, job: Job, organisation: str) -> Standing:
@@ -257,10 +265,10 @@
     async def send(self, attempt: Attempt) -> Reply:
         """Send a request and return its answer, or the stream that it began."""
         obstacle = self._guard.find_obstacle(attempt)
-        if not obstacle and not await self._guard.take_grant(attempt):
-            obstacle = "it bears only so much, and this was not granted"
-        # An order may have come while the grant was asked for.
-        obstacle = obstacle or self._guard.find_obstacle(attempt)
+        if not obstacle and not self._guard.take_grant(attempt):
+            granted = await self._guard.ask_for_grant(attempt)
+            # An order may have come while the grant was asked for.
+            obstacle = self._guard.find_obstacle(attempt) if granted else _NOT_GRANTED
         if obstacle:
             return NotRun(obstacle, sent=False, held=True)
         if attempt.backup is not None and self._guard.find_closed(attempt.backup):
--- a/src/daleroad/limitedsends.py
+++ b/src/daleroad/limitedsends.py
@@ -38,8 +38,11 @@
         :param asked_at: when it was asked for.
         """
         if answer.granted:
-            now = anyio.current_time()
-            self._guard.grants.add(answer.instance, asked_at + GRANT_SECONDS, now)
+            self._keep(answer.instance, asked_at)
+
+    def _keep(self, instance_id: str, since: float) -> None:
+        now = anyio.current_time()
+        self._guard.grants.add(instance_id, since + GRANT_SECONDS, now)
 
     def take_share(self, instance: Instance, gateways: int) -> bool:
         """Use this gateway's own share of what an upstream takes; return whether there is some now.
@@ -60,8 +63,7 @@
         """
         if not self.take_share(instance, gateways):
             return False
-        now = anyio.current_time()
-        self._guard.grants.add(instance.id, now + GRANT_SECONDS, now)
+        self._keep(instance.id, anyio.current_time())
         return True
 
     def forget(self, instance_id: str) -> None:
@@ -72,6 +74,21 @@
         self._share.forget(instance_id)
 
 
+def list_limits(fleet: Fleet, names: Iterable[str], now: float) -> Iterator[UpstreamNotice]:
+    """Yield what instances that take new work said of the requests that they take.
+
+    Each question for a place has them, so nothing is made for the many that never named a limit.
+
+    :param fleet: what is known of them.
+    :param names: their ids.
+    :param now: the time.
+    """
+    for name in names:
+        limit = fleet.tell_limit(name, now)
+        if limit is not None:
+            yield UpstreamNotice(name, limit)
+
+
 def list_notices(fleet: Fleet, names: Iterable[str], now: float) -> Iterator[UpstreamNotice]:
     """Yield what instances said of themselves in their answers, as others are told of it.
 
