Let one piece mark news of an instance, and one wake those who watch

The count of the fullest span of the model of cold engines takes its length, for the tests and the soak that had copies of it. No change of behaviour.

--- a/src/daleroad/coldmodel.py
+++ b/src/daleroad/coldmodel.py
@@ -126,17 +126,21 @@
         else:
             refused += 1
         now += random.expovariate(rate)
-    fullest = max(_count_fullest(engine.arrivals) for engine in engines)
+    fullest = max(count_fullest(engine.arrivals, 1.0) for engine in engines)
     return ColdResult(fullest / max(1, most), refused / max(1, asked))
 
 
-def _count_fullest(arrivals: list[float]) -> int:
-    """Return the most arrivals within any second."""
+def count_fullest(arrivals: Iterable[float], seconds: float) -> int:
+    """Return the most arrivals within any span.
+
+    :param arrivals: their times.
+    :param seconds: length of the span.
+    """
     window: deque[float] = deque()
     fullest = 0
     for at in sorted(arrivals):
         window.append(at)
-        while window[0] <= at - 1.0:
+        while window[0] <= at - seconds:
             window.popleft()
         fullest = max(fullest, len(window))
     return fullest
--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -404,10 +404,8 @@
         if service is None:
             return Failure(FailureKind.NOT_FOUND, f"no service {asked.service}")
         self._limits.begin(self.group.replica.term, now)
-        before = self.presence.fleet.revision
-        answer = self._placer.place(asked, service, now, self.record.zones.zones)
-        if self.presence.fleet.revision != before:
-            self._wake()
+        with self.presence.waking():
+            answer = self._placer.place(asked, service, now, self.record.zones.zones)
         return Response(200, encode(answer))
 
     async def _serve_save(self, request: Request) -> Answer:
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -101,12 +101,20 @@
 
     def _end(self, known: _Known) -> list[Instance]:
         """Note that an instance is gone; return it if that is news."""
-        if known.instance.state is InstanceState.GONE:
+        return self._advance(known, InstanceState.GONE)
+
+    def _advance(self, known: _Known, state: InstanceState) -> list[Instance]:
+        """Bring an instance into a later state; return it if that is news."""
+        if _ORDER.index(known.instance.state) >= _ORDER.index(state):
             return []
-        known.instance = replace(known.instance, state=InstanceState.GONE)
+        known.instance = replace(known.instance, state=state)
+        self._mark(known)
+        return [known.instance]
+
+    def _mark(self, known: _Known) -> None:
+        """Note that others should hear of an instance."""
         self.revision += 1
         known.revision = self.revision
-        return [known.instance]
 
     def _take(self, sighting: Sighting, now: float) -> bool:
         """Take in news of the last start of an upstream; return whether it is news to others."""
@@ -141,15 +149,13 @@
             old.service,
         )
         if changed:
-            self.revision += 1
-            known.revision = self.revision
+            self._mark(known)
         return changed
 
     def _set_warm_at(self, known: _Known, warm_at: float, now: float) -> None:
         """Note until when an instance is cold; that it has become so is news to others."""
         if warm_at > now >= known.warm_at:
-            self.revision += 1
-            known.revision = self.revision
+            self._mark(known)
         known.warm_at = warm_at
 
     def note_cold(self, instance_id: str, seconds: float, now: float) -> None:
@@ -173,8 +179,7 @@
         known = self._known.get(instance_id)
         if known is None or not known.limit.note(limit, now):
             return False
-        self.revision += 1
-        known.revision = self.revision
+        self._mark(known)
         return True
 
     def note_leaving(self, instance_id: str) -> list[Instance]:
@@ -183,12 +188,7 @@
         :param instance_id: the instance.
         """
         known = self._known.get(instance_id)
-        if known is None or known.instance.state is not InstanceState.READY:
-            return []
-        known.instance = replace(known.instance, state=InstanceState.LEAVING)
-        self.revision += 1
-        known.revision = self.revision
-        return [known.instance]
+        return self._advance(known, InstanceState.LEAVING) if known is not None else []
 
     def get_rate_limit(self, instance_id: str) -> float | None:
         """Return the requests a second that an instance takes from all gateways, if it named them.
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -4,7 +4,8 @@
 second; news that an upstream leaves goes out at once, and counts only when another has it.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, replace
 
 import anyio
@@ -132,8 +133,8 @@
         """
         now = anyio.current_time()
         self._peers.note_alive(asked.sender, now)
-        before = self.fleet.revision
-        changed = self.fleet.note_all(asked.sightings, now)
+        with self.waking():
+            changed = self.fleet.note_all(asked.sightings, now)
         for instance in changed:
             self._log_change(instance)
         complete = self.fleet.note_ages(asked.ages, now)
@@ -145,11 +146,17 @@
                 complete = False
             else:
                 known.heard_at = max(known.heard_at, now - age)
-        if self.fleet.revision != before:
-            self._wake()
         self.shared.note(asked.suspicions, now)
         return complete
 
+    @contextmanager
+    def waking(self) -> Iterator[None]:
+        """Wake those who watch if what is done within is news of the fleet."""
+        before = self.fleet.revision
+        yield
+        if self.fleet.revision != before:
+            self._wake()
+
     def note_watch(self, asked: WatchRequest) -> None:
         """Note what a gateway says of itself.
 
@@ -159,11 +166,9 @@
         self._note_gateway(asked.gateway, now)
         self.loads.note(asked.gateway.address, asked.loads, now)
         self.shared.note(asked.suspicions, now)
-        before = self.fleet.revision
-        for notice in asked.upstreams:
-            self._note_upstream(notice, asked.gateway.address, now)
-        if self.fleet.revision != before:
-            self._wake()
+        with self.waking():
+            for notice in asked.upstreams:
+                self._note_upstream(notice, asked.gateway.address, now)
 
     def _note_upstream(self, notice: UpstreamNotice, by: str, now: float) -> None:
         """Take in what a gateway heard an upstream say of itself."""
@@ -235,13 +240,11 @@
         :param sighting: what it says.
         """
         now = anyio.current_time()
-        before = self.fleet.revision
         sighting = replace(sighting, age=self._find_wait(now))
-        changed = self.fleet.note(sighting, now)
+        with self.waking():
+            changed = self.fleet.note(sighting, now)
         for instance in changed:
             self._log_change(instance)
-        if self.fleet.revision != before:
-            self._wake()
         if sighting.instance in changed and sighting.instance.state is not InstanceState.READY:
             return await self._tell_leaving(sighting.instance)
         return None
