Let tests and the soak share how stand-ins read requests and what limits allow

The stand-ins of the tests parsed requests, counted the fullest window and kept the users' bounds by copies of what the soak's have; a test ran watched coordinators by a copy of its neighbour's way. Bounds and assertions are the same: 1.5 times the limit and 5 in 4 s, from 0.5 s after it was told.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,7 +1,7 @@
 """Stand-in upstreams that say of themselves what they take, and gateways that send to them."""
 
 from collections import Counter
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Iterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from random import Random
@@ -11,6 +11,7 @@
 
 from daleroad.channels import ChannelCalls
 from daleroad.choosing import GatewayOptions
+from daleroad.coldmodel import count_fullest
 from daleroad.forwarding import Forwarder, Outcome
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance, InstanceState, Sighting
@@ -20,6 +21,8 @@
 from tests.fakes import make_config, make_forwarder, make_job
 from tests.test_coordinator import parse
 from tests.test_platform import EngineClient
+from tools.soakneeds import GATEWAY_HEADER, TOLD_SECONDS, WINDOW_SECONDS, find_allowed
+from tools.soakupstreams import read_requests
 
 GATEWAYS = 12
 HEARTBEAT_SECONDS = 0.5
@@ -27,11 +30,6 @@
 GAP_SECONDS = 0.04
 """Time between two requests to all gateways: 25 a second."""
 
-TOLD_SECONDS = 0.5
-WINDOW_SECONDS = 4.0
-OVERAGE, TOLERANCE = 1.5, 5
-"""What the platform allows beyond a limit, and from when on it counts what a gateway sends."""
-
 TURNED_AWAY = b"503 Full"
 STATUSES = (b"200 OK", b"500 Failed", TURNED_AWAY, b"200 OK")
 """Answers of an upstream in need, by turns; each names the limit."""
@@ -62,21 +60,11 @@
 
     async def handle(self, stream: SocketStream) -> None:
         async with stream:
-            data = b""
-            while True:
-                try:
-                    while b"\r\n\r\n" not in data or not data.endswith(b"body"):
-                        data += await stream.receive()
-                except (anyio.EndOfStream, anyio.BrokenResourceError):
-                    return
-                head = data.decode()
-                data = b""
-                await self._answer(stream, head)
-
-    async def _answer(self, stream: SocketStream, head: str) -> None:
-        lines = (line.partition(": ") for line in head.split("\r\n"))
-        found = {name.lower(): value for name, _, value in lines}
-        gateway = found["x-gateway"]
+            async for request in read_requests(stream):
+                await self._answer(stream, request.headers)
+
+    async def _answer(self, stream: SocketStream, found: dict[str, str]) -> None:
+        gateway = found[GATEWAY_HEADER]
         self.arrivals.append((anyio.current_time(), gateway))
         await anyio.sleep(0.02)
         status = self._choose_status()
@@ -102,31 +90,28 @@
             return TURNED_AWAY
         return STATUSES[len(self.arrivals) % len(STATUSES)] if self.limit else STATUSES[0]
 
+    def _list_late(self, seconds: float) -> Iterator[tuple[float, str]]:
+        """Yield what gateways sent from a while after they were first told."""
+        for at, gateway in self.arrivals:
+            if at >= self.told.get(gateway, float("inf")) + seconds:
+                yield at, gateway
+
     def count_late(self, seconds: float) -> int:
         """Return the most requests of one gateway from a while after it was first told.
 
         :param seconds: the while.
         """
-        counts = Counter(
-            gateway
-            for at, gateway in self.arrivals
-            if at >= self.told.get(gateway, float("inf")) + seconds
-        )
+        counts = Counter(gateway for _, gateway in self._list_late(seconds))
         return max(counts.values(), default=0)
 
     def find_fullest(self) -> int:
         """Return the most requests in a window, from gateways that it had told before."""
-        times = [
-            at
-            for at, gateway in self.arrivals
-            if at >= self.told.get(gateway, float("inf")) + TOLD_SECONDS
-        ]
-        return max((sum(a <= b < a + WINDOW_SECONDS for b in times) for a in times), default=0)
+        return count_fullest((at for at, _ in self._list_late(TOLD_SECONDS)), WINDOW_SECONDS)
 
     def find_allowed(self) -> float:
         """Return how many requests the platform allows in a window."""
         assert self.limit is not None
-        return OVERAGE * self.limit * WINDOW_SECONDS + TOLERANCE
+        return find_allowed(self.limit)
 
 
 class Gateways:
@@ -164,7 +149,7 @@
         job = make_job(anyio.current_time())
         headers = (
             (b"x-daleroad-attempt-id", name.encode()),
-            (b"x-gateway", str(number).encode()),
+            (GATEWAY_HEADER.encode(), str(number).encode()),
         )
         return await self.forwarders[number].serve(replace(job, id=name, headers=headers))
 
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -35,8 +35,8 @@
     make_job,
 )
 from tests.standins import Gateways, StandIn, run_upstreams, send_all, tell_alone
-from tests.test_coordinator import Site, make_document, run_site, wait_for
-from tests.test_spreading import Sites
+from tests.test_coordinator import wait_for
+from tests.test_spreading import Sites, run_sites
 
 FEW = 4
 """Gateways, few enough that each sends several requests while an upstream rests."""
@@ -70,16 +70,6 @@
     return known is not None and known.state is InstanceState.LEAVING
 
 
-def run_sites(body: Callable) -> None:
-    """Run something with coordinators that gateways watch."""
-
-    async def main(site: Site, names: list[str]) -> None:
-        await site.get(names[0]).log.save(make_document(1))
-        await body(Sites(site), names)
-
-    run_site(main)
-
-
 def count_served(outcomes: list[Outcome]) -> int:
     return sum(isinstance(outcome, Whole) and outcome.status == 200 for outcome in outcomes)
 
--- a/tests/test_sendlimits.py
+++ b/tests/test_sendlimits.py
@@ -20,6 +20,7 @@
 from hypothesis import strategies as st
 
 from daleroad.backpressure import Backpressure
+from daleroad.coldmodel import count_fullest
 from daleroad.dispatch import Attempt, NotRun, Source, Whole
 from daleroad.errors import Failure, Ran
 from daleroad.forwarding import Outcome
@@ -40,9 +41,6 @@
 from tests.standins import (
     GATEWAYS,
     HEARTBEAT_SECONDS,
-    OVERAGE,
-    TOLERANCE,
-    WINDOW_SECONDS,
     Gateways,
     StandIn,
     run_upstreams,
@@ -50,6 +48,7 @@
     tell_alone,
 )
 from tests.test_coordinator import Site, make_document, run_site, wait_for
+from tools.soakneeds import WINDOW_SECONDS, find_allowed
 
 LIMITS = (2.0, 2.8, None)
 """What the three upstreams name."""
@@ -139,10 +138,6 @@
 
     RATES = (0.0, 0.05, 0.3, 1.0, 2.4, 27.0)
 
-    def count_fullest(self, arrivals: list[float]) -> int:
-        times = sorted(arrivals)
-        return max((sum(a <= b < a + WINDOW_SECONDS for b in times) for a in times), default=0)
-
     @given(st.integers(0, 10**9), st.sampled_from(RATES))
     def test_over_changes_of_the_leader_an_upstream_gets_little_more(
         self, seed: int, rate: float
@@ -160,8 +155,7 @@
             if leader.may_get("i", bounds, now):
                 leader.grant("i", now)
                 arrivals.append(now + random.random() * LATE_SECONDS)
-        allowed = OVERAGE * rate * WINDOW_SECONDS + TOLERANCE
-        self.assertLessEqual(self.count_fullest(arrivals), allowed)
+        self.assertLessEqual(count_fullest(arrivals, WINDOW_SECONDS), find_allowed(rate))
 
     def test_what_an_upstream_takes_is_used(self) -> None:
         for rate in (0.3, 1.0, 2.4, 27.0):
@@ -194,8 +188,8 @@
                     for share in shares
                     if share.take("i", rate, gateways, step / 20)
                 ]
-                allowed = OVERAGE * rate * WINDOW_SECONDS + TOLERANCE
-                self.assertLessEqual(self.count_fullest(arrivals), allowed, (gateways, rate))
+                fullest = count_fullest(arrivals, WINDOW_SECONDS)
+                self.assertLessEqual(fullest, find_allowed(rate), (gateways, rate))
                 self.assertGreater(len(arrivals), 0.3 * rate * 100)
 
 
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -99,14 +99,17 @@
     return all(g.guard.get_standing(asked, "") is Standing.HELD for g in gateways)
 
 
-class SpreadingTest(unittest.TestCase):
-    def play(self, body: Callable) -> None:
-        async def main(site: Site, names: list[str]) -> None:
-            await site.get(names[0]).log.save(make_document(1))
-            await body(Sites(site), names)
+def run_sites(body: Callable) -> None:
+    """Run something with coordinators that gateways watch."""
+
+    async def main(site: Site, names: list[str]) -> None:
+        await site.get(names[0]).log.save(make_document(1))
+        await body(Sites(site), names)
 
-        run_site(main)
+    run_site(main)
 
+
+class SpreadingTest(unittest.TestCase):
     async def hold(self, sites: Sites, gateways: list[Gateway]) -> None:
         """Let three upstreams end, each under another gateway, and wait until all hold it."""
         await wait_for(lambda: all(g.get_version() for g in gateways))
@@ -130,7 +133,7 @@
                 taken.append(anyio.current_time() - began)
             self.assertLess(median(taken), SPREAD_SECONDS)
 
-        self.play(body)
+        run_sites(body)
 
     def test_one_that_has_just_started_knows_before_it_serves(self) -> None:
         async def body(sites: Sites, names: list[str]) -> None:
@@ -140,7 +143,7 @@
             await wait_for(lambda: fresh.get_version())
             self.assertIs(get_standing(fresh), Standing.HELD)
 
-        self.play(body)
+        run_sites(body)
 
     def test_it_outlives_the_leader_that_was_told_first(self) -> None:
         async def body(sites: Sites, names: list[str]) -> None:
@@ -152,7 +155,7 @@
             (fresh,) = sites.add(1)
             await wait_for(lambda: all_hold([fresh]))
 
-        self.play(body)
+        run_sites(body)
 
     def test_it_outlives_all_processes(self) -> None:
         async def body(sites: Sites, names: list[str]) -> None:
@@ -167,7 +170,7 @@
             fresh = sites.add(2)
             await wait_for(lambda: all_hold(fresh))
 
-        self.play(body)
+        run_sites(body)
 
     def test_one_that_was_away_learns_it_when_it_is_back(self) -> None:
         async def body(sites: Sites, names: list[str]) -> None:
@@ -182,7 +185,7 @@
             back = await sites.site.start(names[1], founding=False)
             await wait_for(lambda: back.presence.suspects.count_held(anyio.current_time()))
 
-        self.play(body)
+        run_sites(body)
 
     def test_an_upstream_that_still_beats_takes_its_end_back_everywhere(self) -> None:
         async def body(sites: Sites, names: list[str]) -> None:
@@ -200,7 +203,7 @@
             sites.site.tasks.start_soon(beat)
             await wait_for(lambda: all(get_standing(g) is Standing.LAST for g in gateways))
 
-        self.play(body)
+        run_sites(body)
 
     def test_an_operator_lists_it_and_releases_it_everywhere(self) -> None:
         async def body(sites: Sites, names: list[str]) -> None:
@@ -223,7 +226,7 @@
             self.assertIsNone(done)
             await wait_for(lambda: all(get_standing(g) is Standing.CLEAR for g in gateways))
 
-        self.play(body)
+        run_sites(body)
 
     def test_the_commands_list_and_release_it(self) -> None:
         async def body(sites: Sites, names: list[str]) -> None:
@@ -238,7 +241,7 @@
             self.assertEqual((row["held"], len(row["ended"])), (True, CRASHES_HELD))
             await wait_for(lambda: all(get_standing(g) is Standing.CLEAR for g in gateways))
 
-        self.play(body)
+        run_sites(body)
 
     def test_the_leader_lets_one_gateway_try_what_was_held_for_long(self) -> None:
         async def body(sites: Sites, names: list[str]) -> None:
@@ -260,7 +263,7 @@
             assert isinstance(refused, Failure)
             self.assertIs(refused.kind, FailureKind.NOT_LEADER)
 
-        self.play(body)
+        run_sites(body)
 
     def test_a_gateway_is_told_little_of_each_request(self) -> None:
         ends = tuple(f"i-{number:010x}@1768712629029" for number in range(CRASHES_HELD))
--- a/tools/soakneeds.py
+++ b/tools/soakneeds.py
@@ -1,7 +1,7 @@
 """What stand-in upstreams say of themselves in a soak, and whether gateways keep to it.
 
-By turns an upstream names a limit, asks for rest, or says that it leaves and ends. Its answers alone
-tell gateways; its heartbeats go on as if nothing were.
+By turns an upstream names a limit, asks for rest, or says that it leaves and ends. Its answers
+alone tell gateways; its heartbeats go on as if nothing were.
 """
 
 from collections import Counter
@@ -12,6 +12,7 @@
 
 import anyio
 
+from daleroad.coldmodel import count_fullest
 from tools.soakledger import Ledger
 
 GATEWAY_HEADER = "x-soak-gateway"
@@ -37,6 +38,14 @@
 """What the users allow beyond a limit, and in a rest."""
 
 
+def find_allowed(rate: float) -> float:
+    """Return how many requests the users allow in a window to one that names a limit.
+
+    :param rate: the limit in requests a second.
+    """
+    return OVERAGE * rate * WINDOW_SECONDS + TOLERANCE
+
+
 class Need(StrEnum):
     """What an upstream says of itself."""
 
@@ -156,11 +165,9 @@
     def _list_faults(self, episode: Episode) -> Iterator[str]:
         match episode.need:
             case Need.LIMIT:
-                times = [at for at, _ in self._list_late(episode, TOLD_SECONDS)]
-                most = max(
-                    (sum(a <= b < a + WINDOW_SECONDS for b in times) for a in times), default=0
-                )
-                if most > OVERAGE * episode.value * WINDOW_SECONDS + TOLERANCE:
+                late = (at for at, _ in self._list_late(episode, TOLD_SECONDS))
+                most = count_fullest(late, WINDOW_SECONDS)
+                if most > find_allowed(episode.value):
                     yield f"{most} requests in {WINDOW_SECONDS:g} s"
             case Need.REST:
                 yield from self._list_unrested(episode)
--- a/tools/soakupstreams.py
+++ b/tools/soakupstreams.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True)
-class _Request:
+class UpstreamRequest:
     """A request as an upstream read it; names of headers are in lower case."""
 
     headers: dict[str, str]
@@ -104,7 +104,7 @@
 
     async def _handle(self, stream: SocketStream) -> None:
         async with stream:
-            async for request in _read_requests(stream):
+            async for request in read_requests(stream):
                 await self._answer(stream, request)
 
     def _crash(self) -> None:
@@ -118,7 +118,7 @@
         if self._life is not None:
             self._life.cancel()
 
-    async def _answer(self, stream: SocketStream, asked: _Request) -> None:
+    async def _answer(self, stream: SocketStream, asked: UpstreamRequest) -> None:
         head = asked.headers
         request = head.get("x-daleroad-attempt-id", "")
         if head.get("x-daleroad-expect-instance") != self.id:
@@ -240,7 +240,7 @@
     await stream.send(("\r\n".join(lines) + "\r\n\r\n").encode())
 
 
-async def _read_requests(stream: SocketStream) -> AsyncIterator[_Request]:
+async def read_requests(stream: SocketStream) -> AsyncIterator[UpstreamRequest]:
     """Yield requests whose bodies have a length."""
     data = b""
     while True:
@@ -256,5 +256,5 @@
                 data += await stream.receive()
         except (anyio.EndOfStream, anyio.BrokenResourceError):
             return
-        yield _Request(headers, data[:length])
+        yield UpstreamRequest(headers, data[:length])
         data = data[length:]
