Name how routes compete for engines, and the types that its parts share

Cause: urgency, objectives and pauses of routes were not looked at when a prompt is placed, and deployments differ in whether they should be. Change: contention reads from the configuration whether streams are guarded or routes can yield; messages carry a request's demand, engines' paces and guarded streams. Nothing uses them yet.

--- a/src/daleroad/candidates.py
+++ b/src/daleroad/candidates.py
@@ -9,6 +9,7 @@
 
 from daleroad.defaults import LATE_HEARTBEATS, OVERDUE_HEARTBEATS
 from daleroad.fleet import Fleet
+from daleroad.instances import Instance
 from daleroad.notices import Load
 from daleroad.picking import Candidate, estimate_load
 from daleroad.routing import ServiceRule
@@ -23,6 +24,7 @@
     :param get_load: returns the load of an instance, summed over all gateways.
     :param is_failing: returns whether an instance was ejected or can't be reached.
     :param evacuated: availability zones whose upstreams get no requests.
+    :param get_penalty: returns the load to add for an instance, for the request at hand.
     """
 
     fleet: Fleet
@@ -30,6 +32,7 @@
     get_load: Callable[[str], Load]
     is_failing: Callable[[str], bool]
     evacuated: Container[str] = ()
+    get_penalty: Callable[[Instance], float] = lambda instance: 0.0
 
     def list_candidates(
         self, service: ServiceRule, tokens: int, excluded: Container[str], now: float
@@ -58,4 +61,5 @@
                 overdue=missed_heartbeats > OVERDUE_HEARTBEATS,
                 lacks_memory=bool(memory) and expected.tokens > memory,
                 rate_limited=self.fleet.get_rate_limit(instance.id) is not None,
+                penalty=self.get_penalty(instance),
             )
--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -7,6 +7,7 @@
 voters, places requests and gives trials of suspected requests.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -19,6 +20,7 @@
 from daleroad.calls import Calls, make_url
 from daleroad.channelserver import ChannelServer
 from daleroad.codec import decode, encode
+from daleroad.contention import NO_CONTENTION, Contention, find_contentions
 from daleroad.defaults import (
     COORDINATOR_CALL_SECONDS,
     COORDINATOR_TURN_SECONDS,
@@ -110,6 +112,7 @@
         self._evacuated: tuple[str, ...] = ()
         self._history = DocumentHistory()
         self._services: dict[str, ServiceRule] = {}
+        self._contentions: Mapping[str, Contention] = {}
         self.peers = Peers(options.name, set(options.seeds))
         self.presence = Presence(options.name, calls, self.peers, self._list_others, self._wake)
         self._limits = GrantLimiter(options.cold_rule)
@@ -418,7 +421,8 @@
             return Failure(FailureKind.NOT_FOUND, f"no service {message.service}")
         self._limits.start_term(self.group.replica.term, now)
         with self.presence.wake_on_fleet_change():
-            answer = self._placer.place(message, service, now, self.record.zones.zones)
+            contention = self._contentions.get(service.name, NO_CONTENTION)
+            answer = self._placer.place(message, service, now, self.record.zones.zones, contention)
         return Response(200, encode(answer))
 
     async def _serve_save(self, request: Request) -> Answer:
@@ -510,6 +514,7 @@
             log_event(Event.DOCUMENT_UNREADABLE, index=document.version, reason=config.reason)
         else:
             self._services = {service.name: service for service in config.services}
+            self._contentions = find_contentions(config)
         self._wake()
 
     def _wake(self) -> None:
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -3,7 +3,7 @@
 Request handling is in :mod:`daleroad.forwarding`, stream delivery in :mod:`daleroad.runs`.
 """
 
-from collections.abc import Awaitable, Callable, Coroutine, Iterator
+from collections.abc import Awaitable, Callable, Coroutine, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from random import Random
@@ -14,6 +14,7 @@
 
 from daleroad.backpressure import Backpressure
 from daleroad.choosing import GatewayOptions, UpstreamSelector
+from daleroad.contention import NO_CONTENTION, Contention, find_contentions
 from daleroad.defaults import LAST_ANSWER_SECONDS
 from daleroad.dispatch import Dispatcher
 from daleroad.evacuations import EvacuatedZones
@@ -62,6 +63,7 @@
     _attempt_scopes: set[anyio.CancelScope] = field(default_factory=set)
     _leaving_since: dict[str, float] = field(default_factory=dict)
     _tasks: TaskGroup | None = None
+    _contentions: Mapping[str, Contention] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         options = self.options
@@ -154,6 +156,7 @@
         """
         if self.table is None or config.version > self.table.config.version:
             self.table = RoutingTable(config)
+            self._contentions = find_contentions(config)
             self.guard.cold_limited_services = frozenset(
                 s.name for s in config.services if s.cold_rate
             )
@@ -211,6 +214,13 @@
         """
         return self._leaving_since.get(instance.id, anyio.current_time())
 
+    def get_contention(self, service: str) -> Contention:
+        """Return how the prompt routes of a service compete in the current configuration.
+
+        :param service: the service's name.
+        """
+        return self._contentions.get(service, NO_CONTENTION)
+
     async def acquire_trial(self, fingerprint: str) -> bool:
         """Return whether this gateway was granted the trial of a long-held request.
 
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -35,12 +35,14 @@
     :param runs: number of requests.
     :param tokens: tokens of engine memory that they may need by their end.
     :param unread: prompt tokens of the requests without output yet.
+    :param guarded: number of running streams whose pauses are guarded against other prompts.
     """
 
     instance: str
     runs: int = 0
     tokens: int = 0
     unread: int = 0
+    guarded: int = 0
 
     def add(self, other: "Load") -> "Load":
         """Return the sum with another load on the same instance.
@@ -52,6 +54,7 @@
             self.runs + other.runs,
             self.tokens + other.tokens,
             self.unread + other.unread,
+            self.guarded + other.guarded,
         )
 
     def subtract(self, other: "Load") -> "Load":
@@ -64,11 +67,52 @@
             self.runs - other.runs,
             self.tokens - other.tokens,
             self.unread - other.unread,
+            self.guarded - other.guarded,
         )
 
     def is_empty(self) -> bool:
         """Return whether all counts are zero."""
-        return not (self.runs or self.tokens or self.unread)
+        return not (self.runs or self.tokens or self.unread or self.guarded)
+
+
+@dataclass(frozen=True)
+class Pace:
+    """How fast an engine generates, as seen in its streams.
+
+    :param instance: its id.
+    :param event_seconds: median time between two events of a stream.
+    :param slow_event_seconds: 95th percentile of that time.
+    :param samples: number of events behind the estimate; old ones count less.
+    """
+
+    instance: str
+    event_seconds: float
+    slow_event_seconds: float
+    samples: float
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What a client request demands of the engine that serves it. Times are in seconds.
+
+    :param organisation: name of its organisation, or empty.
+    :param rank: priority; 0 is the highest.
+    :param objective: latency objective of the first output.
+    :param pause: longest pause between outputs that meets its objective; 0 for no limit.
+    :param age: time since the gateway received the request.
+    :param time_left: time until its client or its route gives up.
+    :param long: whether its output takes long, so that pauses in it matter.
+    :param fingerprint: identifies the request across the retries of its client.
+    """
+
+    organisation: str
+    rank: int
+    objective: float
+    pause: float
+    age: float
+    time_left: float
+    long: bool
+    fingerprint: str
 
 
 @dataclass(frozen=True)
@@ -161,6 +205,7 @@
     :param suspects: newest revision of the suspected requests that it has from that run.
     :param zones: version of the evacuated zones that it applies.
     :param upstreams: changed announcements of instances not yet sent to this coordinator.
+    :param paces: paces of engines as this gateway sees them.
     """
 
     gateway: GatewayNotice
@@ -176,6 +221,7 @@
     suspects: int = 0
     zones: int = 0
     upstreams: tuple[UpstreamNotice, ...] = ()
+    paces: tuple[Pace, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -206,6 +252,8 @@
     :param limits: rate limits of the service's instances that the gateway knows. A new leader may
         not have received them.
     :param only: the only instance that may be chosen; empty for any.
+    :param demand: what the client request demands, if requests to the service compete.
+    :param ticket: identifies the client request at its gateway, to withdraw it from a queue.
     """
 
     gateway: str
@@ -219,6 +267,8 @@
     patient: bool = False
     limits: tuple[UpstreamNotice, ...] = ()
     only: str = ""
+    demand: Demand | None = None
+    ticket: str = ""
 
 
 @dataclass(frozen=True)
@@ -229,11 +279,15 @@
     :param granted: whether the leader counted the request against a rate limit of the instance, so
         that the gateway may send it.
     :param crowded: whether the request should wait because it fits into no available instance.
+    :param refused: whether the request should be refused because it can't start in time.
+    :param retry_after: seconds after which a refused request will find room.
     """
 
     instance: str
     granted: bool = False
     crowded: bool = False
+    refused: bool = False
+    retry_after: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -258,6 +312,7 @@
     :param suspects: revision of the suspected requests.
     :param held: seconds that the request waited at the coordinator.
     :param zones: the evacuated zones, if the gateway's version of them is older.
+    :param paces: paces of engines over all gateways, if loads are requested.
     """
 
     epoch: str
@@ -276,6 +331,7 @@
     suspects: int = 0
     held: float = 0.0
     zones: EvacuatedZones | None = None
+    paces: tuple[Pace, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/picking.py
+++ b/src/daleroad/picking.py
@@ -71,6 +71,7 @@
     :param overdue: whether the next heartbeat is overdue.
     :param lacks_memory: whether the request exceeds the memory that is expected to be free.
     :param rate_limited: whether the upstream advertises a rate limit.
+    :param penalty: load to add for what the request would lose there, or cost others.
     """
 
     instance: Instance
@@ -81,6 +82,7 @@
     overdue: bool = False
     lacks_memory: bool = False
     rate_limited: bool = False
+    penalty: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -137,7 +139,7 @@
     best: Candidate | None = None
     best_rank = (True, True, 0.0)
     for candidate in candidates:
-        score = candidate.load + random.uniform(0, MAX_LOAD_NOISE)
+        score = candidate.load + candidate.penalty + random.uniform(0, MAX_LOAD_NOISE)
         score -= zone_bonus * (candidate.instance.zone == zone)
         score += preference.get_penalty(candidate.instance.id)
         score += scale * COLD_PENALTY * candidate.cold + (
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from daleroad.candidates import CandidateEvaluator
+from daleroad.contention import NO_CONTENTION, Contention
 from daleroad.fleet import Fleet
 from daleroad.loads import LoadTotals
 from daleroad.notices import Load, PlaceAnswer, PlaceRequest
@@ -53,6 +54,7 @@
         service: ServiceRule,
         now: float,
         evacuated_zones: Container[str] = (),
+        contention: Contention = NO_CONTENTION,
     ) -> PlaceAnswer:
         """Choose an upstream for a request, and record the load that it adds there and any grant.
 
@@ -63,6 +65,7 @@
         :param service: the service that the request is for.
         :param now: the time.
         :param evacuated_zones: availability zones whose upstreams get no requests.
+        :param contention: how the service's routes compete.
         """
         self._note_unreached(request, now)
         for notice in request.limits:
