Learn how fast engines generate and share it

Cause: engines of one service differ by a factor of two in time per event, and nothing knows it.

Change: a gateway estimates the median and the 95th percentile of the gaps between the events of its streams, reports them with its watches, and coordinators merge the reports and tell all gateways. Only for services with guarded streams. The leader logs engines that are much slower than the quickest of their service; 'daleroad paces list' shows all.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -16,6 +16,7 @@
 from daleroad.limitedsends import GrantClient, list_limit_notices
 from daleroad.loads import GatewayLoads
 from daleroad.notices import PlaceAnswer, PlaceRequest
+from daleroad.paces import GetPace
 from daleroad.picking import Candidate, make_preference_order, pick_upstream, sample_candidates
 from daleroad.routing import ServiceRule
 from daleroad.unreached import UnreachableUpstreams
@@ -66,6 +67,7 @@
     :param get_service: returns a service of the current configuration.
     :ivar gateways: number of live gateways, including this one.
     :ivar request_placement: asks the central placer; nothing where there is none.
+    :ivar get_pace: returns the pace of an engine, if it is known.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
     ) -> None:
         self.gateways = 1
         self.request_placement: PlacementCall | None = None
+        self.get_pace: GetPace = lambda instance_id: None
         self.ejector = Ejector()
         self._limited_sends = GrantClient(options.address, fleet, guard)
         self._unreached = UnreachableUpstreams(fleet)
--- a/src/daleroad/cli.py
+++ b/src/daleroad/cli.py
@@ -31,6 +31,7 @@
 from daleroad.events import Event, log_event
 from daleroad.explain import explain, parse_lines
 from daleroad.operating import OperatorClient
+from daleroad.pacecommands import PaceCommands
 from daleroad.placing import CASES, format_cases
 from daleroad.plain import PlainOptions, PlainService
 from daleroad.process import move_damaged, run_process, serve
@@ -193,6 +194,7 @@
         self.standin = Standin()
         self.operate = Operate
         self.suspects = SuspectCommands()
+        self.paces = PaceCommands()
         self.evacuations = EvacuationCommands()
 
     def serve(self, settings: str) -> None:
--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -62,6 +62,7 @@
 from daleroad.serving import Answer, Request, Response, Router
 from daleroad.siteclient import ConfigParser, SiteClient
 from daleroad.sitestate import SiteStateMachine
+from daleroad.slowengines import SlowEngines
 from daleroad.storage import Storage
 from daleroad.suspectfile import SuspectFile
 from daleroad.voters import MAX_VOTER_SILENCE_SECONDS, plan_voters
@@ -115,9 +116,16 @@
         self._contentions: Mapping[str, Contention] = {}
         self.peers = Peers(options.name, set(options.seeds))
         self.presence = Presence(options.name, calls, self.peers, self._list_others, self._wake)
+        self.presence.learns_paces = self._learns_paces
+        self.slow_engines = SlowEngines(self.presence.fleet, self.presence.paces)
         self._limits = GrantLimiter(options.cold_rule)
         self._placer = Placer(
-            self.presence.fleet, self.presence.loads, options.heartbeat, random, self._limits
+            self.presence.fleet,
+            self.presence.loads,
+            options.heartbeat,
+            random,
+            self._limits,
+            self.presence.paces.get,
         )
         self.epoch = uuid4().hex[:12]
         self._parse = parse
@@ -252,6 +260,9 @@
             if self.group.is_leading():
                 self._limits.start_term(self.group.replica.term, now)
                 self._update_membership(now)
+                self.slow_engines.check(now)
+            else:
+                self.slow_engines.clear()
 
     def _update_membership(self, now: float) -> None:
         """Send the log to standbys; propose them in place of a silent voter or as more voters.
@@ -296,6 +307,7 @@
         router.add("POST", "/site/evacuations", self._serve_evacuations)
         router.add("POST", "/site/evacuate", self._serve_evacuate)
         router.add("POST", "/site/suspects", self._serve_suspects)
+        router.add("POST", "/site/paces", self._serve_paces)
         router.add("POST", "/site/release", self._serve_release)
         router.add("POST", "/site/trial", self._serve_trial)
         return router
@@ -398,6 +410,7 @@
             suspects.flagged_revision,
             now - arrived_at,
             self.record.zones if message.zones < self.record.zones.version else None,
+            self.presence.paces.tell(message.gateway.address, now) if message.wants_loads else (),
         )
 
     async def _serve_loads(self, request: Request) -> Answer:
@@ -477,6 +490,12 @@
             return refusal
         return Response(200, encode(self.presence.shared_suspects.list_all()))
 
+    async def _serve_paces(self, request: Request) -> Answer:
+        refusal = check_peer(request.headers, self.calls.token)
+        if refusal is not None:
+            return refusal
+        return Response(200, encode(self.slow_engines.list_paces(anyio.current_time())))
+
     async def _serve_release(self, request: Request) -> Answer:
         message = self._decode_request(request, ReleaseRequest)
         if isinstance(message, Failure):
@@ -517,6 +536,10 @@
             self._contentions = find_contentions(config)
         self._wake()
 
+    def _learns_paces(self, service: str) -> bool:
+        """Return whether the pace of a service's engines matters, as it has guarded streams."""
+        return bool(self._contentions.get(service, NO_CONTENTION).guarded_ranks)
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -91,6 +91,10 @@
     )
     UPSTREAM_RESTS = Kind(315, logging.INFO, "An upstream asked a gateway for rest.")
     UPSTREAM_SAYS_LEAVING = Kind(316, logging.INFO, "An upstream said in an answer that it leaves.")
+    ENGINE_SLOW = Kind(
+        318, logging.WARNING, "An engine generates much slower than the quickest of its service."
+    )
+    ENGINE_SLOW_ENDED = Kind(319, logging.INFO, "An engine is not that slow any more.")
     BACKPRESSURE_UNREADABLE = Kind(
         317, logging.WARNING, "What an answer says of its upstream can't be read."
     )
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -24,8 +24,9 @@
 from daleroad.instances import Instance, InstanceState
 from daleroad.limitedsends import list_upstream_notices
 from daleroad.loads import GatewayLoads
-from daleroad.notices import GatewayNotice, UpstreamNotice
+from daleroad.notices import GatewayNotice, Pace, UpstreamNotice
 from daleroad.outbox import Outbox
+from daleroad.paces import GatewayPaces
 from daleroad.ratelimits import RateLimit
 from daleroad.retries import WindowBudget
 from daleroad.routing import RoutingConfig, RoutingTable, ServiceRule
@@ -80,6 +81,8 @@
             options, self.fleet, self.guard, self.loads, self.random, self.get_service
         )
         self.guard.request_grant_callback = self.selector.request_grant
+        self.paces = GatewayPaces()
+        self.selector.get_pace = self.paces.get
 
     def publish_suspicion(self, suspicion: Suspicion) -> None:
         """Queue an update about a suspected request for the coordinators and trigger sending.
@@ -221,6 +224,33 @@
         """
         return self._contentions.get(service, NO_CONTENTION)
 
+    def learns_paces(self, service: str) -> bool:
+        """Return whether the pace of a service's engines matters, as it has guarded streams.
+
+        :param service: the service's name.
+        """
+        return bool(self.get_contention(service).guarded_ranks)
+
+    def list_paces(self, now: float) -> list[Pace]:
+        """Return the paces that this gateway has learnt of engines, for the coordinators.
+
+        :param now: the current time.
+        """
+        return [p for p in self.paces.own.list_paces(now) if self._is_pace_wanted(p.instance)]
+
+    def prune_paces(self, now: float) -> None:
+        """Drop the paces that are old, and those of engines that left or no longer matter.
+
+        :param now: the current time.
+        """
+        self.paces.prune(now, self._is_pace_wanted)
+
+    def _is_pace_wanted(self, instance_id: str) -> bool:
+        instance = self.fleet.get(instance_id)
+        if instance is None or instance.state is InstanceState.GONE:
+            return False
+        return self.learns_paces(instance.service)
+
     async def acquire_trial(self, fingerprint: str) -> bool:
         """Return whether this gateway was granted the trial of a long-held request.
 
@@ -306,6 +336,7 @@
     def _drop_upstream(self, instance: Instance) -> None:
         self.selector.forget(instance.id)
         self.dispatcher.forget(instance)
+        self.paces.forget(instance.id)
 
     def _handle_leaving(self, instance: Instance) -> None:
         now = anyio.current_time()
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -205,7 +205,8 @@
     :param suspects: newest revision of the suspected requests that it has from that run.
     :param zones: version of the evacuated zones that it applies.
     :param upstreams: changed announcements of instances not yet sent to this coordinator.
-    :param paces: paces of engines as this gateway sees them.
+    :param paces: paces of engines as this gateway sees them, if they changed noticeably or were not
+        sent to this coordinator for some time.
     """
 
     gateway: GatewayNotice
@@ -312,7 +313,7 @@
     :param suspects: revision of the suspected requests.
     :param held: seconds that the request waited at the coordinator.
     :param zones: the evacuated zones, if the gateway's version of them is older.
-    :param paces: paces of engines over all gateways, if loads are requested.
+    :param paces: paces of engines over all gateways, in some of the answers with loads.
     """
 
     epoch: str
@@ -346,6 +347,31 @@
     held: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class KnownPace:
+    """The pace of an engine as a coordinator knows it.
+
+    :param pace: the pace over all gateways.
+    :param service: the engine's service.
+    :param age: seconds since a gateway last reported it.
+    :param gateways: number of gateways whose reports count.
+    :param slow: whether it is much slower than the quickest engine of its service.
+    """
+
+    pace: Pace
+    service: str
+    age: float
+    gateways: int
+    slow: bool
+
+
+@dataclass(frozen=True)
+class PacesAnswer:
+    """The known paces of engines."""
+
+    paces: tuple[KnownPace, ...]
+
+
 @dataclass(frozen=True)
 class ReleaseRequest:
     """An operator's order to clear the suspicion of a request.
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -17,6 +17,7 @@
 from daleroad.fleet import Fleet
 from daleroad.loads import LoadTotals
 from daleroad.notices import Load, PlaceAnswer, PlaceRequest
+from daleroad.paces import GetPace
 from daleroad.picking import Candidate, pick_upstream
 from daleroad.routing import ServiceRule
 from daleroad.sendlimits import ColdRule, GrantLimiter, WindowLimit, make_window_limits
@@ -31,6 +32,7 @@
     :param heartbeat_seconds: interval of the upstreams' heartbeats.
     :param random: source of randomness.
     :param limits: counts the grants for each upstream; by default, a new one that knows none.
+    :param get_pace: returns the pace of an engine, if it is known.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         heartbeat_seconds: float,
         random: Random,
         limits: GrantLimiter | None = None,
+        get_pace: GetPace = lambda instance_id: None,
     ) -> None:
         self._limits = limits or GrantLimiter(ColdRule())
         self._fleet = fleet
@@ -47,6 +50,7 @@
         self._loads = loads
         self._heartbeat_seconds = heartbeat_seconds
         self._random = random
+        self._get_pace = get_pace
 
     def place(
         self,
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -37,6 +37,7 @@
     UpstreamNotice,
     WatchRequest,
 )
+from daleroad.paces import PaceTable
 from daleroad.peers import Peers
 from daleroad.sharedsuspects import SharedSuspects
 
@@ -101,6 +102,7 @@
     :param peers: the other coordinators.
     :param list_others: returns the names of the other coordinators that may be alive.
     :param wake: called on changes that watching gateways should receive.
+    :ivar learns_paces: returns whether the engines' paces matter to a service, by its name.
     """
 
     def __init__(
@@ -121,6 +123,8 @@
         self._wake = wake
         self._gateways: dict[str, _Gateway] = {}
         self.loads = LoadTotals(GATEWAY_TIMEOUT_SECONDS)
+        self.paces = PaceTable(GATEWAY_TIMEOUT_SECONDS)
+        self.learns_paces: Callable[[str], bool] = lambda service: False
         self._snapshot: _Snapshot | None = None
         self._revision = 0
         self._shared_at = float("-inf")
@@ -167,6 +171,8 @@
         now = anyio.current_time()
         self._record_gateway(message.gateway, now)
         self.loads.set_report(message.gateway.address, message.loads, now)
+        paces = (pace for pace in message.paces if self._is_pace_wanted(pace.instance))
+        self.paces.set_report(message.gateway.address, paces, now)
         self.shared_suspects.merge_reports(message.suspicions, now)
         with self.wake_on_fleet_change():
             for notice in message.upstreams:
@@ -180,6 +186,13 @@
         for instance in self.fleet.note_leaving(name) if notice.leaving else ():
             self._log_change(instance)
 
+    def _is_pace_wanted(self, instance_id: str) -> bool:
+        """Return whether an instance is alive and its service has guarded streams."""
+        instance = self.fleet.get(instance_id)
+        if instance is None or instance.state is InstanceState.GONE:
+            return False
+        return self.learns_paces(instance.service)
+
     def has_enough_load_reports(self, now: float) -> bool:
         """Return whether enough gateways have recently reported their load here to place requests.
 
@@ -188,7 +201,7 @@
         return self.loads.count_gateways() >= MIN_LOADS_KNOWN_RATIO * self.count_gateways(now)
 
     def prune(self, now: float) -> None:
-        """Drop expired upstreams, loads and suspicions; called periodically.
+        """Drop expired upstreams, loads, paces and suspicions; called periodically.
 
         A call that comes late shows that this process was stalled.
 
@@ -199,6 +212,7 @@
             self._last_stall = _Stall(late_seconds, now + LOOP_STALL_SECONDS)
         self._pruned_at = now
         self.loads.remove_expired(now)
+        self.paces.remove_expired(now, self._is_pace_wanted)
         self.shared_suspects.tick(now)
         for instance in self.fleet.prune(now):
             log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="age")
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -21,6 +21,10 @@
 from daleroad.instances import Instance, InstanceState
 from daleroad.suspects import Standing
 
+MIN_WAIT_SECONDS = 0.001
+"""An event that arrives sooner after the gateway is ready to read it was there before, so its time
+says nothing of the engine: the client read slowly, or this process was busy."""
+
 
 class StreamEnd(StrEnum):
     """How a stream to a client ended."""
@@ -82,6 +86,9 @@
         limit.
     :param longest_pause: longest pause between events so far, in seconds.
     :param last_event_at: when the last event arrived.
+    :param ready_at: when the client had taken the last event that its engine sent; infinite until
+        the first from there.
+    :param gap_from: when the last event arrived, if the gateway waited for it at its engine.
     """
 
     attempt: Attempt
@@ -101,6 +108,8 @@
     max_pause: float = 0.0
     longest_pause: float = 0.0
     last_event_at: float = 0.0
+    ready_at: float = float("inf")
+    gap_from: float | None = None
 
 
 class Migrator(Protocol):
@@ -158,7 +167,9 @@
                     cut = piece
                     break
                 if _record_event(run, piece):
+                    self._note_gap(run)
                     yield piece.data
+                    run.ready_at = anyio.current_time()
             if cut is None:
                 run.outcome = StreamEnd.WHOLE
                 return
@@ -169,6 +180,17 @@
                 yield failure
                 return
 
+    def _note_gap(self, run: StreamRun) -> None:
+        """Record the gap before an event if the gateway waited for both events at one engine."""
+        instance = run.attempt.instance
+        if not self._gateway.learns_paces(instance.service):
+            return
+        now = run.last_event_at
+        waited = now - run.ready_at >= MIN_WAIT_SECONDS
+        if waited and run.gap_from is not None:
+            self._gateway.paces.note_gap(instance.id, now - run.gap_from, now)
+        run.gap_from = now if waited else None
+
     def mark_stopping(self) -> None:
         """Set the outcome of all open streams to STOP; a stream that still ends overwrites it."""
         for run in self._runs.values():
@@ -302,6 +324,8 @@
         run.backup = backup
         run.migrating = False
         run.resume_point = None
+        run.ready_at = float("inf")
+        run.gap_from = None
         run.migration_done = anyio.Event()
         self._gateway.loads.add_load(attempt.instance, 1, run.tokens)
         if backup is not None:
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -7,7 +7,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -30,7 +30,8 @@
 from daleroad.gateway import Gateway
 from daleroad.guarding import log_suspect
 from daleroad.instances import InstanceState
-from daleroad.notices import WatchAnswer, WatchRequest
+from daleroad.notices import Pace, WatchAnswer, WatchRequest
+from daleroad.paces import ReportedPaces
 from daleroad.patches import apply_patch
 from daleroad.routing import RoutingConfig
 from daleroad.sitestate import Document
@@ -47,6 +48,7 @@
     :param suspects: newest revision of the suspected requests that was received from that run.
     :param last_suspicion: sequence number of the last suspicion that the coordinator received.
     :param last_upstream_change: sequence number of the last upstream change that it received.
+    :param paces: paces of engines that it received.
     """
 
     epoch: str = ""
@@ -54,6 +56,7 @@
     suspects: int = 0
     last_suspicion: int = 0
     last_upstream_change: int = 0
+    paces: ReportedPaces = field(default_factory=ReportedPaces)
 
 
 @dataclass(frozen=True)
@@ -63,12 +66,14 @@
     :param sent_at: when it was made, on the runtime's clock.
     :param last_suspicion: sequence number of the last suspicion in it.
     :param last_upstream_change: sequence number of the last upstream change in it.
+    :param paces: paces of engines in it.
     """
 
     body: bytes
     sent_at: float
     last_suspicion: int
     last_upstream_change: int
+    paces: tuple[Pace, ...]
 
 
 class Watcher:
@@ -134,12 +139,15 @@
                 continue
             if self._failed_at.pop(name, None) is not None:
                 log_event(Event.COORDINATOR_REGAINED, name=name)
+            # A coordinator that restarted has only the paces of this request.
+            reported = progress.paces if answer.epoch == progress.epoch else ReportedPaces()
             progress = _WatchProgress(
                 answer.epoch,
                 answer.revision,
                 answer.suspects,
                 sent.last_suspicion,
                 sent.last_upstream_change,
+                reported.add(sent.paces, sent.sent_at),
             )
             self._apply_answer(answer, name, sent.sent_at + answer.held)
 
@@ -194,6 +202,8 @@
         version = gateway.get_version()
 
         def make_request() -> _SentWatch:
+            now = anyio.current_time()
+            paces = progress.paces.list_due(gateway.list_paces(now), now)
             full_document = self._needs_full_document or version != self._document.version
             message = WatchRequest(
                 gateway.make_notice(),
@@ -209,13 +219,14 @@
                 progress.suspects,
                 gateway.guard.zones.version,
                 gateway.list_upstream_notices(progress.last_upstream_change),
+                paces,
             )
-            now = anyio.current_time()
             return _SentWatch(
                 encode(message),
                 now,
                 gateway.suspicion_outbox.newest,
                 gateway.upstream_outbox.newest,
+                paces,
             )
 
         request = make_request()
@@ -279,6 +290,8 @@
         for instance in gateway.fleet.prune(now):
             log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="age")
             gateway.dispatcher.forget(instance)
+        gateway.paces.set_told(answer.paces, now)
+        gateway.prune_paces(now)
 
     def _apply_suspicions(self, answer: WatchAnswer, now: float) -> None:
         suspects = self._gateway.suspects
