--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -87,7 +87,7 @@
     :param longest_pause: longest pause between events so far, in seconds.
     :param last_event_at: when the last event arrived.
     :param ready_at: when the client had taken the last event that its engine sent; infinite until
-        the first from there.
+        then, so that no gap spans two engines.
     :param gap_from: when the last event arrived, if the gateway waited for it at its engine.
     """
 
@@ -325,7 +325,6 @@
         run.migrating = False
         run.resume_point = None
         run.ready_at = float("inf")
-        run.gap_from = None
         run.migration_done = anyio.Event()
         self._gateway.loads.add_load(attempt.instance, 1, run.tokens)
         if backup is not None:
--- a/tests/test_paces.py
+++ b/tests/test_paces.py
@@ -124,6 +124,7 @@
 
     def test_last_known_pace_is_kept_without_reports_and_then_forgotten(self) -> None:
         self.report("a", 0.03, 100.0, 0.0)
+        self.table.set_report("a", (), FRESH_SECONDS)
         self.table.remove_expired(FRESH_SECONDS + 0.1, lambda _: True)
         self.check(0.03, 100.0)
         self.report("b", 0.05, 10.0, FRESH_SECONDS + 0.2)
@@ -284,9 +285,12 @@
             site.unreachable_until["c0:1"] = anyio.current_time() + 3.0
             await anyio.sleep(6.5)
             self.assertIsNotNone(site.coordinators["c0:1"].presence.paces.get("i1"))
-            site.restart("c1:1", True)
             site.leader = "c1:1"
-            await anyio.sleep(REPEAT_SECONDS + 1.1)
+            while site.requests[-1][0] != "c1:1" or not site.requests[-1][1].paces:
+                await anyio.sleep(0.01)
+            site.restart("c1:1", True)
+            # The pace would be repeated later anyway.
+            await anyio.sleep(REPEAT_SECONDS - 0.5)
             self.assertIsNotNone(site.coordinators["c1:1"].presence.paces.get("i1"))
 
         self.watch(body)
@@ -294,10 +298,9 @@
     def test_messages_hold_no_paces_without_guarded_streams(self) -> None:
         async def body(site: FakeSite, gateway: Gateway) -> None:
             await anyio.sleep(3.0)
-            site.coordinators[site.leader].presence.handle_watch(
-                replace(site.requests[-1][1], paces=(PACE,))
-            )
-            await anyio.sleep(3.0)
+            presence = site.coordinators[site.leader].presence
+            presence.handle_watch(replace(site.requests[-1][1], paces=(PACE,)))
+            self.assertIsNone(presence.paces.get("i1"))
 
         site = self.watch(body, guarded=False)
         self.assertEqual({message.paces for _, message in site.requests}, {()})
@@ -320,6 +323,17 @@
 
         self.watch(body)
 
+    def test_paces_are_dropped_when_guarding_ends(self) -> None:
+        async def body(site: FakeSite, gateway: Gateway) -> None:
+            await anyio.sleep(3.0)
+            self.assertIsNotNone(gateway.paces.get("i1"))
+            gateway.replace_config(replace(make_guarded_config(False), version=8))
+            await anyio.sleep(1.1)
+            self.assertIsNone(gateway.paces.get("i1"))
+            self.assertEqual(site.requests[-1][1].paces, ())
+
+        self.watch(body)
+
 
 class SlowEnginesTest(unittest.TestCase):
     def test_slow_engine_is_logged_once_and_when_that_ends(self) -> None:
