--- a/tests/test_paces.py
+++ b/tests/test_paces.py
@@ -11,6 +11,7 @@
 import trio
 import trio.testing
 
+from daleroad.calls import make_url
 from daleroad.codec import decode
 from daleroad.coordinator import Coordinator, CoordinatorOptions
 from daleroad.defaults import GATEWAY_TIMEOUT_SECONDS
@@ -21,7 +22,7 @@
 from daleroad.gateway import Gateway
 from daleroad.instances import InstanceState, Sighting
 from daleroad.migration import EngineMigrator
-from daleroad.notices import Pace, WatchAnswer, WatchRequest
+from daleroad.notices import Pace, PacesAnswer, WatchAnswer, WatchRequest
 from daleroad.paces import (
     FRESH_SECONDS,
     KEPT_SECONDS,
@@ -40,6 +41,7 @@
 from daleroad.watching import Watcher
 from tests.fakes import PROMPT, FakeDispatcher, FakeStream, make_config, make_gateway, make_instance
 from tests.fakes import make_job as make_client_request
+from tests.test_coordinator import Site, run_site
 
 PACE = Pace("i1", 0.03, 0.06, 100.0)
 
@@ -354,3 +356,16 @@
         self.assertEqual(logged, [[], [Event.ENGINE_SLOW], [], [], [Event.ENGINE_SLOW_ENDED], []])
         rows = slow_engines.list_paces(10.0).paces
         self.assertEqual([row.pace.instance for row in rows], ["i1", "i2"])
+
+    def test_any_coordinator_lists_the_paces_that_it_knows(self) -> None:
+        async def body(site: Site, names: list[str]) -> None:
+            coordinator = site.get(names[0])
+            now = anyio.current_time()
+            coordinator.presence.learns_paces = lambda service: True
+            coordinator.presence.fleet.note(Sighting(make_instance(1), 0.0), now)
+            coordinator.presence.paces.set_report("a", [PACE], now)
+            url = f"{make_url(names[0])}/site/paces"
+            answer = await coordinator.calls.call(url, b"{}", PacesAnswer, 1.0)
+            self.assertEqual([(row.pace, row.service) for row in answer.paces], [(PACE, "s")])
+
+        run_site(body)
