Find upstreams again that once named a limit

Cause: a limited upstream is preferred less than any other with room, and without a leading coordinator it is no candidate at all while there are others. So it got nothing after the answer that named its limit, and nobody learnt that the limit had ended.

Change: limitprobes prefers a limited upstream for a request of a caller until it has had 0.8 of what it names, and one request in 4 s if its answers no longer name the limit. Gateways without a leader use their fallback shares first. It must be healthy, warm and have room; a request that can't run again avoids one that failed this gateway in the last 10 s. What may be sent is still decided by the grants and shares, which are as before.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -14,6 +14,7 @@
 from daleroad.health import Ejector
 from daleroad.instances import Instance
 from daleroad.limitedsends import GrantClient, list_limit_notices
+from daleroad.limitprobes import RecentFailures, is_suitable
 from daleroad.loads import GatewayLoads
 from daleroad.notices import PlaceAnswer, PlaceRequest
 from daleroad.paces import GetPace
@@ -84,6 +85,7 @@
         self.get_pace: GetPace = lambda instance_id: None
         self.ejector = Ejector()
         self._limited_sends = GrantClient(options.address, fleet, guard)
+        self._recent_failures = RecentFailures()
         self._unreached = UnreachableUpstreams(fleet)
         self._options = options
         self._fleet = fleet
@@ -146,6 +148,7 @@
         excluded: Collection[str],
         prompt: Prompt | None = None,
         may_wait: bool = False,
+        repeatable: bool = True,
     ) -> Instance | InsufficientMemory | None:
         """Return the upstream that a request should go to, if there is one.
 
@@ -158,14 +161,18 @@
         :param prompt: the request's prompt, if it has one.
         :param may_wait: whether to return ``InsufficientMemory`` rather than an engine that lacks
             memory.
+        :param repeatable: whether the request may be sent elsewhere if it fails.
         """
         asked_at = anyio.current_time()
         answer = None
         if self.request_placement is not None and self._needs_placer(service, prompt):
-            request = self._make_place_request(service, tokens, prompt, excluded, may_wait)
+            request = self._make_place_request(
+                service, tokens, prompt, excluded, may_wait, repeatable=repeatable
+            )
             answer = await self.request_placement(request)
         if answer is None:
-            picked = self.pick(service, tokens, excluded, prompt)
+            picked = self._pick_within_share(service, tokens, excluded, True, repeatable)
+            picked = picked or self.pick(service, tokens, excluded, prompt)
             return picked or self._pick_within_share(service, tokens, excluded)
         if answer.crowded:
             return InsufficientMemory()
@@ -189,6 +196,7 @@
         excluded: Collection[str] = (),
         may_wait: bool = False,
         only: str = "",
+        repeatable: bool = True,
     ) -> PlaceRequest:
         instances = self._fleet.list_ready(service.name)
         resting = (instance.id for instance in instances if self._guard.is_backing_off(instance))
@@ -201,7 +209,7 @@
             tokens,
             prompt.tokens if prompt is not None else 0,
             (*excluded, *resting),
-            tuple(filter(self._is_failing, ready)),
+            tuple(i for i in ready if self._is_failing(i) or self._is_risky(i, repeatable)),
             tuple(filter(self._is_unreachable, ready)),
             may_wait,
             tuple(list_limit_notices(self._fleet, ready, anyio.current_time())),
@@ -237,10 +245,23 @@
         return answer.granted and answer.instance == instance.id
 
     def _pick_within_share(
-        self, service: ServiceRule, tokens: int, excluded: Container[str]
+        self,
+        service: ServiceRule,
+        tokens: int,
+        excluded: Container[str],
+        others_have_room: bool = False,
+        repeatable: bool = True,
     ) -> Instance | None:
-        """Return a rate-limited upstream of which this gateway has a share left, if any."""
-        limited = (c.instance for c in self.list_rate_limited(service, tokens, excluded))
+        """Return a rate-limited upstream of which this gateway has a share left, if any.
+
+        While others have room, it must be one where the request is not worse off.
+        """
+        limited = (
+            c.instance
+            for c in self.list_rate_limited(service, tokens, excluded)
+            if not others_have_room
+            or (is_suitable(c) and not self._is_risky(c.instance.id, repeatable))
+        )
         return next(
             (i for i in limited if self._limited_sends.try_store_fallback_grant(i, self.gateways)),
             None,
@@ -266,6 +287,7 @@
         """
         self.ejector.forget(instance_id)
         self._limited_sends.forget(instance_id)
+        self._recent_failures.forget(instance_id)
 
     def pick_backup(
         self, instance: Instance, tokens: int, prompt: Prompt | None
@@ -292,6 +314,12 @@
         now = anyio.current_time()
         return not self.ejector.is_open(instance_id, now) or self._is_unreachable(instance_id)
 
+    def _is_risky(self, instance_id: str, repeatable: bool) -> bool:
+        """Return whether a request could fail for good at a limited upstream that failed lately."""
+        if repeatable or self._fleet.get_rate_limit(instance_id) is None:
+            return False
+        return self._recent_failures.has_failed(instance_id, anyio.current_time())
+
     def _is_unreachable(self, instance_id: str) -> bool:
         now = anyio.current_time()
         return self._unreached.is_unreachable(instance_id, self._options.zone, now)
@@ -355,3 +383,5 @@
         """
         upstreams = len(self._fleet.list_ready(instance.service))
         self.ejector.note(instance.id, ok, upstreams, anyio.current_time())
+        if self._fleet.get_rate_limit(instance.id) is not None:
+            self._recent_failures.note(instance.id, ok, anyio.current_time())
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -193,7 +193,7 @@
             return gateway.selector.pick_least_busy(state.service, tokens, state.tried_ids)
         can_wait = self._can_wait_for_memory(state, anyio.current_time())
         return await gateway.selector.place(
-            state.service, tokens, state.tried_ids, prompt, can_wait
+            state.service, tokens, state.tried_ids, prompt, can_wait, self._can_repeat(state)
         )
 
     def _can_wait_for_memory(self, state: _RequestState, now: float) -> bool:
@@ -359,6 +359,10 @@
         gateway = self._gateway
         return gateway.take_retry(state.service.name)
 
+    def _can_repeat(self, state: _RequestState) -> bool:
+        """Return whether the request may run once more if the next attempt fails."""
+        return state.route.is_repeatable() and state.possible_runs + 1 < state.route.attempts
+
     def _make_final_outcome(self, state: _RequestState, reason: str) -> Outcome:
         """Return the final outcome of a request that is not sent again."""
         if state.failed_response is not None:
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -15,6 +15,7 @@
 from daleroad.candidates import CandidateEvaluator
 from daleroad.contention import NO_CONTENTION, Contention
 from daleroad.fleet import Fleet
+from daleroad.limitprobes import LimitProber
 from daleroad.loads import LoadTotals
 from daleroad.notices import Load, PlaceAnswer, PlaceRequest
 from daleroad.paces import GetPace
@@ -45,6 +46,7 @@
         get_pace: GetPace = lambda instance_id: None,
     ) -> None:
         self._limits = limits or GrantLimiter(ColdRule())
+        self._prober = LimitProber(fleet, self._limits)
         self._fleet = fleet
         self._unreached = UnreachableUpstreams(fleet)
         self._loads = loads
@@ -88,7 +90,8 @@
         if request.only:
             candidates = (c for c in candidates if c.instance.id == request.only)
         candidates = self._apply_limits(candidates, service, now)
-        chosen = pick_upstream(candidates, request.zone, self._random)
+        preferred = self._prober.narrow(candidates, now)
+        chosen = pick_upstream(preferred, request.zone, self._random)
         if chosen is None:
             return PlaceAnswer("")
         if chosen.lacks_memory and request.patient:
