Use slots of a fallback share within their time only again

Cause: a slot that stays usable for 2 s more may be one of the time in which the leading coordinator granted the whole limit. Where a gateway's leader fails to answer now and then, as on busy machines, these slots come on top of its grants.

Change: revert this part, with its two tests. The test of low limits without a leader is back at 5 s and 11 s.

--- a/src/daleroad/sendlimits.py
+++ b/src/daleroad/sendlimits.py
@@ -47,14 +47,6 @@
 MAX_LOOKBACK_SECONDS = PROBE_INTERVAL_SECONDS + MAX_ARRIVAL_DELAY_SECONDS
 """How long a grant is remembered; no limit looks further back."""
 
-SAVED_SLOT_SECONDS = 2.0
-"""How long a gateway's slot of a fallback share stays usable: each of many gateways has few
-requests, and rarely one within its slot. The slots of this time and SMOOTHING_WINDOW_SECONDS, all
-of which may be used within that window, are fewer on average than the limit allows there."""
-
-MAX_SAVED_SLOTS = 16
-"""Most past slots that are looked through for each request."""
-
 FALLBACK_FRACTION = 0.5
 """Fraction of a limit that gateways use without a leading coordinator. They draw their slots
 independently, so slots may coincide, and requests that were granted before may still arrive."""
@@ -208,8 +200,7 @@
     Time is divided into slots, one for each request that FALLBACK_FRACTION of the limit allows, and
     at least one in PROBE_INTERVAL_SECONDS. For each slot, a hash decides whether the gateway owns
     it, with a probability of one over the number of gateways; several or none may own a slot.
-    A gateway saves at most one unused slot, and briefly, or idle gateways could send their shares
-    all at once.
+    Unused slots are not saved up, or idle gateways could send their shares all at once.
 
     :param gateway_id: the gateway.
     """
@@ -218,26 +209,19 @@
     _last_used_slots: dict[str, int] = field(default_factory=dict)
 
     def try_acquire(self, instance_id: str, rate: float, gateways: int, now: float) -> bool:
-        """Use this gateway's newest recent slot if it is still unused; return whether it was.
+        """Use the current slot if this gateway owns it and hasn't used it; return whether it did.
 
         :param instance_id: the upstream.
         :param rate: requests a second that the upstream takes from all gateways.
         :param gateways: the number of gateways.
         :param now: the time.
         """
-        slots_per_second = max(FALLBACK_FRACTION * rate, 1 / PROBE_INTERVAL_SECONDS)
-        newest = math.floor(now * slots_per_second)
-        oldest = math.floor((now - SAVED_SLOT_SECONDS) * slots_per_second)
-        used = self._last_used_slots.get(instance_id, oldest - 1)
-        for slot in range(newest, max(oldest - 1, used, newest - MAX_SAVED_SLOTS), -1):
-            if self._owns_slot(instance_id, slot, gateways):
-                self._last_used_slots[instance_id] = slot
-                return True
-        return False
-
-    def _owns_slot(self, instance_id: str, slot: int, gateways: int) -> bool:
+        slot = math.floor(now * max(FALLBACK_FRACTION * rate, 1 / PROBE_INTERVAL_SECONDS))
         slot_hash = xxh3_64_intdigest(f"{self.gateway_id} {instance_id} {slot}".encode())
-        return slot_hash % max(1, gateways) == 0
+        if slot_hash % max(1, gateways) or self._last_used_slots.get(instance_id) == slot:
+            return False
+        self._last_used_slots[instance_id] = slot
+        return True
 
     def forget(self, instance_id: str) -> None:
         """Forget an upstream that left.
--- a/tests/test_limitprobes.py
+++ b/tests/test_limitprobes.py
@@ -216,8 +216,6 @@
     def test_low_limits_that_are_lifted_are_found(self) -> None:
         for rate, seconds in ((0.3, LEARNT_SECONDS), (0.0, 11.0)):
             for leads in (True, False):
-                # Without a leader, shares are drawn by lot.
-                seconds = seconds if leads else 20.0
                 with self.subTest(rate=rate, leads=leads):
                     sim = play([(0.0, rate), (10.0, None)], leads=leads)
                     self.check_bounds(sim, rate, 10.0, leads)
--- a/tests/test_sendlimits.py
+++ b/tests/test_sendlimits.py
@@ -188,30 +188,6 @@
                 self.assertLessEqual(peak, find_allowed(rate), (gateways, rate))
                 self.assertGreater(len(arrivals), 0.3 * rate * 100)
 
-    def test_each_gateway_saves_one_slot_briefly(self) -> None:
-        for gateways in (1, 12, 71, 200):
-            for rate in self.RATES:
-                shares = [FallbackShare(f"10.0.0.{number}:80") for number in range(gateways)]
-                arrivals = [
-                    float(now)
-                    for now in range(10, 200, 10)
-                    for share in shares
-                    for _ in range(3)
-                    if share.try_acquire("i", rate, gateways, now)
-                ]
-                self.assertLessEqual(count_peak_requests(arrivals, 1.0), gateways)
-                peak = count_peak_requests(arrivals, WINDOW_SECONDS)
-                self.assertLessEqual(peak, find_allowed(rate), (gateways, rate))
-
-    def test_slots_of_rare_requests_are_mostly_used(self) -> None:
-        shares = [FallbackShare(f"10.0.0.{number}:80") for number in range(71)]
-        random, gap = Random(1), 0.04
-        used = sum(
-            random.choice(shares).try_acquire("i", 2.0, len(shares), step * gap)
-            for step in range(10_000)
-        )
-        self.assertGreater(used, 0.2 * 2.0 * 10_000 * gap)
-
 
 class GrantRequestTest(unittest.TestCase):
     """Any send to an upstream with a limit needs a grant and asks for one."""
