Look for limited upstreams only where one names a limit

Cause: a gateway without an answer of the placer evaluated all upstreams twice for each request, first for limited ones, also where no upstream names a limit.

Change: that is skipped unless the service has limited upstreams, with a test.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -256,6 +256,8 @@
 
         While others have room, it must be one where the request is not worse off.
         """
+        if not self._limited_sends.has_limited_upstreams(service.name):
+            return None
         limited = (
             c.instance
             for c in self.list_rate_limited(service, tokens, excluded)
--- a/tests/test_limitprobes.py
+++ b/tests/test_limitprobes.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field, replace
 from itertools import pairwise
 from random import Random
+from unittest.mock import patch
 
 import anyio
 import trio
@@ -255,6 +256,15 @@
             sim = play([(0.0, 0.0), (10.0, None)], Repeat.STREAM, leads, 15.0, steps)
             self.assertGreater(sim.upstream.count(10.5, 15.0), 15)
 
+    def test_limited_upstreams_are_not_looked_for_without_limits(self) -> None:
+        sim = Sim(Upstream([(0.0, None)]), Repeat.ONCE, leads=False)
+        selector = sim.gateways[0].selector
+        sim.gateways[0].fleet.note_all(sim.sightings, 0.0)
+        with patch.object(selector, "list_rate_limited") as listed:
+            placed = trio.run(selector.place, sim.config.services[0], 0, ())
+        self.assertIsInstance(placed, Instance)
+        listed.assert_not_called()
+
     def test_requests_that_run_once_avoid_failing_upstream(self) -> None:
         for leads in (True, False):
             sim = play([(0.0, 6.0)], Repeat.ONCE, leads, 25.0, failing=True)
