Say in a placement request what the client request demands

The placer chose an engine by memory and prompt tokens alone. Where the routes of a service compete, a gateway now adds the request's organisation, rank, objective, pause, age, time left and fingerprint, and whether its stream is guarded. That follows from the rank of its route: an organisation's rank replaces the route's only in the order of requests. Without contention the message is as before.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -1,7 +1,7 @@
 """Selects upstreams for one gateway, by asking the central placer or from local state."""
 
 from collections.abc import Awaitable, Callable, Collection, Container, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 import anyio
@@ -15,7 +15,7 @@
 from daleroad.instances import Instance
 from daleroad.limitedsends import GrantClient, list_limit_notices
 from daleroad.loads import GatewayLoads
-from daleroad.notices import PlaceAnswer, PlaceRequest
+from daleroad.notices import Demand, PlaceAnswer, PlaceRequest
 from daleroad.picking import Candidate, make_preference_order, pick_upstream, sample_candidates
 from daleroad.routing import ServiceRule
 from daleroad.unreached import UnreachableUpstreams
@@ -143,6 +143,7 @@
         excluded: Collection[str],
         prompt: Prompt | None = None,
         may_wait: bool = False,
+        demand: Demand | None = None,
     ) -> Instance | InsufficientMemory | None:
         """Return the upstream that a request should go to, if there is one.
 
@@ -155,11 +156,13 @@
         :param prompt: the request's prompt, if it has one.
         :param may_wait: whether to return ``InsufficientMemory`` rather than an engine that lacks
             memory.
+        :param demand: what the request demands, if requests to the service compete.
         """
         asked_at = anyio.current_time()
         answer = None
         if self.request_placement is not None and self._needs_placer(service, prompt):
             request = self._make_place_request(service, tokens, prompt, excluded, may_wait)
+            request = replace(request, demand=demand)
             answer = await self.request_placement(request)
         if answer is None:
             picked = self.pick(service, tokens, excluded, prompt)
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -24,6 +24,7 @@
     SPARE_SECONDS,
     START_SECONDS,
 )
+from daleroad.demands import make_demand
 from daleroad.dispatch import (
     Attempt,
     ClientRequest,
@@ -42,6 +43,7 @@
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance
 from daleroad.metrics import RequestMetrics
+from daleroad.notices import Demand
 from daleroad.routing import Repeat, RouteRule, RoutingTable, ServiceRule
 from daleroad.runs import RetryState, StreamRegistry, StreamRun
 from daleroad.suspects import TRIAL_INTERVAL_SECONDS, Standing
@@ -191,9 +193,18 @@
         tokens = count_tokens(prompt)
         if standing is not Standing.CLEAR:
             return gateway.selector.pick_least_busy(state.service, tokens, state.tried_ids)
-        can_wait = self._can_wait_for_memory(state, anyio.current_time())
+        now = anyio.current_time()
+        can_wait = self._can_wait_for_memory(state, now)
+        demand = self._make_demand(state, now)
         return await gateway.selector.place(
-            state.service, tokens, state.tried_ids, prompt, can_wait
+            state.service, tokens, state.tried_ids, prompt, can_wait, demand
+        )
+
+    def _make_demand(self, state: _RequestState, now: float) -> Demand | None:
+        """Return what a request demands, if requests to its service compete."""
+        contention = self._gateway.get_contention(state.service.name)
+        return make_demand(
+            state.job, state.route, contention, state.organisation, state.rank, state.deadline, now
         )
 
     def _can_wait_for_memory(self, state: _RequestState, now: float) -> bool:
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -103,6 +103,7 @@
     :param time_left: time until its client or its route gives up.
     :param long: whether its output takes long, so that pauses in it matter.
     :param fingerprint: identifies the request across the retries of its client.
+    :param guarded: whether its stream is to be guarded against pauses for other prompts.
     """
 
     organisation: str
@@ -113,6 +114,7 @@
     time_left: float
     long: bool
     fingerprint: str
+    guarded: bool = False
 
 
 @dataclass(frozen=True)
