Place prompts by what guarded streams bear

Cause: a prompt went to the engine with the least load, so prompts were read beside long streams on slow engines, and a slow moment then paused those for longer than their route allows. Change: guardedstreams states what a request would lose at an engine or cost guarded streams there: pace, foreseen pause, reading rate. The placer, a gateway that places by itself and the choice of destinations of moved streams add it to the load. Loads count guarded streams. Without guarded ranks nothing is added.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -7,9 +7,11 @@
 import anyio
 
 from daleroad.candidates import CandidateEvaluator
+from daleroad.contention import NO_CONTENTION, Contention
 from daleroad.defaults import MAX_BACKUP_LOAD, MIN_BACKUP_SECONDS
 from daleroad.dispatch import Attempt, Prompt
 from daleroad.fleet import Fleet
+from daleroad.guardedstreams import PaceSource, ReadingRates, StreamGuard
 from daleroad.guarding import Guard
 from daleroad.health import Ejector
 from daleroad.instances import Instance
@@ -66,6 +68,8 @@
     :param get_service: returns a service of the current configuration.
     :ivar gateways: number of live gateways, including this one.
     :ivar request_placement: asks the central placer; nothing where there is none.
+    :ivar get_pace: returns the pace of an engine, or nothing if it is unknown.
+    :ivar get_contention: returns how the prompt routes of a service compete.
     """
 
     def __init__(
@@ -88,6 +92,12 @@
         self._loads = loads
         self._random = random
         self._get_service = get_service
+        self.get_pace: PaceSource = lambda instance_id: None
+        self.get_contention: Callable[[str], Contention] = lambda service: NO_CONTENTION
+        self._reading_rates = ReadingRates()
+        self._stream_guard = StreamGuard(
+            loads.get_total, lambda name: self.get_pace(name), self._reading_rates
+        )
 
     def pick(
         self,
@@ -95,6 +105,7 @@
         tokens: int,
         excluded: Container[str],
         prompt: Prompt | None = None,
+        demand: Demand | None = None,
     ) -> Instance | None:
         """Pick an upstream for a request from local state; return nothing if there is none.
 
@@ -107,8 +118,10 @@
         :param tokens: tokens of memory that the request may use.
         :param excluded: instances not to use.
         :param prompt: the request's prompt, if it has one.
+        :param demand: what the request demands, if requests to the service compete.
         """
-        candidates = self.list_candidates(service, tokens, excluded)
+        unread = prompt.tokens if prompt is not None else 0
+        candidates = self.list_candidates(service, tokens, excluded, demand, unread)
         zone = self._options.zone
         if service.engine is not None and prompt is not None and prompt.ends_soon():
             spread = make_preference_order(self._options.address, self.gateways)
@@ -116,6 +129,8 @@
         else:
             sample = sample_candidates(candidates, self.gateways, self._random)
             picked = pick_upstream(sample, zone, self._random)
+        if picked is not None and self.get_contention(service.name).guarded_ranks:
+            self._reading_rates.record(picked.instance.id, unread, anyio.current_time())
         return picked.instance if picked else None
 
     def pick_least_busy(
@@ -165,13 +180,13 @@
             request = replace(request, demand=demand)
             answer = await self.request_placement(request)
         if answer is None:
-            picked = self.pick(service, tokens, excluded, prompt)
+            picked = self.pick(service, tokens, excluded, prompt, demand)
             return picked or self._pick_within_share(service, tokens, excluded)
         if answer.crowded:
             return InsufficientMemory()
         self._limited_sends.store_grant(answer, asked_at)
         placed = self._find_usable(answer.instance, excluded)
-        return placed or self.pick(service, tokens, excluded, prompt)
+        return placed or self.pick(service, tokens, excluded, prompt, demand)
 
     def _needs_placer(self, service: ServiceRule, prompt: Prompt | None) -> bool:
         """Return whether the central placer should place a request."""
@@ -266,6 +281,7 @@
         """
         self.ejector.forget(instance_id)
         self._limited_sends.forget(instance_id)
+        self._reading_rates.forget(instance_id)
 
     def pick_backup(
         self, instance: Instance, tokens: int, prompt: Prompt | None
@@ -306,15 +322,22 @@
         self.record_result(instance, False)
 
     def list_candidates(
-        self, service: ServiceRule, tokens: int, excluded: Container[str]
+        self,
+        service: ServiceRule,
+        tokens: int,
+        excluded: Container[str],
+        demand: Demand | None = None,
+        unread: int = 0,
     ) -> Iterator[Candidate]:
         """Yield the upstreams of a service that may get a request without a grant.
 
         :param service: the service.
         :param tokens: tokens of memory that the request may use.
         :param excluded: instances not to use.
+        :param demand: what the request demands, if requests to the service compete.
+        :param unread: prompt tokens to read there; 0 for a stream that moves with its memory.
         """
-        for candidate in self._list_all(service, tokens, excluded):
+        for candidate in self._list_all(service, tokens, excluded, demand, unread):
             if not self._guard.needs_grant(candidate.instance):
                 yield candidate
 
@@ -334,17 +357,32 @@
                 yield candidate
 
     def _list_all(
-        self, service: ServiceRule, tokens: int, excluded: Container[str]
+        self,
+        service: ServiceRule,
+        tokens: int,
+        excluded: Container[str],
+        demand: Demand | None = None,
+        unread: int = 0,
     ) -> Iterator[Candidate]:
         """Yield the upstreams that accept requests from this gateway, limited ones included."""
+        now = anyio.current_time()
+        penalty = self._stream_guard.make_penalty(
+            service,
+            self._fleet.list_ready(service.name),
+            self.get_contention(service.name),
+            demand,
+            unread,
+            now,
+        )
         judge = CandidateEvaluator(
             self._fleet,
             self._options.heartbeat,
             self._loads.get_total,
             self._is_failing,
             self._guard.zones.zones,
+            penalty,
         )
-        candidates = judge.list_candidates(service, tokens, excluded, anyio.current_time())
+        candidates = judge.list_candidates(service, tokens, excluded, now)
         return (c for c in candidates if not self._guard.is_backing_off(c.instance))
 
     def record_result(self, instance: Instance, ok: bool) -> None:
--- a/src/daleroad/contention.py
+++ b/src/daleroad/contention.py
@@ -32,10 +32,12 @@
 
     :param guarded_ranks: ranks of the routes whose running streams are guarded.
     :param yields: whether some route can yield to a more urgent one.
+    :param guarded_pause: shortest of the pauses that the guarded routes allow, in seconds.
     """
 
     guarded_ranks: frozenset[int] = frozenset()
     yields: bool = False
+    guarded_pause: float = 0.0
 
     def is_ordered(self) -> bool:
         """Return whether prompts that wait for an engine are queued by urgency."""
@@ -71,10 +73,10 @@
         for urgent, other in permutations(routes, 2)
         if urgent.rank < other.rank and urgent.objective > 0 and other.objective > 0
     ]
-    guarded = (
-        urgent.rank
-        for urgent, other in pairs
-        if urgent.pause and urgent.objective > other.objective
-    )
+    guarded = [
+        urgent for urgent, other in pairs if urgent.pause and urgent.objective > other.objective
+    ]
     yields = any(other.objective >= YIELD_OBJECTIVES * urgent.objective for urgent, other in pairs)
-    return Contention(frozenset(guarded), yields)
+    ranks = frozenset(route.rank for route in guarded)
+    pause = min((route.pause for route in guarded), default=0.0)
+    return Contention(ranks, yields, pause)
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -263,7 +263,9 @@
             silence_timeout_seconds=state.route.get_silence_timeout(),
         )
         unread_tokens = state.job.prompt.tokens if state.job.prompt else 0
-        gateway.loads.add_load(instance, 1, tokens, unread_tokens)
+        demand = self._make_demand(state, anyio.current_time())
+        guarded = int(demand is not None and demand.guarded)
+        gateway.loads.add_load(instance, 1, tokens, unread_tokens, guarded)
         if backup is not None:
             gateway.loads.add_load(backup, 0, tokens)
         streaming = False
@@ -274,7 +276,9 @@
                 if isinstance(reply, NotRun | Lost | Whole):
                     return self._handle_reply(state, instance, reply)
                 streaming = True
-                return self._start_stream(self._make_run(state, attempt, reply, tokens, backup))
+                return self._start_stream(
+                    self._make_run(state, attempt, reply, tokens, backup, demand)
+                )
             state.possible_runs += 1
             state.failed_response = None
             draining = scope.deadline < state.response_deadline
@@ -285,7 +289,7 @@
         finally:
             gateway.loads.add_load(instance, 0, 0, -unread_tokens)
             if not streaming:
-                gateway.loads.add_load(instance, -1, -tokens)
+                gateway.loads.add_load(instance, -1, -tokens, guarded=-guarded)
                 if backup is not None:
                     gateway.loads.add_load(backup, 0, -tokens)
 
@@ -319,13 +323,21 @@
         stream: Stream,
         tokens: int,
         backup: Instance | None,
+        demand: Demand | None,
     ) -> StreamRun:
         """Return the state of a started stream, with the limits for resuming it after a cut."""
         max_runs = state.route.attempts if state.route.resumable else 0
         tries = RetryState(set(state.tried_ids), max_runs, state.possible_runs + 1, state.need)
         max_pause = state.route.pause
         return StreamRun(
-            attempt, stream, state.deadline, tokens, backup, tries=tries, max_pause=max_pause
+            attempt,
+            stream,
+            state.deadline,
+            tokens,
+            backup,
+            tries=tries,
+            max_pause=max_pause,
+            demand=demand,
         )
 
     def _handle_reply(
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -79,6 +79,7 @@
         self.selector = UpstreamSelector(
             options, self.fleet, self.guard, self.loads, self.random, self.get_service
         )
+        self.selector.get_contention = self.get_contention
         self.guard.request_grant_callback = self.selector.request_grant
 
     def publish_suspicion(self, suspicion: Suspicion) -> None:
--- a/src/daleroad/loads.py
+++ b/src/daleroad/loads.py
@@ -121,21 +121,24 @@
         self._own: dict[str, Load] = {}
         self._others: dict[str, Load] = {}
 
-    def add_load(self, instance: Instance, runs: int, tokens: int, unread: int = 0) -> None:
+    def add_load(
+        self, instance: Instance, runs: int, tokens: int, unread: int = 0, guarded: int = 0
+    ) -> None:
         """Add load on an instance; negative numbers remove it.
 
         :param instance: the instance.
         :param runs: number of requests; 0 for the backup copy of a run on another instance.
         :param tokens: tokens of memory that they may take.
         :param unread: prompt tokens of those that have not begun to answer.
+        :param guarded: number of those whose streams are guarded.
         """
-        load = Load(instance.id, runs, tokens, unread)
+        load = Load(instance.id, runs, tokens, unread, guarded)
         known = self._own.get(instance.id)
         load = known.add(load) if known else load
-        if load.runs or load.tokens or load.unread:
-            self._own[instance.id] = load
-        else:
+        if load.is_empty():
             self._own.pop(instance.id, None)
+        else:
+            self._own[instance.id] = load
         if tokens or unread:
             self.changed.set()
 
--- a/src/daleroad/migration.py
+++ b/src/daleroad/migration.py
@@ -127,7 +127,8 @@
         A slot without a start time has a final copy only.
         """
         job = run.attempt.job
-        self._gateway.loads.add_load(destination, 1, run.tokens)
+        guarded = run.count_guarded()
+        self._gateway.loads.add_load(destination, 1, run.tokens, guarded=guarded)
         try:
             slot = plan.slots.get(job.id)
             if slot is None or slot.start is not None:
@@ -139,7 +140,7 @@
             await anyio.sleep_until(plan.get_stop(job.id))
             return await self._copy(run, destination, final=True)
         finally:
-            self._gateway.loads.add_load(destination, -1, -run.tokens)
+            self._gateway.loads.add_load(destination, -1, -run.tokens, guarded=-guarded)
 
     async def _find_plan(self, origin: Instance, run_id: str) -> MigrationPlan:
         """Return the plan in which a run has its slot; an engine's plan is made once."""
@@ -310,7 +311,8 @@
         service = gateway.get_service(origin.service)
         if service is None:
             return None
-        candidates = gateway.selector.list_candidates(service, run.tokens, excluded)
+        selector = gateway.selector
+        candidates = selector.list_candidates(service, run.tokens, excluded, run.demand)
         # A copy to another availability zone takes about twice as long.
         found = pick_upstream(candidates, origin.zone, gateway.random, MIGRATION_ZONE_BONUS)
         if found is None:
--- a/src/daleroad/picking.py
+++ b/src/daleroad/picking.py
@@ -139,7 +139,7 @@
     best: Candidate | None = None
     best_rank = (True, True, 0.0)
     for candidate in candidates:
-        score = candidate.load + candidate.penalty + random.uniform(0, MAX_LOAD_NOISE)
+        score = candidate.load + scale * candidate.penalty + random.uniform(0, MAX_LOAD_NOISE)
         score -= zone_bonus * (candidate.instance.zone == zone)
         score += preference.get_penalty(candidate.instance.id)
         score += scale * COLD_PENALTY * candidate.cold + (
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -15,6 +15,7 @@
 from daleroad.candidates import CandidateEvaluator
 from daleroad.contention import NO_CONTENTION, Contention
 from daleroad.fleet import Fleet
+from daleroad.guardedstreams import PaceSource, ReadingRates, StreamGuard
 from daleroad.loads import LoadTotals
 from daleroad.notices import Load, PlaceAnswer, PlaceRequest
 from daleroad.picking import Candidate, pick_upstream
@@ -31,6 +32,7 @@
     :param heartbeat_seconds: interval of the upstreams' heartbeats.
     :param random: source of randomness.
     :param limits: counts the grants for each upstream; by default, a new one that knows none.
+    :param get_pace: returns the pace of an engine, or nothing if it is unknown.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         heartbeat_seconds: float,
         random: Random,
         limits: GrantLimiter | None = None,
+        get_pace: PaceSource = lambda instance_id: None,
     ) -> None:
         self._limits = limits or GrantLimiter(ColdRule())
         self._fleet = fleet
@@ -47,6 +50,9 @@
         self._loads = loads
         self._heartbeat_seconds = heartbeat_seconds
         self._random = random
+        self._get_pace = get_pace
+        self._reading_rates = ReadingRates()
+        self._stream_guard = StreamGuard(loads.get_total, get_pace, self._reading_rates)
 
     def place(
         self,
@@ -78,7 +84,19 @@
             return unreachable or instance_id in failing
 
         judge = CandidateEvaluator(
-            self._fleet, self._heartbeat_seconds, self._loads.get_total, is_failing, evacuated_zones
+            self._fleet,
+            self._heartbeat_seconds,
+            self._loads.get_total,
+            is_failing,
+            evacuated_zones,
+            self._stream_guard.make_penalty(
+                service,
+                self._fleet.list_ready(service.name),
+                contention,
+                request.demand,
+                request.unread,
+                now,
+            ),
         )
         candidates = judge.list_candidates(service, request.tokens, request.excluded, now)
         if request.only:
@@ -94,8 +112,11 @@
         granted = bool(service.cold_rate) or chosen.rate_limited
         if granted:
             self._limits.record_grant(chosen.instance.id, now)
-        load = Load(chosen.instance.id, 1, request.tokens, request.unread)
+        guarded = int(request.demand is not None and request.demand.guarded)
+        load = Load(chosen.instance.id, 1, request.tokens, request.unread, guarded)
         self._loads.add_load(request.gateway, load, now)
+        if contention.guarded_ranks:
+            self._reading_rates.record(chosen.instance.id, request.unread, now)
         return PlaceAnswer(chosen.instance.id, granted)
 
     def _note_unreached(self, request: PlaceRequest, now: float) -> None:
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -19,6 +19,7 @@
 from daleroad.fingerprints import fingerprint_job
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance, InstanceState
+from daleroad.notices import Demand
 from daleroad.suspects import Standing
 
 
@@ -82,6 +83,7 @@
         limit.
     :param longest_pause: longest pause between events so far, in seconds.
     :param last_event_at: when the last event arrived.
+    :param demand: what the request demands, if requests to its service compete.
     """
 
     attempt: Attempt
@@ -101,6 +103,11 @@
     max_pause: float = 0.0
     longest_pause: float = 0.0
     last_event_at: float = 0.0
+    demand: Demand | None = None
+
+    def count_guarded(self) -> int:
+        """Return 1 if the stream is guarded, else 0, as it counts in the load of its engine."""
+        return int(self.demand is not None and self.demand.guarded)
 
 
 class Migrator(Protocol):
@@ -224,7 +231,7 @@
             return None
         prompt = run.attempt.job.prompt
         selector = gateway.selector
-        found = selector.pick(service, run.tokens, tries.tried_ids, prompt)
+        found = selector.pick(service, run.tokens, tries.tried_ids, prompt, run.demand)
         found = found or selector.pick_rate_limited(service, run.tokens, tries.tried_ids)
         if found is None or not gateway.take_retry(service.name):
             return None
@@ -303,7 +310,8 @@
         run.migrating = False
         run.resume_point = None
         run.migration_done = anyio.Event()
-        self._gateway.loads.add_load(attempt.instance, 1, run.tokens)
+        guarded = run.count_guarded()
+        self._gateway.loads.add_load(attempt.instance, 1, run.tokens, guarded=guarded)
         if backup is not None:
             self._gateway.loads.add_load(backup, 0, run.tokens)
 
@@ -315,7 +323,8 @@
             self._mover.start_migration(run)
 
     def _release_loads(self, run: StreamRun) -> None:
-        self._gateway.loads.add_load(run.attempt.instance, -1, -run.tokens)
+        guarded = run.count_guarded()
+        self._gateway.loads.add_load(run.attempt.instance, -1, -run.tokens, guarded=-guarded)
         if run.backup is not None:
             self._gateway.loads.add_load(run.backup, 0, -run.tokens)
 
