Bound what guarded streams cost, model it, and count them

Cause: where no engine had memory left, the preference for quick engines sent requests that had waited long to the same few; a term that kept short prompts from quick engines changed nothing.

--- a/src/daleroad/candidates.py
+++ b/src/daleroad/candidates.py
@@ -51,6 +51,7 @@
             if instance.id in excluded or instance.zone in self.evacuated:
                 continue
             expected = self.get_load(instance.id).add(Load(instance.id, 1, tokens))
+            lacks_memory = bool(memory) and expected.tokens > memory
             missed_heartbeats = self.fleet.get_age(instance.id, now) / self.heartbeat
             yield Candidate(
                 instance,
@@ -59,7 +60,8 @@
                 cold=self.fleet.is_cold(instance.id, now),
                 sole_in_zone=bool(memory) and zone_sizes[instance.zone] == 1,
                 overdue=missed_heartbeats > OVERDUE_HEARTBEATS,
-                lacks_memory=bool(memory) and expected.tokens > memory,
+                lacks_memory=lacks_memory,
                 rate_limited=self.fleet.get_rate_limit(instance.id) is not None,
-                penalty=self.get_penalty(instance),
+                # Where memory is lacking everywhere, only the work ahead of the request matters.
+                penalty=0.0 if lacks_memory else self.get_penalty(instance),
             )
--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -96,7 +96,7 @@
         self.get_contention: Callable[[str], Contention] = lambda service: NO_CONTENTION
         self._reading_rates = ReadingRates()
         self._stream_guard = StreamGuard(
-            loads.get_total, lambda name: self.get_pace(name), self._reading_rates
+            fleet, loads.get_total, lambda name: self.get_pace(name), self._reading_rates
         )
 
     def pick(
@@ -367,12 +367,7 @@
         """Yield the upstreams that accept requests from this gateway, limited ones included."""
         now = anyio.current_time()
         penalty = self._stream_guard.make_penalty(
-            service,
-            self._fleet.list_ready(service.name),
-            self.get_contention(service.name),
-            demand,
-            unread,
-            now,
+            service, self.get_contention(service.name), demand, unread, now
         )
         judge = CandidateEvaluator(
             self._fleet,
--- a/src/daleroad/cli.py
+++ b/src/daleroad/cli.py
@@ -30,6 +30,8 @@
 from daleroad.evacuationcommands import EvacuationCommands
 from daleroad.events import Event, log_event
 from daleroad.explain import explain, parse_lines
+from daleroad.guardedmodel import CASES as GUARDED_CASES
+from daleroad.guardedmodel import format_cases as format_guarded_cases
 from daleroad.operating import OperatorClient
 from daleroad.placing import CASES, format_cases
 from daleroad.plain import PlainOptions, PlainService
@@ -369,6 +371,14 @@
         """
         print("\n".join(format_room_cases(ROOM_CASES, seed)))
 
+    def guarded(self, seeds: int = 2) -> None:
+        """Compare placement by load with guarded streams, on engines of two speeds.
+
+        Args:
+            seeds: paired runs of each case, of which the means are shown.
+        """
+        print("\n".join(format_guarded_cases(GUARDED_CASES, seeds)))
+
     def demo(self, seconds: float = 15.0, rate: float = 8.0, seed: int = 1) -> None:
         """Serve a slice of both partners' day on a whole site in this process.
 
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -197,6 +197,10 @@
         """Return how many upstreams have announced a request rate limit."""
         return self.fleet.count_limited()
 
+    def count_guarded(self) -> int:
+        """Return how many of this gateway's running streams are guarded."""
+        return sum(load.guarded for load in self.loads.list_own_loads())
+
     def count_resting(self) -> int:
         """Return how many upstreams have asked this gateway to pause requests."""
         return self.guard.backoffs.count_active(anyio.current_time())
--- a/src/daleroad/guardedstreams.py
+++ b/src/daleroad/guardedstreams.py
@@ -14,11 +14,12 @@
 """
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from statistics import median
 
 from daleroad.contention import Contention
+from daleroad.fleet import Fleet
 from daleroad.instances import Instance
 from daleroad.notices import Demand, Load, Pace
 from daleroad.routing import ServiceRule
@@ -48,11 +49,6 @@
 MAX_SLOWNESS = 3.0
 """Largest slowness that counts. Such an engine is used after all others in any case."""
 
-QUICK_ROOM_WEIGHT = 0.1
-"""Load added for a prompt that is not guarded on an engine twice as quick as the typical one, while
-there are guarded streams. It keeps a tenth of a stream from the quick engine, by the time that
-reading takes there."""
-
 READ_TOKENS_PER_STEP = 112
 """Prompt tokens whose reading takes an engine as long as a step of output. Used to tell an engine
 that is slow from one that reads much."""
@@ -143,11 +139,13 @@
 class StreamGuard:
     """Computes the penalty of each engine for a request.
 
+    :param fleet: the live engines.
     :param get_load: returns the load of an engine, summed over all gateways.
     :param get_pace: returns the pace of an engine.
     :param rates: reading rates of the engines.
     """
 
+    fleet: Fleet
     get_load: Callable[[str], Load]
     get_pace: PaceSource
     rates: ReadingRates
@@ -155,7 +153,6 @@
     def make_penalty(
         self,
         service: ServiceRule,
-        instances: Iterable[Instance],
         contention: Contention,
         demand: Demand | None,
         unread: int,
@@ -164,7 +161,6 @@
         """Return the penalty for a request: 0 where no streams are guarded.
 
         :param service: the service that the request is for.
-        :param instances: its ready engines.
         :param contention: how the routes of the service compete.
         :param demand: what the request demands.
         :param unread: prompt tokens that the engine has to read; 0 for a stream that moves.
@@ -172,25 +168,19 @@
         """
         if demand is None or service.engine is None or not contention.guarded_ranks:
             return no_penalty
-        listed = list(instances)
+        names = [instance.id for instance in self.fleet.list_ready(service.name)]
         read_tokens = READ_TOKENS_PER_STEP * service.engine.event_tokens
-        traits = self._find_traits(listed, read_tokens, contention.guarded_pause, now)
+        traits = self._find_traits(names, read_tokens, contention.guarded_pause, now)
         if demand.guarded:
             return lambda instance: self._penalize_guarded(
                 instance.id, traits[instance.id], unread, now
             )
-        if not any(self.get_load(instance.id).guarded for instance in listed):
+        if not any(self.get_load(name).guarded for name in names):
             return no_penalty
-        typical = median(trait.pace for trait in traits.values())
         bound = OBJECTIVE_SHARE * max(0.0, demand.objective - demand.age) / FULL_LOAD_SECONDS
-
-        def penalize(instance: Instance) -> float:
-            trait = traits[instance.id]
-            room = QUICK_ROOM_WEIGHT * max(0.0, typical / trait.pace - 1)
-            cost = room + self._count_broken(instance.id, trait, unread)
-            return bound_penalty(cost, bound)
-
-        return penalize
+        return lambda instance: bound_penalty(
+            self._count_broken(instance.id, traits[instance.id], unread), bound
+        )
 
     def _penalize_guarded(
         self, instance_id: str, trait: EngineTraits, unread: int, now: float
@@ -211,10 +201,9 @@
         return max(self.rates.get_rate(instance_id, now), unread / READING_WINDOW_SECONDS)
 
     def _find_traits(
-        self, instances: Iterable[Instance], read_tokens: int, pause: float, now: float
+        self, names: Sequence[str], read_tokens: int, pause: float, now: float
     ) -> Mapping[str, EngineTraits]:
         """Return the traits of each engine; one of unknown pace counts as typical."""
-        names = [instance.id for instance in instances]
         known = {name: self._find_base(name, read_tokens, now) for name in names}
         bases = sorted(base for base, _ in known.values() if base)
         if not bases:
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -52,7 +52,7 @@
         self._random = random
         self._get_pace = get_pace
         self._reading_rates = ReadingRates()
-        self._stream_guard = StreamGuard(loads.get_total, get_pace, self._reading_rates)
+        self._stream_guard = StreamGuard(fleet, loads.get_total, get_pace, self._reading_rates)
 
     def place(
         self,
@@ -90,12 +90,7 @@
             is_failing,
             evacuated_zones,
             self._stream_guard.make_penalty(
-                service,
-                self._fleet.list_ready(service.name),
-                contention,
-                request.demand,
-                request.unread,
-                now,
+                service, contention, request.demand, request.unread, now
             ),
         )
         candidates = judge.list_candidates(service, request.tokens, request.excluded, now)
