Merge guarded streams: placing by pace, by what streams bear and by urgency

Paces are passed to the placer and to gateways' own choices in this merge; without contention the penalty is 0.

--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -80,6 +80,7 @@
         self.selector = UpstreamSelector(
             options, self.fleet, self.guard, self.loads, self.random, self.get_service
         )
+        self.selector.get_contention = self.get_contention
         self.guard.request_grant_callback = self.selector.request_grant
         self.paces = GatewayPaces()
         self.selector.get_pace = self.paces.get
@@ -199,6 +200,10 @@
         """Return how many upstreams have announced a request rate limit."""
         return self.fleet.count_limited()
 
+    def count_guarded(self) -> int:
+        """Return how many of this gateway's running streams are guarded."""
+        return sum(load.guarded for load in self.loads.list_own_loads())
+
     def count_resting(self) -> int:
         """Return how many upstreams have asked this gateway to pause requests."""
         return self.guard.backoffs.count_active(anyio.current_time())
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -15,6 +15,7 @@
 from daleroad.candidates import CandidateEvaluator
 from daleroad.contention import NO_CONTENTION, Contention
 from daleroad.fleet import Fleet
+from daleroad.guardedstreams import ReadingRates, StreamGuard
 from daleroad.loads import LoadTotals
 from daleroad.notices import Load, PlaceAnswer, PlaceRequest
 from daleroad.paces import GetPace
@@ -32,7 +33,7 @@
     :param heartbeat_seconds: interval of the upstreams' heartbeats.
     :param random: source of randomness.
     :param limits: counts the grants for each upstream; by default, a new one that knows none.
-    :param get_pace: returns the pace of an engine, if it is known.
+    :param get_pace: returns the pace of an engine, or nothing if it is unknown.
     """
 
     def __init__(
@@ -50,7 +51,8 @@
         self._loads = loads
         self._heartbeat_seconds = heartbeat_seconds
         self._random = random
-        self._get_pace = get_pace
+        self._reading_rates = ReadingRates()
+        self._stream_guard = StreamGuard(fleet, loads.get_total, get_pace, self._reading_rates)
 
     def place(
         self,
@@ -82,7 +84,14 @@
             return unreachable or instance_id in failing
 
         judge = CandidateEvaluator(
-            self._fleet, self._heartbeat_seconds, self._loads.get_total, is_failing, evacuated_zones
+            self._fleet,
+            self._heartbeat_seconds,
+            self._loads.get_total,
+            is_failing,
+            evacuated_zones,
+            self._stream_guard.make_penalty(
+                service, contention, request.demand, request.unread, now
+            ),
         )
         candidates = judge.list_candidates(service, request.tokens, request.excluded, now)
         if request.only:
@@ -98,8 +107,11 @@
         granted = bool(service.cold_rate) or chosen.rate_limited
         if granted:
             self._limits.record_grant(chosen.instance.id, now)
-        load = Load(chosen.instance.id, 1, request.tokens, request.unread)
+        guarded = int(request.demand is not None and request.demand.guarded)
+        load = Load(chosen.instance.id, 1, request.tokens, request.unread, guarded)
         self._loads.add_load(request.gateway, load, now)
+        if contention.guarded_ranks:
+            self._reading_rates.record(chosen.instance.id, request.unread, now)
         return PlaceAnswer(chosen.instance.id, granted)
 
     def _note_unreached(self, request: PlaceRequest, now: float) -> None:
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -19,6 +19,7 @@
 from daleroad.fingerprints import fingerprint_job
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance, InstanceState
+from daleroad.notices import Demand
 from daleroad.suspects import Standing
 
 MIN_WAIT_SECONDS = 0.001
@@ -89,6 +90,7 @@
     :param ready_at: when the client had taken the last event that its engine sent; infinite until
         then, so that no gap spans two engines.
     :param gap_from: when the last event arrived, if the gateway waited for it at its engine.
+    :param demand: what the request demands, if requests to its service compete.
     """
 
     attempt: Attempt
@@ -110,6 +112,11 @@
     last_event_at: float = 0.0
     ready_at: float = float("inf")
     gap_from: float | None = None
+    demand: Demand | None = None
+
+    def count_guarded(self) -> int:
+        """Return 1 if the stream is guarded, else 0, as it counts in the load of its engine."""
+        return int(self.demand is not None and self.demand.guarded)
 
 
 class Migrator(Protocol):
@@ -246,7 +253,7 @@
             return None
         prompt = run.attempt.job.prompt
         selector = gateway.selector
-        found = selector.pick(service, run.tokens, tries.tried_ids, prompt)
+        found = selector.pick(service, run.tokens, tries.tried_ids, prompt, run.demand)
         found = found or selector.pick_rate_limited(service, run.tokens, tries.tried_ids)
         if found is None or not gateway.take_retry(service.name):
             return None
@@ -326,7 +333,8 @@
         run.resume_point = None
         run.ready_at = float("inf")
         run.migration_done = anyio.Event()
-        self._gateway.loads.add_load(attempt.instance, 1, run.tokens)
+        guarded = run.count_guarded()
+        self._gateway.loads.add_load(attempt.instance, 1, run.tokens, guarded=guarded)
         if backup is not None:
             self._gateway.loads.add_load(backup, 0, run.tokens)
 
@@ -338,7 +346,8 @@
             self._mover.start_migration(run)
 
     def _release_loads(self, run: StreamRun) -> None:
-        self._gateway.loads.add_load(run.attempt.instance, -1, -run.tokens)
+        guarded = run.count_guarded()
+        self._gateway.loads.add_load(run.attempt.instance, -1, -run.tokens, guarded=-guarded)
         if run.backup is not None:
             self._gateway.loads.add_load(run.backup, 0, -run.tokens)
 
