Refuse at once, at the gateway, what the placing leader says can't start

Cause: an answer of the leader could name no refusal that a gateway passes on. Change: a typed result of placing becomes 503 overloaded, not run, with the leader's Retry-After, unless an attempt may have run; refusals and returns are counted, and logged with rate, prompts ahead and foreseen wait.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -30,6 +30,16 @@
     """Returned instead of an engine when no engine has enough free memory for the prompt now."""
 
 
+@dataclass(frozen=True)
+class Refused:
+    """Returned instead of an engine when the request can't start before its client gives up.
+
+    :param retry_after: seconds after which there will be room.
+    """
+
+    retry_after: float
+
+
 @dataclass(frozen=True)
 class GatewayOptions:
     """Startup options of a gateway. Times are in seconds.
@@ -143,7 +153,7 @@
         excluded: Collection[str],
         prompt: Prompt | None = None,
         may_wait: bool = False,
-    ) -> Instance | InsufficientMemory | None:
+    ) -> Instance | InsufficientMemory | Refused | None:
         """Return the upstream that a request should go to, if there is one.
 
         Asks the central placer where one should place the request, and picks from local state if
@@ -164,6 +174,8 @@
         if answer is None:
             picked = self.pick(service, tokens, excluded, prompt)
             return picked or self._pick_within_share(service, tokens, excluded)
+        if answer.refused:
+            return Refused(answer.retry_after)
         if answer.crowded:
             return InsufficientMemory()
         self._limited_sends.store_grant(answer, asked_at)
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from daleroad.choosing import InsufficientMemory
+from daleroad.choosing import InsufficientMemory, Refused
 from daleroad.defaults import (
     ENGINE_RETRY_AFTER_SECONDS,
     EVACUATED_RETRY_SECONDS,
@@ -172,6 +172,8 @@
             if isinstance(instance, InsufficientMemory):
                 await anyio.sleep(MEMORY_WAIT_PAUSE_SECONDS)
                 continue
+            if isinstance(instance, Refused):
+                return self._make_refusal(state, instance)
             if instance is None:
                 return self._make_final_outcome(state, "no upstream is available")
             state.sends += 1
@@ -185,7 +187,7 @@
 
     async def _pick_instance(
         self, state: _RequestState, standing: Standing
-    ) -> Instance | InsufficientMemory | None:
+    ) -> Instance | InsufficientMemory | Refused | None:
         gateway = self._gateway
         prompt = state.job.prompt
         tokens = count_tokens(prompt)
@@ -373,6 +375,14 @@
         )
         return Failure(FailureKind.NO_UPSTREAM, reason, Ran.NO, retry_after)
 
+    def _make_refusal(self, state: _RequestState, refused: Refused) -> Outcome:
+        """Return the outcome of a request that can't start in time; it may have run before."""
+        reason = "no engine has room before the client gives up"
+        if state.possible_runs:
+            return self._make_final_outcome(state, reason)
+        retry_after = round(refused.retry_after, 2)
+        return Failure(FailureKind.OVERLOADED, reason, Ran.NO, retry_after)
+
     def _start_stream(self, run: StreamRun) -> StreamResponse:
         runs = self._runs
         stream = run.stream
--- a/src/daleroad/refusals.py
+++ b/src/daleroad/refusals.py
@@ -5,11 +5,10 @@
 which there is room: promised returns are spread over time, and one that comes when told goes before
 newcomers of its rank. State is kept for each service, in memory only.
 
-Does no I/O; the caller passes in the time.
+Does no I/O but logging; the caller passes in the time.
 """
 
 from bisect import bisect_left, insort
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
@@ -23,6 +22,8 @@
     CLIENT_RETURN_SHARE,
     ENGINE_RETRY_AFTER_SECONDS,
 )
+from daleroad.events import Event, log_event
+from daleroad.metrics import EventCounters
 from daleroad.notices import Demand
 
 RATE_WINDOW_SECONDS = 5.0
@@ -30,8 +31,8 @@
 wait, so that the rate follows engines that come and go within what callers wait."""
 
 WAITING_KEPT_SECONDS = 2.0
-"""How long a service is taken as having prompts that wait after the last one asked; with so many
-that some can't start, several ask a second."""
+"""How long a prompt is taken as waiting after it was last asked about; each is asked about several
+times a second."""
 
 KEPT_SHARE = 0.2
 """Part of the starts kept for prompts of a less urgent rank: served a quarter as often as others,
@@ -304,7 +305,7 @@
 
 @dataclass(frozen=True)
 class _Waiting:
-    """A prompt that waits, and when its caller gives up."""
+    """A prompt that waits, and until when it does unless it is asked about again."""
 
     rank: int
     until: float
@@ -330,12 +331,14 @@
         self.arrivals = {rank: n * fading for rank, n in self.arrivals.items()}
         self.at = max(self.at, now)
 
-    def add_waiting(self, demand: Demand, until: float) -> None:
-        """Record a prompt that waits."""
-        if demand.fingerprint in self.waiting or len(self.waiting) >= MAX_WAITING:
-            return
-        self.waiting[demand.fingerprint] = _Waiting(demand.rank, until)
-        self.arrivals[demand.rank] = self.arrivals.get(demand.rank, 0.0) + 1
+    def add_waiting(self, demand: Demand, now: float) -> None:
+        """Record that a prompt waits now."""
+        known = demand.fingerprint in self.waiting
+        if not known:
+            self.arrivals[demand.rank] = self.arrivals.get(demand.rank, 0.0) + 1
+        if known or len(self.waiting) < MAX_WAITING:
+            until = now + WAITING_KEPT_SECONDS
+            self.waiting[demand.fingerprint] = _Waiting(demand.rank, until)
 
     def count_before(self, demand: Demand) -> int:
         """Return how many prompts of the same rank have waited for longer."""
@@ -347,6 +350,27 @@
         return any(rank < demand.rank and n > 0.5 for rank, n in self.arrivals.items())
 
 
+def log_refusal(service: str, demand: Demand, refusal: Refusal) -> None:
+    """Log a refusal with what it was decided by.
+
+    :param service: the prompt's service.
+    :param demand: what the prompt demanded.
+    :param refusal: the refusal.
+    """
+    log_event(
+        Event.PROMPT_REFUSED,
+        service=service,
+        rank=demand.rank,
+        organisation=demand.organisation,
+        cause=refusal.cause.value,
+        ahead=refusal.ahead,
+        rate=round(refusal.rate, 2),
+        wait=round(refusal.wait, 2),
+        patience=round(find_patience(demand), 2),
+        retry_after=round(refusal.retry_after, 2),
+    )
+
+
 def _ignore(service: str, demand: Demand, refusal: Refusal) -> None:
     pass
 
@@ -355,11 +379,17 @@
     """Decides which prompts that wait for an engine are refused, for all services.
 
     :param report: called with each refusal.
-    :ivar returns: how promises to return ended.
+    :ivar refused: refusals by cause and rank.
+    :ivar returns: what came of promises.
     """
 
     def __init__(self, report: Callable[[str, Demand, Refusal], None] = _ignore) -> None:
-        self.returns: Counter[ReturnEnd] = Counter()
+        self.refused = EventCounters(
+            "daleroad_prompts_refused", "Prompts refused while they waited", ("cause", "rank")
+        )
+        self.returns = EventCounters(
+            "daleroad_returns", "Refused callers by whether they returned when told", ("end",)
+        )
         self._report = report
         self._services: dict[str, _Service] = {}
         self._pruned_at = float("-inf")
@@ -412,11 +442,12 @@
         promise = state.book.find(demand.fingerprint, now)
         refusal: Refusal | None
         if promise is not None and promise.is_early(now) and ahead:
-            self.returns[ReturnEnd.EARLY] += 1
+            self.returns.add(ReturnEnd.EARLY.value)
             refusal = Refusal(promise.at - now, RefusalCause.EARLY, ahead)
         else:
             refusal = self._decide_new(state, demand, promise, ahead, now)
         if refusal is not None:
+            self.refused.add(refusal.cause.value, str(demand.rank))
             self._report(service, demand, refusal)
         return refusal
 
@@ -428,12 +459,14 @@
         patience = find_patience(demand)
         wait = foresee_start(state, demand, ahead, expected, now)
         if wait <= patience:
-            state.add_waiting(demand, now + patience)
+            state.add_waiting(demand, now)
             if promise is not None:
-                self.returns[ReturnEnd.KEPT] += expected and promise.kept_until is None
+                if expected and promise.kept_until is None:
+                    self.returns.add(ReturnEnd.KEPT.value)
                 state.book.keep(demand.fingerprint, now + patience)
             return None
-        self.returns[ReturnEnd.REFUSED] += expected
+        if expected:
+            self.returns.add(ReturnEnd.REFUSED.value)
         state.waiting.pop(demand.fingerprint, None)
         rate = state.rate.get_rate(now)
         spacing = 1 / (RETURN_SHARE * rate)
@@ -449,7 +482,8 @@
             return
         self._pruned_at = now
         for state in self._services.values():
-            self.returns[ReturnEnd.MISSED] += state.book.prune(now)
+            for _ in range(state.book.prune(now)):
+                self.returns.add(ReturnEnd.MISSED.value)
             state.waiting = {name: w for name, w in state.waiting.items() if now < w.until}
 
     def _get(self, service: str) -> _Service:
