Let less urgent ranks yield in measure, and book no second return

Change: room is booked for first returns only, others are told when room is foreseen; while an urgent rank is refused, a less urgent one is admitted between a quarter and half as often.

--- a/src/daleroad/refusals.py
+++ b/src/daleroad/refusals.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
-from itertools import takewhile
 from math import exp, sqrt
 
 from daleroad.defaults import (
@@ -34,16 +33,22 @@
 """How long a prompt is taken as waiting after it was last asked about; each is asked about several
 times a second."""
 
-KEPT_SHARE = 0.2
-"""Part of the starts kept for prompts of a less urgent rank: served a quarter as often as others,
-callers still get on with what they do."""
+KEPT_SHARE = 0.25
+"""A less urgent rank is admitted at least so often as a more urgent one of which some are refused,
+so that no kind of caller stands still."""
+
+YIELDED_SHARE = 0.5
+"""And at most so often: the less urgent are refused first."""
 
 RETURN_SHARE = 0.5
 """Part of the starts that is promised to callers who return; the rest is for newcomers."""
 
-LESS_URGENT_SPACING = 2.0
-"""Spacing between returns of less urgent ranks, relative to those of the most urgent one, so that
-each gap has room for one of these."""
+YIELDING_SECONDS = 1.0
+"""How long a rank yields after a newcomer of a more urgent one was refused; where that goes on,
+several are refused a second."""
+
+MIN_ASKED = 4.0
+"""Newcomers of each of two ranks from which the shares that were admitted are compared."""
 
 RETURN_EARLY_SECONDS = 0.1
 """How early a caller may return and still be expected; timers and clocks differ by less."""
@@ -77,6 +82,7 @@
     """Why a prompt was refused."""
 
     LATE = "no-start-in-time"
+    YIELDS = "yields-to-more-urgent"
     EARLY = "returned-early"
 
 
@@ -179,13 +185,16 @@
 
     :param at: when to return.
     :param rank: rank of the request.
-    :param booked: whether room was booked for the return.
+    :param booked: whether room was booked for the return. If not, there is room only after the
+        caller's patience, and it is a newcomer when it returns.
+    :param early_until: until when a return is too early.
     :param kept_until: if the caller returned and waits, when it gives up.
     """
 
     at: float
     rank: int
     booked: bool
+    early_until: float
     kept_until: float | None = None
 
     def is_early(self, now: float) -> bool:
@@ -193,7 +202,7 @@
 
         :param now: the time.
         """
-        return self.kept_until is None and now < self.at - RETURN_EARLY_SECONDS
+        return self.kept_until is None and now < self.early_until
 
     def is_expected(self, now: float) -> bool:
         """Return whether a caller that comes now is expected.
@@ -227,25 +236,31 @@
         return promise if promise is not None and now < promise.get_end() else None
 
     def promise(
-        self, fingerprint: str, rank: int, earliest: float, latest: float, spacing: float
+        self,
+        fingerprint: str,
+        rank: int,
+        earliest: float,
+        latest: float,
+        spacing: float,
+        book: bool = True,
     ) -> Promise:
-        """Make and return a promise for the first free time, or for the latest if none is free.
+        """Promise a caller the first free time to return, and book room if it waits that long.
 
         :param fingerprint: fingerprint of the request.
         :param rank: its rank.
         :param earliest: when the caller may return at the earliest.
         :param latest: until when the caller waits at most before it returns.
         :param spacing: seconds between two returns.
+        :param book: whether room may be booked.
         """
         self.drop(fingerprint)
-        full = len(self._promises) >= MAX_PROMISES
         at = self._find_gap(min(earliest, latest), spacing)
-        if full or at > latest:
-            promise = Promise(latest, rank, False)
-        else:
-            promise = Promise(at, rank, True)
+        has_room = len(self._promises) < MAX_PROMISES
+        booked = book and has_room and at <= latest
+        promise = Promise(at, rank, booked, min(at, latest) - RETURN_EARLY_SECONDS)
+        if booked:
             insort(self._booked, (at, rank))
-        if not full:
+        if has_room:
             self._promises[fingerprint] = promise
         return promise
 
@@ -276,7 +291,7 @@
         ended = {name: p for name, p in self._promises.items() if now >= p.get_end()}
         for name in ended:
             self.drop(name)
-        return sum(promise.kept_until is None for promise in ended.values())
+        return sum(p.booked and p.kept_until is None for p in ended.values())
 
     def count_due(self, rank: int, until: float) -> int:
         """Return how many callers of a rank or a more urgent one are booked to return by a time.
@@ -303,51 +318,81 @@
             self._booked.remove((promise.at, promise.rank))
 
 
-@dataclass(frozen=True)
-class _Waiting:
-    """A prompt that waits, and until when it does unless it is asked about again."""
+@dataclass
+class _Rank:
+    """Newcomers of one rank; the numbers fade.
 
-    rank: int
-    until: float
+    :param asked: newcomers that had to wait.
+    :param admitted: those that were not refused.
+    :param returned: callers that returned when told.
+    :param refused_at: when a newcomer was last refused.
+    """
+
+    asked: float = 0.0
+    admitted: float = 0.0
+    returned: float = 0.0
+    refused_at: float = float("-inf")
+
+    def get_share(self) -> float:
+        """Return the part of the newcomers that was admitted."""
+        return self.admitted / self.asked
+
+    def fade(self, factor: float) -> None:
+        """Multiply all numbers by a factor."""
+        self.asked *= factor
+        self.admitted *= factor
+        self.returned *= factor
 
 
 @dataclass
 class _Service:
     """What is known of one service.
 
-    :param waiting: the prompts that wait, by fingerprint, in the order in which they came.
-    :param arrivals: number of prompts that began to wait, by rank; it fades.
+    :param waiting: until when each prompt is taken as waiting, by fingerprint.
+    :param ranks: the newcomers of each rank.
     """
 
     rate: StartRate = field(default_factory=StartRate)
     book: ReturnBook = field(default_factory=ReturnBook)
-    waiting: dict[str, _Waiting] = field(default_factory=dict)
-    arrivals: dict[int, float] = field(default_factory=dict)
+    waiting: dict[str, float] = field(default_factory=dict)
+    ranks: dict[int, _Rank] = field(default_factory=dict)
     at: float = 0.0
 
     def advance(self, now: float) -> None:
-        """Let the arrivals fade."""
-        fading = exp(-max(0.0, now - self.at) / RATE_WINDOW_SECONDS)
-        self.arrivals = {rank: n * fading for rank, n in self.arrivals.items()}
+        """Let the numbers fade."""
+        factor = exp(-max(0.0, now - self.at) / RATE_WINDOW_SECONDS)
+        for rank in self.ranks.values():
+            rank.fade(factor)
         self.at = max(self.at, now)
 
-    def add_waiting(self, demand: Demand, now: float) -> None:
-        """Record that a prompt waits now."""
-        known = demand.fingerprint in self.waiting
-        if not known:
-            self.arrivals[demand.rank] = self.arrivals.get(demand.rank, 0.0) + 1
-        if known or len(self.waiting) < MAX_WAITING:
-            until = now + WAITING_KEPT_SECONDS
-            self.waiting[demand.fingerprint] = _Waiting(demand.rank, until)
+    def list_more_urgent(self, rank: int) -> list[_Rank]:
+        """Return the more urgent ranks."""
+        return [counts for other, counts in self.ranks.items() if other < rank]
 
-    def count_before(self, demand: Demand) -> int:
-        """Return how many prompts of the same rank have waited for longer."""
-        older = takewhile(lambda name: name != demand.fingerprint, self.waiting)
-        return sum(self.waiting[name].rank == demand.rank for name in older)
+    def find_bounds(self, rank: int, now: float) -> tuple[float, float] | None:
+        """Return the least and the largest part of a rank's newcomers to admit, if it must yield.
 
-    def is_less_urgent(self, demand: Demand) -> bool:
-        """Return whether prompts of a more urgent rank wait too, or did lately."""
-        return any(rank < demand.rank and n > 0.5 for rank, n in self.arrivals.items())
+        It must while newcomers of a more urgent rank are refused.
+        """
+        own = self.ranks[rank]
+        shares = [
+            urgent.get_share()
+            for urgent in self.list_more_urgent(rank)
+            if urgent.asked >= MIN_ASKED and now - urgent.refused_at <= YIELDING_SECONDS
+        ]
+        if own.asked < MIN_ASKED or not shares:
+            return None
+        return KEPT_SHARE * min(shares), YIELDED_SHARE * min(shares)
+
+    def find_spacing(self, rank: int, now: float) -> float:
+        """Return the seconds between two promised returns.
+
+        More urgent ranks have the larger part by what each of them asks for.
+        """
+        own = YIELDED_SHARE * max(1.0, self.ranks[rank].asked)
+        urgent = sum(counts.asked for counts in self.list_more_urgent(rank))
+        share = own / (own + urgent) if urgent >= 1 else 1.0
+        return 1 / (RETURN_SHARE * share * self.rate.get_rate(now))
 
 
 def log_refusal(service: str, demand: Demand, refusal: Refusal) -> None:
@@ -438,6 +483,7 @@
         self._prune(now)
         state = self._get(service)
         state.advance(now)
+        state.ranks.setdefault(demand.rank, _Rank())
         state.rate.note_waiting(ahead + 1, now)
         promise = state.book.find(demand.fingerprint, now)
         refusal: Refusal | None
@@ -454,28 +500,43 @@
     def _decide_new(
         self, state: _Service, demand: Demand, promise: Promise | None, ahead: int, now: float
     ) -> Refusal | None:
-        """Decide for a newcomer, or for a caller that returned when told."""
+        """Decide for a newcomer, a caller that returned when told, or one that waits already."""
         expected = promise is not None and promise.is_expected(now)
-        patience = find_patience(demand)
-        wait = foresee_start(state, demand, ahead, expected, now)
-        if wait <= patience:
-            state.add_waiting(demand, now)
-            if promise is not None:
-                if expected and promise.kept_until is None:
-                    self.returns.add(ReturnEnd.KEPT.value)
-                state.book.keep(demand.fingerprint, now + patience)
-            return None
-        if expected:
-            self.returns.add(ReturnEnd.REFUSED.value)
+        waits = demand.fingerprint in state.waiting
+        wait = foresee_start(state, demand, ahead, expected, waits, now)
+        cause = find_cause(state, demand, wait, expected or waits, now)
+        counts = state.ranks[demand.rank]
+        if not expected and not waits:
+            counts.asked += 1
+            counts.admitted += cause is None
+            counts.refused_at = counts.refused_at if cause is None else now
+        if cause is not None:
+            return self._refuse(state, demand, promise, Refusal(0.0, cause, ahead, wait=wait), now)
+        if waits or len(state.waiting) < MAX_WAITING:
+            state.waiting[demand.fingerprint] = now + WAITING_KEPT_SECONDS
+        if promise is not None:
+            if expected and promise.kept_until is None:
+                counts.returned += 1
+                self.returns.add(ReturnEnd.KEPT.value)
+            state.book.keep(demand.fingerprint, now + find_patience(demand))
+        return None
+
+    def _refuse(
+        self, state: _Service, demand: Demand, promise: Promise | None, refusal: Refusal, now: float
+    ) -> Refusal:
+        """Promise a refused caller when to return, and return the refusal that tells it."""
         state.waiting.pop(demand.fingerprint, None)
-        rate = state.rate.get_rate(now)
-        spacing = 1 / (RETURN_SHARE * rate)
-        if state.is_less_urgent(demand):
-            spacing *= LESS_URGENT_SPACING
-        earliest = now + max(ENGINE_RETRY_AFTER_SECONDS, wait - patience)
         latest = now + max(0.0, demand.time_left) * CLIENT_RETURN_SHARE
-        made = state.book.promise(demand.fingerprint, demand.rank, earliest, latest, spacing)
-        return Refusal(made.at - now, RefusalCause.LATE, ahead, rate, wait)
+        missing = refusal.wait - find_patience(demand)
+        earliest = now + max(ENGINE_RETRY_AFTER_SECONDS, missing)
+        spacing = state.find_spacing(demand.rank, now)
+        if promise is not None and promise.is_expected(now):
+            self.returns.add(ReturnEnd.REFUSED.value)
+        # Callers mostly return once: room booked for a second return would mostly be lost.
+        made = state.book.promise(
+            demand.fingerprint, demand.rank, earliest, latest, spacing, book=promise is None
+        )
+        return replace(refusal, retry_after=made.at - now, rate=state.rate.get_rate(now))
 
     def _prune(self, now: float) -> None:
         if now - self._pruned_at < PRUNE_SECONDS:
@@ -484,7 +545,7 @@
         for state in self._services.values():
             for _ in range(state.book.prune(now)):
                 self.returns.add(ReturnEnd.MISSED.value)
-            state.waiting = {name: w for name, w in state.waiting.items() if now < w.until}
+            state.waiting = {name: until for name, until in state.waiting.items() if now < until}
 
     def _get(self, service: str) -> _Service:
         return self._services.setdefault(service, _Service())
@@ -505,27 +566,49 @@
     return min(demand.time_left, gap - demand.age)
 
 
-def foresee_start(state: _Service, demand: Demand, ahead: int, expected: bool, now: float) -> float:
-    """Return the seconds until a prompt starts, at the highest rate that the starts seen allow.
+def find_cause(
+    state: _Service, demand: Demand, wait: float, held: bool, now: float
+) -> RefusalCause | None:
+    """Return why a prompt is to be refused, or nothing if it may wait.
+
+    :param state: what is known of its service.
+    :param demand: what the prompt demands.
+    :param wait: foreseen seconds until it starts.
+    :param held: whether the prompt waits already, or was promised room.
+    :param now: the time.
+    """
+    bounds = None if held else state.find_bounds(demand.rank, now)
+    share = state.ranks[demand.rank].get_share() if bounds else 0.0
+    if bounds is not None and share > bounds[1]:
+        return RefusalCause.YIELDS
+    if wait <= find_patience(demand) or (bounds is not None and share < bounds[0]):
+        return None
+    return RefusalCause.LATE
+
+
+def foresee_start(
+    state: _Service, demand: Demand, ahead: int, expected: bool, waits: bool, now: float
+) -> float:
+    """Return the seconds until a prompt starts.
+
+    One that waits or was promised room is judged by the highest rate that the starts seen allow.
+    Before a newcomer go more urgent ones that come later, and promised returns.
 
     :param state: what is known of its service.
     :param demand: what the prompt demands.
     :param ahead: waiting prompts that go before it.
     :param expected: whether its caller returned when told.
+    :param waits: whether it waits already.
     :param now: the time.
     """
-    rate = state.rate.get_highest_rate(now)
-    if rate == float("inf"):
-        return 0.0
-    if expected:
-        return (ahead + 1) / rate
-    share = rate
-    if any(rank > demand.rank and n > 0.5 for rank, n in state.arrivals.items()):
-        share = (1 - KEPT_SHARE) * rate
-    overtaking = sum(n for rank, n in state.arrivals.items() if rank < demand.rank)
-    own_rate = max(KEPT_SHARE * rate, share - overtaking / RATE_WINDOW_SECONDS)
-    wait = (ahead + 1) / own_rate
-    wait = (ahead + 1 + state.book.count_due(demand.rank, now + wait)) / own_rate
-    if state.is_less_urgent(demand):
-        wait = min(wait, (state.count_before(demand) + 1) / (KEPT_SHARE * rate))
-    return wait
+    if expected or waits:
+        return (ahead + 1) / state.rate.get_highest_rate(now)
+    rate = state.rate.get_rate(now)
+    urgent = sum(
+        counts.admitted + counts.returned for counts in state.list_more_urgent(demand.rank)
+    )
+    returned = state.ranks[demand.rank].returned
+    least = KEPT_SHARE * rate
+    wait = (ahead + 1) / max(least, rate - (urgent + returned) / RATE_WINDOW_SECONDS)
+    due = state.book.count_due(demand.rank, now + wait)
+    return max(wait, (ahead + 1 + due) / max(least, rate - urgent / RATE_WINDOW_SECONDS))
