--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -56,7 +56,6 @@
 from daleroad.placer import Placer
 from daleroad.presence import Presence
 from daleroad.raftnode import RaftNode, decode_messages
-from daleroad.refusals import RefusalPolicy, log_refusal
 from daleroad.routing import ServiceRule
 from daleroad.security import check_peer
 from daleroad.sendlimits import ColdRule, GrantLimiter
@@ -116,7 +115,6 @@
         self._contentions: Mapping[str, Contention] = {}
         self.peers = Peers(options.name, set(options.seeds))
         self.presence = Presence(options.name, calls, self.peers, self._list_others, self._wake)
-        self.refusals = RefusalPolicy(log_refusal)
         self._limits = GrantLimiter(options.cold_rule)
         self._placer = Placer(
             self.presence.fleet, self.presence.loads, options.heartbeat, random, self._limits
--- a/src/daleroad/refusals.py
+++ b/src/daleroad/refusals.py
@@ -8,11 +8,10 @@
 Does no I/O but logging; the caller passes in the time.
 """
 
-from bisect import bisect_left, insort
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
-from math import exp, sqrt
+from math import exp, isfinite
 
 from daleroad.defaults import (
     CLIENT_GAP_OBJECTIVES,
@@ -24,14 +23,8 @@
 from daleroad.events import Event, log_event
 from daleroad.metrics import EventCounters
 from daleroad.notices import Demand
-
-RATE_WINDOW_SECONDS = 5.0
-"""Time in which what is known of a service's starts fades to a third; some lengths of a prompt's
-wait, so that the rate follows engines that come and go within what callers wait."""
-
-WAITING_KEPT_SECONDS = 2.0
-"""How long a prompt is taken as waiting after it was last asked about; each is asked about several
-times a second."""
+from daleroad.returnbook import Promise, ReturnBook
+from daleroad.startrates import RATE_WINDOW_SECONDS, WAITING_KEPT_SECONDS, StartRate
 
 KEPT_SHARE = 0.25
 """A less urgent rank is admitted at least so often as a more urgent one of which some are refused,
@@ -50,16 +43,6 @@
 MIN_ASKED = 4.0
 """Newcomers of each of two ranks from which the shares that were admitted are compared."""
 
-RETURN_EARLY_SECONDS = 0.1
-"""How early a caller may return and still be expected; timers and clocks differ by less."""
-
-RETURN_LATE_SECONDS = 1.5
-"""How late a caller may return and still be expected: a new connection takes up to one second."""
-
-MAX_PROMISES = 2048
-"""Promises kept for one service, of 200 bytes each; a burst of some hundred requests a second for
-as long as callers wait. Beyond it promises are made by the rate alone."""
-
 MAX_WAITING = 2048
 """Prompts of one service remembered as waiting, to know which ranks wait."""
 
@@ -93,7 +76,7 @@
     :param retry_after: when its caller should return, from now.
     :param cause: why it was refused.
     :param ahead: prompts that would have gone before it.
-    :param rate: foreseen starts per second.
+    :param rate: foreseen starts per second; 0 if unknown.
     :param wait: foreseen time until it would have started.
     """
 
@@ -104,220 +87,6 @@
     wait: float = 0.0
 
 
-class StartRate:
-    """How many prompts of a service start per second while others wait.
-
-    Starts while none waits tell what callers demand rather than what engines can serve, so they are
-    not counted. Starts and the time in which prompts waited both fade; without any start the rate
-    falls as the time grows.
-    """
-
-    def __init__(self) -> None:
-        self._starts = 0.0
-        self._seconds = 0.0
-        self._at = 0.0
-        self._waiting = 0
-        self._waiting_until = 0.0
-
-    def note_waiting(self, waiting: int, now: float) -> None:
-        """Record that so many prompts wait at least.
-
-        :param waiting: their number.
-        :param now: the time.
-        """
-        self._advance(now)
-        self._waiting = max(self._waiting, waiting)
-        self._waiting_until = now + WAITING_KEPT_SECONDS
-
-    def note_start(self, now: float) -> None:
-        """Record that a prompt started.
-
-        :param now: the time.
-        """
-        self._advance(now)
-        if self._waiting:
-            self._waiting -= 1
-            self._starts += 1
-
-    def get_rate(self, now: float) -> float:
-        """Return the starts per second, infinite if nothing is known.
-
-        One start more than was seen is assumed: the next is about to come, after as long as the
-        last took at the latest.
-
-        :param now: the time.
-        """
-        self._advance(now)
-        return (self._starts + 1) / self._seconds if self._seconds else float("inf")
-
-    def get_highest_rate(self, now: float) -> float:
-        """Return the highest rate that the starts seen allow; they vary by their square root.
-
-        :param now: the time.
-        """
-        rate = self.get_rate(now)
-        return rate * (self._starts + 1 + sqrt(self._starts)) / (self._starts + 1)
-
-    def foresee_wait(self, ahead: float, now: float) -> float:
-        """Return the seconds until a prompt starts.
-
-        :param ahead: prompts that go before it.
-        :param now: the time.
-        """
-        return (ahead + 1) / self.get_rate(now)
-
-    def _advance(self, now: float) -> None:
-        elapsed = max(0.0, now - self._at)
-        if not elapsed:
-            return
-        fading = exp(-elapsed / RATE_WINDOW_SECONDS)
-        waited = min(now, self._waiting_until) - self._at if self._waiting else 0.0
-        self._starts *= fading
-        self._seconds = self._seconds * fading + max(0.0, waited)
-        self._at = now
-        if now >= self._waiting_until:
-            self._waiting = 0
-
-
-@dataclass(frozen=True)
-class Promise:
-    """What a refused caller was told. Times are in seconds.
-
-    :param at: when to return.
-    :param rank: rank of the request.
-    :param booked: whether room was booked for the return. If not, there is room only after the
-        caller's patience, and it is a newcomer when it returns.
-    :param early_until: until when a return is too early.
-    :param kept_until: if the caller returned and waits, when it gives up.
-    """
-
-    at: float
-    rank: int
-    booked: bool
-    early_until: float
-    kept_until: float | None = None
-
-    def is_early(self, now: float) -> bool:
-        """Return whether a caller that comes now comes too early.
-
-        :param now: the time.
-        """
-        return self.kept_until is None and now < self.early_until
-
-    def is_expected(self, now: float) -> bool:
-        """Return whether a caller that comes now is expected.
-
-        :param now: the time.
-        """
-        return self.booked and not self.is_early(now) and now < self.get_end()
-
-    def get_end(self) -> float:
-        """Return when the promise ends."""
-        return self.at + RETURN_LATE_SECONDS if self.kept_until is None else self.kept_until
-
-
-class ReturnBook:
-    """The promised returns to one service, one for each fingerprint."""
-
-    def __init__(self) -> None:
-        self._promises: dict[str, Promise] = {}
-        self._booked: list[tuple[float, int]] = []
-
-    def __len__(self) -> int:
-        return len(self._promises)
-
-    def find(self, fingerprint: str, now: float) -> Promise | None:
-        """Return the promise made to a caller, if it still holds.
-
-        :param fingerprint: fingerprint of its request.
-        :param now: the time.
-        """
-        promise = self._promises.get(fingerprint)
-        return promise if promise is not None and now < promise.get_end() else None
-
-    def promise(
-        self,
-        fingerprint: str,
-        rank: int,
-        earliest: float,
-        latest: float,
-        spacing: float,
-        book: bool = True,
-    ) -> Promise:
-        """Promise a caller the first free time to return, and book room if it waits that long.
-
-        :param fingerprint: fingerprint of the request.
-        :param rank: its rank.
-        :param earliest: when the caller may return at the earliest.
-        :param latest: until when the caller waits at most before it returns.
-        :param spacing: seconds between two returns.
-        :param book: whether room may be booked.
-        """
-        self.drop(fingerprint)
-        at = self._find_gap(min(earliest, latest), spacing)
-        has_room = len(self._promises) < MAX_PROMISES
-        booked = book and has_room and at <= latest
-        promise = Promise(at, rank, booked, min(at, latest) - RETURN_EARLY_SECONDS)
-        if booked:
-            insort(self._booked, (at, rank))
-        if has_room:
-            self._promises[fingerprint] = promise
-        return promise
-
-    def keep(self, fingerprint: str, until: float) -> None:
-        """Record that a caller returned when told and waits; its promise holds until it gives up.
-
-        :param fingerprint: fingerprint of its request.
-        :param until: when it gives up.
-        """
-        promise = self._promises[fingerprint]
-        self._unbook(promise)
-        self._promises[fingerprint] = replace(promise, kept_until=until)
-
-    def drop(self, fingerprint: str) -> None:
-        """Forget the promise made to a caller, if any.
-
-        :param fingerprint: fingerprint of its request.
-        """
-        promise = self._promises.pop(fingerprint, None)
-        if promise is not None:
-            self._unbook(promise)
-
-    def prune(self, now: float) -> int:
-        """Forget the promises that ended; return how many callers did not return.
-
-        :param now: the time.
-        """
-        ended = {name: p for name, p in self._promises.items() if now >= p.get_end()}
-        for name in ended:
-            self.drop(name)
-        return sum(p.booked and p.kept_until is None for p in ended.values())
-
-    def count_due(self, rank: int, until: float) -> int:
-        """Return how many callers of a rank or a more urgent one are booked to return by a time.
-
-        :param rank: the rank.
-        :param until: the time.
-        """
-        return sum(booked <= rank for _, booked in self._booked[: self._find_index(until)])
-
-    def _find_gap(self, earliest: float, spacing: float) -> float:
-        """Return the first time to which no booked return is nearer than the spacing."""
-        at = earliest
-        for booked, _ in self._booked[self._find_index(earliest - spacing) :]:
-            if booked - at >= spacing:
-                break
-            at = max(at, booked + spacing)
-        return at
-
-    def _find_index(self, at: float) -> int:
-        return bisect_left(self._booked, (at, -1))
-
-    def _unbook(self, promise: Promise) -> None:
-        if promise.booked and promise.kept_until is None:
-            self._booked.remove((promise.at, promise.rank))
-
-
 @dataclass
 class _Rank:
     """Newcomers of one rank; the numbers fade.
@@ -494,6 +263,8 @@
             refusal = self._decide_new(state, demand, promise, ahead, now)
         if refusal is not None:
             self.refused.add(refusal.cause.value, str(demand.rank))
+            rate = state.rate.get_rate(now)
+            refusal = replace(refusal, rate=rate if isfinite(rate) else 0.0)
             self._report(service, demand, refusal)
         return refusal
 
@@ -504,7 +275,8 @@
         expected = promise is not None and promise.is_expected(now)
         waits = demand.fingerprint in state.waiting
         wait = foresee_start(state, demand, ahead, expected, waits, now)
-        cause = find_cause(state, demand, wait, expected or waits, now)
+        # Where nobody goes before it, nobody gains by its yielding.
+        cause = find_cause(state, demand, wait, expected or waits or not ahead, now)
         counts = state.ranks[demand.rank]
         if not expected and not waits:
             counts.asked += 1
@@ -526,7 +298,8 @@
     ) -> Refusal:
         """Promise a refused caller when to return, and return the refusal that tells it."""
         state.waiting.pop(demand.fingerprint, None)
-        latest = now + max(0.0, demand.time_left) * CLIENT_RETURN_SHARE
+        time_left = max(0.0, demand.time_left)
+        latest = now + time_left * CLIENT_RETURN_SHARE
         missing = refusal.wait - find_patience(demand)
         earliest = now + max(ENGINE_RETRY_AFTER_SECONDS, missing)
         spacing = state.find_spacing(demand.rank, now)
@@ -534,9 +307,15 @@
             self.returns.add(ReturnEnd.REFUSED.value)
         # Callers mostly return once: room booked for a second return would mostly be lost.
         made = state.book.promise(
-            demand.fingerprint, demand.rank, earliest, latest, spacing, book=promise is None
+            demand.fingerprint,
+            demand.rank,
+            earliest,
+            latest,
+            spacing,
+            gives_up=now + time_left,
+            book=promise is None,
         )
-        return replace(refusal, retry_after=made.at - now, rate=state.rate.get_rate(now))
+        return replace(refusal, retry_after=made.at - now)
 
     def _prune(self, now: float) -> None:
         if now - self._pruned_at < PRUNE_SECONDS:
@@ -574,7 +353,7 @@
     :param state: what is known of its service.
     :param demand: what the prompt demands.
     :param wait: foreseen seconds until it starts.
-    :param held: whether the prompt waits already, or was promised room.
+    :param held: whether the prompt waits already, was promised room or is the next to start.
     :param now: the time.
     """
     bounds = None if held else state.find_bounds(demand.rank, now)
