Count on less of newcomers' patience where some were let in wrongly

Cause: beside an order that puts late prompts last, the rate alone lets in prompts that wait and are refused later. Change: each rank's newcomers that were refused while they waited lessen the part of the patience that is counted on, down to half.

--- a/src/daleroad/refusals.py
+++ b/src/daleroad/refusals.py
@@ -46,6 +46,11 @@
 MAX_WAITING = 2048
 """Prompts of one service remembered as waiting, to know which ranks wait."""
 
+WRONG_WEIGHT = 1.0
+MIN_TRUST = 0.5
+"""How much less of newcomers' patience is counted on for each part of them that was let in and
+refused later, and the least of it: others go before them in ways that the rate doesn't tell."""
+
 PRUNE_SECONDS = 0.25
 """Interval at which ended promises are forgotten."""
 
@@ -93,12 +98,14 @@
 
     :param asked: newcomers that had to wait.
     :param admitted: those that were not refused.
+    :param wronged: admitted ones that were refused later.
     :param returned: callers that returned when told.
     :param refused_at: when a newcomer was last refused.
     """
 
     asked: float = 0.0
     admitted: float = 0.0
+    wronged: float = 0.0
     returned: float = 0.0
     refused_at: float = float("-inf")
 
@@ -106,10 +113,16 @@
         """Return the part of the newcomers that was admitted."""
         return self.admitted / self.asked
 
+    def get_trust(self) -> float:
+        """Return the part of its patience in which a newcomer should be foreseen to start."""
+        wronged = self.wronged / max(MIN_ASKED, self.admitted)
+        return max(MIN_TRUST, 1 - WRONG_WEIGHT * wronged)
+
     def fade(self, factor: float) -> None:
         """Multiply all numbers by a factor."""
         self.asked *= factor
         self.admitted *= factor
+        self.wronged *= factor
         self.returned *= factor
 
 
@@ -283,6 +296,7 @@
             counts.admitted += cause is None
             counts.refused_at = counts.refused_at if cause is None else now
         if cause is not None:
+            counts.wronged += waits
             return self._refuse(state, demand, promise, Refusal(0.0, cause, ahead, wait=wait), now)
         if waits or len(state.waiting) < MAX_WAITING:
             state.waiting[demand.fingerprint] = now + WAITING_KEPT_SECONDS
@@ -360,7 +374,8 @@
     share = state.ranks[demand.rank].get_share() if bounds else 0.0
     if bounds is not None and share > bounds[1]:
         return RefusalCause.YIELDS
-    if wait <= find_patience(demand) or (bounds is not None and share < bounds[0]):
+    patience = find_patience(demand) * (1.0 if held else state.ranks[demand.rank].get_trust())
+    if wait <= patience or (bounds is not None and share < bounds[0]):
         return None
     return RefusalCause.LATE
 
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -226,6 +226,13 @@
         self.assertAlmostEqual(refusal.wait, 4.1, delta=0.5)
         self.assertIsNone(self.decide("c", 40, demand=PATIENT))
 
+    def test_fewer_are_let_in_after_some_were_refused_while_they_waited(self) -> None:
+        self.assertIsNone(self.decide("x", 15))
+        for number in range(10):
+            self.assertIsNone(self.decide(str(number), 1))
+            self.assertIsNotNone(self.decide(str(number), 99))
+        self.assertIsNotNone(self.decide("y", 15))
+
     def test_returns_are_spread_and_never_later_than_callers_wait(self) -> None:
         answers = sorted(self.decide(str(n), 30).retry_after for n in range(40))
         told = [seconds for seconds in answers if seconds <= URGENT.time_left / 3]
