Bound the bytes that a gateway holds, and know streams that their clients left unread

Cause: a gateway over its memory limit is killed with all its requests, and an engine that cuts off an unread response counted as crashed. Change: bodies, answers and streams are counted against a bound from the memory limit; a request without room is refused before it runs; a cut right after the client blocked the gateway is the client's own.

--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from http import HTTPStatus
 from typing import Protocol
@@ -14,6 +14,7 @@
 from daleroad.copyschedule import RunSize
 from daleroad.defaults import MOVE_WORTH_SECONDS, SILENCE_SECONDS, TOKEN_SECONDS
 from daleroad.errors import Failure
+from daleroad.heldbytes import RequestBytes
 from daleroad.instances import Instance
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -53,6 +54,7 @@
     :param received_at: when the request head was read.
     :param deadline: when the client stops waiting.
     :param prompt: description of the prompt, if the request carries one.
+    :param held: account of the bytes that the gateway holds for it, if there is one.
     """
 
     id: str
@@ -66,6 +68,7 @@
     received_at: float
     deadline: float
     prompt: Prompt | None = None
+    held: RequestBytes | None = field(default=None, compare=False, repr=False)
 
 
 @dataclass(frozen=True)
@@ -132,9 +135,13 @@
 
 @dataclass(frozen=True)
 class Lost:
-    """The request may have run; no complete response arrived."""
+    """The request may have run; no complete response arrived.
+
+    :param unread: whether the upstream cut a stream because its client did not read.
+    """
 
     reason: str
+    unread: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/errors.py
+++ b/src/daleroad/errors.py
@@ -28,6 +28,7 @@
     NOT_FOUND = "not-found"
     DEADLINE = "deadline-passed"
     OVERLOADED = "overloaded"
+    NO_MEMORY = "no-memory"
     LIMIT = "organisation-limit"
     NO_UPSTREAM = "no-upstream"
     NO_LEASE = "no-lease"
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -118,6 +118,10 @@
         328, logging.WARNING, "A generation could not be copied, or a stream resumed, elsewhere."
     )
     ANSWER_CUT = Kind(329, logging.INFO, "An answer to a client ended before it was whole.")
+    MEMORY_BOUND_REACHED = Kind(
+        350, logging.WARNING, "A gateway holds as many bytes as its memory allows."
+    )
+    MEMORY_BOUND_OVER = Kind(351, logging.INFO, "A gateway has room for requests again.")
     ORDER_SENT = Kind(333, logging.INFO, "An order was sent to an engine.")
     ORDER_SETTLED = Kind(331, logging.INFO, "An engine's state was read back as ordered.")
     ORDER_FAILED = Kind(332, logging.WARNING, "An engine did not answer an order.")
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -124,6 +124,14 @@
         self._log_outcome(job, state, outcome)
         return outcome
 
+    def note_refusal(self, job: ClientRequest, failure: Failure) -> None:
+        """Log and count a request that was refused before it was read completely.
+
+        :param job: the request, without its body.
+        :param failure: why it was refused.
+        """
+        self._log_outcome(job, None, failure)
+
     def _resolve_request(self, job: ClientRequest) -> _RequestState | Failure:
         gateway = self._gateway
         table = gateway.table
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -18,6 +18,7 @@
 import anyio
 
 from daleroad.backpressure import UpstreamBackoffs
+from daleroad.clientstalls import ClientStall
 from daleroad.dispatch import (
     Attempt,
     ClientRequest,
@@ -62,6 +63,7 @@
     :param grants: the unused grants for rate-limited upstreams.
     :param request_grant_callback: requests a grant for an attempt that has none; if None, none is
         given.
+    :param resumed_at: when the VM last resumed after a suspension, which is no client's stall.
     """
 
     suspects: Suspects
@@ -72,6 +74,7 @@
     cold_limited_services: frozenset[str] = frozenset()
     grants: Grants = field(default_factory=Grants)
     request_grant_callback: GrantRequester | None = None
+    resumed_at: float = float("-inf")
 
     def is_backing_off(self, instance: Instance) -> bool:
         """Return whether an upstream asked this gateway to back off.
@@ -245,13 +248,21 @@
     async def events(self) -> AsyncIterator[StreamEvent | Lost]:
         """Yield complete events, then :class:`Lost` if the stream was interrupted."""
         begun = False
+        stall = ClientStall()
+        ready_at = anyio.current_time()
         async for piece in self._stream.events():
+            now = anyio.current_time()
             if isinstance(piece, Lost):
-                self._guard.record_lost(self._attempt)
-                yield piece
+                unread = stall.explains_cut(now - ready_at)
+                if not unread:
+                    self._guard.record_lost(self._attempt)
+                yield replace(piece, unread=unread)
                 return
             begun = True
+            stall.note_event(now - ready_at)
             yield piece
+            ready_at = anyio.current_time()
+            stall.note_taken(ready_at - max(now, self._guard.resumed_at))
         # A stream that ends with its connection also gets here when its upstream crashes, so one
         # without any event is not recorded as a success.
         if begun:
--- /dev/null
+++ b/src/daleroad/heldbytes.py
@@ -0,0 +1,200 @@
+"""Account of the bytes that a gateway holds for its clients and upstreams.
+
+A process that uses more memory than its VM allows is killed with all its requests. With the limit
+known, a gateway near its bound refuses new requests before they run, and lets large answers wait
+at their upstreams. What was reserved is never taken back. Without a limit nothing is bounded.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import anyio
+
+from daleroad.errors import Failure, FailureKind
+
+PROCESS_BYTES = 64_000_000
+"""Memory of a gateway that holds nothing: the interpreter, its libraries and tables."""
+
+HELD_SHARE = 0.5
+"""Part of the remaining memory that may be held. Each byte may exist twice: it is joined from
+pieces, and copied into a socket's buffer."""
+
+MIN_BOUND_BYTES = 4_000_000
+"""Smallest bound, so that a gateway with little memory still serves ordinary requests."""
+
+ADMIT_SHARE = 0.8
+"""Part of the bound up to which new requests are accepted; the rest is for answers to them."""
+
+OVER_SHARE = 0.6
+"""Part of the bound below which a reached bound counts as over, so that it does not flap."""
+
+REQUEST_SHARE = 0.5
+"""Largest part of the bound that one request's body, or its answer, may take."""
+
+REQUEST_BYTES = 32_000
+"""Held for each open request beside its body: its connections, headers and tasks."""
+
+STREAM_BYTES = 128_000
+"""Held for each open stream, as a client that does not read leaves up to one read from the engine
+and a socket's buffer of 64 KiB full."""
+
+FREE_ANSWER_BYTES = 64_000
+"""An answer up to this size is read at once, also at the bound: most answers are smaller, and one
+that waits keeps its request's body in memory."""
+
+UPSTREAM_BYTES = 8_000_000
+"""Bodies that this gateway may have under way to one upstream, which holds them in its own memory:
+two of the largest. A single larger body is still sent."""
+
+MEMORY_RETRY_SECONDS = 0.5
+"""When to come back to a gateway without room; other gateways mostly have some at once."""
+
+
+def find_bound(memory_bytes: int | None) -> int | None:
+    """Return how many bytes a gateway may hold, or None for no bound.
+
+    :param memory_bytes: the memory limit of the process, if one is stated.
+    """
+    if memory_bytes is None:
+        return None
+    return max(MIN_BOUND_BYTES, int(HELD_SHARE * (memory_bytes - PROCESS_BYTES)))
+
+
+def make_memory_failure() -> Failure:
+    """Return the refusal of a request for which there is no room; it did not run."""
+    reason = "the gateway holds as many bytes as its memory allows"
+    return Failure(FailureKind.NO_MEMORY, reason, retry_after=MEMORY_RETRY_SECONDS)
+
+
+class HeldBytes:
+    """The bytes that one gateway process holds.
+
+    :param bound: bytes that it may hold, or None for no bound.
+    """
+
+    def __init__(self, bound: int | None = None) -> None:
+        self.bound = bound
+        self.held = 0
+        self.refusals = 0
+        self.on_bound: Callable[[bool], None] = lambda reached: None
+        self._reached = False
+        self._freed: anyio.Event | None = None
+        self._under_way: Counter[str] = Counter()
+
+    def get_share(self, share: float) -> float:
+        """Return a part of the bound in bytes, infinite without a bound.
+
+        :param share: the part.
+        """
+        return float("inf") if self.bound is None else share * self.bound
+
+    @contextmanager
+    def open_request(self) -> Iterator["RequestBytes"]:
+        """Yield the account of one request; all that it holds is released at its end."""
+        request = RequestBytes(self)
+        try:
+            yield request
+        finally:
+            request.release(request.held)
+
+    def change(self, size: int) -> None:
+        """Count bytes that are held from now on, or no longer if negative.
+
+        :param size: the bytes.
+        """
+        self.held += size
+        if size < 0 and self._freed is not None:
+            self._freed.set()
+            self._freed = None
+        if self._reached and self.held <= self.get_share(OVER_SHARE):
+            self._reached = False
+            self.on_bound(False)
+
+    def note_reached(self) -> None:
+        """Note that something was refused or has to wait."""
+        if not self._reached:
+            self._reached = True
+            self.on_bound(True)
+
+    async def wait_freed(self) -> None:
+        """Wait until some bytes are released."""
+        self.note_reached()
+        if self._freed is None:
+            self._freed = anyio.Event()
+        await self._freed.wait()
+
+    @contextmanager
+    def send_body(self, upstream: str, size: int) -> Iterator[bool]:
+        """Count a body as under way to an upstream; yield whether it may be sent.
+
+        :param upstream: the upstream's id.
+        :param size: bytes of the body.
+        """
+        before = self._under_way[upstream]
+        allowed = self.bound is None or not before or before + size <= UPSTREAM_BYTES
+        added = size if allowed else 0
+        self._under_way[upstream] += added
+        try:
+            yield allowed
+        finally:
+            self._under_way[upstream] -= added
+            if not self._under_way[upstream]:
+                del self._under_way[upstream]
+
+
+class RequestBytes:
+    """The bytes held for one request.
+
+    :param account: the account of the process.
+    """
+
+    def __init__(self, account: HeldBytes) -> None:
+        self._account = account
+        self.held = 0
+
+    def try_reserve(self, size: int) -> bool:
+        """Reserve bytes of a request that has not run; return False if it must be refused.
+
+        :param size: the bytes.
+        """
+        account = self._account
+        fits = self.held + size <= account.get_share(REQUEST_SHARE)
+        if not fits or account.held + size > account.get_share(ADMIT_SHARE):
+            account.refusals += 1
+            account.note_reached()
+            return False
+        self.reserve(size)
+        return True
+
+    def reserve(self, size: int) -> None:
+        """Reserve bytes of an accepted request, also beyond the bound.
+
+        :param size: the bytes.
+        """
+        self.held += size
+        self._account.change(size)
+
+    async def reserve_answer(self, size: int, before: int) -> bool:
+        """Reserve bytes of an answer, waiting for room; return False if they can never fit.
+
+        :param size: the bytes.
+        :param before: bytes that are reserved for the same answer already.
+        """
+        account = self._account
+        if before + size > max(FREE_ANSWER_BYTES, account.get_share(REQUEST_SHARE)):
+            return False
+        if before + size > FREE_ANSWER_BYTES:
+            while account.held + size > account.get_share(1.0):
+                await account.wait_freed()
+        self.reserve(size)
+        return True
+
+    def release(self, size: int) -> None:
+        """Release bytes, at most those that are held.
+
+        :param size: the bytes.
+        """
+        size = min(size, self.held)
+        self.held -= size
+        self._account.change(-size)
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -34,6 +34,7 @@
     STOP = "ended by this gateway's stop"
     DEADLINE = "the time was over"
     UPSTREAM = "broken off upstream"
+    UNREAD = "cut off as its client did not read"
 
 
 @dataclass(frozen=True)
@@ -213,6 +214,8 @@
 
     async def _resume(self, run: StreamRun, cut: Lost) -> Failure | None:
         """Resume a stream that was cut: from copied memory, or else by a restart elsewhere."""
+        if cut.unread and not run.migrating:
+            return Failure(FailureKind.STALLED, "the client did not read", Ran.PARTIAL)
         cut_at = anyio.current_time()
         continuation = await self._mover.find_resume_point(run)
         if continuation is not None:
@@ -364,7 +367,13 @@
 
 def _classify_end(failure: Failure) -> StreamEnd:
     """Return the end of a stream that failed and could not be resumed."""
-    return StreamEnd.DEADLINE if failure.kind is FailureKind.DEADLINE else StreamEnd.UPSTREAM
+    match failure.kind:
+        case FailureKind.DEADLINE:
+            return StreamEnd.DEADLINE
+        case FailureKind.STALLED:
+            return StreamEnd.UNREAD
+        case _:
+            return StreamEnd.UPSTREAM
 
 
 def _record_event(run: StreamRun, piece: StreamEvent) -> bool:
