--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -277,7 +277,8 @@
             draining = scope.deadline < state.response_deadline
             if draining:
                 return Failure(FailureKind.DRAINING, "the gateway is shutting down", Ran.UNKNOWN)
-            gateway.selector.record_result(instance, False)
+            if state.job.held is None or not state.job.held.starved:
+                gateway.selector.record_result(instance, False)
             return Failure(FailureKind.DEADLINE, f"{instance.id} took too long", Ran.UNKNOWN)
         finally:
             gateway.loads.add_load(instance, 0, 0, -unread_tokens)
--- a/src/daleroad/heldbytes.py
+++ b/src/daleroad/heldbytes.py
@@ -144,7 +144,7 @@
 
 
 class RequestBytes:
-    """The bytes held for one request.
+    """The bytes held for one request; its answer is ``starved`` while it waits for room.
 
     :param account: the account of the process.
     """
@@ -152,6 +152,7 @@
     def __init__(self, account: HeldBytes) -> None:
         self._account = account
         self.held = 0
+        self.starved = False
 
     def try_reserve(self, size: int) -> bool:
         """Reserve bytes of a request that has not run; return False if it must be refused.
@@ -186,7 +187,9 @@
             return False
         if before + size > FREE_ANSWER_BYTES:
             while account.held + size > account.get_share(1.0):
+                self.starved = True
                 await account.wait_freed()
+            self.starved = False
         self.reserve(size)
         return True
 
