End a client's stall also where events come quickly

A stall counted until an event had been waited for 20 ms. Where an engine gives events faster than that, it counted to the stream's end, and a crash long after it was not recorded and its stream not resumed. What was waited for at the engine since the stall is now added up, and a cut after more than 0.25 s of it counts as any other.

--- a/src/daleroad/clientstalls.py
+++ b/src/daleroad/clientstalls.py
@@ -25,15 +25,20 @@
     """The longest time that a stream's gateway was blocked on its client since a fresh event.
 
     :param longest: that time, in seconds.
+    :param waited: seconds that the gateway waited at the engine since the last stall, in all.
+        Events that come quickly one after the other are fresh, too, once they took longer than a
+        cut would.
     """
 
     longest: float = 0.0
+    waited: float = 0.0
 
     def note_event(self, waited: float) -> None:
         """Note an event.
 
         :param waited: seconds that the gateway waited for it.
         """
+        self.waited += waited
         if waited >= FRESH_EVENT_SECONDS:
             self.longest = 0.0
 
@@ -42,6 +47,8 @@
 
         :param blocked: seconds that the gateway was blocked on it.
         """
+        if blocked >= MIN_STALL_SECONDS:
+            self.waited = 0.0
         self.longest = max(self.longest, blocked)
 
     def explains_cut(self, waited: float) -> bool:
@@ -49,4 +56,5 @@
 
         :param waited: seconds that the gateway waited at the engine before the cut.
         """
-        return self.longest >= MIN_STALL_SECONDS and waited <= MAX_CUT_WAIT_SECONDS
+        stalled = self.longest >= MIN_STALL_SECONDS
+        return stalled and self.waited + waited <= MAX_CUT_WAIT_SECONDS
--- a/tests/test_heldbytes.py
+++ b/tests/test_heldbytes.py
@@ -19,7 +19,7 @@
 from engines import EngineClient, find_own_silence  # noqa: E402
 from nodefile import read_node  # noqa: E402
 
-from daleroad.clientstalls import MIN_STALL_SECONDS  # noqa: E402
+from daleroad.clientstalls import MIN_STALL_SECONDS, ClientStall  # noqa: E402
 from daleroad.defaults import SILENCE_SECONDS  # noqa: E402
 from daleroad.dispatch import Attempt, ClientRequest, Whole  # noqa: E402
 from daleroad.errors import Failure, FailureKind, Ran  # noqa: E402
@@ -370,6 +370,17 @@
         self.recorded.assert_not_called()
         self.suspected.assert_not_called()
 
+    def test_stall_is_over_once_quick_events_came_for_longer_than_a_cut_would(self) -> None:
+        stall = ClientStall()
+        stall.note_taken(MIN_STALL_SECONDS)
+        for _ in range(10):
+            stall.note_event(0.015)
+            stall.note_taken(0.0)
+        self.assertTrue(stall.explains_cut(0.0))
+        for _ in range(10):
+            stall.note_event(0.015)
+        self.assertFalse(stall.explains_cut(0.0))
+
     def test_cut_without_a_stall_still_is_and_the_stream_goes_on(self) -> None:
         for name, stalls, waits, suspended in (
             ("no stall", 0.0, 0.0, False),
