Find a lost engine of a large request as soon as before once its stream has begun

A request with a body above 64 kB allowed its engine 12 s of silence, for a slow reader's sake, up to the stream's end, whatever its route allows. A stream begins after its body was read, so from there on the silence is that of the route; read back from the socket over loopback. Events that came before one that is too large were dropped with it; they are passed on.

--- a/tests/test_heldbytes.py
+++ b/tests/test_heldbytes.py
@@ -1,5 +1,6 @@
 """Tests of the bytes that a gateway holds, and of streams that their clients do not read."""
 
+import socket
 import sys
 import unittest
 from collections.abc import AsyncGenerator, Awaitable, Callable
@@ -10,18 +11,19 @@
 from unittest.mock import Mock
 
 import anyio
+import httpcore
 import trio
 import trio.testing
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
 from clientface import ClientApp  # noqa: E402
-from engines import EngineClient, find_own_silence  # noqa: E402
+from engines import EngineClient, EventStream, find_own_silence  # noqa: E402
 from nodefile import read_node  # noqa: E402
 
 from daleroad.clientstalls import MIN_STALL_SECONDS, ClientStall  # noqa: E402
 from daleroad.defaults import SILENCE_SECONDS  # noqa: E402
-from daleroad.dispatch import Attempt, ClientRequest, Whole  # noqa: E402
+from daleroad.dispatch import Attempt, ClientRequest, Lost, StreamEvent, Whole  # noqa: E402
 from daleroad.errors import Failure, FailureKind, Ran  # noqa: E402
 from daleroad.forwarding import Outcome, StreamResponse  # noqa: E402
 from daleroad.heldbytes import (  # noqa: E402
@@ -178,6 +180,46 @@
         large = replace(small, job=replace(small.job, body=bytes(100_000)))
         self.assertEqual(find_own_silence(large), 12.0)
 
+    def test_silence_of_a_started_stream_is_as_long_as_with_a_small_body(self) -> None:
+        """On loopback."""
+        head = "\r\n".join(["HTTP/1.1 200 OK", *SIGNED, "Content-Type: text/event-stream", "", ""])
+
+        async def serve(peer: anyio.abc.SocketStream) -> None:
+            while not (await peer.receive()).endswith(b"end"):
+                pass
+            await peer.send(head.encode())
+            await anyio.sleep_forever()
+
+        async def main() -> int:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            instance = replace(make_instance(1), address=f"127.0.0.1:{port}")
+            job = replace(make_job(0.0), id="abc", body=bytes(100_000) + b"end")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                stream = await EngineClient().send(Attempt(job, instance, "", 5.0))
+                assert isinstance(stream, EventStream), stream
+                sock = stream._response.extensions["network_stream"].get_extra_info("socket")
+                found = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+                tasks.cancel_scope.cancel()
+            return int(found)
+
+        self.assertEqual(anyio.run(main), int(1000 * (SILENCE_SECONDS - 0.5)))
+
+    def test_events_before_one_that_is_too_large_are_passed_on(self) -> None:
+        async def give() -> AsyncGenerator[bytes, None]:
+            yield b"id: 1\n\n" + b"x" * 1_000_001
+
+        async def main() -> list[StreamEvent | Lost]:
+            return [
+                piece
+                async for piece in EventStream(httpcore.Response(200, content=give())).events()
+            ]
+
+        first, last = run_virtual(main)
+        self.assertEqual(first, StreamEvent(b"id: 1\n\n", "1"))
+        self.assertIsInstance(last, Lost)
+
 
 class FakeForwarder:
     """Serves what a test says, and notes the jobs and refusals."""
