--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -137,7 +137,8 @@
 class Lost:
     """The request may have run; no complete response arrived.
 
-    :param unread: whether the upstream cut a stream because its client did not read.
+    :param unread: whether the upstream cut a response that this gateway left unread, as a stream's
+        client did not read or the gateway had no room for a whole one.
     """
 
     reason: str
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -338,11 +338,12 @@
                 elif not sent and not held:
                     self._gateway.selector.record_connect_failure(instance)
                 return None
-            case Lost(reason):
+            case Lost(reason, unread):
                 state.possible_runs += 1
                 fingerprint = fingerprint_job(state.job, state.organisation)
                 self._log_failed_attempt(state, instance, "lost", reason, fingerprint)
-                self._gateway.selector.record_result(instance, False)
+                if not unread:
+                    self._gateway.selector.record_result(instance, False)
                 if state.route.is_repeatable():
                     return None
                 return Failure(FailureKind.UPSTREAM_LOST, reason, Ran.UNKNOWN)
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -300,7 +300,8 @@
             case NotRun():
                 pass
             case Lost():
-                self._guard.record_lost(attempt)
+                if not reply.unread:
+                    self._guard.record_lost(attempt)
             case Whole():
                 if not reply.is_failed():
                     self._guard.record_success(attempt)
--- a/src/daleroad/heldbytes.py
+++ b/src/daleroad/heldbytes.py
@@ -43,6 +43,9 @@
 """An answer up to this size is read at once, also at the bound: most answers are smaller, and one
 that waits keeps its request's body in memory."""
 
+FREE_BODY_BYTES = 64_000
+"""A body up to this size is sent whatever else is under way to its upstream."""
+
 UPSTREAM_BYTES = 8_000_000
 """Bodies that this gateway may have under way to one upstream, which holds them in its own memory:
 two of the largest. A single larger body is still sent."""
@@ -78,6 +81,8 @@
         self.held = 0
         self.refusals = 0
         self.on_bound: Callable[[bool], None] = lambda reached: None
+        self.waiting = 0
+        self.overdrawn: RequestBytes | None = None
         self._reached = False
         self._freed: anyio.Event | None = None
         self._under_way: Counter[str] = Counter()
@@ -96,6 +101,8 @@
         try:
             yield request
         finally:
+            if self.overdrawn is request:
+                self.overdrawn = None
             request.release(request.held)
 
     def change(self, size: int) -> None:
@@ -128,11 +135,14 @@
     def send_body(self, upstream: str, size: int) -> Iterator[bool]:
         """Count a body as under way to an upstream; yield whether it may be sent.
 
+        Small ones always may, or a single large body would shut out all other requests.
+
         :param upstream: the upstream's id.
         :param size: bytes of the body.
         """
         before = self._under_way[upstream]
-        allowed = self.bound is None or not before or before + size <= UPSTREAM_BYTES
+        fits = not before or size <= FREE_BODY_BYTES or before + size <= UPSTREAM_BYTES
+        allowed = self.bound is None or fits
         added = size if allowed else 0
         self._under_way[upstream] += added
         try:
@@ -146,6 +156,8 @@
 class RequestBytes:
     """The bytes held for one request; its answer is ``starved`` while it waits for room.
 
+    ``waited`` is the longest time in seconds that the last answer waited.
+
     :param account: the account of the process.
     """
 
@@ -153,6 +165,7 @@
         self._account = account
         self.held = 0
         self.starved = False
+        self.waited = 0.0
 
     def try_reserve(self, size: int) -> bool:
         """Reserve bytes of a request that has not run; return False if it must be refused.
@@ -183,16 +196,42 @@
         :param before: bytes that are reserved for the same answer already.
         """
         account = self._account
+        if not before:
+            self.waited = 0.0
         if before + size > max(FREE_ANSWER_BYTES, account.get_share(REQUEST_SHARE)):
             return False
         if before + size > FREE_ANSWER_BYTES:
-            while account.held + size > account.get_share(1.0):
-                self.starved = True
-                await account.wait_freed()
-            self.starved = False
+            begun = anyio.current_time()
+            await self._wait_for_room(size)
+            self.waited = max(self.waited, anyio.current_time() - begun)
         self.reserve(size)
         return True
 
+    async def _wait_for_room(self, size: int) -> None:
+        account = self._account
+        while account.held + size > account.get_share(1.0):
+            account.waiting += self.held
+            try:
+                if self._may_overdraw(size):
+                    account.overdrawn = self
+                    break
+                self.starved = True
+                await account.wait_freed()
+            finally:
+                account.waiting -= self.held
+        self.starved = False
+
+    def _may_overdraw(self, size: int) -> bool:
+        """Return whether an answer may go beyond the bound, as one at a time does.
+
+        It does where even without what other requests will release there is no room, because the
+        rest is held by requests whose answers wait, too.
+        """
+        account = self._account
+        if account.overdrawn is not None:
+            return account.overdrawn is self
+        return account.waiting + size > account.get_share(1.0)
+
     def release(self, size: int) -> None:
         """Release bytes, at most those that are held.
 
