Restart a resumable stream that was cut after its client's stall

Cause: a client that stalled and reads again lost a stream that its route lets be restarted, also where the engine really crashed meanwhile. Change: only streams that may not be restarted end as unread; the engine is not blamed in either case.

--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -214,14 +214,15 @@
 
     async def _resume(self, run: StreamRun, cut: Lost) -> Failure | None:
         """Resume a stream that was cut: from copied memory, or else by a restart elsewhere."""
-        if cut.unread and not run.migrating:
+        if cut.unread and not run.migrating and not run.tries.max_runs:
             return Failure(FailureKind.STALLED, "the client did not read", Ran.PARTIAL)
         cut_at = anyio.current_time()
         continuation = await self._mover.find_resume_point(run)
         if continuation is not None:
             failure = await self._resume_at(run, continuation.instance, continuation.source, cut_at)
         else:
-            self._gateway.selector.record_result(run.attempt.instance, False)
+            if not cut.unread:
+                self._gateway.selector.record_result(run.attempt.instance, False)
             failure = Failure(FailureKind.UPSTREAM_LOST, cut.reason, Ran.PARTIAL)
         while failure is not None and failure.kind is FailureKind.UPSTREAM_LOST:
             instance = self._pick_restart_instance(run)
