--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -126,6 +126,14 @@
         self._log_outcome(job, state, outcome)
         return outcome
 
+    def note_refusal(self, job: ClientRequest, failure: Failure) -> None:
+        """Log and count a request that was refused before it was read completely.
+
+        :param job: the request, without its body.
+        :param failure: why it was refused.
+        """
+        self._log_outcome(job, None, failure)
+
     def _resolve_request(self, job: ClientRequest) -> _RequestState | Failure:
         gateway = self._gateway
         table = gateway.table
@@ -286,7 +294,8 @@
             draining = scope.deadline < state.response_deadline
             if draining:
                 return Failure(FailureKind.DRAINING, "the gateway is shutting down", Ran.UNKNOWN)
-            gateway.selector.record_result(instance, False)
+            if state.job.held is None or not state.job.held.starved:
+                gateway.selector.record_result(instance, False)
             return Failure(FailureKind.DEADLINE, f"{instance.id} took too long", Ran.UNKNOWN)
         finally:
             gateway.loads.add_load(instance, 0, 0, -unread_tokens)
@@ -354,11 +363,12 @@
                 elif not sent and not held:
                     self._gateway.selector.record_connect_failure(instance)
                 return None
-            case Lost(reason):
+            case Lost(reason, unread):
                 state.possible_runs += 1
                 fingerprint = fingerprint_job(state.job, state.organisation)
                 self._log_failed_attempt(state, instance, "lost", reason, fingerprint)
-                self._gateway.selector.record_result(instance, False)
+                if not unread:
+                    self._gateway.selector.record_result(instance, False)
                 if state.route.is_repeatable():
                     return None
                 return Failure(FailureKind.UPSTREAM_LOST, reason, Ran.UNKNOWN)
