--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -74,6 +74,8 @@
         "An operator's order about an availability zone is on a majority of disks.",
     )
     ZONE_ORDER_REFUSED = Kind(235, logging.WARNING, "An order about a zone was not accepted.")
+    QUEUE_LONG = Kind(236, logging.WARNING, "Many prompts wait for room in a service's engines.")
+    QUEUE_EMPTIED = Kind(237, logging.INFO, "No prompt waits any more where many did.")
     ZONES_IN_FORCE = Kind(307, logging.WARNING, "A gateway goes by other evacuated zones.")
     CONFIG_IN_FORCE = Kind(302, logging.INFO, "A gateway serves by a newer configuration.")
     COORDINATOR_LOST = Kind(303, logging.WARNING, "A gateway's watch of a coordinator failed.")
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -290,6 +290,50 @@
     retry_after: float = 0.0
 
 
+@dataclass(frozen=True)
+class WithdrawRequest:
+    """Notice of a gateway that a client request needs no upstream any more.
+
+    :param gateway: its address.
+    :param service: the service that the client request is for.
+    :param ticket: identifies the client request.
+    """
+
+    gateway: str
+    service: str
+    ticket: str
+
+
+@dataclass(frozen=True)
+class WaitingPrompt:
+    """A prompt that waits for room in an engine, as operators see it.
+
+    :param service: the service that it is for.
+    :param rank: its rank.
+    :param organisation: its organisation.
+    :param gateway: the gateway that serves it.
+    :param age: seconds since it was received.
+    :param tokens: tokens of memory that it may need.
+    """
+
+    service: str
+    rank: int
+    organisation: str
+    gateway: str
+    age: float
+    tokens: int
+
+
+@dataclass(frozen=True)
+class QueueAnswer:
+    """The prompts that wait for room, in order.
+
+    :param waiting: the prompts.
+    """
+
+    waiting: tuple[WaitingPrompt, ...]
+
+
 @dataclass(frozen=True)
 class WatchAnswer:
     """Answer to a watch.
--- a/src/daleroad/placing.py
+++ b/src/daleroad/placing.py
@@ -24,9 +24,7 @@
     make_preference_order,
     pick_upstream,
 )
-
-PREFILL_TOKENS_PER_SECOND = 7500.0
-"""Prefill rate of an engine that also decodes: 112 prompt tokens in a step of 15 ms."""
+from daleroad.reserves import PREFILL_TOKENS_PER_SECOND
 
 DECODE_SECONDS_PER_TOKEN = 0.0085
 """Time per output token while some other generations run on the engine."""
--- /dev/null
+++ b/src/daleroad/promptqueue.py
@@ -0,0 +1,484 @@
+"""An ordered queue of the prompts that wait for room in one service's engines.
+
+The most urgent rank goes first. Within a rank go callers that return when they were told to, then
+the organisation that got least service lately, then the earliest start deadline that can still be
+met. A prompt that has waited for ``AGEING_SHARE`` of its patience moves up by a rank; when its
+patience ends it goes to the best engine even if that lacks room. Smaller prompts may pass a larger
+one that does not fit; after ``OVERTAKING_SECONDS`` the first in order claims an engine, which those
+behind it then leave alone.
+
+Less urgent prompts leave a reserve in each engine for one prompt that is more urgent; its size is
+that of those seen lately.
+
+Does no I/O; the caller passes in the time.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field, replace
+from heapq import heapify, heappop, heappush
+from itertools import count
+from typing import Protocol
+
+from daleroad.contention import YIELD_OBJECTIVES
+from daleroad.defaults import MAX_MEMORY_WAIT_OBJECTIVES
+from daleroad.events import Event, log_event
+from daleroad.fairshare import FairShare
+from daleroad.notices import Demand, PlaceAnswer, PlaceRequest, WaitingPrompt
+from daleroad.reserves import PREFILL_TOKENS_PER_SECOND, Reserve, make_reserve
+
+AGEING_SHARE = 0.5
+"""Part of its patience after which a prompt moves up by a rank: it then still has as long to find
+room among the more urgent ones."""
+
+OVERTAKING_SECONDS = 0.2
+"""How long smaller prompts may fill in everywhere past the first one, from when it was found not to
+fit. Half of what reading a prompt takes: being passed costs it less than one more prompt ahead."""
+
+YIELD_START_SECONDS = 0.5
+"""Time that a yielding prompt keeps for its way and for one prompt read before its own."""
+
+HOLD_SECONDS = 0.25
+"""How long a poll for a prompt's place is held without news. A gateway whose leader froze notices
+after this and ``POLL_SLACK_SECONDS``, a fifth of the objective of a first output."""
+
+POLL_SLACK_SECONDS = 0.1
+"""Time beyond the hold after which a poll counts as lost; several round trips between zones."""
+
+SILENT_SECONDS = 1.0
+"""A prompt that nobody polled for so long is dropped: its gateway ended or asks another leader."""
+
+KEPT_ANSWER_SECONDS = 1.0
+"""How long an answer is kept for a poll that is repeated because the first one's was lost."""
+
+MAX_WAITING = 512
+"""Prompts that wait for one service. More than that can't start in time: each of a hundred engines
+starts two a second. Further ones go to the best engine at once."""
+
+MAX_TRIES_PER_TURN = 64
+"""Prompts that are tried in one turn, so that a long queue doesn't keep the process from the rest;
+the next turn goes on a few 10 ms later."""
+
+LONG_QUEUE = 32
+"""Prompts from which a queue is worth an event: what a site with 20 engines starts in a second."""
+
+TYPICAL_SECONDS = 30.0
+"""A rank of which no prompt came for so long needs no reserve."""
+
+_TYPICAL_WEIGHT = 1 / 32
+"""Weight of a new prompt in the typical size of its rank."""
+
+
+class Refusal(Protocol):
+    """A refusal; ``retry_after`` is in seconds."""
+
+    @property
+    def retry_after(self) -> float:
+        """Return when the caller will find room."""
+
+
+class RefusalPolicy(Protocol):
+    """Decides which prompts can't start in time."""
+
+    def note_start(self, service: str, now: float) -> None:
+        """Record that a prompt got an engine."""
+
+    def decide(self, service: str, demand: Demand, ahead: int, now: float) -> Refusal | None:
+        """Return a refusal for a prompt behind ``ahead`` others, or nothing if it may wait."""
+
+    def is_expected(self, service: str, fingerprint: str, now: float) -> bool:
+        """Return whether the caller was told to return about now."""
+
+
+TryPlace = Callable[[PlaceRequest, Reserve | None, float], PlaceAnswer]
+"""Places a prompt where the reserve stays free. The answer to a patient one that finds no room is
+``crowded`` and names the engine that comes closest to having it."""
+
+Ticket = tuple[str, str]
+"""A gateway, and the id that it gave to the prompt."""
+
+
+@dataclass
+class _Entry:
+    """A prompt in the queue.
+
+    :param patience_end: when it is sent to the best engine without waiting any longer.
+    :param polled_at: when a poll for it last began or ended.
+    :param polling: whether a poll is held, so that it can be told its place.
+    :param blocked_at: when it was first found not to fit while it was the first in order.
+    :param claim: the engine that it claims; empty if none.
+    """
+
+    request: PlaceRequest
+    demand: Demand
+    number: int
+    received_at: float
+    patience_end: float
+    returning: bool
+    polled_at: float
+    polling: bool = False
+    blocked_at: float | None = None
+    claim: str = ""
+
+    def is_reachable(self, now: float) -> bool:
+        """Return whether a poll is held; one held for too long was frozen with this process."""
+        return self.polling and now - self.polled_at <= HOLD_SECONDS + POLL_SLACK_SECONDS
+
+    def get_ticket(self) -> Ticket:
+        """Return what identifies the prompt."""
+        return self.request.gateway, self.request.ticket
+
+    def find_rank(self, now: float) -> int:
+        """Return the prompt's rank with its age."""
+        patience = self.patience_end - self.received_at
+        aged = now - self.received_at >= AGEING_SHARE * patience
+        return max(0, self.demand.rank - aged)
+
+    def get_demand(self, now: float) -> Demand:
+        """Return the prompt's demand with its present age."""
+        age = now - self.received_at
+        time_left = self.demand.time_left + self.demand.age - age
+        return replace(self.demand, age=age, time_left=time_left)
+
+
+@dataclass
+class _TypicalPrompt:
+    tokens: float
+    unread: float
+    objective: float
+    seen_at: float
+
+    def note(self, request: PlaceRequest, demand: Demand, now: float) -> None:
+        self.tokens += _TYPICAL_WEIGHT * (request.tokens - self.tokens)
+        self.unread += _TYPICAL_WEIGHT * (request.unread - self.unread)
+        self.objective, self.seen_at = demand.objective, now
+
+
+@dataclass
+class _Turn:
+    """What one turn found.
+
+    :param tries: prompts that were tried.
+    :param answered: tickets of the prompts that were answered.
+    :param misfits: rank, memory and prompt of those that did not fit.
+    :param first: the first in order that did not fit.
+    :param claim: the engine that it claims.
+    """
+
+    tries: int = 0
+    answered: list[Ticket] = field(default_factory=list)
+    misfits: list[tuple[int, int, int]] = field(default_factory=list)
+    first: _Entry | None = None
+    claim: str = ""
+
+    def note_misfit(self, rank: int, request: PlaceRequest) -> None:
+        """Record a prompt that did not fit, unless others may use more engines than it may."""
+        if not (request.excluded or request.failing or request.unreached):
+            self.misfits.append((rank, request.tokens, request.unread))
+
+    def is_misfit(self, rank: int, request: PlaceRequest) -> bool:
+        """Return whether a prompt needs as much room as one that did not fit."""
+        return any(
+            rank >= other and request.tokens >= tokens and request.unread >= unread
+            for other, tokens, unread in self.misfits
+        )
+
+    def note_first(self, entry: _Entry, best: str, now: float) -> None:
+        """Record the first prompt that did not fit, and what it claims.
+
+        :param entry: the prompt.
+        :param best: the engine that comes closest to having room for it.
+        :param now: the time.
+        """
+        if self.first is not None:
+            return
+        self.first = entry
+        if entry.blocked_at is None:
+            entry.blocked_at = now
+        elif now - entry.blocked_at > OVERTAKING_SECONDS:
+            # Claimed anew as often, since the engine may have left.
+            entry.claim, entry.blocked_at = best, now
+        self.claim = entry.claim
+
+
+_Key = tuple[int, bool, int, bool, float, int]
+
+
+@dataclass
+class PromptQueue:
+    """The prompts of one service that wait for room.
+
+    :param service: the service's name.
+    :param try_place: places a prompt.
+    :param refusals: decides which prompts are refused; nothing if none are.
+    :ivar counts: ends of prompts: granted, late, refused, withdrawn, expired or overflowed.
+    """
+
+    service: str
+    try_place: TryPlace
+    refusals: RefusalPolicy | None = None
+    counts: Counter[str] = field(default_factory=Counter)
+    _entries: dict[Ticket, _Entry] = field(default_factory=dict)
+    _answers: dict[Ticket, tuple[PlaceAnswer, float]] = field(default_factory=dict)
+    _typical: dict[int, _TypicalPrompt] = field(default_factory=dict)
+    _share: FairShare = field(default_factory=FairShare)
+    _numbers: Iterator[int] = field(default_factory=count)
+    _is_long: bool = False
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def submit(self, request: PlaceRequest, now: float) -> PlaceAnswer:
+        """Return a prompt's place if there is room and nobody goes before it; else let it wait.
+
+        :param request: the request; it has a demand.
+        :param now: the time.
+        """
+        answer = self.begin_poll(request, now)
+        if answer is None:
+            self.drain(now)
+            answer = self.end_poll(request, now)
+        return answer
+
+    def begin_poll(self, request: PlaceRequest, now: float) -> PlaceAnswer | None:
+        """Hold a poll for a prompt, which enters if it is unknown; return its answer if it has one.
+
+        :param request: the request; its demand has the present age.
+        :param now: the time.
+        """
+        demand = request.demand
+        assert demand is not None
+        ticket = (request.gateway, request.ticket)
+        known = self._answers.get(ticket)
+        if known is not None:
+            return known[0]
+        entry = self._entries.get(ticket)
+        if entry is None:
+            return self._enter(ticket, request, demand, now)
+        entry.request, entry.demand = request, demand
+        entry.patience_end = self._find_patience_end(request, demand, now)
+        entry.polled_at, entry.polling = now, True
+        return None
+
+    def end_poll(self, request: PlaceRequest, now: float) -> PlaceAnswer:
+        """End a poll and return the prompt's answer, ``crowded`` if it still waits.
+
+        :param request: the request.
+        :param now: the time.
+        """
+        ticket = (request.gateway, request.ticket)
+        entry = self._entries.get(ticket)
+        if entry is not None:
+            entry.polled_at, entry.polling = now, False
+            self._refuse_if_late(entry, now)
+        known = self._answers.get(ticket)
+        return known[0] if known is not None else PlaceAnswer("", crowded=True)
+
+    def withdraw(self, gateway: str, ticket: str) -> None:
+        """Remove a prompt whose client is gone.
+
+        :param gateway: its gateway.
+        :param ticket: its ticket.
+        """
+        if self._entries.pop((gateway, ticket), None) is not None:
+            self.counts["withdrawn"] += 1
+            self._note_length()
+
+    def drain(self, now: float) -> list[Ticket]:
+        """Place the prompts that there is room for, in order; return the tickets of those answered.
+
+        :param now: the time.
+        """
+        self.prune(now)
+        turn = _Turn()
+        reachable = [entry for entry in self._entries.values() if entry.is_reachable(now)]
+        due = [entry for entry in reachable if now >= entry.patience_end]
+        for entry in sorted(due, key=lambda entry: entry.received_at)[:MAX_TRIES_PER_TURN]:
+            self._place_late(entry, now, turn)
+        waiting = (entry for entry in reachable if entry.get_ticket() in self._entries)
+        for entry in self._order(waiting, now):
+            if turn.tries >= MAX_TRIES_PER_TURN:
+                break
+            self._place_in_turn(entry, now, turn)
+        self._note_length()
+        return turn.answered
+
+    def prune(self, now: float) -> None:
+        """Drop the prompts that nobody polls, and old answers.
+
+        The next poll of a prompt that was dropped too early lets it wait again, with its age.
+
+        :param now: the time.
+        """
+        silent = [t for t, e in self._entries.items() if now - e.polled_at > SILENT_SECONDS]
+        for ticket in silent:
+            del self._entries[ticket]
+            self.counts["expired"] += 1
+        # Answers are in the order in which they were given.
+        while self._answers:
+            ticket, (_, answered_at) = next(iter(self._answers.items()))
+            if now - answered_at <= KEPT_ANSWER_SECONDS:
+                break
+            del self._answers[ticket]
+        self._note_length()
+
+    def list_waiting(self, now: float) -> Iterator[WaitingPrompt]:
+        """Yield the prompts that wait, in order.
+
+        :param now: the time.
+        """
+        for entry in sorted(self._entries.values(), key=lambda entry: self._make_key(entry, now)):
+            yield WaitingPrompt(
+                self.service,
+                entry.demand.rank,
+                entry.demand.organisation,
+                entry.request.gateway,
+                now - entry.received_at,
+                entry.request.tokens,
+            )
+
+    def _enter(
+        self, ticket: Ticket, request: PlaceRequest, demand: Demand, now: float
+    ) -> PlaceAnswer | None:
+        """Take a new prompt in; return its answer if it may not wait."""
+        typical = self._typical.setdefault(
+            demand.rank, _TypicalPrompt(request.tokens, request.unread, demand.objective, now)
+        )
+        typical.note(request, demand, now)
+        returning = self.refusals is not None and self.refusals.is_expected(
+            self.service, demand.fingerprint, now
+        )
+        entry = _Entry(
+            request,
+            demand,
+            next(self._numbers),
+            now - demand.age,
+            self._find_patience_end(request, demand, now),
+            returning,
+            now,
+            polling=True,
+        )
+        if len(self._entries) < MAX_WAITING:
+            self._entries[ticket] = entry
+            return None
+        self.counts["overflowed"] += 1
+        answer = self._place(replace(request, patient=False), entry, None, now)
+        self._answer(entry, answer, now)
+        return answer
+
+    def _refuse_if_late(self, entry: _Entry, now: float) -> None:
+        """Answer a prompt that can't start in time with a refusal."""
+        if self.refusals is None:
+            return
+        key = self._make_key(entry, now)
+        ahead = sum(self._make_key(other, now) < key for other in self._entries.values())
+        refusal = self.refusals.decide(self.service, entry.get_demand(now), ahead, now)
+        if refusal is not None:
+            self.counts["refused"] += 1
+            answer = PlaceAnswer("", refused=True, retry_after=refusal.retry_after)
+            self._answer(entry, answer, now)
+
+    def _place_late(self, entry: _Entry, now: float, turn: _Turn) -> None:
+        """Place a prompt whose patience is over."""
+        self.counts["late"] += 1
+        self._answer(
+            entry, self._place(replace(entry.request, patient=False), entry, None, now), now
+        )
+        turn.answered.append(entry.get_ticket())
+
+    def _place_in_turn(self, entry: _Entry, now: float, turn: _Turn) -> None:
+        """Place a prompt if there is room for it beside what others claim."""
+        rank = entry.find_rank(now)
+        if turn.is_misfit(rank, entry.request):
+            return
+        turn.tries += 1
+        request = replace(entry.request, patient=True)
+        if turn.claim:
+            request = replace(request, excluded=(*request.excluded, turn.claim))
+        answer = self._place(request, entry, self._find_reserve(rank, now), now)
+        if answer.crowded or (turn.claim and not answer.instance):
+            turn.note_misfit(rank, entry.request)
+            turn.note_first(entry, answer.instance, now)
+            return
+        self.counts["granted"] += 1
+        self._answer(entry, answer, now)
+        turn.answered.append(entry.get_ticket())
+
+    def _place(
+        self, request: PlaceRequest, entry: _Entry, reserve: Reserve | None, now: float
+    ) -> PlaceAnswer:
+        answer = self.try_place(request, reserve, now)
+        if answer.instance and not answer.crowded:
+            self._share.add(entry.demand.organisation, request.tokens, now)
+            if self.refusals is not None:
+                self.refusals.note_start(self.service, now)
+        return answer
+
+    def _answer(self, entry: _Entry, answer: PlaceAnswer, now: float) -> None:
+        self._entries.pop(entry.get_ticket(), None)
+        self._answers[entry.get_ticket()] = (answer, now)
+
+    def _order(self, entries: Iterable[_Entry], now: float) -> Iterator[_Entry]:
+        """Yield prompts in order; keys change as organisations are served, and then only grow."""
+        heap = [(self._make_key(entry, now), entry.number, entry) for entry in entries]
+        heapify(heap)
+        while heap:
+            key, number, entry = heappop(heap)
+            current = self._make_key(entry, now)
+            if current == key:
+                yield entry
+            else:
+                heappush(heap, (current, number, entry))
+
+    def _make_key(self, entry: _Entry, now: float) -> _Key:
+        demand = entry.demand
+        deadline = entry.received_at + demand.objective
+        too_late = now + entry.request.unread / PREFILL_TOKENS_PER_SECOND > deadline
+        level = self._share.get_level(demand.organisation, now)
+        rank = entry.find_rank(now)
+        return rank, not entry.returning, level, too_late, deadline, entry.number
+
+    def _find_patience_end(self, request: PlaceRequest, demand: Demand, now: float) -> float:
+        """Return when a prompt is sent to the best engine without waiting any longer.
+
+        One that can yield waits for as long as it would still start in time. None waits for longer
+        than its client does.
+        """
+        seconds = MAX_MEMORY_WAIT_OBJECTIVES * demand.objective
+        if self._can_yield(demand, now):
+            reading = request.unread / PREFILL_TOKENS_PER_SECOND
+            seconds = max(seconds, demand.objective - 2 * reading - YIELD_START_SECONDS)
+        return now - demand.age + min(seconds, demand.age + demand.time_left)
+
+    def _can_yield(self, demand: Demand, now: float) -> bool:
+        return any(
+            demand.objective >= YIELD_OBJECTIVES * typical.objective
+            for typical in self._list_more_urgent(demand.rank, now)
+        )
+
+    def _find_reserve(self, rank: int, now: float) -> Reserve | None:
+        """Return what must stay free beside a prompt of a rank: the most of all more urgent."""
+        found = [
+            make_reserve(typical.tokens, typical.unread, typical.objective)
+            for typical in self._list_more_urgent(rank, now)
+        ]
+        if not found:
+            return None
+        return Reserve(max(r.tokens for r in found), min(r.max_unread for r in found))
+
+    def _list_more_urgent(self, rank: int, now: float) -> Iterator[_TypicalPrompt]:
+        return (
+            typical
+            for other, typical in self._typical.items()
+            if other < rank and now - typical.seen_at <= TYPICAL_SECONDS
+        )
+
+    def _note_length(self) -> None:
+        """Log that the queue got long, and once it is empty again."""
+        length = len(self._entries)
+        if length >= LONG_QUEUE and not self._is_long:
+            self._is_long = True
+            log_event(Event.QUEUE_LONG, service=self.service, waiting=length)
+        elif not length and self._is_long:
+            self._is_long = False
+            log_event(Event.QUEUE_EMPTIED, service=self.service)
