Let prompts that compete wait in order at the placing leader

Where routes compete, each gateway asked for room every 60 ms and who came first was chance. The leader now keeps a queue by rank, fairness over organisations and deadline, and answers held polls in order; a gateway without a leader queues its own.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -15,8 +15,10 @@
 from daleroad.instances import Instance
 from daleroad.limitedsends import GrantClient, list_limit_notices
 from daleroad.loads import GatewayLoads
-from daleroad.notices import Demand, PlaceAnswer, PlaceRequest
+from daleroad.notices import Demand, Load, PlaceAnswer, PlaceRequest, WithdrawRequest
 from daleroad.picking import Candidate, make_preference_order, pick_upstream, sample_candidates
+from daleroad.promptwaits import PromptWaits
+from daleroad.reserves import Reserve, apply_reserve
 from daleroad.routing import ServiceRule
 from daleroad.unreached import UnreachableUpstreams
 
@@ -24,12 +26,25 @@
 """Asks the placer, which runs in another process, for an upstream; returns nothing if there is no
 answer."""
 
+WithdrawalCall = Callable[[WithdrawRequest], Awaitable[None]]
+"""Tells the placer that a request waits no longer."""
+
 
 @dataclass(frozen=True)
 class InsufficientMemory:
     """Returned instead of an engine when no engine has enough free memory for the prompt now."""
 
 
+@dataclass(frozen=True)
+class Refused:
+    """Returned instead of an engine when the request can't start before its client gives up.
+
+    :param retry_after: seconds after which there will be room.
+    """
+
+    retry_after: float
+
+
 @dataclass(frozen=True)
 class GatewayOptions:
     """Startup options of a gateway. Times are in seconds.
@@ -66,6 +81,9 @@
     :param get_service: returns a service of the current configuration.
     :ivar gateways: number of live gateways, including this one.
     :ivar request_placement: asks the central placer; nothing where there is none.
+    :ivar await_placement: waits at the central placer for room.
+    :ivar send_withdrawal: tells the central placer that a request waits no longer.
+    :ivar waits: the gateway's own waiting requests, while no central placer answers.
     """
 
     def __init__(
@@ -79,6 +97,10 @@
     ) -> None:
         self.gateways = 1
         self.request_placement: PlacementCall | None = None
+        self.await_placement: PlacementCall | None = None
+        self.send_withdrawal: WithdrawalCall | None = None
+        self.waits = PromptWaits(self._place_alone)
+        self._unsent_loads: dict[str, Load] = {}
         self.ejector = Ejector()
         self._limited_sends = GrantClient(options.address, fleet, guard)
         self._unreached = UnreachableUpstreams(fleet)
@@ -109,14 +131,22 @@
         :param prompt: the request's prompt, if it has one.
         """
         candidates = self.list_candidates(service, tokens, excluded)
+        is_short = service.engine is not None and prompt is not None and prompt.ends_soon()
+        picked = self._pick_alone(candidates, is_short)
+        return picked.instance if picked else None
+
+    def _pick_alone(self, candidates: Iterator[Candidate], is_short: bool) -> Candidate | None:
+        """Return the candidate that a gateway picks without the central placer.
+
+        :param candidates: the candidates.
+        :param is_short: whether the request is a short generation.
+        """
         zone = self._options.zone
-        if service.engine is not None and prompt is not None and prompt.ends_soon():
+        if is_short:
             spread = make_preference_order(self._options.address, self.gateways)
-            picked = pick_upstream(candidates, zone, self._random, preference=spread)
-        else:
-            sample = sample_candidates(candidates, self.gateways, self._random)
-            picked = pick_upstream(sample, zone, self._random)
-        return picked.instance if picked else None
+            return pick_upstream(candidates, zone, self._random, preference=spread)
+        sample = sample_candidates(candidates, self.gateways, self._random)
+        return pick_upstream(sample, zone, self._random)
 
     def pick_least_busy(
         self, service: ServiceRule, tokens: int, excluded: Container[str]
@@ -144,7 +174,9 @@
         prompt: Prompt | None = None,
         may_wait: bool = False,
         demand: Demand | None = None,
-    ) -> Instance | InsufficientMemory | None:
+        ticket: str = "",
+        is_waiting: bool = False,
+    ) -> Instance | InsufficientMemory | Refused | None:
         """Return the upstream that a request should go to, if there is one.
 
         Asks the central placer where one should place the request, and picks from local state if
@@ -157,22 +189,77 @@
         :param may_wait: whether to return ``InsufficientMemory`` rather than an engine that lacks
             memory.
         :param demand: what the request demands, if requests to the service compete.
+        :param ticket: identifies the request while it waits; it may if it has a demand, too.
+        :param is_waiting: whether it was told to wait, and should do so before the answer.
         """
         asked_at = anyio.current_time()
         answer = None
-        if self.request_placement is not None and self._needs_placer(service, prompt):
+        call = self.await_placement if is_waiting else self.request_placement
+        asks = call is not None and self._needs_placer(service, prompt)
+        if asks or demand is not None:
             request = self._make_place_request(service, tokens, prompt, excluded, may_wait)
-            request = replace(request, demand=demand)
-            answer = await self.request_placement(request)
+            request = replace(request, demand=demand, ticket=ticket if demand is not None else "")
+            answer = await call(request) if asks and call is not None else None
+            if answer is None and request.ticket:
+                answer = await self._wait_alone(request, is_waiting)
         if answer is None:
             picked = self.pick(service, tokens, excluded, prompt)
             return picked or self._pick_within_share(service, tokens, excluded)
+        if answer.refused:
+            return Refused(answer.retry_after)
         if answer.crowded:
             return InsufficientMemory()
         self._limited_sends.store_grant(answer, asked_at)
         placed = self._find_usable(answer.instance, excluded)
         return placed or self.pick(service, tokens, excluded, prompt)
 
+    async def _wait_alone(self, request: PlaceRequest, is_waiting: bool) -> PlaceAnswer:
+        """Return the place of a request among those of this gateway."""
+        try:
+            return await self.waits.hold(request) if is_waiting else self.waits.submit(request)
+        finally:
+            # The caller adds the load before any other request is placed.
+            self._unsent_loads.pop(request.ticket, None)
+
+    def _place_alone(
+        self, request: PlaceRequest, reserve: Reserve | None, now: float
+    ) -> PlaceAnswer:
+        """Place a request from local state; its load counts from then on."""
+        service = self._get_service(request.service)
+        if service is None or service.engine is None or request.demand is None:
+            return PlaceAnswer("")
+        candidates = self.list_candidates(service, request.tokens, request.excluded)
+        if reserve is not None:
+            load = Load("", 1, request.tokens, request.unread)
+            memory = service.engine.memory_tokens
+            candidates = apply_reserve(candidates, reserve, load, memory, self._get_load)
+        picked = self._pick_alone(candidates, not request.demand.long)
+        if picked is None:
+            return PlaceAnswer("")
+        if picked.lacks_memory and request.patient:
+            return PlaceAnswer(picked.instance.id, crowded=True)
+        load = Load(picked.instance.id, 1, request.tokens, request.unread)
+        self._unsent_loads[request.ticket] = load
+        return PlaceAnswer(picked.instance.id)
+
+    def _get_load(self, instance_id: str) -> Load:
+        """Return the load of all gateways on an instance, with requests not yet sent there."""
+        load = self._loads.get_total(instance_id)
+        for unsent in self._unsent_loads.values():
+            load = load.add(unsent) if unsent.instance == instance_id else load
+        return load
+
+    async def withdraw(self, service: str, ticket: str) -> None:
+        """Let a request wait no longer.
+
+        :param service: the service that it is for.
+        :param ticket: its ticket.
+        """
+        request = WithdrawRequest(self._options.address, service, ticket)
+        self.waits.withdraw(service, request.gateway, ticket)
+        if self.send_withdrawal is not None:
+            await self.send_withdrawal(request)
+
     def _needs_placer(self, service: ServiceRule, prompt: Prompt | None) -> bool:
         """Return whether the central placer should place a request."""
         if self._limited_sends.has_limited_upstreams(service.name):
@@ -340,7 +427,7 @@
         judge = CandidateEvaluator(
             self._fleet,
             self._options.heartbeat,
-            self._loads.get_total,
+            self._get_load,
             self._is_failing,
             self._guard.zones.zones,
         )
--- a/src/daleroad/cli.py
+++ b/src/daleroad/cli.py
@@ -34,6 +34,7 @@
 from daleroad.placing import CASES, format_cases
 from daleroad.plain import PlainOptions, PlainService
 from daleroad.process import move_damaged, run_process, serve
+from daleroad.queuecommands import QueueCommands
 from daleroad.report import format_rows, make_rows, write_json, write_plot
 from daleroad.roommodel import CASES as ROOM_CASES
 from daleroad.roommodel import format_cases as format_room_cases
@@ -193,6 +194,7 @@
         self.standin = Standin()
         self.operate = Operate
         self.suspects = SuspectCommands()
+        self.queue = QueueCommands()
         self.evacuations = EvacuationCommands()
 
     def serve(self, settings: str) -> None:
--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -41,7 +41,9 @@
     IdentifyAnswer,
     JoinRequest,
     LoadsRequest,
+    PlaceAnswer,
     PlaceRequest,
+    QueueAnswer,
     ReadAnswer,
     ReleaseRequest,
     SaveRequest,
@@ -51,11 +53,15 @@
     TrialRequest,
     WatchAnswer,
     WatchRequest,
+    WithdrawRequest,
 )
 from daleroad.peers import Peers
 from daleroad.placer import Placer
 from daleroad.presence import Presence
+from daleroad.promptqueue import RefusalPolicy
+from daleroad.promptwaits import PromptWaits
 from daleroad.raftnode import RaftNode, decode_messages
+from daleroad.reserves import Reserve
 from daleroad.routing import ServiceRule
 from daleroad.security import check_peer
 from daleroad.sendlimits import ColdRule, GrantLimiter
@@ -99,10 +105,16 @@
     :param calls: client for calls to other processes.
     :param parse: parses a routing configuration from its document.
     :param random: source of election timeouts and identifiers, and for the choice of upstreams.
+    :param refusals: decides which prompts are refused; nothing if none are.
     """
 
     def __init__(
-        self, options: CoordinatorOptions, calls: Calls, parse: ConfigParser, random: Random
+        self,
+        options: CoordinatorOptions,
+        calls: Calls,
+        parse: ConfigParser,
+        random: Random,
+        refusals: RefusalPolicy | None = None,
     ) -> None:
         self.options = options
         self.calls = calls
@@ -119,6 +131,7 @@
         self._placer = Placer(
             self.presence.fleet, self.presence.loads, options.heartbeat, random, self._limits
         )
+        self.waits = PromptWaits(self._place, self._may_place, refusals)
         self.epoch = uuid4().hex[:12]
         self._parse = parse
         data_dir = Path(options.data_dir) if options.data_dir else None
@@ -153,6 +166,7 @@
         tasks.start_soon(self._join_loop)
         tasks.start_soon(self.presence.share_loop)
         tasks.start_soon(self._maintenance_loop)
+        tasks.start_soon(self.waits.run)
         if self._fleet_keeper is not None:
             tasks.start_soon(self._fleet_keeper.run)
         if self._suspect_keeper is not None:
@@ -290,6 +304,9 @@
         router.add("POST", "/site/watch", self._serve_watch)
         router.add("POST", "/site/loads", self._serve_loads)
         router.add("POST", "/site/place", self._serve_place)
+        router.add("POST", "/site/await-place", self._serve_await_place)
+        router.add("POST", "/site/withdraw", self._serve_withdraw)
+        router.add("POST", "/site/queue", self._serve_queue)
         router.add("POST", "/site/save", self._serve_save)
         router.add("POST", "/site/read", self._serve_read)
         router.add("POST", "/site/order-zone", self._serve_zone_order)
@@ -347,6 +364,7 @@
             return Failure(FailureKind.NO_MAJORITY, "this coordinator is starting")
         arrived_at = anyio.current_time()
         self.presence.handle_watch(message)
+        self.waits.wake()
         await self._wait_for_changes(message)
         return Response(200, encode(self._make_watch_answer(message, arrived_at)))
 
@@ -405,25 +423,78 @@
         if isinstance(message, Failure):
             return message
         self.presence.loads.set_report(message.gateway, message.loads, anyio.current_time())
+        self.waits.wake()
         return Response(204)
 
     async def _serve_place(self, request: Request) -> Answer:
-        message = self._decode_request(request, PlaceRequest)
+        message = self._decode_place(request)
+        if isinstance(message, Failure):
+            return message
+        if self._is_queued(message):
+            return Response(200, encode(self.waits.submit(message)))
+        return Response(200, encode(self._place(message, None, anyio.current_time())))
+
+    async def _serve_await_place(self, request: Request) -> Answer:
+        """Hold a request that waits for room until it gets an upstream, at most for a while."""
+        message = self._decode_place(request)
+        if isinstance(message, Failure):
+            return message
+        if self._is_queued(message):
+            return Response(200, encode(await self.waits.hold(message)))
+        # The configuration changed meanwhile, and nobody waits any more.
+        message = replace(message, patient=False)
+        return Response(200, encode(self._place(message, None, anyio.current_time())))
+
+    async def _serve_withdraw(self, request: Request) -> Answer:
+        message = self._decode_request(request, WithdrawRequest)
+        if isinstance(message, Failure):
+            return message
+        self.waits.withdraw(message.service, message.gateway, message.ticket)
+        return Response(204)
+
+    async def _serve_queue(self, request: Request) -> Answer:
+        refusal = check_peer(request.headers, self.calls.token)
+        if refusal is not None:
+            return refusal
+        if not self._ready or not self.group.is_leading():
+            return self.group.make_redirect()
+        return Response(200, encode(QueueAnswer(tuple(self.waits.list_waiting()))))
+
+    def _decode_place(self, request: Request) -> PlaceRequest | Failure:
+        """Return a request for an upstream, or why this coordinator can't place it."""
+        message: PlaceRequest | Failure = self._decode_request(request, PlaceRequest)
         if isinstance(message, Failure):
             return message
         if not self._ready or not self.group.is_leading():
             return Failure(FailureKind.NOT_LEADER, "only the leading coordinator places requests")
-        now = anyio.current_time()
-        if not self.presence.has_enough_load_reports(now):
+        if not self.presence.has_enough_load_reports(anyio.current_time()):
             return Failure(FailureKind.NO_LEASE, "too few gateways have reported their load")
+        if message.service not in self._services:
+            return Failure(FailureKind.NOT_FOUND, f"no service {message.service}")
+        return message
+
+    def _may_place(self) -> bool:
+        """Return whether this coordinator places requests now."""
+        if not self._ready or not self.group.is_leading():
+            return False
+        return self.presence.has_enough_load_reports(anyio.current_time())
+
+    def _is_queued(self, message: PlaceRequest) -> bool:
+        """Return whether a request waits in order if there is no room for it."""
+        if message.demand is None or not message.ticket or message.only:
+            return False
+        return self._contentions.get(message.service, NO_CONTENTION).is_ordered()
+
+    def _place(self, message: PlaceRequest, reserve: Reserve | None, now: float) -> PlaceAnswer:
+        """Choose an upstream for a request."""
         service = self._services.get(message.service)
         if service is None:
-            return Failure(FailureKind.NOT_FOUND, f"no service {message.service}")
+            return PlaceAnswer("")
         self._limits.start_term(self.group.replica.term, now)
+        zones = self.record.zones.zones
+        contention = self._contentions.get(service.name, NO_CONTENTION)
         with self.presence.wake_on_fleet_change():
-            contention = self._contentions.get(service.name, NO_CONTENTION)
-            answer = self._placer.place(message, service, now, self.record.zones.zones, contention)
-        return Response(200, encode(answer))
+            return self._placer.place(message, service, now, zones, contention, reserve)
 
     async def _serve_save(self, request: Request) -> Answer:
         """Commit a routing configuration that another coordinator forwarded."""
--- a/src/daleroad/exposition.py
+++ b/src/daleroad/exposition.py
@@ -11,7 +11,7 @@
 )
 from prometheus_client.registry import Collector
 
-from daleroad.metrics import CounterSample, GaugeSample, HistogramSample, Sample
+from daleroad.metrics import CounterSample, GaugeSample, GaugesSample, HistogramSample, Sample
 
 
 def render_metrics(samples: Sequence[Sample]) -> bytes:
@@ -44,6 +44,11 @@
             for names, count in values:
                 counter.add_metric(names, count)
             return counter
+        case GaugesSample(name, help_text, labels, gauges):
+            gauge = GaugeMetricFamily(name, help_text, labels=labels)
+            for names, value in gauges:
+                gauge.add_metric(names, value)
+            return gauge
         case HistogramSample(name, help_text, labels, bounds, histograms):
             family = HistogramMetricFamily(name, help_text, labels=labels)
             limits = [*(str(float(bound)) for bound in bounds), "+Inf"]
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from daleroad.choosing import InsufficientMemory
+from daleroad.choosing import InsufficientMemory, Refused
 from daleroad.defaults import (
     ENGINE_RETRY_AFTER_SECONDS,
     EVACUATED_RETRY_SECONDS,
@@ -64,6 +64,9 @@
     close: Callable[[], Awaitable[None]]
 
 
+TICKET_BITS = 64
+"""Length of a ticket, so that a gateway that starts anew gives none that its leader still knows."""
+
 Outcome = Whole | StreamResponse | Failure
 
 
@@ -81,6 +84,8 @@
         guard refused.
     :param failed_response: the last complete response that reported a server error, if any.
     :param reached_upstream: whether the last attempt may have reached an upstream.
+    :param ticket: identifies the request while it waits for room.
+    :param is_waiting: whether it waits in a queue.
     """
 
     job: ClientRequest
@@ -97,6 +102,8 @@
     sends: int = 0
     failed_response: Whole | None = None
     reached_upstream: bool = True
+    ticket: str = ""
+    is_waiting: bool = False
 
 
 class Forwarder:
@@ -122,7 +129,13 @@
         if isinstance(state, Failure):
             self._log_outcome(job, None, state)
             return state
-        outcome = await self._run_attempts(state)
+        try:
+            outcome = await self._run_attempts(state)
+        finally:
+            if state.is_waiting:
+                self._gateway.spawn(
+                    self._gateway.selector.withdraw, state.service.name, state.ticket
+                )
         self._log_outcome(job, state, outcome)
         return outcome
 
@@ -172,8 +185,11 @@
                 return self._make_held_failure(state)
             instance = await self._pick_instance(state, standing)
             if isinstance(instance, InsufficientMemory):
-                await anyio.sleep(MEMORY_WAIT_PAUSE_SECONDS)
+                if not state.is_waiting:
+                    await anyio.sleep(MEMORY_WAIT_PAUSE_SECONDS)
                 continue
+            if isinstance(instance, Refused):
+                return self._make_refusal(state, instance)
             if instance is None:
                 return self._make_final_outcome(state, "no upstream is available")
             state.sends += 1
@@ -187,18 +203,30 @@
 
     async def _pick_instance(
         self, state: _RequestState, standing: Standing
-    ) -> Instance | InsufficientMemory | None:
+    ) -> Instance | InsufficientMemory | Refused | None:
         gateway = self._gateway
         prompt = state.job.prompt
         tokens = count_tokens(prompt)
         if standing is not Standing.CLEAR:
+            state.is_waiting = False
             return gateway.selector.pick_least_busy(state.service, tokens, state.tried_ids)
         now = anyio.current_time()
         can_wait = self._can_wait_for_memory(state, now)
         demand = self._make_demand(state, now)
-        return await gateway.selector.place(
-            state.service, tokens, state.tried_ids, prompt, can_wait, demand
+        if demand is not None and not state.is_waiting:
+            state.ticket = f"{gateway.random.getrandbits(TICKET_BITS):x}"
+        placed = await gateway.selector.place(
+            state.service,
+            tokens,
+            state.tried_ids,
+            prompt,
+            can_wait,
+            demand,
+            state.ticket,
+            state.is_waiting,
         )
+        state.is_waiting = demand is not None and isinstance(placed, InsufficientMemory)
+        return placed
 
     def _make_demand(self, state: _RequestState, now: float) -> Demand | None:
         """Return what a request demands, if requests to its service compete."""
@@ -384,6 +412,14 @@
         )
         return Failure(FailureKind.NO_UPSTREAM, reason, Ran.NO, retry_after)
 
+    def _make_refusal(self, state: _RequestState, refused: Refused) -> Outcome:
+        """Return the outcome of a request that can't start in time; it may have run before."""
+        reason = "no engine has room before the client gives up"
+        if state.possible_runs:
+            return self._make_final_outcome(state, reason)
+        retry_after = round(refused.retry_after, 2)
+        return Failure(FailureKind.OVERLOADED, reason, Ran.NO, retry_after)
+
     def _start_stream(self, run: StreamRun) -> StreamResponse:
         runs = self._runs
         stream = run.stream
--- a/src/daleroad/metrics.py
+++ b/src/daleroad/metrics.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from itertools import accumulate
+from typing import Protocol
 
 import anyio
 
@@ -43,6 +44,19 @@
     value: float
 
 
+@dataclass(frozen=True)
+class GaugesSample:
+    """A family of gauges at one moment.
+
+    :param values: value by the values of the labels.
+    """
+
+    name: str
+    help_text: str
+    labels: tuple[str, ...]
+    values: tuple[tuple[tuple[str, ...], float], ...]
+
+
 @dataclass(frozen=True)
 class HistogramValue:
     """One histogram of a family.
@@ -71,7 +85,14 @@
     values: tuple[HistogramValue, ...]
 
 
-Sample = CounterSample | GaugeSample | HistogramSample
+Sample = CounterSample | GaugeSample | GaugesSample | HistogramSample
+
+
+class Family(Protocol):
+    """A family of metrics."""
+
+    def read(self) -> Sample:
+        """Return the family now."""
 
 
 @dataclass
@@ -144,7 +165,7 @@
 
     def __init__(self) -> None:
         self._events = EventCounters("daleroad_events", "Events, logged or left out", ("event",))
-        self._families: list[EventCounters | Histograms] = [self._events]
+        self._families: list[Family] = [self._events]
         self._gauges: list[_Gauge] = []
         observe_events(self._count)
 
@@ -160,8 +181,8 @@
         """
         self._gauges.append(_Gauge(name, help_text, read))
 
-    def add(self, family: EventCounters | Histograms) -> None:
-        """Show another family of counters or histograms.
+    def add(self, family: Family) -> None:
+        """Show another family.
 
         :param family: the family.
         """
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -18,6 +18,7 @@
 from daleroad.loads import LoadTotals
 from daleroad.notices import Load, PlaceAnswer, PlaceRequest
 from daleroad.picking import Candidate, pick_upstream
+from daleroad.reserves import Reserve, apply_reserve
 from daleroad.routing import ServiceRule
 from daleroad.sendlimits import ColdRule, GrantLimiter, WindowLimit, make_window_limits
 from daleroad.unreached import UnreachableUpstreams
@@ -55,6 +56,7 @@
         now: float,
         evacuated_zones: Container[str] = (),
         contention: Contention = NO_CONTENTION,
+        reserve: Reserve | None = None,
     ) -> PlaceAnswer:
         """Choose an upstream for a request, and record the load that it adds there and any grant.
 
@@ -66,6 +68,8 @@
         :param now: the time.
         :param evacuated_zones: availability zones whose upstreams get no requests.
         :param contention: how the service's routes compete.
+        :param reserve: room that a patient request must leave free for more urgent ones. Where
+            there is none, a ``crowded`` answer names the engine that comes closest to having it.
         """
         self._note_unreached(request, now)
         for notice in request.limits:
@@ -84,11 +88,15 @@
         if request.only:
             candidates = (c for c in candidates if c.instance.id == request.only)
         candidates = self._apply_limits(candidates, service, now)
+        if reserve is not None and service.engine is not None:
+            load, memory = Load("", 1, request.tokens, request.unread), service.engine.memory_tokens
+            candidates = apply_reserve(candidates, reserve, load, memory, self._loads.get_total)
         chosen = pick_upstream(candidates, request.zone, self._random)
         if chosen is None:
             return PlaceAnswer("")
         if chosen.lacks_memory and request.patient:
-            return PlaceAnswer("", crowded=True)
+            closest = chosen.instance.id if contention.is_ordered() else ""
+            return PlaceAnswer(closest, crowded=True)
         # With a cold rate, requests to warm upstreams count too: one may be cold without its being
         # known here yet.
         granted = bool(service.cold_rate) or chosen.rate_limited
--- a/src/daleroad/placerclient.py
+++ b/src/daleroad/placerclient.py
@@ -9,7 +9,12 @@
 
 from daleroad.calls import Calls, make_url
 from daleroad.codec import encode
-from daleroad.defaults import LOAD_BATCH_SECONDS, PLACER_RETRY_SECONDS, PLACER_TIMEOUT_SECONDS
+from daleroad.defaults import (
+    LOAD_BATCH_SECONDS,
+    MEMORY_WAIT_PAUSE_SECONDS,
+    PLACER_RETRY_SECONDS,
+    PLACER_TIMEOUT_SECONDS,
+)
 from daleroad.errors import Failure
 from daleroad.events import Event, log_event
 from daleroad.gateway import Gateway
@@ -19,7 +24,13 @@
     PlaceRequest,
     TrialAnswer,
     TrialRequest,
+    WithdrawRequest,
 )
+from daleroad.promptqueue import HOLD_SECONDS, POLL_SLACK_SECONDS
+
+MAX_HOLDS = 32
+"""Requests of one gateway that wait in long polls at a time; further ones ask again and again. The
+leader answers twice as many questions of one process at a time, and watches need some of them."""
 
 
 class PlacerClient:
@@ -38,6 +49,7 @@
         self._get_leader = get_leader
         self._failed_at = float("-inf")
         self._is_failing = False
+        self._holds = 0
 
     async def request_placement(self, request: PlaceRequest) -> PlaceAnswer | None:
         """Return the leading coordinator's answer, or ``None`` if the gateway must choose itself.
@@ -46,20 +58,55 @@
 
         :param request: the request.
         """
+        return await self._ask("place", request, PLACER_TIMEOUT_SECONDS)
+
+    async def await_placement(self, request: PlaceRequest) -> PlaceAnswer | None:
+        """Return the answer once a waiting request has its place, or ``crowded`` after a hold.
+
+        :param request: the request, which the leader has told to wait.
+        :return: ``None`` if there is no leader to wait at.
+        """
+        if self._holds >= MAX_HOLDS:
+            await anyio.sleep(MEMORY_WAIT_PAUSE_SECONDS)
+            return await self.request_placement(request)
+        self._holds += 1
+        try:
+            return await self._ask("await-place", request, HOLD_SECONDS + POLL_SLACK_SECONDS)
+        finally:
+            self._holds -= 1
+
+    async def withdraw(self, request: WithdrawRequest) -> None:
+        """Tell the leader that a waiting request needs no place any more.
+
+        A notice that is lost needs no retry: the leader drops requests that nobody asks for.
+
+        :param request: the notice.
+        """
+        leader = self._get_leader()
+        if leader is not None:
+            url = f"{make_url(leader)}/site/withdraw"
+            await self._calls.call(url, encode(request), type(None), PLACER_RETRY_SECONDS)
+
+    async def _ask(self, name: str, request: PlaceRequest, seconds: float) -> PlaceAnswer | None:
+        """Return the leader's answer in time, if there is one.
+
+        :param name: the call.
+        :param request: the request.
+        :param seconds: timeout.
+        """
         leader = self._get_leader()
         now = anyio.current_time()
         if leader is None or now - self._failed_at < PLACER_RETRY_SECONDS:
             return None
-        url = f"{make_url(leader)}/site/place"
+        url = f"{make_url(leader)}/site/{name}"
         answer = None
-        with anyio.move_on_after(PLACER_TIMEOUT_SECONDS):
-            answer = await self._calls.call(
-                url, encode(request), PlaceAnswer, PLACER_TIMEOUT_SECONDS
-            )
+        with anyio.move_on_after(seconds):
+            answer = await self._calls.call(url, encode(request), PlaceAnswer, seconds)
         if isinstance(answer, PlaceAnswer):
             self._set_failing(False, leader, "")
             return answer
-        self._failed_at = now
+        # The time counts from the end of a hold, since most of that is no sign of a failure.
+        self._failed_at = now + max(0.0, seconds - PLACER_TIMEOUT_SECONDS)
         reason = answer.reason if isinstance(answer, Failure) else "the request timed out"
         self._set_failing(True, leader, reason)
         return None
--- a/src/daleroad/promptqueue.py
+++ b/src/daleroad/promptqueue.py
@@ -83,6 +83,9 @@
     def note_start(self, service: str, now: float) -> None:
         """Record that a prompt got an engine."""
 
+    def note_done(self, service: str, fingerprint: str) -> None:
+        """Record that a prompt got an engine or waits no longer."""
+
     def decide(self, service: str, demand: Demand, ahead: int, now: float) -> Refusal | None:
         """Return a refusal for a prompt behind ``ahead`` others, or nothing if it may wait."""
 
@@ -280,8 +283,9 @@
         :param gateway: its gateway.
         :param ticket: its ticket.
         """
-        if self._entries.pop((gateway, ticket), None) is not None:
-            self.counts["withdrawn"] += 1
+        entry = self._entries.pop((gateway, ticket), None)
+        if entry is not None:
+            self._note_end("withdrawn", entry)
             self._note_length()
 
     def drain(self, now: float) -> list[Ticket]:
@@ -310,10 +314,10 @@
 
         :param now: the time.
         """
-        silent = [t for t, e in self._entries.items() if now - e.polled_at > SILENT_SECONDS]
-        for ticket in silent:
-            del self._entries[ticket]
-            self.counts["expired"] += 1
+        silent = [e for e in self._entries.values() if now - e.polled_at > SILENT_SECONDS]
+        for entry in silent:
+            del self._entries[entry.get_ticket()]
+            self._note_end("expired", entry)
         # Answers are in the order in which they were given.
         while self._answers:
             ticket, (_, answered_at) = next(iter(self._answers.items()))
@@ -361,7 +365,7 @@
         if len(self._entries) < MAX_WAITING:
             self._entries[ticket] = entry
             return None
-        self.counts["overflowed"] += 1
+        self._note_end("overflowed", entry)
         answer = self._place(replace(request, patient=False), entry, None, now)
         self._answer(entry, answer, now)
         return answer
@@ -380,7 +384,7 @@
 
     def _place_late(self, entry: _Entry, now: float, turn: _Turn) -> None:
         """Place a prompt whose patience is over."""
-        self.counts["late"] += 1
+        self._note_end("late", entry)
         self._answer(
             entry, self._place(replace(entry.request, patient=False), entry, None, now), now
         )
@@ -400,7 +404,7 @@
             turn.note_misfit(rank, entry.request)
             turn.note_first(entry, answer.instance, now)
             return
-        self.counts["granted"] += 1
+        self._note_end("granted", entry)
         self._answer(entry, answer, now)
         turn.answered.append(entry.get_ticket())
 
@@ -473,6 +477,12 @@
             if other < rank and now - typical.seen_at <= TYPICAL_SECONDS
         )
 
+    def _note_end(self, end: str, entry: _Entry) -> None:
+        """Count a prompt that waits no longer and was not refused."""
+        self.counts[end] += 1
+        if self.refusals is not None:
+            self.refusals.note_done(self.service, entry.demand.fingerprint)
+
     def _note_length(self) -> None:
         """Log that the queue got long, and once it is empty again."""
         length = len(self._entries)
