--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -7,9 +7,11 @@
 import anyio
 
 from daleroad.candidates import CandidateEvaluator
+from daleroad.contention import NO_CONTENTION, Contention
 from daleroad.defaults import MAX_BACKUP_LOAD, MIN_BACKUP_SECONDS
 from daleroad.dispatch import Attempt, Prompt
 from daleroad.fleet import Fleet
+from daleroad.guardedstreams import PaceSource, ReadingRates, StreamGuard
 from daleroad.guarding import Guard
 from daleroad.health import Ejector
 from daleroad.instances import Instance
@@ -84,6 +86,8 @@
     :ivar await_placement: waits at the central placer for room.
     :ivar send_withdrawal: tells the central placer that a request waits no longer.
     :ivar waits: the gateway's own waiting requests, while no central placer answers.
+    :ivar get_pace: returns the pace of an engine, or nothing if it is unknown.
+    :ivar get_contention: returns how the prompt routes of a service compete.
     """
 
     def __init__(
@@ -110,6 +114,12 @@
         self._loads = loads
         self._random = random
         self._get_service = get_service
+        self.get_pace: PaceSource = lambda instance_id: None
+        self.get_contention: Callable[[str], Contention] = lambda service: NO_CONTENTION
+        self._reading_rates = ReadingRates()
+        self._stream_guard = StreamGuard(
+            loads.get_total, lambda name: self.get_pace(name), self._reading_rates
+        )
 
     def pick(
         self,
@@ -117,6 +127,7 @@
         tokens: int,
         excluded: Container[str],
         prompt: Prompt | None = None,
+        demand: Demand | None = None,
     ) -> Instance | None:
         """Pick an upstream for a request from local state; return nothing if there is none.
 
@@ -129,10 +140,14 @@
         :param tokens: tokens of memory that the request may use.
         :param excluded: instances not to use.
         :param prompt: the request's prompt, if it has one.
+        :param demand: what the request demands, if requests to the service compete.
         """
-        candidates = self.list_candidates(service, tokens, excluded)
+        unread = prompt.tokens if prompt is not None else 0
+        candidates = self.list_candidates(service, tokens, excluded, demand, unread)
         is_short = service.engine is not None and prompt is not None and prompt.ends_soon()
         picked = self._pick_alone(candidates, is_short)
+        if picked is not None:
+            self._note_reading(service, picked.instance.id, unread)
         return picked.instance if picked else None
 
     def _pick_alone(self, candidates: Iterator[Candidate], is_short: bool) -> Candidate | None:
@@ -148,6 +163,11 @@
         sample = sample_candidates(candidates, self.gateways, self._random)
         return pick_upstream(sample, zone, self._random)
 
+    def _note_reading(self, service: ServiceRule, instance_id: str, unread: int) -> None:
+        """Record the prompt of a request that an engine was picked for."""
+        if self.get_contention(service.name).guarded_ranks:
+            self._reading_rates.record(instance_id, unread, anyio.current_time())
+
     def pick_least_busy(
         self, service: ServiceRule, tokens: int, excluded: Container[str]
     ) -> Instance | None:
@@ -203,7 +223,7 @@
             if answer is None and request.ticket:
                 answer = await self._wait_alone(request, is_waiting)
         if answer is None:
-            picked = self.pick(service, tokens, excluded, prompt)
+            picked = self.pick(service, tokens, excluded, prompt, demand)
             return picked or self._pick_within_share(service, tokens, excluded)
         if answer.refused:
             return Refused(answer.retry_after)
@@ -211,15 +231,17 @@
             return InsufficientMemory()
         self._limited_sends.store_grant(answer, asked_at)
         placed = self._find_usable(answer.instance, excluded)
-        return placed or self.pick(service, tokens, excluded, prompt)
+        return placed or self.pick(service, tokens, excluded, prompt, demand)
 
-    async def _wait_alone(self, request: PlaceRequest, is_waiting: bool) -> PlaceAnswer:
-        """Return the place of a request among those of this gateway."""
+    async def _wait_alone(self, request: PlaceRequest, is_waiting: bool) -> PlaceAnswer | None:
+        """Return the place of a request among those of this gateway, if any upstream may get it."""
         try:
-            return await self.waits.hold(request) if is_waiting else self.waits.submit(request)
+            answer = await self.waits.hold(request) if is_waiting else self.waits.submit(request)
         finally:
             # The caller adds the load before any other request is placed.
             self._unsent_loads.pop(request.ticket, None)
+        has_answer = answer.instance or answer.crowded or answer.refused
+        return answer if has_answer else None
 
     def _place_alone(
         self, request: PlaceRequest, reserve: Reserve | None, now: float
@@ -228,7 +250,9 @@
         service = self._get_service(request.service)
         if service is None or service.engine is None or request.demand is None:
             return PlaceAnswer("")
-        candidates = self.list_candidates(service, request.tokens, request.excluded)
+        candidates = self.list_candidates(
+            service, request.tokens, request.excluded, request.demand, request.unread
+        )
         if reserve is not None:
             load = Load("", 1, request.tokens, request.unread)
             memory = service.engine.memory_tokens
@@ -240,6 +264,7 @@
             return PlaceAnswer(picked.instance.id, crowded=True)
         load = Load(picked.instance.id, 1, request.tokens, request.unread)
         self._unsent_loads[request.ticket] = load
+        self._note_reading(service, picked.instance.id, request.unread)
         return PlaceAnswer(picked.instance.id)
 
     def _get_load(self, instance_id: str) -> Load:
@@ -353,6 +378,7 @@
         """
         self.ejector.forget(instance_id)
         self._limited_sends.forget(instance_id)
+        self._reading_rates.forget(instance_id)
 
     def pick_backup(
         self, instance: Instance, tokens: int, prompt: Prompt | None
@@ -393,15 +419,22 @@
         self.record_result(instance, False)
 
     def list_candidates(
-        self, service: ServiceRule, tokens: int, excluded: Container[str]
+        self,
+        service: ServiceRule,
+        tokens: int,
+        excluded: Container[str],
+        demand: Demand | None = None,
+        unread: int = 0,
     ) -> Iterator[Candidate]:
         """Yield the upstreams of a service that may get a request without a grant.
 
         :param service: the service.
         :param tokens: tokens of memory that the request may use.
         :param excluded: instances not to use.
+        :param demand: what the request demands, if requests to the service compete.
+        :param unread: prompt tokens to read there; 0 for a stream that moves with its memory.
         """
-        for candidate in self._list_all(service, tokens, excluded):
+        for candidate in self._list_all(service, tokens, excluded, demand, unread):
             if not self._guard.needs_grant(candidate.instance):
                 yield candidate
 
@@ -421,17 +454,32 @@
                 yield candidate
 
     def _list_all(
-        self, service: ServiceRule, tokens: int, excluded: Container[str]
+        self,
+        service: ServiceRule,
+        tokens: int,
+        excluded: Container[str],
+        demand: Demand | None = None,
+        unread: int = 0,
     ) -> Iterator[Candidate]:
         """Yield the upstreams that accept requests from this gateway, limited ones included."""
+        now = anyio.current_time()
+        penalty = self._stream_guard.make_penalty(
+            service,
+            self._fleet.list_ready(service.name),
+            self.get_contention(service.name),
+            demand,
+            unread,
+            now,
+        )
         judge = CandidateEvaluator(
             self._fleet,
             self._options.heartbeat,
             self._get_load,
             self._is_failing,
             self._guard.zones.zones,
+            penalty,
         )
-        candidates = judge.list_candidates(service, tokens, excluded, anyio.current_time())
+        candidates = judge.list_candidates(service, tokens, excluded, now)
         return (c for c in candidates if not self._guard.is_backing_off(c.instance))
 
     def record_result(self, instance: Instance, ok: bool) -> None:
