--- a/src/daleroad/promptqueue.py
+++ b/src/daleroad/promptqueue.py
@@ -1,14 +1,15 @@
 """An ordered queue of the prompts that wait for room in one service's engines.
 
-The most urgent rank goes first. Within a rank go callers that return when they were told to, then
-the organisation that got least service lately, then the earliest start deadline that can still be
-met. A prompt that has waited for ``AGEING_SHARE`` of its patience moves up by a rank; when its
-patience ends it goes to the best engine even if that lacks room. Smaller prompts may pass a larger
-one that does not fit; after ``OVERTAKING_SECONDS`` the first in order claims an engine, which those
-behind it then leave alone.
+The most urgent rank goes first. Within a rank go those that can still start in their objective,
+then callers that return when they were told to, then the organisation that got least service
+lately, then the earliest deadline. A prompt that has waited for ``AGEING_SHARE`` of its patience
+moves up by a rank.
 
-Less urgent prompts leave a reserve in each engine for one prompt that is more urgent; its size is
-that of those seen lately.
+A prompt goes where it has memory and can start in its objective. Less urgent prompts also leave a
+reserve in each engine for one prompt that is more urgent; its size is that of those seen lately.
+Smaller prompts may pass a larger one that does not fit; after ``OVERTAKING_SECONDS`` the first in
+order claim an engine each, which those behind them then leave alone. Where nobody refuses prompts,
+one whose patience ends goes to the best engine even if that lacks room.
 
 Does no I/O; the caller passes in the time.
 """
@@ -25,19 +26,32 @@
 from daleroad.events import Event, log_event
 from daleroad.fairshare import FairShare
 from daleroad.notices import Demand, PlaceAnswer, PlaceRequest, WaitingPrompt
-from daleroad.reserves import PREFILL_TOKENS_PER_SECOND, Reserve, make_reserve
+from daleroad.reserves import (
+    PREFILL_TOKENS_PER_SECOND,
+    Reserve,
+    count_readable,
+    make_reserve,
+)
 
 AGEING_SHARE = 0.5
 """Part of its patience after which a prompt moves up by a rank: it then still has as long to find
 room among the more urgent ones."""
 
-OVERTAKING_SECONDS = 0.2
-"""How long smaller prompts may fill in everywhere past the first one, from when it was found not to
-fit. Half of what reading a prompt takes: being passed costs it less than one more prompt ahead."""
+OVERTAKING_SECONDS = 0.1
+"""How long smaller prompts may fill in everywhere past the first ones, from when these were found
+not to fit. A quarter of what reading a prompt takes: being passed costs them less than one more
+prompt ahead."""
 
 YIELD_START_SECONDS = 0.5
 """Time that a yielding prompt keeps for its way and for one prompt read before its own."""
 
+PREEMPTING_OBJECTIVES = 0.05
+"""Part of its objective for which a short prompt waits that nothing outranks. Engines make room for
+it by preempting less urgent work; a generation ends within this time on most sites."""
+
+WAY_SECONDS = 0.1
+"""Time from a prompt's place to its reading, beside that of its own tokens."""
+
 HOLD_SECONDS = 0.25
 """How long a poll for a prompt's place is held without news. A gateway whose leader froze notices
 after this and ``POLL_SLACK_SECONDS``, a fifth of the objective of a first output."""
@@ -51,6 +65,9 @@
 KEPT_ANSWER_SECONDS = 1.0
 """How long an answer is kept for a poll that is repeated because the first one's was lost."""
 
+MAX_CLAIMS = 2
+"""Engines that prompts may claim at a time; each is partly idle for about a second meanwhile."""
+
 MAX_WAITING = 512
 """Prompts that wait for one service. More than that can't start in time: each of a hundred engines
 starts two a second. Further ones go to the best engine at once."""
@@ -105,7 +122,7 @@
 class _Entry:
     """A prompt in the queue.
 
-    :param patience_end: when it is sent to the best engine without waiting any longer.
+    :param patience_end: when its patience ends.
     :param polled_at: when a poll for it last began or ended.
     :param polling: whether a poll is held, so that it can be told its place.
     :param blocked_at: when it was first found not to fit while it was the first in order.
@@ -164,15 +181,15 @@
     :param tries: prompts that were tried.
     :param answered: tickets of the prompts that were answered.
     :param misfits: rank, memory and prompt of those that did not fit.
-    :param first: the first in order that did not fit.
-    :param claim: the engine that it claims.
+    :param firsts: number of prompts that were tried and did not fit.
+    :param claims: engines that the first of them claim.
     """
 
     tries: int = 0
     answered: list[Ticket] = field(default_factory=list)
     misfits: list[tuple[int, int, int]] = field(default_factory=list)
-    first: _Entry | None = None
-    claim: str = ""
+    firsts: int = 0
+    claims: list[str] = field(default_factory=list)
 
     def note_misfit(self, rank: int, request: PlaceRequest) -> None:
         """Record a prompt that did not fit, unless others may use more engines than it may."""
@@ -186,25 +203,26 @@
             for other, tokens, unread in self.misfits
         )
 
-    def note_first(self, entry: _Entry, best: str, now: float) -> None:
-        """Record the first prompt that did not fit, and what it claims.
+    def note_claim(self, entry: _Entry, best: str, now: float) -> None:
+        """Record what one of the first prompts that did not fit claims.
 
         :param entry: the prompt.
         :param best: the engine that comes closest to having room for it.
         :param now: the time.
         """
-        if self.first is not None:
+        self.firsts += 1
+        if self.firsts > MAX_CLAIMS:
             return
-        self.first = entry
         if entry.blocked_at is None:
             entry.blocked_at = now
         elif now - entry.blocked_at > OVERTAKING_SECONDS:
             # Claimed anew as often, since the engine may have left.
             entry.claim, entry.blocked_at = best, now
-        self.claim = entry.claim
+        if entry.claim:
+            self.claims.append(entry.claim)
 
 
-_Key = tuple[int, bool, int, bool, float, int]
+_Key = tuple[int, bool, bool, int, float, int]
 
 
 @dataclass
@@ -296,7 +314,7 @@
         self.prune(now)
         turn = _Turn()
         reachable = [entry for entry in self._entries.values() if entry.is_reachable(now)]
-        due = [entry for entry in reachable if now >= entry.patience_end]
+        due = [entry for entry in reachable if self._is_due(entry, now)]
         for entry in sorted(due, key=lambda entry: entry.received_at)[:MAX_TRIES_PER_TURN]:
             self._place_late(entry, now, turn)
         waiting = (entry for entry in reachable if entry.get_ticket() in self._entries)
@@ -397,12 +415,12 @@
             return
         turn.tries += 1
         request = replace(entry.request, patient=True)
-        if turn.claim:
-            request = replace(request, excluded=(*request.excluded, turn.claim))
-        answer = self._place(request, entry, self._find_reserve(rank, now), now)
-        if answer.crowded or (turn.claim and not answer.instance):
+        if turn.claims:
+            request = replace(request, excluded=(*request.excluded, *turn.claims))
+        answer = self._place(request, entry, self._find_reserve(entry, now), now)
+        if answer.crowded or (turn.claims and not answer.instance):
             turn.note_misfit(rank, entry.request)
-            turn.note_first(entry, answer.instance, now)
+            turn.note_claim(entry, answer.instance, now)
             return
         self._note_end("granted", entry)
         self._answer(entry, answer, now)
@@ -437,38 +455,56 @@
     def _make_key(self, entry: _Entry, now: float) -> _Key:
         demand = entry.demand
         deadline = entry.received_at + demand.objective
-        too_late = now + entry.request.unread / PREFILL_TOKENS_PER_SECOND > deadline
+        reading = entry.request.unread / PREFILL_TOKENS_PER_SECOND
+        too_late = now + reading + WAY_SECONDS > deadline
         level = self._share.get_level(demand.organisation, now)
         rank = entry.find_rank(now)
-        return rank, not entry.returning, level, too_late, deadline, entry.number
+        return rank, too_late, not entry.returning, level, deadline, entry.number
+
+    def _is_due(self, entry: _Entry, now: float) -> bool:
+        """Return whether a prompt goes to the best engine even if that lacks room.
+
+        Where prompts that can't start in time are refused, the others wait on: in an engine without
+        room they would start no sooner, and delay those that can still start in time.
+        """
+        waits_on = self.refusals is not None and not self._can_preempt(entry.demand, now)
+        return now >= entry.patience_end and not waits_on
 
     def _find_patience_end(self, request: PlaceRequest, demand: Demand, now: float) -> float:
-        """Return when a prompt is sent to the best engine without waiting any longer.
+        """Return when a prompt's patience ends.
 
-        One that can yield waits for as long as it would still start in time. None waits for longer
-        than its client does.
+        A short one that nothing outranks has little. One that can yield waits for as long as it
+        would still start in time. None waits for longer than its client does.
         """
         seconds = MAX_MEMORY_WAIT_OBJECTIVES * demand.objective
-        if self._can_yield(demand, now):
+        if self._can_preempt(demand, now):
+            seconds = PREEMPTING_OBJECTIVES * demand.objective
+        elif self._can_yield(demand, now):
             reading = request.unread / PREFILL_TOKENS_PER_SECOND
             seconds = max(seconds, demand.objective - 2 * reading - YIELD_START_SECONDS)
         return now - demand.age + min(seconds, demand.age + demand.time_left)
 
+    def _can_preempt(self, demand: Demand, now: float) -> bool:
+        return not demand.long and not any(self._list_more_urgent(demand.rank, now))
+
     def _can_yield(self, demand: Demand, now: float) -> bool:
         return any(
             demand.objective >= YIELD_OBJECTIVES * typical.objective
             for typical in self._list_more_urgent(demand.rank, now)
         )
 
-    def _find_reserve(self, rank: int, now: float) -> Reserve | None:
-        """Return what must stay free beside a prompt of a rank: the most of all more urgent."""
-        found = [
-            make_reserve(typical.tokens, typical.unread, typical.objective)
-            for typical in self._list_more_urgent(rank, now)
-        ]
-        if not found:
-            return None
-        return Reserve(max(r.tokens for r in found), min(r.max_unread for r in found))
+    def _find_reserve(self, entry: _Entry, now: float) -> Reserve:
+        """Return what must stay free beside a prompt: the most of all that are more urgent.
+
+        It goes behind no more prompts than it can start after in its objective.
+        """
+        typical = self._list_more_urgent(entry.find_rank(now), now)
+        found = [make_reserve(t.tokens, t.unread, t.objective) for t in typical]
+        readable = count_readable(entry.demand.objective)
+        return Reserve(
+            max((reserve.tokens for reserve in found), default=0),
+            min((reserve.max_unread for reserve in found), default=readable),
+        )
 
     def _list_more_urgent(self, rank: int, now: float) -> Iterator[_TypicalPrompt]:
         return (
--- a/src/daleroad/reserves.py
+++ b/src/daleroad/reserves.py
@@ -37,7 +37,15 @@
     :param unread: tokens of the prompt itself.
     :param objective: objective of its first output, in seconds.
     """
-    return Reserve(round(tokens), START_SHARE * objective * PREFILL_TOKENS_PER_SECOND - unread)
+    return Reserve(round(tokens), count_readable(objective) - unread)
+
+
+def count_readable(objective: float) -> float:
+    """Return how many prompt tokens an engine reads in an objective, with time to spare.
+
+    :param objective: the objective, in seconds.
+    """
+    return START_SHARE * objective * PREFILL_TOKENS_PER_SECOND
 
 
 def apply_reserve(
@@ -49,6 +57,8 @@
 ) -> Iterator[Candidate]:
     """Yield candidates; those that lack the reserve are marked as lacking memory.
 
+    An engine without other work has room for any prompt: it gets no better anywhere.
+
     :param candidates: the candidates for the request.
     :param reserve: what must stay free.
     :param load: what the request adds.
@@ -56,8 +66,8 @@
     :param get_load: returns the load of an instance.
     """
     for candidate in candidates:
-        expected = get_load(candidate.instance.id).add(load)
-        if expected.tokens + reserve.tokens > memory or expected.unread > reserve.max_unread:
-            yield replace(candidate, lacks_memory=True)
-        else:
-            yield candidate
+        present = get_load(candidate.instance.id)
+        expected = present.add(load)
+        is_full = present.tokens > 0 and expected.tokens + reserve.tokens > memory
+        is_behind = present.unread > 0 and expected.unread > reserve.max_unread
+        yield replace(candidate, lacks_memory=is_full or is_behind)
