--- a/src/daleroad/promptqueue.py
+++ b/src/daleroad/promptqueue.py
@@ -232,7 +232,7 @@
     :param service: the service's name.
     :param try_place: places a prompt.
     :param refusals: decides which prompts are refused; nothing if none are.
-    :ivar counts: ends of prompts: granted, late, refused, withdrawn, expired or overflowed.
+    :ivar counts: ends of prompts: granted, without room, refused, withdrawn, expired or overflowed.
     """
 
     service: str
@@ -402,7 +402,7 @@
 
     def _place_late(self, entry: _Entry, now: float, turn: _Turn) -> None:
         """Place a prompt whose patience is over."""
-        self._note_end("late", entry)
+        self._note_end("without room", entry)
         self._answer(
             entry, self._place(replace(entry.request, patient=False), entry, None, now), now
         )
