--- a/src/daleroad/queuemodel.py
+++ b/src/daleroad/queuemodel.py
@@ -42,9 +42,14 @@
 
 
 class Waiting(StrEnum):
-    """How prompts wait for room."""
+    """How prompts wait for room.
+
+    In the queue they wait until their clients leave, or go to the best engine when their patience
+    ends.
+    """
 
     POLLING = "polling"
+    QUEUE_THEN_SEND = "queue, then sent"
     QUEUE = "queue"
 
 
@@ -210,6 +215,22 @@
             self.waiting.append(newest)
 
 
+class _RefuseNone:
+    """Lets all prompts wait until their clients leave."""
+
+    def note_start(self, service: str, now: float) -> None:
+        pass
+
+    def note_done(self, service: str, fingerprint: str) -> None:
+        pass
+
+    def decide(self, service: str, demand: Demand, ahead: int, now: float) -> None:
+        return None
+
+    def is_expected(self, service: str, fingerprint: str, now: float) -> bool:
+        return False
+
+
 class _Simulation:
     def __init__(self, case: QueueCase, waiting: Waiting, seed: int) -> None:
         self.case = case
@@ -222,8 +243,9 @@
             self.fleet.note(Sighting(instance, 0.0), 0.0)
             self.engines[instance.id] = _Engine()
         self.placer = Placer(self.fleet, self.loads, _HEARTBEAT_SECONDS, Random(seed))
-        self.queue = PromptQueue("s", self.place)
-        self.ask = self.ask_queue if waiting is Waiting.QUEUE else self.ask_again
+        refusals = _RefuseNone() if waiting is Waiting.QUEUE else None
+        self.queue = PromptQueue("s", self.place, refusals)
+        self.ask = self.ask_again if waiting is Waiting.POLLING else self.ask_queue
         self.pending: list[ModelPrompt] = []
         self.all: list[ModelPrompt] = []
 
@@ -352,7 +374,7 @@
     :param cases: the cases.
     :param seeds: simulations of each.
     """
-    yield f"{'site':<20}{'waiting':<9}{'urgent':>8}{'other':>8}{'small':>8}{'greedy':>8}" + (
+    yield f"{'site':<20}{'waiting':<18}{'urgent':>8}{'other':>8}{'small':>8}{'greedy':>8}" + (
         f"{'largest':>9}{'left':>7}{'preempted':>11}"
     )
     for case in cases:
@@ -371,4 +393,4 @@
             left = sum(p.left for p in found) / len(found)
             preempted = sum(p.preemptions for p in found) / seeds
             row = "".join(f"{share:>8.3f}" for share in shares)
-            yield f"{case.name:<20}{waiting:<9}{row}{largest:>9.3f}{left:>7.3f}{preempted:>11.1f}"
+            yield f"{case.name:<20}{waiting:<18}{row}{largest:>9.3f}{left:>7.3f}{preempted:>11.1f}"
--- a/tests/test_promptqueue.py
+++ b/tests/test_promptqueue.py
@@ -18,7 +18,6 @@
     SILENT_SECONDS,
     PromptQueue,
 )
-from daleroad.queuemodel import CASES, Waiting, find_share, is_small_organisation, simulate
 from daleroad.reserves import Reserve
 
 CROWDED = PlaceAnswer("", crowded=True)
