--- a/src/daleroad/promptqueue.py
+++ b/src/daleroad/promptqueue.py
@@ -8,7 +8,7 @@
 A prompt goes where it has memory and can start in its objective. Less urgent prompts also leave a
 reserve in each engine for one prompt that is more urgent; its size is that of those seen lately.
 Smaller prompts may pass a larger one that does not fit; after ``OVERTAKING_SECONDS`` the first in
-order claim an engine each, which those behind them then leave alone. Where nobody refuses prompts,
+order claims an engine, which those behind it then leave alone. Where nobody refuses prompts,
 one whose patience ends goes to the best engine even if that lacks room.
 
 Does no I/O; the caller passes in the time.
@@ -37,10 +37,9 @@
 """Part of its patience after which a prompt moves up by a rank: it then still has as long to find
 room among the more urgent ones."""
 
-OVERTAKING_SECONDS = 0.1
-"""How long smaller prompts may fill in everywhere past the first ones, from when these were found
-not to fit. A quarter of what reading a prompt takes: being passed costs them less than one more
-prompt ahead."""
+OVERTAKING_SECONDS = 0.2
+"""How long smaller prompts may fill in everywhere past the first one, from when it was found not to
+fit. Half of what reading a prompt takes: being passed costs it less than one more prompt ahead."""
 
 YIELD_START_SECONDS = 0.5
 """Time that a yielding prompt keeps for its way and for one prompt read before its own."""
@@ -65,7 +64,7 @@
 KEPT_ANSWER_SECONDS = 1.0
 """How long an answer is kept for a poll that is repeated because the first one's was lost."""
 
-MAX_CLAIMS = 2
+MAX_CLAIMS = 1
 """Engines that prompts may claim at a time; each is partly idle for about a second meanwhile."""
 
 MAX_WAITING = 512
@@ -232,7 +231,8 @@
     :param service: the service's name.
     :param try_place: places a prompt.
     :param refusals: decides which prompts are refused; nothing if none are.
-    :ivar counts: ends of prompts: granted, without room, refused, withdrawn, expired or overflowed.
+    :ivar counts: ends of prompts: granted, without room, no upstream, refused, withdrawn, expired
+        or overflowed.
     """
 
     service: str
@@ -422,7 +422,7 @@
             turn.note_misfit(rank, entry.request)
             turn.note_claim(entry, answer.instance, now)
             return
-        self._note_end("granted", entry)
+        self._note_end("granted" if answer.instance else "no upstream", entry)
         self._answer(entry, answer, now)
         turn.answered.append(entry.get_ticket())
 
--- a/src/daleroad/queuecommands.py
+++ b/src/daleroad/queuecommands.py
@@ -1,13 +1,15 @@
-"""Operator command on the prompts that wait for room in an engine."""
+"""Operator commands on the prompts that wait for room: list them, and compare ways to wait."""
 
 import json
+from dataclasses import replace
 
 from daleroad.commandcalls import ask_coordinator
 from daleroad.notices import QueueAnswer
+from daleroad.queuemodel import CASES, format_cases
 
 
 class QueueCommands:
-    """Prompts that wait. Set DALEROAD_SECRET to the processes' secret."""
+    """Prompts that wait for room. Set DALEROAD_SECRET to the processes' secret."""
 
     def list(self, coordinator: str) -> None:
         """Print the prompts that wait as JSON lines, in order; only the leader knows them.
@@ -25,3 +27,13 @@
                 "tokens": waiting.tokens,
             }
             print(json.dumps(row))
+
+    def weigh(self, seeds: int = 5, factor: float = 3.0) -> None:
+        """Simulate and compare how prompts wait when too many come.
+
+        Args:
+            seeds: simulations of each case.
+            factor: multiple of the usual rate that comes for 20 s.
+        """
+        cases = (replace(case, factor=factor) for case in CASES)
+        print("\n".join(format_cases(cases, seeds)))
