--- a/tests/test_promptwaits.py
+++ b/tests/test_promptwaits.py
@@ -11,6 +11,7 @@
 import trio
 import trio.testing
 
+from daleroad.channels import ChannelCalls
 from daleroad.codec import decode, encode
 from daleroad.contention import Contention
 from daleroad.coordinator import Coordinator, CoordinatorOptions
@@ -25,6 +26,7 @@
 from daleroad.metrics import Metrics
 from daleroad.notices import (
     Load,
+    LoadsRequest,
     PlaceAnswer,
     PlaceRequest,
     QueueAnswer,
@@ -37,7 +39,8 @@
 from daleroad.queuemodel import CASES, Waiting, find_share, is_small_organisation, simulate
 from daleroad.reserves import Reserve
 from daleroad.routing import Repeat, RoutingConfig, ServiceRule
-from daleroad.serving import Request
+from daleroad.serving import Request, serve_app
+from daleroad.settings import Tls
 from tests.fakes import (
     ENGINE,
     PROMPT,
@@ -49,6 +52,7 @@
     make_instance,
     make_job,
 )
+from tests.test_coordinator import pick_addresses
 from tests.test_placer import FakeCalls
 from tests.test_promptqueue import CROWDED, make_request
 
@@ -159,6 +163,13 @@
         self.serve(body)
 
 
+async def report_room(calls: ChannelCalls, name: str) -> None:
+    """Report that a gateway's requests have ended."""
+    await anyio.sleep(0.05)
+    body = encode(LoadsRequest("g9", ()))
+    await calls.call(f"http://{name}/site/loads", body, type(None))
+
+
 class CoordinatorQueueTest(unittest.TestCase):
     """The calls of a leading coordinator that concern its queue."""
 
@@ -216,6 +227,27 @@
 
         run(body)
 
+    def test_poll_on_a_channel_is_answered_when_a_load_report_shows_room(self) -> None:
+        async def main() -> None:
+            self.become_leader()
+            name, calls = pick_addresses(1)[0], ChannelCalls("t")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(serve_app, self.router, name, Tls(), anyio.sleep_forever, 0.1)
+                tasks.start_soon(self.coordinator.waits.run)
+                await anyio.sleep(0.2)
+                body = encode(make_request("a"))
+                answer = await calls.call(f"http://{name}/site/place", body, PlaceAnswer)
+                self.assertEqual(answer, CROWDED)
+                began = anyio.current_time()
+                async with anyio.create_task_group() as askers:
+                    askers.start_soon(report_room, calls, name)
+                    answer = await calls.call(f"http://{name}/site/await-place", body, PlaceAnswer)
+                self.assertEqual(answer, PlaceAnswer("i1"))
+                self.assertLess(anyio.current_time() - began, HOLD_SECONDS)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
     def test_coordinator_that_does_not_lead_queues_and_lists_nothing(self) -> None:
         async def body() -> None:
             self.become_leader()
