--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -74,6 +74,8 @@
         "An operator's order about an availability zone is on a majority of disks.",
     )
     ZONE_ORDER_REFUSED = Kind(235, logging.WARNING, "An order about a zone was not accepted.")
+    QUEUE_LONG = Kind(236, logging.WARNING, "Many prompts wait for room in a service's engines.")
+    QUEUE_EMPTIED = Kind(237, logging.INFO, "No prompt waits any more where many did.")
     PROMPT_REFUSED = Kind(
         238, logging.INFO, "A prompt that waited for an engine can't start in time and is refused."
     )
--- a/tests/test_paces.py
+++ b/tests/test_paces.py
@@ -274,7 +274,7 @@
             for coordinator in site.coordinators.values():
                 pace = coordinator.presence.paces.get("i1")
                 self.assertEqual(pace and pace.event_seconds, 0.03)
-            self.assertEqual(gateway.selector.get_pace("i1"), coordinator._placer._get_pace("i1"))
+            self.assertEqual(gateway.selector.get_pace("i1"), coordinator.presence.paces.get("i1"))
 
         site = self.watch(body)
         self.assertTrue(any(answer.paces for answer in site.answers))
