--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -1,6 +1,7 @@
 """Tests of the pauses of streams that move off an engine, where its service's routes compete."""
 
 import unittest
+from collections import defaultdict
 from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 from unittest.mock import patch
@@ -45,15 +46,16 @@
 ROUND_TRIP_SECONDS = 0.012
 
 
-class LinkedEngine(FakeDispatcher):
-    """An engine whose copies queue on its link; a final copy stops the run's stream."""
+class LinkedEngines(FakeDispatcher):
+    """Engines whose copies queue on their links; a final copy stops the run's stream."""
 
     def __init__(self, tokens: int) -> None:
         super().__init__()
         self.tokens = tokens
-        self.link = anyio.Lock()
+        self.links: defaultdict[str, anyio.Lock] = defaultdict(anyio.Lock)
         self.ended = anyio.Event()
         self.stopped: dict[str, anyio.Event] = {}
+        self.origins: dict[str, str] = {}
         self.places: dict[str, str] = {}
         self.refuse: Callable[[str, bool], bool] = lambda to, final: False
 
@@ -70,7 +72,8 @@
             return NotCopied("status 503", CopyFault.NO_ROOM)
         factor = 1.0 if destination.zone == source.zone else CROSS_ZONE_FACTOR
         new = 100 if self.places.get(job.id) == destination.id else self.tokens
-        async with self.link:
+        first, second = sorted((source.id, destination.id))
+        async with self.links[first], self.links[second]:
             await anyio.sleep(new * ENGINE.token_seconds * factor)
         self.places[job.id] = destination.id
         return Copied("handle", 1)
@@ -81,13 +84,14 @@
         return FakeStream(1_000, 1_001)
 
     async def report(self, instance: Instance) -> EngineReport:
-        return EngineReport(None, tuple(RunSize(id_, self.tokens) for id_ in self.stopped))
+        runs = (id_ for id_, origin in self.origins.items() if origin == instance.id)
+        return EngineReport(None, tuple(RunSize(id_, self.tokens) for id_ in runs))
 
 
 class RunningStream(FakeStream):
     """A stream with an event now and then, until its run is stopped or its engine ends."""
 
-    def __init__(self, engine: LinkedEngine, run_id: str) -> None:
+    def __init__(self, engine: LinkedEngines, run_id: str) -> None:
         super().__init__(0, 0)
         self._engine = engine
         self._stopped = engine.stopped[run_id] = anyio.Event()
@@ -107,28 +111,31 @@
         self,
         contention: Contention = GUARDED,
         count: int = 8,
+        engines: int = 1,
         tokens: int = 3000,
         notice: float = NOTICE,
         refuse: Callable[[str, bool], bool] | None = None,
         during: Callable[[Gateway], None] | None = None,
     ) -> list[StreamRun]:
-        """Move streams off an engine that ends after its notice; return them."""
+        """Move streams off the first engines, which end after their notice; return them."""
 
         async def main() -> list[StreamRun]:
-            self.engine = LinkedEngine(tokens)
+            self.engine = LinkedEngines(tokens)
             self.engine.refuse = refuse or self.engine.refuse
             gateway = make_gateway(self.engine, make_config(Repeat.STREAM, engine=True), 0.0)
+            gateway.fleet.note(Sighting(make_instance(4), 0.0), 0.0)
             registry = StreamRegistry(gateway, EngineMigrator(gateway))
             gateway.on_leaving = registry.migrate_off
             with patch.object(gateway, "get_contention", return_value=contention):
                 async with anyio.create_task_group() as tasks:
                     gateway.start(tasks)
-                    runs = [self.make_run(number) for number in range(count)]
+                    runs = [self.make_run(n, 1 + n % engines) for n in range(count)]
                     async with anyio.create_task_group() as deliveries:
                         for run in runs:
                             deliveries.start_soon(self.read, registry, run)
                         await anyio.sleep(0.01)
-                        leave(gateway, 1)
+                        for number in range(1, 1 + engines):
+                            leave(gateway, number)
                         deliveries.start_soon(self.end, notice)
                         if during is not None:
                             await anyio.sleep(0.1)
@@ -138,13 +145,13 @@
 
         return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
-    def make_run(self, number: int) -> StreamRun:
+    def make_run(self, number: int, origin: int) -> StreamRun:
         now = anyio.current_time()
         job = replace(make_job(now, 60.0, PROMPT), id=f"r{number}")
         stream = RunningStream(self.engine, job.id)
-        return StreamRun(
-            Attempt(job, make_instance(1), "", 60.0), stream, now + 60.0, 4000, max_pause=PAUSE
-        )
+        attempt = Attempt(job, make_instance(origin), "", 60.0)
+        self.engine.origins[job.id] = attempt.instance.id
+        return StreamRun(attempt, stream, now + 60.0, 4000, max_pause=PAUSE)
 
     async def end(self, notice: float) -> None:
         await anyio.sleep(notice)
@@ -166,6 +173,13 @@
         self.assertEqual([run.outcome for run in runs], ["whole"] * 8)
         self.assertLess(max(self.list_pauses(runs)), PAUSE)
 
+    def test_engines_that_leave_together_do_not_delay_each_others_final_copies(self) -> None:
+        runs = self.move(engines=2)
+        self.assertLess(max(self.list_pauses(runs)), PAUSE)
+        destinations = {(a.source.address, a.instance.id) for a in self.engine.attempts if a.source}
+        self.assertEqual(len(destinations), 2)
+        self.assertGreater(max(self.list_pauses(self.move(NO_CONTENTION, engines=2))), PAUSE)
+
     def test_without_contention_copies_are_made_as_before(self) -> None:
         pauses = self.list_pauses(self.move(NO_CONTENTION))
         self.assertGreater(pauses[-1], PAUSE)
