--- a/src/daleroad/migration.py
+++ b/src/daleroad/migration.py
@@ -125,7 +125,7 @@
                         # Another engine may have enough memory, but the run's slot has passed: a
                         # copy now would delay the others, so it goes into the late plan.
                         excluded.add(destination.id)
-                        if not self._keeps_slot(run, plan):
+                        if not self._keeps_slot(run, plan, destination, excluded):
                             plan = await self._find_late_plan(plan, origin)
                         continue
             await anyio.sleep(MOVE_RETRY_SECONDS)
@@ -180,14 +180,23 @@
         plan.stopped.add(run_id)
         return await self._copy(run, destination, final=True)
 
-    def _keeps_slot(self, run: StreamRun, plan: MigrationPlan) -> bool:
+    def _keeps_slot(
+        self, run: StreamRun, plan: MigrationPlan, refused: Instance, excluded: set[str]
+    ) -> bool:
         """Return whether a run is copied elsewhere at once after a refusal."""
         run_id = run.attempt.job.id
         if run_id in plan.stopped:
             # Its client waits already.
             return True
         used = anyio.current_time() - plan.get_first_copy(run_id)
-        return plan.staggered and run_id in plan.slots and used < PROMPT_REFUSAL_SECONDS
+        if not plan.staggered or run_id not in plan.slots or used >= PROMPT_REFUSAL_SECONDS:
+            return False
+        # A copy to another zone would take twice the slot and delay the others' final copies.
+        origin = run.attempt.instance
+        following = self._pick_destination(run, excluded)
+        if following is None:
+            return False
+        return following.zone == origin.zone or refused.zone != origin.zone
 
     def _is_ready(self, instance: Instance) -> bool:
         known = self._gateway.fleet.get(instance.id)
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -112,6 +112,7 @@
         contention: Contention = GUARDED,
         count: int = 8,
         engines: int = 1,
+        far: tuple[int, ...] = (),
         tokens: int = 3000,
         notice: float = NOTICE,
         refuse: Callable[[str, bool], bool] | None = None,
@@ -124,6 +125,9 @@
             self.engine.refuse = refuse or self.engine.refuse
             gateway = make_gateway(self.engine, make_config(Repeat.STREAM, engine=True), 0.0)
             gateway.fleet.note(Sighting(make_instance(4), 0.0), 0.0)
+            for number in far:
+                moved = replace(make_instance(number), zone="far", sequence=2)
+                gateway.fleet.note(Sighting(moved, 0.0), 0.0)
             registry = StreamRegistry(gateway, EngineMigrator(gateway))
             gateway.on_leaving = registry.migrate_off
             with patch.object(gateway, "get_contention", return_value=contention):
@@ -218,6 +222,19 @@
         self.assertEqual([run.outcome for run in runs], ["whole"] * 4)
         self.assertLess(max(self.list_pauses(runs)), PAUSE)
 
+    def test_a_refused_pre_copy_does_not_take_its_slot_in_another_zone(self) -> None:
+        first: list[str] = []
+
+        def refuse(to: str, final: bool) -> bool:
+            first.append(to)
+            return len(first) == 1
+
+        runs = self.move(count=4, far=(3, 4), refuse=refuse)
+        self.assertEqual([run.outcome for run in runs], ["whole"] * 4)
+        late = [copy for copy in self.engine.copies if copy[1] != "i2"]
+        self.assertEqual(self.engine.copies[-len(late) :], late)
+        self.assertLess(max(self.list_pauses(runs)), PAUSE)
+
 
 def leave(gateway: Gateway, number: int) -> None:
     """Let an upstream announce that it leaves."""
