--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -1,24 +1,28 @@
 """Selects upstreams for one gateway, by asking the central placer or from local state."""
 
-from collections.abc import Awaitable, Callable, Collection, Container, Iterator
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Collection, Container, Iterable, Iterator
+from dataclasses import dataclass, replace
 from random import Random
 
 import anyio
 
 from daleroad.candidates import CandidateEvaluator
+from daleroad.contention import NO_CONTENTION, Contention
 from daleroad.defaults import MAX_BACKUP_LOAD, MIN_BACKUP_SECONDS
 from daleroad.dispatch import Attempt, Prompt
 from daleroad.fleet import Fleet
+from daleroad.guardedstreams import ReadingRates, StreamGuard
 from daleroad.guarding import Guard
 from daleroad.health import Ejector
 from daleroad.instances import Instance
 from daleroad.limitedsends import GrantClient, list_limit_notices
 from daleroad.limitprobes import RecentFailures, is_suitable
 from daleroad.loads import GatewayLoads
-from daleroad.notices import PlaceAnswer, PlaceRequest
+from daleroad.notices import Demand, Load, PlaceAnswer, PlaceRequest, WithdrawRequest
 from daleroad.paces import GetPace
 from daleroad.picking import Candidate, make_preference_order, pick_upstream, sample_candidates
+from daleroad.promptwaits import PromptWaits
+from daleroad.reserves import Reserve, apply_reserve
 from daleroad.routing import ServiceRule
 from daleroad.unreached import UnreachableUpstreams
 
@@ -26,12 +30,25 @@
 """Asks the placer, which runs in another process, for an upstream; returns nothing if there is no
 answer."""
 
+WithdrawalCall = Callable[[WithdrawRequest], Awaitable[None]]
+"""Tells the placer that a request waits no longer."""
+
 
 @dataclass(frozen=True)
 class InsufficientMemory:
     """Returned instead of an engine when no engine has enough free memory for the prompt now."""
 
 
+@dataclass(frozen=True)
+class Refused:
+    """Returned instead of an engine when the request can't start before its client gives up.
+
+    :param retry_after: seconds after which there will be room.
+    """
+
+    retry_after: float
+
+
 @dataclass(frozen=True)
 class GatewayOptions:
     """Startup options of a gateway. Times are in seconds.
@@ -68,7 +85,11 @@
     :param get_service: returns a service of the current configuration.
     :ivar gateways: number of live gateways, including this one.
     :ivar request_placement: asks the central placer; nothing where there is none.
-    :ivar get_pace: returns the pace of an engine, if it is known.
+    :ivar await_placement: waits at the central placer for room.
+    :ivar send_withdrawal: tells the central placer that a request waits no longer.
+    :ivar waits: the gateway's own waiting requests, while no central placer answers.
+    :ivar get_pace: returns the pace of an engine, or nothing if it is unknown.
+    :ivar get_contention: returns how the prompt routes of a service compete.
     """
 
     def __init__(
@@ -82,7 +103,10 @@
     ) -> None:
         self.gateways = 1
         self.request_placement: PlacementCall | None = None
-        self.get_pace: GetPace = lambda instance_id: None
+        self.await_placement: PlacementCall | None = None
+        self.send_withdrawal: WithdrawalCall | None = None
+        self.waits = PromptWaits(self._place_alone)
+        self._unsent_loads: dict[str, Load] = {}
         self.ejector = Ejector()
         self._limited_sends = GrantClient(options.address, fleet, guard)
         self._recent_failures = RecentFailures()
@@ -93,6 +117,12 @@
         self._loads = loads
         self._random = random
         self._get_service = get_service
+        self.get_pace: GetPace = lambda instance_id: None
+        self.get_contention: Callable[[str], Contention] = lambda service: NO_CONTENTION
+        self._reading_rates = ReadingRates()
+        self._stream_guard = StreamGuard(
+            fleet, loads.get_total, lambda name: self.get_pace(name), self._reading_rates
+        )
 
     def pick(
         self,
@@ -100,6 +130,7 @@
         tokens: int,
         excluded: Container[str],
         prompt: Prompt | None = None,
+        demand: Demand | None = None,
     ) -> Instance | None:
         """Pick an upstream for a request from local state; return nothing if there is none.
 
@@ -112,16 +143,33 @@
         :param tokens: tokens of memory that the request may use.
         :param excluded: instances not to use.
         :param prompt: the request's prompt, if it has one.
+        :param demand: what the request demands, if requests to the service compete.
+        """
+        unread = prompt.tokens if prompt is not None else 0
+        candidates = self.list_candidates(service, tokens, excluded, demand, unread)
+        is_short = service.engine is not None and prompt is not None and prompt.ends_soon()
+        picked = self._pick_alone(candidates, is_short)
+        if picked is not None:
+            self._note_reading(service, picked.instance.id, unread)
+        return picked.instance if picked else None
+
+    def _pick_alone(self, candidates: Iterator[Candidate], is_short: bool) -> Candidate | None:
+        """Return the candidate that a gateway picks without the central placer.
+
+        :param candidates: the candidates.
+        :param is_short: whether the request is a short generation.
         """
-        candidates = self.list_candidates(service, tokens, excluded)
         zone = self._options.zone
-        if service.engine is not None and prompt is not None and prompt.ends_soon():
+        if is_short:
             spread = make_preference_order(self._options.address, self.gateways)
-            picked = pick_upstream(candidates, zone, self._random, preference=spread)
-        else:
-            sample = sample_candidates(candidates, self.gateways, self._random)
-            picked = pick_upstream(sample, zone, self._random)
-        return picked.instance if picked else None
+            return pick_upstream(candidates, zone, self._random, preference=spread)
+        sample = sample_candidates(candidates, self.gateways, self._random)
+        return pick_upstream(sample, zone, self._random)
+
+    def _note_reading(self, service: ServiceRule, instance_id: str, unread: int) -> None:
+        """Record the prompt of a request that an engine was picked for."""
+        if self.get_contention(service.name).guarded_ranks:
+            self._reading_rates.record(instance_id, unread, anyio.current_time())
 
     def pick_least_busy(
         self, service: ServiceRule, tokens: int, excluded: Container[str]
@@ -148,8 +196,11 @@
         excluded: Collection[str],
         prompt: Prompt | None = None,
         may_wait: bool = False,
+        demand: Demand | None = None,
+        ticket: str = "",
+        is_waiting: bool = False,
         repeatable: bool = True,
-    ) -> Instance | InsufficientMemory | None:
+    ) -> Instance | InsufficientMemory | Refused | None:
         """Return the upstream that a request should go to, if there is one.
 
         Asks the central placer where one should place the request, and picks from local state if
@@ -161,24 +212,89 @@
         :param prompt: the request's prompt, if it has one.
         :param may_wait: whether to return ``InsufficientMemory`` rather than an engine that lacks
             memory.
+        :param demand: what the request demands, if requests to the service compete.
+        :param ticket: identifies the request while it waits; it may if it has a demand, too.
+        :param is_waiting: whether it was told to wait, and should do so before the answer.
         :param repeatable: whether the request may be sent elsewhere if it fails.
         """
         asked_at = anyio.current_time()
-        answer = None
-        if self.request_placement is not None and self._needs_placer(service, prompt):
+        answer = request = None
+        call = self.await_placement if is_waiting else self.request_placement
+        asks = call is not None and self._needs_placer(service, prompt)
+        if asks or demand is not None:
             request = self._make_place_request(
                 service, tokens, prompt, excluded, may_wait, repeatable=repeatable
             )
-            answer = await self.request_placement(request)
+            request = replace(request, demand=demand, ticket=ticket if demand is not None else "")
+            answer = await call(request) if asks and call is not None else None
+        if answer is None and not is_waiting:
+            preferred = self._pick_preferred(service, tokens, excluded, prompt, demand, repeatable)
+            if preferred is not None:
+                return preferred
+        if answer is None and request is not None and request.ticket:
+            answer = await self._wait_alone(request, is_waiting)
         if answer is None:
-            picked = self._pick_within_share(service, tokens, excluded, True, repeatable)
-            picked = picked or self.pick(service, tokens, excluded, prompt)
+            picked = self.pick(service, tokens, excluded, prompt, demand)
             return picked or self._pick_within_share(service, tokens, excluded)
+        if answer.refused:
+            return Refused(answer.retry_after)
         if answer.crowded:
             return InsufficientMemory()
         self._limited_sends.store_grant(answer, asked_at)
         placed = self._find_usable(answer.instance, excluded)
-        return placed or self.pick(service, tokens, excluded, prompt)
+        return placed or self.pick(service, tokens, excluded, prompt, demand)
+
+    async def _wait_alone(self, request: PlaceRequest, is_waiting: bool) -> PlaceAnswer | None:
+        """Return the place of a request among those of this gateway, if any upstream may get it."""
+        try:
+            answer = await self.waits.hold(request) if is_waiting else self.waits.submit(request)
+        finally:
+            # The caller adds the load before any other request is placed.
+            self._unsent_loads.pop(request.ticket, None)
+        has_answer = answer.instance or answer.crowded or answer.refused
+        return answer if has_answer else None
+
+    def _place_alone(
+        self, request: PlaceRequest, reserve: Reserve | None, now: float
+    ) -> PlaceAnswer:
+        """Place a request from local state; its load counts from then on."""
+        service = self._get_service(request.service)
+        if service is None or service.engine is None or request.demand is None:
+            return PlaceAnswer("")
+        candidates = self.list_candidates(
+            service, request.tokens, request.excluded, request.demand, request.unread
+        )
+        if reserve is not None:
+            load = Load("", 1, request.tokens, request.unread)
+            memory = service.engine.memory_tokens
+            candidates = apply_reserve(candidates, reserve, load, memory, self._get_load)
+        picked = self._pick_alone(candidates, not request.demand.long)
+        if picked is None:
+            return PlaceAnswer("")
+        if picked.lacks_memory and request.patient:
+            return PlaceAnswer(picked.instance.id, crowded=True)
+        load = Load(picked.instance.id, 1, request.tokens, request.unread)
+        self._unsent_loads[request.ticket] = load
+        self._note_reading(service, picked.instance.id, request.unread)
+        return PlaceAnswer(picked.instance.id)
+
+    def _get_load(self, instance_id: str) -> Load:
+        """Return the load of all gateways on an instance, with requests not yet sent there."""
+        load = self._loads.get_total(instance_id)
+        for unsent in self._unsent_loads.values():
+            load = load.add(unsent) if unsent.instance == instance_id else load
+        return load
+
+    async def withdraw(self, service: str, ticket: str) -> None:
+        """Let a request wait no longer.
+
+        :param service: the service that it is for.
+        :param ticket: its ticket.
+        """
+        request = WithdrawRequest(self._options.address, service, ticket)
+        self.waits.withdraw(service, request.gateway, ticket)
+        if self.send_withdrawal is not None:
+            await self.send_withdrawal(request)
 
     def _needs_placer(self, service: ServiceRule, prompt: Prompt | None) -> bool:
         """Return whether the central placer should place a request."""
@@ -244,29 +360,42 @@
             return self._limited_sends.try_acquire_fallback(instance, self.gateways)
         return answer.granted and answer.instance == instance.id
 
-    def _pick_within_share(
+    def _pick_preferred(
         self,
         service: ServiceRule,
         tokens: int,
         excluded: Container[str],
-        others_have_room: bool = False,
-        repeatable: bool = True,
+        prompt: Prompt | None,
+        demand: Demand | None,
+        repeatable: bool,
     ) -> Instance | None:
-        """Return a rate-limited upstream of which this gateway has a share left, if any.
+        """Return a rate-limited upstream that should get a request although others have room.
 
-        While others have room, it must be one where the request is not worse off.
+        This gateway has a share of it left, and the request is not worse off there.
         """
         if not self._limited_sends.has_limited_upstreams(service.name):
             return None
-        limited = (
-            c.instance
-            for c in self.list_rate_limited(service, tokens, excluded)
-            if not others_have_room
-            or (is_suitable(c) and not self._is_risky(c.instance.id, repeatable))
+        unread = prompt.tokens if prompt is not None else 0
+        picked = self._find_within_share(
+            candidate
+            for candidate in self.list_rate_limited(service, tokens, excluded, demand, unread)
+            if is_suitable(candidate) and not self._is_risky(candidate.instance.id, repeatable)
         )
+        if picked is not None:
+            self._note_reading(service, picked.id, unread)
+        return picked
+
+    def _pick_within_share(
+        self, service: ServiceRule, tokens: int, excluded: Container[str]
+    ) -> Instance | None:
+        """Return a rate-limited upstream of which this gateway has a share left, if any."""
+        return self._find_within_share(self.list_rate_limited(service, tokens, excluded))
+
+    def _find_within_share(self, limited: Iterable[Candidate]) -> Instance | None:
+        instances = (candidate.instance for candidate in limited)
+        sends = self._limited_sends
         return next(
-            (i for i in limited if self._limited_sends.try_store_fallback_grant(i, self.gateways)),
-            None,
+            (i for i in instances if sends.try_store_fallback_grant(i, self.gateways)), None
         )
 
     def pick_rate_limited(
@@ -290,6 +419,7 @@
         self.ejector.forget(instance_id)
         self._limited_sends.forget(instance_id)
         self._recent_failures.forget(instance_id)
+        self._reading_rates.forget(instance_id)
 
     def pick_backup(
         self, instance: Instance, tokens: int, prompt: Prompt | None
@@ -336,20 +466,32 @@
         self.record_result(instance, False)
 
     def list_candidates(
-        self, service: ServiceRule, tokens: int, excluded: Container[str]
+        self,
+        service: ServiceRule,
+        tokens: int,
+        excluded: Container[str],
+        demand: Demand | None = None,
+        unread: int = 0,
     ) -> Iterator[Candidate]:
         """Yield the upstreams of a service that may get a request without a grant.
 
         :param service: the service.
         :param tokens: tokens of memory that the request may use.
         :param excluded: instances not to use.
+        :param demand: what the request demands, if requests to the service compete.
+        :param unread: prompt tokens to read there; 0 for a stream that moves with its memory.
         """
-        for candidate in self._list_all(service, tokens, excluded):
+        for candidate in self._list_all(service, tokens, excluded, demand, unread):
             if not self._guard.needs_grant(candidate.instance):
                 yield candidate
 
     def list_rate_limited(
-        self, service: ServiceRule, tokens: int, excluded: Container[str]
+        self,
+        service: ServiceRule,
+        tokens: int,
+        excluded: Container[str],
+        demand: Demand | None = None,
+        unread: int = 0,
     ) -> Iterator[Candidate]:
         """Yield the upstreams of a service that announced a rate limit.
 
@@ -358,23 +500,35 @@
         :param service: the service.
         :param tokens: tokens of memory that the request may use.
         :param excluded: instances not to use.
+        :param demand: what the request demands, if requests to the service compete.
+        :param unread: prompt tokens to read there; 0 for a stream that moves with its memory.
         """
-        for candidate in self._list_all(service, tokens, excluded):
+        for candidate in self._list_all(service, tokens, excluded, demand, unread):
             if candidate.rate_limited and not self._guard.is_cold_limited(candidate.instance):
                 yield candidate
 
     def _list_all(
-        self, service: ServiceRule, tokens: int, excluded: Container[str]
+        self,
+        service: ServiceRule,
+        tokens: int,
+        excluded: Container[str],
+        demand: Demand | None = None,
+        unread: int = 0,
     ) -> Iterator[Candidate]:
         """Yield the upstreams that accept requests from this gateway, limited ones included."""
+        now = anyio.current_time()
+        penalty = self._stream_guard.make_penalty(
+            service, self.get_contention(service.name), demand, unread, now
+        )
         judge = CandidateEvaluator(
             self._fleet,
             self._options.heartbeat,
-            self._loads.get_total,
+            self._get_load,
             self._is_failing,
             self._guard.zones.zones,
+            penalty,
         )
-        candidates = judge.list_candidates(service, tokens, excluded, anyio.current_time())
+        candidates = judge.list_candidates(service, tokens, excluded, now)
         return (c for c in candidates if not self._guard.is_backing_off(c.instance))
 
     def record_result(self, instance: Instance, ok: bool) -> None:
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -74,6 +74,11 @@
         "An operator's order about an availability zone is on a majority of disks.",
     )
     ZONE_ORDER_REFUSED = Kind(235, logging.WARNING, "An order about a zone was not accepted.")
+    QUEUE_LONG = Kind(236, logging.WARNING, "Many prompts wait for room in a service's engines.")
+    QUEUE_EMPTIED = Kind(237, logging.INFO, "No prompt waits any more where many did.")
+    PROMPT_REFUSED = Kind(
+        238, logging.INFO, "A prompt that waited for an engine can't start in time and is refused."
+    )
     ZONES_IN_FORCE = Kind(307, logging.WARNING, "A gateway goes by other evacuated zones.")
     CONFIG_IN_FORCE = Kind(302, logging.INFO, "A gateway serves by a newer configuration.")
     COORDINATOR_LOST = Kind(303, logging.WARNING, "A gateway's watch of a coordinator failed.")
@@ -118,6 +123,10 @@
         328, logging.WARNING, "A generation could not be copied, or a stream resumed, elsewhere."
     )
     ANSWER_CUT = Kind(329, logging.INFO, "An answer to a client ended before it was whole.")
+    MEMORY_BOUND_REACHED = Kind(
+        350, logging.WARNING, "A gateway holds as many bytes as its memory allows."
+    )
+    MEMORY_BOUND_OVER = Kind(351, logging.INFO, "A gateway has room for requests again.")
     ORDER_SENT = Kind(333, logging.INFO, "An order was sent to an engine.")
     ORDER_SETTLED = Kind(331, logging.INFO, "An engine's state was read back as ordered.")
     ORDER_FAILED = Kind(332, logging.WARNING, "An engine did not answer an order.")
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from daleroad.choosing import InsufficientMemory
+from daleroad.choosing import InsufficientMemory, Refused
 from daleroad.defaults import (
     ENGINE_RETRY_AFTER_SECONDS,
     EVACUATED_RETRY_SECONDS,
@@ -24,6 +24,7 @@
     SPARE_SECONDS,
     START_SECONDS,
 )
+from daleroad.demands import make_demand
 from daleroad.dispatch import (
     Attempt,
     ClientRequest,
@@ -42,6 +43,8 @@
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance
 from daleroad.metrics import RequestMetrics
+from daleroad.notices import Demand
+from daleroad.playout import PlayoutSchedule
 from daleroad.routing import Repeat, RouteRule, RoutingTable, ServiceRule
 from daleroad.runs import RetryState, StreamRegistry, StreamRun
 from daleroad.suspects import TRIAL_INTERVAL_SECONDS, Standing
@@ -53,6 +56,7 @@
 
     :param deadline: when the response must be complete.
     :param close: releases the stream; must always be called.
+    :param playout: when its events are delivered; nothing to do so as they arrive.
     """
 
     status: int
@@ -60,8 +64,12 @@
     pieces: AsyncGenerator[bytes | Failure, None]
     deadline: float
     close: Callable[[], Awaitable[None]]
+    playout: PlayoutSchedule | None = None
 
 
+TICKET_BITS = 64
+"""Length of a ticket, so that a gateway that starts anew gives none that its leader still knows."""
+
 Outcome = Whole | StreamResponse | Failure
 
 
@@ -79,6 +87,8 @@
         guard refused.
     :param failed_response: the last complete response that reported a server error, if any.
     :param reached_upstream: whether the last attempt may have reached an upstream.
+    :param ticket: identifies the request while it waits for room.
+    :param is_waiting: whether it waits in a queue.
     """
 
     job: ClientRequest
@@ -95,6 +105,8 @@
     sends: int = 0
     failed_response: Whole | None = None
     reached_upstream: bool = True
+    ticket: str = ""
+    is_waiting: bool = False
 
 
 class Forwarder:
@@ -120,10 +132,24 @@
         if isinstance(state, Failure):
             self._log_outcome(job, None, state)
             return state
-        outcome = await self._run_attempts(state)
+        try:
+            outcome = await self._run_attempts(state)
+        finally:
+            if state.is_waiting:
+                self._gateway.spawn(
+                    self._gateway.selector.withdraw, state.service.name, state.ticket
+                )
         self._log_outcome(job, state, outcome)
         return outcome
 
+    def note_refusal(self, job: ClientRequest, failure: Failure) -> None:
+        """Log and count a request that was refused before it was read completely.
+
+        :param job: the request, without its body.
+        :param failure: why it was refused.
+        """
+        self._log_outcome(job, None, failure)
+
     def _resolve_request(self, job: ClientRequest) -> _RequestState | Failure:
         gateway = self._gateway
         table = gateway.table
@@ -170,8 +196,11 @@
                 return self._make_held_failure(state)
             instance = await self._pick_instance(state, standing)
             if isinstance(instance, InsufficientMemory):
-                await anyio.sleep(MEMORY_WAIT_PAUSE_SECONDS)
+                if not state.is_waiting:
+                    await anyio.sleep(MEMORY_WAIT_PAUSE_SECONDS)
                 continue
+            if isinstance(instance, Refused):
+                return self._make_refusal(state, instance)
             if instance is None:
                 return self._make_final_outcome(state, "no upstream is available")
             state.sends += 1
@@ -185,15 +214,37 @@
 
     async def _pick_instance(
         self, state: _RequestState, standing: Standing
-    ) -> Instance | InsufficientMemory | None:
+    ) -> Instance | InsufficientMemory | Refused | None:
         gateway = self._gateway
         prompt = state.job.prompt
         tokens = count_tokens(prompt)
         if standing is not Standing.CLEAR:
+            state.is_waiting = False
             return gateway.selector.pick_least_busy(state.service, tokens, state.tried_ids)
-        can_wait = self._can_wait_for_memory(state, anyio.current_time())
-        return await gateway.selector.place(
-            state.service, tokens, state.tried_ids, prompt, can_wait, self._can_repeat(state)
+        now = anyio.current_time()
+        can_wait = self._can_wait_for_memory(state, now)
+        demand = self._make_demand(state, now)
+        if demand is not None and not state.is_waiting:
+            state.ticket = f"{gateway.random.getrandbits(TICKET_BITS):x}"
+        placed = await gateway.selector.place(
+            state.service,
+            tokens,
+            state.tried_ids,
+            prompt,
+            can_wait,
+            demand,
+            state.ticket,
+            state.is_waiting,
+            self._can_repeat(state),
+        )
+        state.is_waiting = demand is not None and isinstance(placed, InsufficientMemory)
+        return placed
+
+    def _make_demand(self, state: _RequestState, now: float) -> Demand | None:
+        """Return what a request demands, if requests to its service compete."""
+        contention = self._gateway.get_contention(state.service.name)
+        return make_demand(
+            state.job, state.route, contention, state.organisation, state.rank, state.deadline, now
         )
 
     def _can_wait_for_memory(self, state: _RequestState, now: float) -> bool:
@@ -252,7 +303,9 @@
             silence_timeout_seconds=state.route.get_silence_timeout(),
         )
         unread_tokens = state.job.prompt.tokens if state.job.prompt else 0
-        gateway.loads.add_load(instance, 1, tokens, unread_tokens)
+        demand = self._make_demand(state, anyio.current_time())
+        guarded = int(demand is not None and demand.guarded)
+        gateway.loads.add_load(instance, 1, tokens, unread_tokens, guarded)
         if backup is not None:
             gateway.loads.add_load(backup, 0, tokens)
         streaming = False
@@ -263,18 +316,21 @@
                 if isinstance(reply, NotRun | Lost | Whole):
                     return self._handle_reply(state, instance, reply)
                 streaming = True
-                return self._start_stream(self._make_run(state, attempt, reply, tokens, backup))
+                return self._start_stream(
+                    self._make_run(state, attempt, reply, tokens, backup, demand)
+                )
             state.possible_runs += 1
             state.failed_response = None
             draining = scope.deadline < state.response_deadline
             if draining:
                 return Failure(FailureKind.DRAINING, "the gateway is shutting down", Ran.UNKNOWN)
-            gateway.selector.record_result(instance, False)
+            if state.job.held is None or not state.job.held.starved:
+                gateway.selector.record_result(instance, False)
             return Failure(FailureKind.DEADLINE, f"{instance.id} took too long", Ran.UNKNOWN)
         finally:
             gateway.loads.add_load(instance, 0, 0, -unread_tokens)
             if not streaming:
-                gateway.loads.add_load(instance, -1, -tokens)
+                gateway.loads.add_load(instance, -1, -tokens, guarded=-guarded)
                 if backup is not None:
                     gateway.loads.add_load(backup, 0, -tokens)
 
@@ -308,13 +364,23 @@
         stream: Stream,
         tokens: int,
         backup: Instance | None,
+        demand: Demand | None,
     ) -> StreamRun:
         """Return the state of a started stream, with the limits for resuming it after a cut."""
         max_runs = state.route.attempts if state.route.resumable else 0
         tries = RetryState(set(state.tried_ids), max_runs, state.possible_runs + 1, state.need)
         max_pause = state.route.pause
+        guarded = demand is not None and demand.guarded
         return StreamRun(
-            attempt, stream, state.deadline, tokens, backup, tries=tries, max_pause=max_pause
+            attempt,
+            stream,
+            state.deadline,
+            tokens,
+            backup,
+            tries=tries,
+            max_pause=max_pause,
+            demand=demand,
+            playout=PlayoutSchedule(max_pause) if guarded and max_pause else None,
         )
 
     def _handle_reply(
@@ -329,11 +395,12 @@
                 elif not sent and not held:
                     self._gateway.selector.record_connect_failure(instance)
                 return None
-            case Lost(reason):
+            case Lost(reason, unread):
                 state.possible_runs += 1
                 fingerprint = fingerprint_job(state.job, state.organisation)
                 self._log_failed_attempt(state, instance, "lost", reason, fingerprint)
-                self._gateway.selector.record_result(instance, False)
+                if not unread:
+                    self._gateway.selector.record_result(instance, False)
                 if state.route.is_repeatable():
                     return None
                 return Failure(FailureKind.UPSTREAM_LOST, reason, Ran.UNKNOWN)
@@ -377,6 +444,14 @@
         )
         return Failure(FailureKind.NO_UPSTREAM, reason, Ran.NO, retry_after)
 
+    def _make_refusal(self, state: _RequestState, refused: Refused) -> Outcome:
+        """Return the outcome of a request that can't start in time; it may have run before."""
+        reason = "no engine has room before the client gives up"
+        if state.possible_runs:
+            return self._make_final_outcome(state, reason)
+        retry_after = round(refused.retry_after, 2)
+        return Failure(FailureKind.OVERLOADED, reason, Ran.NO, retry_after)
+
     def _start_stream(self, run: StreamRun) -> StreamResponse:
         runs = self._runs
         stream = run.stream
@@ -385,7 +460,9 @@
         async def close() -> None:
             await runs.close(run)
 
-        return StreamResponse(stream.status, stream.headers, runs.deliver(run), run.deadline, close)
+        return StreamResponse(
+            stream.status, stream.headers, runs.deliver(run), run.deadline, close, run.playout
+        )
 
     def _log_failed_attempt(
         self,
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -15,11 +15,13 @@
 from daleroad.candidates import CandidateEvaluator
 from daleroad.contention import NO_CONTENTION, Contention
 from daleroad.fleet import Fleet
+from daleroad.guardedstreams import ReadingRates, StreamGuard
 from daleroad.limitprobes import LimitProber
 from daleroad.loads import LoadTotals
 from daleroad.notices import Load, PlaceAnswer, PlaceRequest
 from daleroad.paces import GetPace
 from daleroad.picking import Candidate, pick_upstream
+from daleroad.reserves import Reserve, apply_reserve
 from daleroad.routing import ServiceRule
 from daleroad.sendlimits import ColdRule, GrantLimiter, WindowLimit, make_window_limits
 from daleroad.unreached import UnreachableUpstreams
@@ -33,7 +35,7 @@
     :param heartbeat_seconds: interval of the upstreams' heartbeats.
     :param random: source of randomness.
     :param limits: counts the grants for each upstream; by default, a new one that knows none.
-    :param get_pace: returns the pace of an engine, if it is known.
+    :param get_pace: returns the pace of an engine, or nothing if it is unknown.
     """
 
     def __init__(
@@ -52,7 +54,8 @@
         self._loads = loads
         self._heartbeat_seconds = heartbeat_seconds
         self._random = random
-        self._get_pace = get_pace
+        self._reading_rates = ReadingRates()
+        self._stream_guard = StreamGuard(fleet, loads.get_total, get_pace, self._reading_rates)
 
     def place(
         self,
@@ -61,6 +64,7 @@
         now: float,
         evacuated_zones: Container[str] = (),
         contention: Contention = NO_CONTENTION,
+        reserve: Reserve | None = None,
     ) -> PlaceAnswer:
         """Choose an upstream for a request, and record the load that it adds there and any grant.
 
@@ -72,6 +76,8 @@
         :param now: the time.
         :param evacuated_zones: availability zones whose upstreams get no requests.
         :param contention: how the service's routes compete.
+        :param reserve: room that a patient request must leave free for more urgent ones. Where
+            there is none, a ``crowded`` answer names the engine that comes closest to having it.
         """
         self._note_unreached(request, now)
         for notice in request.limits:
@@ -84,25 +90,39 @@
             return unreachable or instance_id in failing
 
         judge = CandidateEvaluator(
-            self._fleet, self._heartbeat_seconds, self._loads.get_total, is_failing, evacuated_zones
+            self._fleet,
+            self._heartbeat_seconds,
+            self._loads.get_total,
+            is_failing,
+            evacuated_zones,
+            self._stream_guard.make_penalty(
+                service, contention, request.demand, request.unread, now
+            ),
         )
         candidates = judge.list_candidates(service, request.tokens, request.excluded, now)
         if request.only:
             candidates = (c for c in candidates if c.instance.id == request.only)
         candidates = self._apply_limits(candidates, service, now)
+        if reserve is not None and service.engine is not None:
+            load, memory = Load("", 1, request.tokens, request.unread), service.engine.memory_tokens
+            candidates = apply_reserve(candidates, reserve, load, memory, self._loads.get_total)
         preferred = self._prober.narrow(candidates, now)
         chosen = pick_upstream(preferred, request.zone, self._random)
         if chosen is None:
             return PlaceAnswer("")
         if chosen.lacks_memory and request.patient:
-            return PlaceAnswer("", crowded=True)
+            closest = chosen.instance.id if contention.is_ordered() else ""
+            return PlaceAnswer(closest, crowded=True)
         # With a cold rate, requests to warm upstreams count too: one may be cold without its being
         # known here yet.
         granted = bool(service.cold_rate) or chosen.rate_limited
         if granted:
             self._limits.record_grant(chosen.instance.id, now)
-        load = Load(chosen.instance.id, 1, request.tokens, request.unread)
+        guarded = int(request.demand is not None and request.demand.guarded)
+        load = Load(chosen.instance.id, 1, request.tokens, request.unread, guarded)
         self._loads.add_load(request.gateway, load, now)
+        if contention.guarded_ranks:
+            self._reading_rates.record(chosen.instance.id, request.unread, now)
         return PlaceAnswer(chosen.instance.id, granted)
 
     def _note_unreached(self, request: PlaceRequest, now: float) -> None:
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -19,6 +19,8 @@
 from daleroad.fingerprints import fingerprint_job
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance, InstanceState
+from daleroad.notices import Demand
+from daleroad.playout import PlayoutSchedule
 from daleroad.suspects import Standing
 
 MIN_WAIT_SECONDS = 0.001
@@ -34,6 +36,7 @@
     STOP = "ended by this gateway's stop"
     DEADLINE = "the time was over"
     UPSTREAM = "broken off upstream"
+    UNREAD = "cut off as its client did not read"
 
 
 @dataclass(frozen=True)
@@ -89,6 +92,8 @@
     :param ready_at: when the client had taken the last event that its engine sent; infinite until
         then, so that no gap spans two engines.
     :param gap_from: when the last event arrived, if the gateway waited for it at its engine.
+    :param demand: what the request demands, if requests to its service compete.
+    :param playout: when its events are delivered; nothing to do so as they arrive.
     """
 
     attempt: Attempt
@@ -110,6 +115,16 @@
     last_event_at: float = 0.0
     ready_at: float = float("inf")
     gap_from: float | None = None
+    demand: Demand | None = None
+    playout: PlayoutSchedule | None = None
+
+    def count_guarded(self) -> int:
+        """Return 1 if the stream is guarded, else 0, as it counts in the load of its engine."""
+        return int(self.demand is not None and self.demand.guarded)
+
+    def get_delivered_pause(self) -> float:
+        """Return the longest pause between events as the client saw it, in seconds."""
+        return self.longest_pause if self.playout is None else self.playout.longest_pause
 
 
 class Migrator(Protocol):
@@ -213,12 +228,15 @@
 
     async def _resume(self, run: StreamRun, cut: Lost) -> Failure | None:
         """Resume a stream that was cut: from copied memory, or else by a restart elsewhere."""
+        if cut.unread and not run.migrating and not run.tries.max_runs:
+            return Failure(FailureKind.STALLED, "the client did not read", Ran.PARTIAL)
         cut_at = anyio.current_time()
         continuation = await self._mover.find_resume_point(run)
         if continuation is not None:
             failure = await self._resume_at(run, continuation.instance, continuation.source, cut_at)
         else:
-            self._gateway.selector.record_result(run.attempt.instance, False)
+            if not cut.unread:
+                self._gateway.selector.record_result(run.attempt.instance, False)
             failure = Failure(FailureKind.UPSTREAM_LOST, cut.reason, Ran.PARTIAL)
         while failure is not None and failure.kind is FailureKind.UPSTREAM_LOST:
             instance = self._pick_restart_instance(run)
@@ -246,7 +264,7 @@
             return None
         prompt = run.attempt.job.prompt
         selector = gateway.selector
-        found = selector.pick(service, run.tokens, tries.tried_ids, prompt)
+        found = selector.pick(service, run.tokens, tries.tried_ids, prompt, run.demand)
         found = found or selector.pick_rate_limited(service, run.tokens, tries.tried_ids)
         if found is None or not gateway.take_retry(service.name):
             return None
@@ -326,7 +344,8 @@
         run.resume_point = None
         run.ready_at = float("inf")
         run.migration_done = anyio.Event()
-        self._gateway.loads.add_load(attempt.instance, 1, run.tokens)
+        guarded = run.count_guarded()
+        self._gateway.loads.add_load(attempt.instance, 1, run.tokens, guarded=guarded)
         if backup is not None:
             self._gateway.loads.add_load(backup, 0, run.tokens)
 
@@ -338,7 +357,8 @@
             self._mover.start_migration(run)
 
     def _release_loads(self, run: StreamRun) -> None:
-        self._gateway.loads.add_load(run.attempt.instance, -1, -run.tokens)
+        guarded = run.count_guarded()
+        self._gateway.loads.add_load(run.attempt.instance, -1, -run.tokens, guarded=-guarded)
         if run.backup is not None:
             self._gateway.loads.add_load(run.backup, 0, -run.tokens)
 
@@ -357,14 +377,21 @@
             reason=run.reason,
             fingerprint=fingerprint,
             longest_pause=round(run.longest_pause, 3),
-            paused=0 < run.max_pause < run.longest_pause,
+            paused=0 < run.max_pause < run.get_delivered_pause(),
+            shortened=run.playout.shortened if run.playout else 0,
             seconds=round(anyio.current_time() - run.attempt.job.received_at, 3),
         )
 
 
 def _classify_end(failure: Failure) -> StreamEnd:
     """Return the end of a stream that failed and could not be resumed."""
-    return StreamEnd.DEADLINE if failure.kind is FailureKind.DEADLINE else StreamEnd.UPSTREAM
+    match failure.kind:
+        case FailureKind.DEADLINE:
+            return StreamEnd.DEADLINE
+        case FailureKind.STALLED:
+            return StreamEnd.UNREAD
+        case _:
+            return StreamEnd.UPSTREAM
 
 
 def _record_event(run: StreamRun, piece: StreamEvent) -> bool:
