Test that a competing prompt looks for a limited upstream before it waits

Change: a prompt that doesn't wait yet goes to the limited upstream within the gateway's share; one that waits gets what the queue gives it.

--- a/tests/test_limitprobes.py
+++ b/tests/test_limitprobes.py
@@ -25,7 +25,7 @@
 from daleroad.instances import Instance, Sighting
 from daleroad.limitprobes import FAILURE_SECONDS, UNCERTAIN_SECONDS, LimitProber
 from daleroad.loads import LoadTotals
-from daleroad.notices import PlaceAnswer, PlaceRequest
+from daleroad.notices import Demand, PlaceAnswer, PlaceRequest
 from daleroad.picking import Candidate
 from daleroad.placer import Placer
 from daleroad.ratelimits import RateLimit
@@ -265,6 +265,25 @@
         self.assertIsInstance(placed, Instance)
         listed.assert_not_called()
 
+    def test_competing_prompt_looks_for_limited_upstream_before_it_waits(self) -> None:
+        sim = Sim(Upstream([(0.0, 6.0)]), Repeat.STREAM, leads=False)
+        gateway, demand = sim.gateways[0], Demand("", 0, 1.0, 0.0, 0.0, 10.0, False, "f")
+        gateway.selector.gateways = 1
+        service = sim.config.services[0]
+
+        async def place(is_waiting: bool) -> object:
+            gateway.fleet.note_all(sim.sightings, anyio.current_time())
+            gateway.fleet.note_limit("i1", RateLimit(6.0), anyio.current_time())
+            with patch.object(gateway.selector, "_wait_alone", return_value=PlaceAnswer("i2")):
+                return await gateway.selector.place(
+                    service, 9, (), PROMPT, False, demand, "t", is_waiting
+                )
+
+        for is_waiting, expected in ((True, "i2"), (False, "i1")):
+            placed = trio.run(place, is_waiting)
+            assert isinstance(placed, Instance)
+            self.assertEqual(placed.id, expected)
+
     def test_requests_that_run_once_avoid_failing_upstream(self) -> None:
         for leads in (True, False):
             sim = play([(0.0, 6.0)], Repeat.ONCE, leads, 25.0, failing=True)
