Let routes of the soak compete for its engines

Cause: the soak's routes had one rank and objective, so none of the new parts acted in it. Change: short streams go to a route that is less urgent and starts sooner.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -473,9 +473,11 @@
         stream = route | {"path_prefix": "/stream/", "route_kind": "streaming", "max_attempts": 1}
         stream |= {"service": ENGINE_SERVICE, "timeout_ms": STREAM_TIMEOUT_SECONDS * 1000}
         stream |= {"sticky": True, "target_latency_ms": 1000, "target_itl_ms": 180}
+        # Less urgent and to be started sooner, so the routes compete for the engines.
+        brief = stream | {"path_prefix": "/brief/", "target_latency_ms": 400, "priority": 1}
         engine = {"slots": Engine.slots, "kv_capacity_tokens": 34305}
         services = [{"name": PLAIN_SERVICE}, {"name": ENGINE_SERVICE, "engine": engine}]
-        config = {"version": version, "routes": [*routes, stream], "services": services}
+        config = {"version": version, "routes": [*routes, stream, brief], "services": services}
         with anyio.move_on_after(limit):
             while True:
                 place = self._draw_coordinator(self.random)
--- a/tools/soakstreams.py
+++ b/tools/soakstreams.py
@@ -133,7 +133,8 @@
         sent = anyio.current_time()
         ending: Ending | None = Ending.FAILED
         with anyio.move_on_after(limit):
-            url = f"http://{self._gateways[gateway]}/stream/x"
+            route = "brief" if size.events == SHORT_EVENTS else "stream"
+            url = f"http://{self._gateways[gateway]}/{route}/x"
             ending = await self._read(client, url, headers, size.events)
         ended = anyio.current_time()
         self._ledger.asked.append(Asked(request, Kind.STREAM, gateway, sent, ended, ending))
