Ask a contention whether it guards streams

Five places derived it from the ranks of the guarded routes. No behaviour changes; the unit tests of contention, guarded streams, placer and paces pass.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -166,7 +166,7 @@
 
     def _note_reading(self, service: ServiceRule, instance_id: str, unread: int) -> None:
         """Record the prompt of a request that an engine was picked for."""
-        if self.get_contention(service.name).guarded_ranks:
+        if self.get_contention(service.name).guards_streams():
             self._reading_rates.record(instance_id, unread, anyio.current_time())
 
     def pick_least_busy(
--- a/src/daleroad/contention.py
+++ b/src/daleroad/contention.py
@@ -22,8 +22,8 @@
 from daleroad.routing import RouteRule, RoutingConfig
 
 YIELD_OBJECTIVES = 2.0
-"""Ratio of two routes' objectives from which the patient one can yield. A request that waits for a
-whole objective of the other route still has as much time to start itself."""
+"""Ratio of two routes' objectives from which the one with the longer can yield. A request that
+waits for a whole objective of the other route still has as much time to start itself."""
 
 
 @dataclass(frozen=True)
@@ -41,7 +41,11 @@
 
     def is_ordered(self) -> bool:
         """Return whether prompts that wait for an engine are queued by urgency."""
-        return self.yields or bool(self.guarded_ranks)
+        return self.yields or self.guards_streams()
+
+    def guards_streams(self) -> bool:
+        """Return whether the running streams of some route are guarded."""
+        return bool(self.guarded_ranks)
 
 
 NO_CONTENTION = Contention()
--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -609,7 +609,7 @@
 
     def _learns_paces(self, service: str) -> bool:
         """Return whether the pace of a service's engines matters, as it has guarded streams."""
-        return bool(self._contentions.get(service, NO_CONTENTION).guarded_ranks)
+        return self._contentions.get(service, NO_CONTENTION).guards_streams()
 
     def _wake(self) -> None:
         self._changed.set()
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -234,7 +234,7 @@
 
         :param service: the service's name.
         """
-        return bool(self.get_contention(service).guarded_ranks)
+        return self.get_contention(service).guards_streams()
 
     def list_paces(self, now: float) -> list[Pace]:
         """Return the paces that this gateway has learnt of engines, for the coordinators.
--- a/src/daleroad/guardedstreams.py
+++ b/src/daleroad/guardedstreams.py
@@ -164,7 +164,7 @@
         :param unread: prompt tokens that the engine has to read; 0 for a stream that moves.
         :param now: the time.
         """
-        if demand is None or service.engine is None or not contention.guarded_ranks:
+        if demand is None or service.engine is None or not contention.guards_streams():
             return no_penalty
         names = [instance.id for instance in self.fleet.list_ready(service.name)]
         read_tokens = READ_TOKENS_PER_STEP * service.engine.event_tokens
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -118,7 +118,7 @@
         guarded = int(request.demand is not None and request.demand.guarded)
         load = Load(chosen.instance.id, 1, request.tokens, request.unread, guarded)
         self._loads.add_load(request.gateway, load, now)
-        if contention.guarded_ranks:
+        if contention.guards_streams():
             self._reading_rates.record(chosen.instance.id, request.unread, now)
         return PlaceAnswer(chosen.instance.id, granted)
 
