Name who fills a destination of a move, and schedule pre-copies once

"Contended" was a second sense of contention, "prompt refusal" read as one of a prompt, and both schedules held the same loop over pre-copies. No behaviour changes; the unit tests of the copy schedule, plans, moves and runs pass.

--- a/src/daleroad/copyschedule.py
+++ b/src/daleroad/copyschedule.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
+from itertools import cycle
 
 MIN_STOP_MARGIN_SECONDS = 0.28
 """Time between the last pre-copy and the engine's end, beyond that of the final copies: one copy to
@@ -51,13 +52,13 @@
 
     :param same_zone: whether it is in the same availability zone.
     :param free_tokens: free memory in tokens.
-    :param contended: whether another engine that is shutting down fills it first.
+    :param assigned_elsewhere: whether another engine that is shutting down fills it first.
     """
 
     id: str
     same_zone: bool
     free_tokens: float
-    contended: bool = False
+    assigned_elsewhere: bool = False
 
 
 @dataclass(frozen=True)
@@ -93,13 +94,7 @@
     final_copies = FINAL_COPY_SECONDS * len(ranked)
     latest_end = leaves_in - MIN_STOP_MARGIN_SECONDS - final_copies
     assigned = list(_assign_destinations(ranked, list(rooms), token_seconds))
-    starts: dict[str, float] = {}
-    clock = 0.0
-    for run, _, seconds in assigned:
-        if clock + seconds > latest_end:
-            break
-        starts[run.id] = clock
-        clock += seconds
+    starts, clock = _schedule_pre_copies(assigned, latest_end)
     stop = clock + STOP_DELAY_SECONDS
     slots = {r.id: Slot(to, starts[r.id], stop) for r, to, _ in assigned if r.id in starts}
     # The remaining time is used for runs that are stopped before their whole copy.
@@ -112,10 +107,29 @@
     return slots
 
 
+def _schedule_pre_copies(
+    assigned: Iterable[tuple[RunSize, str, float]], latest_end: float
+) -> tuple[dict[str, float], float]:
+    """Return when each pre-copy that fits starts, by the run's id, and when the last one ends.
+
+    :param assigned: each run with its destination's id and the duration of its copy in seconds.
+    :param latest_end: seconds from now until the last one must end.
+    """
+    starts: dict[str, float] = {}
+    clock = 0.0
+    for run, _, seconds in assigned:
+        if clock + seconds > latest_end:
+            break
+        starts[run.id] = clock
+        clock += seconds
+    return starts, clock
+
+
 def schedule_staggered_copies(
     runs: Iterable[RunSize], rooms: Iterable[Destination], leaves_in: float, token_seconds: float
 ) -> dict[str, Slot]:
-    """Return a slot for each run that can be copied in time, for streams that bear short pauses.
+    """Return a slot for each run that can be copied in time, for streams whose
+    routes allow only short pauses.
 
     Like :func:`schedule_copies`, but each run is stopped only when the link is free for its final
     copy, and a run that is copied after the others' final copies has a pre-copy too if the time
@@ -131,13 +145,7 @@
     finals = {room.id: _get_final_copy_seconds(room) for room in rooms}
     assigned = list(_assign_destinations(ranked, rooms, token_seconds))
     latest_end = leaves_in - MIN_STOP_MARGIN_SECONDS - sum(finals[to] for _, to, _ in assigned)
-    starts: dict[str, float] = {}
-    clock = 0.0
-    for run, _, seconds in assigned:
-        if clock + seconds > latest_end:
-            break
-        starts[run.id] = clock
-        clock += seconds
+    starts, clock = _schedule_pre_copies(assigned, latest_end)
     slots = {}
     if starts:
         clock += STOP_DELAY_SECONDS
@@ -170,7 +178,7 @@
     return None
 
 
-def find_contended(
+def find_assigned_elsewhere(
     origin: str, leaving: Mapping[str, str], rooms: Mapping[str, str]
 ) -> frozenset[str]:
     """Return the destinations that other engines that are shutting down fill first.
@@ -183,15 +191,16 @@
     :param leaving: zone of each engine that is shutting down, by id, with the origin.
     :param rooms: zone of each possible destination, by id.
     """
-    zones = set(leaving.values())
-    contended: set[str] = set()
-    for group in {zone if zone in zones else "" for zone in rooms.values()}:
-        claimants = sorted(id_ for id_, zone in leaving.items() if group in ("", zone))
-        shared = sorted(id_ for id_, z in rooms.items() if (z if z in zones else "") == group)
-        contended.update(
-            id_ for index, id_ in enumerate(shared) if claimants[index % len(claimants)] != origin
-        )
-    return frozenset(contended)
+    # Under "": the destinations in zones that no engine leaves.
+    by_zone: dict[str, list[str]] = {}
+    for room_id, zone in sorted(rooms.items()):
+        by_zone.setdefault(zone if zone in leaving.values() else "", []).append(room_id)
+    assigned: set[str] = set()
+    for zone, room_ids in by_zone.items():
+        origins = sorted(id_ for id_, left_zone in leaving.items() if zone in ("", left_zone))
+        owners = zip(room_ids, cycle(origins), strict=False)
+        assigned.update(room_id for room_id, owner in owners if owner != origin)
+    return frozenset(assigned)
 
 
 def sum_copy_seconds(
@@ -236,7 +245,7 @@
         key=lambda r: (
             r.free_tokens < tokens,
             not r.same_zone,
-            r.contended,
+            r.assigned_elsewhere,
             -r.free_tokens,
             r.id,
         ),
--- a/src/daleroad/migration.py
+++ b/src/daleroad/migration.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from daleroad.copyschedule import Destination, RunSize, find_contended
+from daleroad.copyschedule import Destination, RunSize, find_assigned_elsewhere
 from daleroad.defaults import (
     LATE_PLAN_SECONDS,
     MOVE_RETRY_SECONDS,
@@ -31,8 +31,8 @@
 """Time to wait for the notices of other engines that shut down together, before destinations are
 shared out among them; one spreads to all gateways within 0.02 s. Short beside a notice of 1.5 s."""
 
-PROMPT_REFUSAL_SECONDS = 0.05
-"""A refusal that comes so soon left the link idle, so the run's slot can be used for another
+EARLY_REFUSAL_SECONDS = 0.05
+"""A copy that is refused so soon left the link idle, so the run's slot can be used for another
 destination. Later, its copy would delay the next run's final copy by a quarter of its pause."""
 
 
@@ -158,7 +158,10 @@
     async def _copy_in_own_turn(
         self, run: StreamRun, destination: Instance, plan: MigrationPlan
     ) -> Copied | NotCopied | None:
-        """Copy a run by a staggered plan, and stop it only for a destination that is ready."""
+        """Copy a run by a staggered plan, and stop it only for a destination that is ready.
+
+        ``None`` if the run ended meanwhile.
+        """
         run_id = run.attempt.job.id
         if run_id not in plan.stopped:
             # An extended plan may give the run an earlier start, or a pre-copy.
@@ -184,13 +187,17 @@
     def _keeps_slot(
         self, run: StreamRun, plan: MigrationPlan, refused: Instance, excluded: set[str]
     ) -> bool:
-        """Return whether a run is copied elsewhere at once after a refusal."""
+        """Return whether a run is copied elsewhere at once after its copy was refused.
+
+        :param refused: the destination that refused.
+        :param excluded: ids of the engines that can't be its destination, with that one.
+        """
         run_id = run.attempt.job.id
         if run_id in plan.stopped:
             # Its client waits already.
             return True
         used = anyio.current_time() - plan.get_first_copy(run_id)
-        if not plan.staggered or run_id not in plan.slots or used >= PROMPT_REFUSAL_SECONDS:
+        if not plan.staggered or run_id not in plan.slots or used >= EARLY_REFUSAL_SECONDS:
             return False
         # A copy to another zone would take twice the slot and delay the others' final copies.
         origin = run.attempt.instance
@@ -324,15 +331,17 @@
         memory = service.engine.memory_tokens if service.engine else 0
         candidates = self._gateway.selector.list_candidates(service, 0, {origin.id})
         engines = [c.instance for c in candidates if not c.unhealthy and not c.overdue]
-        contended = self._find_contended(origin, engines) if shared else frozenset()
+        assigned = self._find_assigned_elsewhere(origin, engines) if shared else frozenset()
         for engine in engines:
             free = memory - self._gateway.loads.get_total(engine.id).tokens
             same_zone = engine.zone == origin.zone
-            yield Destination(engine.id, same_zone, free, engine.id in contended)
+            yield Destination(engine.id, same_zone, free, engine.id in assigned)
 
-    def _find_contended(self, origin: Instance, engines: Iterable[Instance]) -> frozenset[str]:
+    def _find_assigned_elsewhere(
+        self, origin: Instance, engines: Iterable[Instance]
+    ) -> frozenset[str]:
         leaving = self._gateway.fleet.list_leaving(origin.service)
-        return find_contended(
+        return find_assigned_elsewhere(
             origin.id,
             {engine.id: engine.zone for engine in (*leaving, origin)},
             {engine.id: engine.zone for engine in engines},
--- a/src/daleroad/plans.py
+++ b/src/daleroad/plans.py
@@ -48,7 +48,8 @@
     :param ready: set when the plan was computed.
     :param extended: set when no more slots will be added.
     :param late_plan: the plan for runs that this one does not cover.
-    :param staggered: whether runs are stopped one by one, for streams that bear short pauses.
+    :param staggered: whether runs are stopped one by one, for streams whose routes allow only
+        short pauses.
     :param stopped: ids of this gateway's runs whose final copy was begun.
     """
 
--- a/tests/test_copyschedule.py
+++ b/tests/test_copyschedule.py
@@ -12,7 +12,7 @@
     MIN_STOP_MARGIN_SECONDS,
     Destination,
     RunSize,
-    find_contended,
+    find_assigned_elsewhere,
     schedule_copies,
     schedule_staggered_copies,
     sum_copy_seconds,
@@ -108,17 +108,22 @@
             self.assertLessEqual(slot.end, leaves_in - MIN_DIRECT_COPY_MARGIN_SECONDS + 1e-9)
 
 
-class ContendedTest(unittest.TestCase):
+class SharedDestinationsTest(unittest.TestCase):
     def test_engines_that_leave_together_share_out_their_destinations(self) -> None:
         leaving = {"o1": "a", "o2": "a", "o3": "b"}
         rooms = {"a1": "a", "a2": "a", "b1": "b", "c1": "c", "c2": "c", "d1": "d"}
-        free = [set(rooms) - find_contended(origin, leaving, rooms) for origin in leaving]
+        free = [set(rooms) - find_assigned_elsewhere(origin, leaving, rooms) for origin in leaving]
         self.assertEqual(free, [{"a1", "c1"}, {"a2", "c2"}, {"b1", "d1"}])
 
     def test_an_engine_that_leaves_alone_may_fill_all(self) -> None:
-        self.assertEqual(find_contended("o", {"o": "a"}, {"a1": "a", "b1": "b"}), frozenset())
+        self.assertEqual(
+            find_assigned_elsewhere("o", {"o": "a"}, {"a1": "a", "b1": "b"}), frozenset()
+        )
 
-    def test_a_contended_destination_comes_after_others_of_its_zone(self) -> None:
-        rooms = [Destination("x", False, 9000), Destination("y", False, 30_000, contended=True)]
+    def test_a_destination_assigned_elsewhere_comes_after_others_of_its_zone(self) -> None:
+        rooms = [
+            Destination("x", False, 9000),
+            Destination("y", False, 30_000, assigned_elsewhere=True),
+        ]
         slots = schedule_staggered_copies(make_runs(4000, 5000), rooms, 1.5, TOKEN_SECONDS)
         self.assertEqual([slots[name].destination_id for name in ("r0", "r1")], ["x", "y"])
