Use plainer names for guarded streams, held bytes and tickets

No behaviour changes. Unit tests run: copy schedule, guarded streams, held bytes, forwarding, prompt waits, placing, platform, runs.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -210,17 +210,19 @@
         :param may_wait: whether to return ``InsufficientMemory`` rather than an engine that lacks
             memory.
         :param demand: what the request demands, if requests to the service compete.
-        :param ticket: identifies the request while it waits; it may if it has a demand, too.
-        :param is_waiting: whether it was told to wait, and should do so before the answer.
+        :param ticket: identifies the request while it waits for room, which needs a demand, too.
+        :param is_waiting: whether the last answer was ``InsufficientMemory``, so that it waits in a
+            queue now.
         """
         asked_at = anyio.current_time()
         answer = None
-        call = self.await_placement if is_waiting else self.request_placement
-        asks = call is not None and self._needs_placer(service, prompt)
-        if asks or demand is not None:
+        needs_placer = self._needs_placer(service, prompt)
+        if needs_placer or demand is not None:
             request = self._make_place_request(service, tokens, prompt, excluded, may_wait)
             request = replace(request, demand=demand, ticket=ticket if demand is not None else "")
-            answer = await call(request) if asks and call is not None else None
+            call = self.await_placement if is_waiting else self.request_placement
+            if needs_placer and call is not None:
+                answer = await call(request)
             if answer is None and request.ticket:
                 answer = await self._wait_alone(request, is_waiting)
         if answer is None:
--- a/src/daleroad/clientstalls.py
+++ b/src/daleroad/clientstalls.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 
 MIN_STALL_SECONDS = 1.5
-"""A gateway that was blocked on a client for less did not cause the cut: engines bear an unread
-response for some seconds."""
+"""A gateway that was blocked on a client for less did not cause the cut: engines keep an
+unread response for some seconds."""
 
 FRESH_EVENT_SECONDS = 0.02
 """An event that was waited for that long was generated meanwhile, so the engine had not cut the
@@ -26,8 +26,8 @@
 
     :param longest: that time, in seconds.
     :param waited: seconds that the gateway waited at the engine since the last stall, in all.
-        Events that come quickly one after the other are fresh, too, once they took longer than a
-        cut would.
+        Once it exceeds ``MAX_CUT_WAIT_SECONDS``, the stall explains no cut, even if no single event
+        was waited for as long as a fresh one.
     """
 
     longest: float = 0.0
--- a/src/daleroad/copyschedule.py
+++ b/src/daleroad/copyschedule.py
@@ -128,8 +128,7 @@
 def schedule_staggered_copies(
     runs: Iterable[RunSize], rooms: Iterable[Destination], leaves_in: float, token_seconds: float
 ) -> dict[str, Slot]:
-    """Return a slot for each run that can be copied in time, for streams whose
-    routes allow only short pauses.
+    """Return a slot for each run that can be copied in time, so that its client's pause is short.
 
     Like :func:`schedule_copies`, but each run is stopped only when the link is free for its final
     copy, and a run that is copied after the others' final copies has a pre-copy too if the time
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -49,6 +49,9 @@
 from daleroad.runs import RetryState, StreamRegistry, StreamRun
 from daleroad.suspects import TRIAL_INTERVAL_SECONDS, Standing
 
+TICKET_BITS = 64
+"""Length of a ticket, so that a gateway that starts anew gives none that its leader still knows."""
+
 
 @dataclass(frozen=True)
 class StreamResponse:
@@ -67,9 +70,6 @@
     playout: PlayoutSchedule | None = None
 
 
-TICKET_BITS = 64
-"""Length of a ticket, so that a gateway that starts anew gives none that its leader still knows."""
-
 Outcome = Whole | StreamResponse | Failure
 
 
--- a/src/daleroad/guardedmodel.py
+++ b/src/daleroad/guardedmodel.py
@@ -20,6 +20,7 @@
 from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.loads import LoadTotals
 from daleroad.notices import Demand, Load, Pace, PlaceRequest
+from daleroad.paces import SLOW_QUANTILE
 from daleroad.placer import Placer
 from daleroad.placing import draw_length
 from daleroad.routing import EngineRule, ServiceRule
@@ -50,7 +51,7 @@
 DRAIN_SECONDS = 25.0
 """How long the simulation goes on after the last arrival, for streams to end."""
 
-GUARDED = Contention(frozenset({0}), False, 0.18)
+GUARDED = Contention(frozenset({0}), yields=False, guarded_pause=0.18)
 """How the two kinds of prompts compete."""
 
 _SERVICE = ServiceRule("s", "/", 0, EngineRule(SLOTS, MEMORY_TOKENS, 0.0, True, True, EVENT_TOKENS))
@@ -150,11 +151,11 @@
     def is_paused(self) -> bool:
         return self.longest_pause > self.kind.pause
 
-    def is_unstarted(self) -> bool:
+    def starts_late(self) -> bool:
         return self.first_at - self.sent_at > self.kind.objective
 
     def is_in_time(self) -> bool:
-        return self.ended and not self.is_paused() and not self.is_unstarted()
+        return self.ended and not self.is_paused() and not self.starts_late()
 
 
 @dataclass
@@ -176,7 +177,7 @@
         """Run one step; return its duration and the streams that produce a token in it."""
         self._admit()
         reader = min(
-            (stream for stream in self.running if stream.read_left), key=_get_rank, default=None
+            (stream for stream in self.running if stream.read_left), key=_get_order, default=None
         )
         producing = [stream for stream in self.running if not stream.read_left]
         if reader is not None:
@@ -193,13 +194,13 @@
         return self.slow
 
     def _admit(self) -> None:
-        self.waiting.sort(key=_get_rank)
+        self.waiting.sort(key=_get_order)
         while self.waiting and len(self.running) < SLOTS:
             if self._count_used() + self.waiting[0].prompt > MEMORY_TOKENS:
                 break
             self.running.append(self.waiting.pop(0))
         while self._count_used() + len(self.running) > MEMORY_TOKENS:
-            victim = max(self.running, key=_get_rank)
+            victim = max(self.running, key=_get_order)
             self.running.remove(victim)
             victim.read_left = victim.prompt + victim.produced
             self.waiting.append(victim)
@@ -208,7 +209,7 @@
         return sum(stream.prompt + stream.produced for stream in self.running)
 
 
-def _get_rank(stream: _Stream) -> tuple[int, float]:
+def _get_order(stream: _Stream) -> tuple[int, float]:
     return stream.kind.rank, stream.sent_at
 
 
@@ -382,8 +383,8 @@
         for name, engine in self.engines.items():
             gaps = sorted(engine.gaps)
             if gaps:
-                middle, late = gaps[len(gaps) // 2], gaps[int(0.95 * len(gaps))]
-                engine.pace = Pace(name, middle, late, len(gaps))
+                median, slow = gaps[len(gaps) // 2], gaps[int(SLOW_QUANTILE * len(gaps))]
+                engine.pace = Pace(name, median, slow, len(gaps))
         self._add(now + PACE_SECONDS, self._update_paces)
 
 
@@ -391,7 +392,7 @@
     listed = list(streams)
     return KindResult(
         mean(stream.is_in_time() for stream in listed),
-        mean(stream.is_unstarted() for stream in listed),
+        mean(stream.starts_late() for stream in listed),
         mean(stream.is_paused() for stream in listed),
     )
 
--- a/src/daleroad/guardedstreams.py
+++ b/src/daleroad/guardedstreams.py
@@ -1,11 +1,11 @@
 """Keeps prompts and guarded streams apart where reading the one would pause the other too long.
 
-An engine reads prompts between the outputs of its streams. On a quick engine the streams bear that;
-on a slow one, reading in a slow moment pauses them for longer than their route allows. This module
-states, as load to add to a candidate, what a request would lose at an engine and what it would cost
-the guarded streams there. Guarded streams then fill quick engines and repel prompts from slow ones,
-and prompts repel guarded streams, so that sets of engines for either form by themselves, follow the
-load, and persist while it lasts.
+An engine reads prompts between the outputs of its streams. On a quick engine that pauses them
+for no longer than their route allows; on a slow one it pauses them for longer in a slow moment.
+This module states, as load to add to a candidate, what a request would lose at an engine and what
+it would cost the guarded streams there. Guarded streams then fill quick engines. Prompts are placed
+away from the guarded streams on slow engines, and guarded streams away from engines that read much.
+So each has engines of its own, which follow the load and stay the same while it lasts.
 
 A load of 1 is a full engine, where a prompt misses its latency objective. A stream that is certain
 to be late weighs as much.
@@ -58,9 +58,9 @@
 """Share of the allowed pause up to which a foreseen pause is no risk. The 95th percentile of an
 engine's events may miss its slow moments, and then the pause is twice as long as foreseen."""
 
-BREAK_TOKENS = 15_000.0
-"""Prompt tokens after whose reading a stream beside it has been paused too long once, where that is
-possible: one prompt of 2,500 tokens in six meets a slow moment."""
+TOKENS_PER_LONG_PAUSE = 15_000.0
+"""Prompt tokens whose reading pauses a stream beside it for too long once, at a risk of 1: one
+prompt of 2,500 tokens in six meets a slow moment."""
 
 STREAM_SECONDS = 8.0
 """How long a guarded stream stays on an engine that is not quick."""
@@ -177,7 +177,7 @@
             return no_penalty
         bound = OBJECTIVE_SHARE * max(0.0, demand.objective - demand.age) / FULL_LOAD_SECONDS
         return lambda instance: bound_penalty(
-            self._count_broken(instance.id, traits[instance.id], unread), bound
+            self._count_late_streams(instance.id, traits[instance.id], unread), bound
         )
 
     def _penalize_guarded(
@@ -185,13 +185,13 @@
     ) -> float:
         """Return the load to add for a guarded stream: longer exposure, reading, and its own."""
         reading = self._get_reading_rate(instance_id, now) * STREAM_SECONDS
-        broken = trait.risk * (1 - math.exp(-reading / BREAK_TOKENS))
+        late = trait.risk * (1 - math.exp(-reading / TOKENS_PER_LONG_PAUSE))
         slowness = min(MAX_SLOWNESS, trait.pace - 1)
-        return SLOW_WEIGHT * slowness + broken + self._count_broken(instance_id, trait, unread)
+        return SLOW_WEIGHT * slowness + late + self._count_late_streams(instance_id, trait, unread)
 
-    def _count_broken(self, instance_id: str, trait: EngineTraits, unread: int) -> float:
+    def _count_late_streams(self, instance_id: str, trait: EngineTraits, unread: int) -> float:
         """Return how many guarded streams a prompt is expected to make late."""
-        return self.get_load(instance_id).guarded * trait.risk * unread / BREAK_TOKENS
+        return self.get_load(instance_id).guarded * trait.risk * unread / TOKENS_PER_LONG_PAUSE
 
     def _get_reading_rate(self, instance_id: str, now: float) -> float:
         """Return an engine's reading rate; other processes' prompts show only in its load."""
@@ -237,8 +237,8 @@
 def estimate_risk(slow_event_seconds: float, pause: float) -> float:
     """Return how likely reading in a slow moment pauses a stream for too long, 0 to 1.
 
-    :param slow_event_seconds: time of a slow event without reading.
-    :param pause: the longest pause that the stream's route allows; 0 for no limit.
+    :param slow_event_seconds: time of a slow event without reading, in seconds.
+    :param pause: the longest pause that the stream's route allows, in seconds; 0 for no limit.
     """
     if not pause:
         return 0.0
@@ -249,7 +249,7 @@
 def bound_penalty(cost: float, bound: float) -> float:
     """Return a penalty that rises with the cost and stays below a bound.
 
-    :param cost: the cost.
-    :param bound: the bound.
+    :param cost: the cost, as load.
+    :param bound: the bound, as load.
     """
     return bound * cost / (bound + cost) if cost else 0.0
--- a/src/daleroad/heldbytes.py
+++ b/src/daleroad/heldbytes.py
@@ -74,6 +74,11 @@
     """The bytes that one gateway process holds.
 
     :param bound: bytes that it may hold, or None for no bound.
+    :ivar held: bytes that it holds.
+    :ivar refusals: requests refused since the start.
+    :ivar on_bound: called with True when the bound is reached, and with False when that is over.
+    :ivar waiting: bytes held by requests whose answers wait for room.
+    :ivar overdrawn: the request whose answer may go beyond the bound, if there is one.
     """
 
     def __init__(self, bound: int | None = None) -> None:
@@ -154,11 +159,12 @@
 
 
 class RequestBytes:
-    """The bytes held for one request; its answer is ``starved`` while it waits for room.
-
-    ``waited`` is the longest time in seconds that the last answer waited.
+    """The bytes held for one request.
 
     :param account: the account of the process.
+    :ivar held: its bytes.
+    :ivar starved: whether its answer waits for room.
+    :ivar waited: longest time that its last answer waited for room, in seconds.
     """
 
     def __init__(self, account: HeldBytes) -> None:
