Look up live instances in one place, and name an engine's relative pace

Gateways and coordinators held the same test for whether an engine's pace matters; a trait named `pace` was a ratio, not a time. No behaviour changes; unit tests run and passed: fleet, paces, guarded streams, placer, coordinator, watching.

--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -273,6 +273,14 @@
         known = self._known.get(instance_id)
         return known.instance if known else None
 
+    def get_live(self, instance_id: str) -> Instance | None:
+        """Return an instance if it is known and not gone.
+
+        :param instance_id: its id.
+        """
+        instance = self.get(instance_id)
+        return None if instance is None or instance.state is InstanceState.GONE else instance
+
     def get_age(self, instance_id: str, now: float) -> float:
         """Return the seconds since an instance's last heartbeat; infinity if it is unknown.
 
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -251,10 +251,8 @@
         self.paces.prune(now, self._is_pace_wanted)
 
     def _is_pace_wanted(self, instance_id: str) -> bool:
-        instance = self.fleet.get(instance_id)
-        if instance is None or instance.state is InstanceState.GONE:
-            return False
-        return self.learns_paces(instance.service)
+        instance = self.fleet.get_live(instance_id)
+        return instance is not None and self.learns_paces(instance.service)
 
     async def acquire_trial(self, fingerprint: str) -> bool:
         """Return whether this gateway was granted the trial of a long-held request.
--- a/src/daleroad/guardedstreams.py
+++ b/src/daleroad/guardedstreams.py
@@ -123,13 +123,13 @@
 class EngineTraits:
     """How an engine serves guarded streams.
 
-    :param pace: time of an event without reading, relative to a quick engine; 1 if unknown or if
-        all engines are alike.
+    :param relative_pace: time of an event without reading, relative to a quick engine; 1 if no pace
+        is known or if all engines are alike.
     :param risk: how likely a prompt read in a slow moment pauses a guarded stream for too long, 0
         to 1.
     """
 
-    pace: float = 1.0
+    relative_pace: float = 1.0
     risk: float = 0.0
 
 
@@ -186,7 +186,7 @@
         """Return the load to add for a guarded stream: longer exposure, reading, and its own."""
         reading = self._get_reading_rate(instance_id, now) * STREAM_SECONDS
         late = trait.risk * (1 - math.exp(-reading / TOKENS_PER_LONG_PAUSE))
-        slowness = min(MAX_SLOWNESS, trait.pace - 1)
+        slowness = min(MAX_SLOWNESS, trait.relative_pace - 1)
         return SLOW_WEIGHT * slowness + late + self._count_late_streams(instance_id, trait, unread)
 
     def _count_late_streams(self, instance_id: str, trait: EngineTraits, unread: int) -> float:
@@ -202,7 +202,7 @@
         self, names: Sequence[str], read_tokens: int, pause: float, now: float
     ) -> Mapping[str, EngineTraits]:
         """Return the traits of each engine; one of unknown pace counts as typical."""
-        known = {name: self._find_base(name, read_tokens, now) for name in names}
+        known = {name: self._find_pace_without_reading(name, read_tokens, now) for name in names}
         bases = sorted(base for base, _ in known.values() if base)
         if not bases:
             return dict.fromkeys(names, EngineTraits())
@@ -212,12 +212,14 @@
 
         def describe(name: str) -> EngineTraits:
             base, slow = known[name] if known[name][0] else typical
-            pace = 1.0 if alike else max(1.0, base / quick)
-            return EngineTraits(pace, estimate_risk(slow, pause))
+            relative_pace = 1.0 if alike else max(1.0, base / quick)
+            return EngineTraits(relative_pace, estimate_risk(slow, pause))
 
         return {name: describe(name) for name in names}
 
-    def _find_base(self, instance_id: str, read_tokens: int, now: float) -> tuple[float, float]:
+    def _find_pace_without_reading(
+        self, instance_id: str, read_tokens: int, now: float
+    ) -> tuple[float, float]:
         """Return an engine's median and slow event seconds without reading; 0 if unknown."""
         pace = self.get_pace(instance_id)
         if pace is None or pace.samples < MIN_PACE_SAMPLES:
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -188,10 +188,8 @@
 
     def _is_pace_wanted(self, instance_id: str) -> bool:
         """Return whether an instance is alive and its service has guarded streams."""
-        instance = self.fleet.get(instance_id)
-        if instance is None or instance.state is InstanceState.GONE:
-            return False
-        return self.learns_paces(instance.service)
+        instance = self.fleet.get_live(instance_id)
+        return instance is not None and self.learns_paces(instance.service)
 
     def has_enough_load_reports(self, now: float) -> bool:
         """Return whether enough gateways have recently reported their load here to place requests.
