Put back reasons that the rewording of comments dropped

Cause: the rewording of comments and docstrings.. left out some measured figures, faults and reasons behind constants and rules.

Change: each is put back as a sentence or two at the same place, in today's names.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -135,7 +135,9 @@
         Prefilling a prompt takes longer than its load takes to reach the other gateways, so short
         generations use the gateway's preference order. Long ones don't: they should go where memory
         use is least, which changes slowly, since an engine that leaves can migrate only a limited
-        amount. Requests to services without engines end before other gateways hear of them.
+        amount. On a site with six engines, a preference order for all prompts cost 0.07 and 0.13 of
+        worth on a calm day (2 seeds, paired). Requests to services without engines end before other
+        gateways hear of them.
 
         :param service: the service.
         :param tokens: tokens of memory that the request may use.
--- a/src/daleroad/consensus.py
+++ b/src/daleroad/consensus.py
@@ -667,7 +667,7 @@
         """Save the commit index in the write that saves entries.
 
         A restarted member can then apply the committed entries at once, instead of waiting for a
-        leader to be elected, for example after all members were down.
+        leader to be elected, for example after all members were down: 0.9 s in a loss of all power.
         """
         if self.commit_index > self.snapshot.index:
             self._effects.append(SaveSettled(self.commit_index))
--- a/src/daleroad/copyschedule.py
+++ b/src/daleroad/copyschedule.py
@@ -20,14 +20,17 @@
 round trip."""
 
 COPY_OVERHEAD_SECONDS = 0.015
-"""Overhead of each copy beside the transfer of its memory: set-up, the call and its response."""
+"""Overhead of each copy beside the transfer of its memory: set-up, the call and its response. Of 80
+copies that waited for no other, half took 7 ms more than the transfer within a zone, and 17 ms more
+to another zone."""
 
 FINAL_COPY_SECONDS = 0.012
-"""Time that the final copy of one run takes on the link."""
+"""Time that the final copy of one run takes on the link; measured."""
 
 MIN_HEADROOM_TOKENS = 1000
 """Free tokens that a destination should have beyond the run's own. Covers tokens that the run still
-generates, and output of other runs there beyond the half of their limit that is counted."""
+generates, and output of other runs there beyond the half of their limit that is counted. With 400,
+an engine that seemed to have room for 4050 tokens refused a run of 3600."""
 
 CROSS_ZONE_FACTOR = 2.0
 """Duration of a copy to another availability zone, relative to one within the zone."""
--- a/src/daleroad/draining.py
+++ b/src/daleroad/draining.py
@@ -61,7 +61,8 @@
     """Return the estimated duration of a request; a part without any basis is infinite.
 
     A stream may pause before each event for as long as its route allows. A fixed time per token is
-    used only without such a limit, because engines differ in speed.
+    used only without such a limit, because engines differ in speed: at 18 ms per token, streams of
+    20 to 50 ms per token were accepted and then cut.
 
     :param route: the request's route.
     :param prompt: the request's prompt and output limit, if it states them.
--- a/src/daleroad/fleetfile.py
+++ b/src/daleroad/fleetfile.py
@@ -21,7 +21,8 @@
 RECOVERED_HEARTBEATS = 1.75
 """Age in heartbeat intervals that is assumed for the instances read from disk. They are overdue, so
 that instances with a fresh heartbeat get more requests, but do not become unhealthy for most of an
-interval; otherwise the first few instances heard would get all requests."""
+interval; otherwise the first few instances heard would get all requests. In one restart of all
+processes, three of nine engines got 21 of 25 streams, 11 of which were late."""
 
 
 _FILE_NAME = "fleet.json"
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -417,7 +417,9 @@
         if not state.reached_upstream:
             # The last attempt reached no upstream, or the guard refused to send it, so the next one
             # is not counted as a retry. Otherwise failed connections would exhaust the budget when
-            # many engines end at once.
+            # many engines end at once: where a third of them did, 95 of 119 streams that were
+            # refused within three seconds had reached none, since each gateway's part of the budget
+            # was two retries in ten seconds.
             state.reached_upstream = True
             return True
         if state.possible_runs >= max(1, state.route.attempts):
--- a/src/daleroad/loads.py
+++ b/src/daleroad/loads.py
@@ -1,6 +1,8 @@
 """Load by upstream: totals over all gateways at a coordinator, and one gateway's view.
 
-Totals are updated with each report instead of being summed over all reports for each answer.
+Totals are updated with each report instead of being summed over all reports for each answer. Every
+gateway asks a coordinator for them every second, and summing anew for each of 200 gateways took
+0.3 ms per answer.
 
 Does no I/O; the caller passes in the time.
 """
--- a/src/daleroad/picking.py
+++ b/src/daleroad/picking.py
@@ -51,7 +51,8 @@
 ``daleroad placing`` compares results with and without it."""
 
 MAX_PREFERENCE_WEIGHT = 6.0
-"""Largest such load difference, however many gateways there are."""
+"""Largest such load difference, however many gateways there are. At 71 gateways that exchange their
+loads every 0.74 s, a larger one gains nothing."""
 
 MAX_FULL_COMPARISON_GATEWAYS = 12
 """Up to so many gateways each compare all upstreams: they make few picks between two load reports.
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -1,9 +1,10 @@
 """Central placement of requests for all gateways, run by the leading coordinator.
 
-Each of many gateways places few of the requests and learns of the others' late. The placer records
-the load of each request when it chooses its upstream, so that the next choice takes it into
-account. ``tests/test_placing.py`` simulates central placement, and compares it with gateways that
-choose by themselves.
+Each of many gateways places few of the requests and learns of the others' late: of 200 gateways
+with 31 engines and 28 prompts per second, each places one prompt in seven seconds and learns of the
+others' a second late. The placer records the load of each request when it chooses its upstream, so
+that the next choice takes it into account. ``tests/test_placing.py`` simulates central placement,
+and compares it with gateways that choose by themselves.
 
 Does no I/O; the caller passes in the time.
 """
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -375,8 +375,9 @@
     async def share_loop(self) -> None:
         """Send changes and ages to the other coordinators periodically, until cancelled.
 
-        A gateway or upstream without changes is sent as its age alone, not as a whole record, which
-        takes less processor time.
+        A gateway or upstream without changes is sent as its age alone, not as a whole record. Whole
+        records took a third of an idle coordinator's processor time, among ten coordinators: 0.119
+        of a core with them and 0.079 without, with real processes on loopback.
         """
         while True:
             await anyio.sleep(SHARE_SECONDS)
--- a/src/daleroad/sendlimits.py
+++ b/src/daleroad/sendlimits.py
@@ -3,9 +3,11 @@
 Two kinds of upstreams are limited: cold ones of a service with a cold rate, and those that
 advertise in their answers how many requests a second they take from all gateways together. Shares
 that each gateway enforces by itself can't hold a limit below the number of gateways: one request
-from each at the same moment exceeds it (``daleroad cold`` compares shares and grants). So the
-leading coordinator, which places requests for all gateways, counts what it grants for each
-upstream, and a gateway sends to an upstream that it knows to be limited only with a recent grant.
+from each at the same moment exceeds it. With 71 and 200 gateways, 20 cold engines that can handle
+27 requests per second each, and three times the load, shares led to peaks of 1.6 and 2.3 times the
+limit, and grants to 1.0 (``daleroad cold`` compares them). So the leading coordinator, which places
+requests for all gateways, counts what it grants for each upstream, and a gateway sends to an
+upstream that it knows to be limited only with a recent grant.
 If a service has a cold rate, requests to all its upstreams are granted and counted, since one may
 be cold without its being known yet.
 
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -34,7 +34,9 @@
 HOLD_BACKOFF_SECONDS = (300.0, 3_600.0, 86_400.0)
 """Time since its last crash after which a held request may be tried again: with MIN_CRASHES_HELD
 counted crashes, with one more, and with any higher number. If the trial crashes an upstream, that
-is a further crash; if it has a complete response, that cancels one."""
+is a further crash; if it has a complete response, that cancels one. A request that is held by
+mistake is free again after minutes. One that crashes each upstream crashes one more after five
+minutes, one after another hour, and then one a day."""
 
 SUCCEEDED_HOLD_SECONDS = 10.0
 """The same time for a request that had a complete response, with MIN_CRASHES_HELD counted crashes;
@@ -50,15 +52,15 @@
 forgotten, whether it is held or may have a trial."""
 
 TRIAL_INTERVAL_SECONDS = 10.0
-"""Minimum time between two trials of one request."""
+"""Minimum time between two trials of one request; by then a crash in the first one is known."""
 
 MAX_SUSPECTS = 2048
-"""Requests remembered. When there is no room for a new one, the organisation with the most of them
-loses one of its own."""
+"""Requests remembered, at about 600 bytes each. When there is no room for a new one, the
+organisation with the most of them loses one of its own."""
 
 MAX_CRASHES_KEPT = 16
-"""Crashes remembered for one request, and as many retracted ones. Further crashes are not recorded,
-and the oldest retractions are forgotten."""
+"""Crashes remembered for one request, and as many retracted ones; far more than it takes to hold
+it. Further crashes are not recorded, and the oldest retractions are forgotten."""
 
 MAX_CREDITED_REQUESTS = 4096
 """Requests remembered that have credits for recent complete responses. Beyond that, the request is
@@ -71,7 +73,8 @@
 
 CREDIT_TTL_SECONDS = 10.0
 """Time since a request's last credit after which all its credits lapse. While a crash of it is
-recorded here, a complete response cancels that instead of adding a credit."""
+recorded here, a complete response cancels that instead of adding a credit. A request that has begun
+to crash upstreams has no further complete responses, so it soon has no credits."""
 
 
 class Standing(StrEnum):
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -177,7 +177,8 @@
 
         Other coordinators report that it leads, so it is retried after a pause. Otherwise a gateway
         that called it before it listened would never watch it, and the leader places requests only
-        when it knows the loads of nearly all gateways.
+        when it knows the loads of nearly all gateways. Of 71 gateways that started at the same time
+        this happened to 23, and no request was placed centrally.
         """
         failed_at = self._failed_at.get(self._leader, float("-inf"))
         return anyio.current_time() - failed_at >= LEADER_RETRY_SECONDS
