End the held polls of prompts that a newcomer's turn answered

Cause: a newcomer's own turn places those before it too, but their polls were told only when their holds of 0.25 s ended, while the engine waited.

Change: the queue tells of each answer, whichever turn gave it.

Measured: the test's poll ends at once; without the change it times out.

--- a/src/daleroad/promptqueue.py
+++ b/src/daleroad/promptqueue.py
@@ -240,6 +240,7 @@
     :param service: the service's name.
     :param try_place: places a prompt.
     :param refusals: decides which prompts are refused; nothing if none are.
+    :param note_answer: called with the ticket of each prompt that is answered.
     :ivar counts: ends of prompts: granted, without room, no upstream, refused, withdrawn, expired
         or overflowed.
     :ivar misfits: prompts that the last turn tried and found no room for.
@@ -248,6 +249,7 @@
     service: str
     try_place: TryPlace
     refusals: RefusalPolicy | None = None
+    note_answer: Callable[[Ticket], None] = lambda ticket: None
     counts: Counter[str] = field(default_factory=Counter)
     misfits: int = 0
     _entries: dict[Ticket, _Entry] = field(default_factory=dict)
@@ -464,6 +466,7 @@
     def _answer(self, entry: _Entry, answer: PlaceAnswer, now: float) -> None:
         self._entries.pop(entry.get_ticket(), None)
         self._answers[entry.get_ticket()] = (answer, now)
+        self.note_answer(entry.get_ticket())
 
     def _order(self, entries: Iterable[_Entry], now: float) -> Iterator[_Entry]:
         """Yield prompts in order; keys change as organisations are served, and then only grow."""
--- a/src/daleroad/promptwaits.py
+++ b/src/daleroad/promptwaits.py
@@ -113,12 +113,10 @@
         """
         active = self._is_active()
         for queue in self._queues.values():
-            if not active:
+            if active:
+                queue.drain(now)
+            else:
                 queue.prune(now)
-                continue
-            for ticket in queue.drain(now):
-                if ticket in self._polls:
-                    self._polls[ticket].set()
 
     def count(self) -> int:
         """Return the number of prompts that wait."""
@@ -174,9 +172,16 @@
     def _get_queue(self, service: str) -> PromptQueue:
         # Callers check the service's name first, so there are as many as are configured.
         if service not in self._queues:
-            self._queues[service] = PromptQueue(service, self._try_place, self._refusals)
+            self._queues[service] = PromptQueue(
+                service, self._try_place, self._refusals, self._end_hold
+            )
         return self._queues[service]
 
+    def _end_hold(self, ticket: Ticket) -> None:
+        """End the poll for a prompt that was answered, if one is held."""
+        if ticket in self._polls:
+            self._polls[ticket].set()
+
 
 class _Family:
     """A family of metrics that is read from the queues.
--- a/tests/test_promptwaits.py
+++ b/tests/test_promptwaits.py
@@ -144,6 +144,22 @@
 
         run(body)
 
+    def test_poll_is_answered_when_a_newcomer_finds_room_for_it(self) -> None:
+        async def body() -> None:
+            request = make_request("a", age=0.1)
+            waits = PromptWaits(lambda *_: self.answer)
+            waits.submit(request)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(waits.hold, request)
+                await anyio.sleep(0.01)
+                self.answer = PlaceAnswer("i1")
+                waits.submit(make_request("b"))
+                answered_at = anyio.current_time()
+            self.assertEqual(anyio.current_time(), answered_at)
+
+        self.answer = CROWDED
+        run(body)
+
     def test_poll_without_room_ends_after_a_hold(self) -> None:
         async def body() -> None:
             began = anyio.current_time()
