Offer prompts to an engine before their callers give up

Cause: where prompts are refused, one that was not refused waited for room until its caller left, or was refused at the end of a long wait. Without refusals, patience could end only when the caller left.

Change: a prompt whose caller is about to give up goes to the best engine, one a second or of 16 starts; without refusals each does.

--- a/src/daleroad/promptqueue.py
+++ b/src/daleroad/promptqueue.py
@@ -9,7 +9,8 @@
 reserve in each engine for one prompt that is more urgent; its size is that of those seen lately.
 Smaller prompts may pass a larger one that does not fit; after ``OVERTAKING_SECONDS`` the first in
 order claims an engine, which those behind it then leave alone. Where nobody refuses prompts,
-one whose patience ends goes to the best engine even if that lacks room.
+one whose patience ends goes to the best engine even if that lacks room; where prompts are refused,
+some that were not go there while a first output can still come before their callers give up.
 
 Does no I/O; the caller passes in the time.
 """
@@ -27,6 +28,7 @@
 from daleroad.events import Event, log_event
 from daleroad.fairshare import FairShare
 from daleroad.notices import Demand, PlaceAnswer, PlaceRequest, WaitingPrompt
+from daleroad.refusals import find_patience
 from daleroad.reserves import (
     PREFILL_TOKENS_PER_SECOND,
     Reserve,
@@ -45,6 +47,16 @@
 YIELD_START_SECONDS = 0.5
 """Time that a yielding prompt keeps for its way and for one prompt read before its own."""
 
+LAST_OFFER_SECONDS = 0.6
+"""Time before its caller gives up, beside that of reading its own tokens, at which a prompt that
+still waits may go to the best engine: its way there, and one prompt read before its own. Callers
+want a late answer rather than none."""
+
+LAST_OFFER_INTERVAL_SECONDS = 1.0
+LAST_OFFER_STARTS = 16
+"""Such a prompt is placed after so long without one, or after so many starts since: more of them
+would fill engines with late work. The others are refused once they can't start any more."""
+
 PREEMPTING_OBJECTIVES = 0.05
 """Part of its objective for which a short prompt waits that nothing outranks. Engines make room for
 it by preempting less urgent work; a generation ends within this time on most sites."""
@@ -159,6 +171,12 @@
         aged = now - self.received_at >= AGEING_SHARE * patience
         return max(0, self.demand.rank - aged)
 
+    def find_last_offer(self) -> float:
+        """Return until when an engine can still give a first output before the caller gives up."""
+        reading = self.request.unread / PREFILL_TOKENS_PER_SECOND
+        gives_up = self.received_at + self.demand.age + find_patience(self.demand)
+        return gives_up - reading - LAST_OFFER_SECONDS
+
     def get_demand(self, now: float) -> Demand:
         """Return the prompt's demand with its present age."""
         age = now - self.received_at
@@ -260,6 +278,8 @@
     _is_long: bool = False
     _keys: list[_Key] = field(default_factory=list)
     _keys_at: float = float("-inf")
+    _offered_at: float = float("-inf")
+    _starts_since_offer: int = 0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -333,6 +353,7 @@
         due = [entry for entry in reachable if self._is_due(entry, now)]
         for entry in sorted(due, key=lambda entry: entry.received_at)[:MAX_TRIES_PER_TURN]:
             self._place_late(entry, now, turn)
+        self._offer_last(reachable, now, turn)
         waiting = (entry for entry in reachable if entry.get_ticket() in self._entries)
         for entry in self._order(waiting, now):
             if turn.tries >= MAX_TRIES_PER_TURN:
@@ -426,6 +447,20 @@
             self._keys_at = now
         return bisect_left(self._keys, self._make_key(entry, now))
 
+    def _offer_last(self, entries: Iterable[_Entry], now: float, turn: _Turn) -> None:
+        """Place a prompt whose caller is about to give up, unless one was placed just before."""
+        is_recent = now - self._offered_at < LAST_OFFER_INTERVAL_SECONDS
+        if is_recent and self._starts_since_offer < LAST_OFFER_STARTS:
+            return
+        last = [
+            entry
+            for entry in entries
+            if now >= entry.find_last_offer() and entry.get_ticket() in self._entries
+        ]
+        if last:
+            self._offered_at, self._starts_since_offer = now, 0
+            self._place_late(min(last, key=lambda entry: self._make_key(entry, now)), now, turn)
+
     def _place_late(self, entry: _Entry, now: float, turn: _Turn) -> None:
         """Place a prompt whose patience is over."""
         self._note_end("without room", entry)
@@ -459,6 +494,7 @@
         answer = self.try_place(request, reserve, now)
         if answer.instance and not answer.crowded:
             self._share.add(entry.demand.organisation, request.tokens, now)
+            self._starts_since_offer += 1
             if self.refusals is not None:
                 self.refusals.note_start(self.service, now)
         return answer
@@ -496,7 +532,7 @@
         room they would start no sooner, and delay those that can still start in time.
         """
         waits_on = self.refusals is not None and not self._can_preempt(entry.demand, now)
-        return now >= entry.patience_end and not waits_on
+        return not waits_on and now >= min(entry.patience_end, entry.find_last_offer())
 
     def _find_patience_end(self, request: PlaceRequest, demand: Demand, now: float) -> float:
         """Return when a prompt's patience ends.
--- a/tests/test_promptqueue.py
+++ b/tests/test_promptqueue.py
@@ -12,12 +12,16 @@
 from daleroad.promptqueue import (
     HOLD_SECONDS,
     KEPT_ANSWER_SECONDS,
+    LAST_OFFER_INTERVAL_SECONDS,
+    LAST_OFFER_SECONDS,
+    LAST_OFFER_STARTS,
     MAX_WAITING,
     OVERTAKING_SECONDS,
     POLL_SLACK_SECONDS,
     SILENT_SECONDS,
     PromptQueue,
 )
+from daleroad.refusals import find_patience
 from daleroad.reserves import Reserve
 
 CROWDED = PlaceAnswer("", crowded=True)
@@ -265,6 +269,32 @@
         self.queue.begin_poll(make_request("new"), 0.0)
         self.assertIn("new", self.free(0))
 
+    def test_caller_that_leaves_before_its_patience_ends_gets_an_engine_before(self) -> None:
+        request = make_request("a")
+        assert request.demand is not None
+        request = replace(request, demand=replace(request.demand, time_left=LAST_OFFER_SECONDS))
+        self.assertEqual(self.queue.submit(request, 0.0), PlaceAnswer("e1"))
+
+    def test_prompt_whose_caller_gives_up_soon_is_placed_after_others_started(self) -> None:
+        self.queue.refusals = FakeRefusals()
+        last = find_patience(make_request("a").demand) - LAST_OFFER_SECONDS
+        polls = [make_request(f"late{number}", age=last) for number in range(2)]
+        for poll in polls:
+            self.queue.begin_poll(poll, 0.0)
+        self.assertEqual([len(self.queue.drain(0.0)) for _ in range(2)], [1, 0])
+        self.wait(*(make_request(f"young{number}") for number in range(LAST_OFFER_STARTS)))
+        self.room["e1"] = 0
+        self.assertEqual(len(self.free(1000 * LAST_OFFER_STARTS, 0.0)), LAST_OFFER_STARTS)
+        self.assertEqual(self.queue.drain(0.0), [("g1", "late1")])
+
+    def test_last_offers_are_made_once_in_an_interval_without_starts(self) -> None:
+        self.queue.refusals = FakeRefusals()
+        for step in range(3):
+            now = step * LAST_OFFER_INTERVAL_SECONDS
+            for number in range(3):
+                self.queue.begin_poll(make_request(f"{step}.{number}", age=7.9), now)
+            self.assertEqual(len(self.queue.drain(now)), 1)
+
     def test_operators_see_what_waits_in_order(self) -> None:
         self.wait(make_request("b", rank=1, organisation="o2"), make_request("a", age=0.2))
         shown = [(w.rank, w.organisation, w.tokens) for w in self.queue.list_waiting(0.1)]
