--- a/src/daleroad/promptqueue.py
+++ b/src/daleroad/promptqueue.py
@@ -9,11 +9,13 @@
 reserve in each engine for one prompt that is more urgent; its size is that of those seen lately.
 Smaller prompts may pass a larger one that does not fit; after ``OVERTAKING_SECONDS`` the first in
 order claims an engine, which those behind it then leave alone. Where nobody refuses prompts,
-one whose patience ends goes to the best engine even if that lacks room.
+one whose patience ends goes to the best engine even if that lacks room; where prompts are refused,
+some that were not go there while a first output can still come before their callers give up.
 
 Does no I/O; the caller passes in the time.
 """
 
+from bisect import bisect_left
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field, replace
@@ -26,6 +28,7 @@
 from daleroad.events import Event, log_event
 from daleroad.fairshare import FairShare
 from daleroad.notices import Demand, PlaceAnswer, PlaceRequest, WaitingPrompt
+from daleroad.refusals import find_patience
 from daleroad.reserves import (
     PREFILL_TOKENS_PER_SECOND,
     Reserve,
@@ -44,6 +47,16 @@
 YIELD_START_SECONDS = 0.5
 """Time that a yielding prompt keeps for its way and for one prompt read before its own."""
 
+LAST_OFFER_SECONDS = 0.6
+"""Time before its caller gives up, beside that of reading its own tokens, at which a prompt that
+still waits may go to the best engine: its way there, and one prompt read before its own. Callers
+want a late answer rather than none."""
+
+LAST_OFFER_INTERVAL_SECONDS = 1.0
+LAST_OFFER_STARTS = 16
+"""Such a prompt is placed after so long without one, or after so many starts since: more of them
+would fill engines with late work. The others are refused once they can't start any more."""
+
 PREEMPTING_OBJECTIVES = 0.05
 """Part of its objective for which a short prompt waits that nothing outranks. Engines make room for
 it by preempting less urgent work; a generation ends within this time on most sites."""
@@ -75,6 +88,9 @@
 """Prompts that are tried in one turn, so that a long queue doesn't keep the process from the rest;
 the next turn goes on a few 10 ms later."""
 
+ORDER_SECONDS = 0.03
+"""How old an order may be by which it is told how many go before a prompt; a turn's interval."""
+
 LONG_QUEUE = 32
 """Prompts from which a queue is worth an event: what a site with 20 engines starts in a second."""
 
@@ -126,6 +142,7 @@
     :param polling: whether a poll is held, so that it can be told its place.
     :param blocked_at: when it was first found not to fit while it was the first in order.
     :param claim: the engine that it claims; empty if none.
+    :param tried: whether it was found to lack room.
     """
 
     request: PlaceRequest
@@ -138,6 +155,7 @@
     polling: bool = False
     blocked_at: float | None = None
     claim: str = ""
+    tried: bool = False
 
     def is_reachable(self, now: float) -> bool:
         """Return whether a poll is held; one held for too long was frozen with this process."""
@@ -153,6 +171,12 @@
         aged = now - self.received_at >= AGEING_SHARE * patience
         return max(0, self.demand.rank - aged)
 
+    def find_last_offer(self) -> float:
+        """Return until when an engine can still give a first output before the caller gives up."""
+        reading = self.request.unread / PREFILL_TOKENS_PER_SECOND
+        gives_up = self.received_at + self.demand.age + find_patience(self.demand)
+        return gives_up - reading - LAST_OFFER_SECONDS
+
     def get_demand(self, now: float) -> Demand:
         """Return the prompt's demand with its present age."""
         age = now - self.received_at
@@ -179,27 +203,30 @@
 
     :param tries: prompts that were tried.
     :param answered: tickets of the prompts that were answered.
-    :param misfits: rank, memory and prompt of those that did not fit.
+    :param misfits: rank, memory, prompt and objective of those that did not fit.
     :param firsts: number of prompts that were tried and did not fit.
     :param claims: engines that the first of them claim.
     """
 
     tries: int = 0
     answered: list[Ticket] = field(default_factory=list)
-    misfits: list[tuple[int, int, int]] = field(default_factory=list)
+    misfits: list[tuple[int, int, int, float]] = field(default_factory=list)
     firsts: int = 0
     claims: list[str] = field(default_factory=list)
 
-    def note_misfit(self, rank: int, request: PlaceRequest) -> None:
+    def note_misfit(self, rank: int, request: PlaceRequest, objective: float) -> None:
         """Record a prompt that did not fit, unless others may use more engines than it may."""
         if not (request.excluded or request.failing or request.unreached):
-            self.misfits.append((rank, request.tokens, request.unread))
+            self.misfits.append((rank, request.tokens, request.unread, objective))
 
-    def is_misfit(self, rank: int, request: PlaceRequest) -> bool:
-        """Return whether a prompt needs as much room as one that did not fit."""
+    def is_misfit(self, rank: int, request: PlaceRequest, objective: float) -> bool:
+        """Return whether a prompt needs as much room, and as soon, as one that did not fit."""
         return any(
-            rank >= other and request.tokens >= tokens and request.unread >= unread
-            for other, tokens, unread in self.misfits
+            rank >= other
+            and request.tokens >= tokens
+            and request.unread >= unread
+            and objective <= longest
+            for other, tokens, unread, longest in self.misfits
         )
 
     def note_claim(self, entry: _Entry, best: str, now: float) -> None:
@@ -231,20 +258,28 @@
     :param service: the service's name.
     :param try_place: places a prompt.
     :param refusals: decides which prompts are refused; nothing if none are.
+    :param note_answer: called with the ticket of each prompt that is answered.
     :ivar counts: ends of prompts: granted, without room, no upstream, refused, withdrawn, expired
         or overflowed.
+    :ivar misfits: prompts that the last turn tried and found no room for.
     """
 
     service: str
     try_place: TryPlace
     refusals: RefusalPolicy | None = None
+    note_answer: Callable[[Ticket], None] = lambda ticket: None
     counts: Counter[str] = field(default_factory=Counter)
+    misfits: int = 0
     _entries: dict[Ticket, _Entry] = field(default_factory=dict)
     _answers: dict[Ticket, tuple[PlaceAnswer, float]] = field(default_factory=dict)
     _typical: dict[int, _TypicalPrompt] = field(default_factory=dict)
     _share: FairShare = field(default_factory=FairShare)
     _numbers: Iterator[int] = field(default_factory=count)
     _is_long: bool = False
+    _keys: list[_Key] = field(default_factory=list)
+    _keys_at: float = float("-inf")
+    _offered_at: float = float("-inf")
+    _starts_since_offer: int = 0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -257,7 +292,7 @@
         """
         answer = self.begin_poll(request, now)
         if answer is None:
-            self.drain(now)
+            self.drain(now, (request.gateway, request.ticket))
             answer = self.end_poll(request, now)
         return answer
 
@@ -306,10 +341,11 @@
             self._note_end("withdrawn", entry)
             self._note_length()
 
-    def drain(self, now: float) -> list[Ticket]:
+    def drain(self, now: float, last: Ticket | None = None) -> list[Ticket]:
         """Place the prompts that there is room for, in order; return the tickets of those answered.
 
         :param now: the time.
+        :param last: the last prompt to try; by default all are.
         """
         self.prune(now)
         turn = _Turn()
@@ -317,11 +353,15 @@
         due = [entry for entry in reachable if self._is_due(entry, now)]
         for entry in sorted(due, key=lambda entry: entry.received_at)[:MAX_TRIES_PER_TURN]:
             self._place_late(entry, now, turn)
+        self._offer_last(reachable, now, turn)
         waiting = (entry for entry in reachable if entry.get_ticket() in self._entries)
         for entry in self._order(waiting, now):
             if turn.tries >= MAX_TRIES_PER_TURN:
                 break
             self._place_in_turn(entry, now, turn)
+            if entry.get_ticket() == last:
+                break
+        self.misfits = turn.firsts
         self._note_length()
         return turn.answered
 
@@ -390,16 +430,37 @@
 
     def _refuse_if_late(self, entry: _Entry, now: float) -> None:
         """Answer a prompt that can't start in time with a refusal."""
-        if self.refusals is None:
+        # A turn may end before it comes to a prompt for which there is room.
+        if self.refusals is None or not entry.tried:
             return
-        key = self._make_key(entry, now)
-        ahead = sum(self._make_key(other, now) < key for other in self._entries.values())
+        ahead = self._count_ahead(entry, now)
         refusal = self.refusals.decide(self.service, entry.get_demand(now), ahead, now)
         if refusal is not None:
             self.counts["refused"] += 1
             answer = PlaceAnswer("", refused=True, retry_after=refusal.retry_after)
             self._answer(entry, answer, now)
 
+    def _count_ahead(self, entry: _Entry, now: float) -> int:
+        """Return how many prompts go before one, as of ``ORDER_SECONDS`` ago at most."""
+        if now - self._keys_at > ORDER_SECONDS or len(self._keys) != len(self._entries):
+            self._keys = sorted(self._make_key(e, now) for e in self._entries.values())
+            self._keys_at = now
+        return bisect_left(self._keys, self._make_key(entry, now))
+
+    def _offer_last(self, entries: Iterable[_Entry], now: float, turn: _Turn) -> None:
+        """Place a prompt whose caller is about to give up, unless one was placed just before."""
+        is_recent = now - self._offered_at < LAST_OFFER_INTERVAL_SECONDS
+        if is_recent and self._starts_since_offer < LAST_OFFER_STARTS:
+            return
+        last = [
+            entry
+            for entry in entries
+            if now >= entry.find_last_offer() and entry.get_ticket() in self._entries
+        ]
+        if last:
+            self._offered_at, self._starts_since_offer = now, 0
+            self._place_late(min(last, key=lambda entry: self._make_key(entry, now)), now, turn)
+
     def _place_late(self, entry: _Entry, now: float, turn: _Turn) -> None:
         """Place a prompt whose patience is over."""
         self._note_end("without room", entry)
@@ -410,8 +471,9 @@
 
     def _place_in_turn(self, entry: _Entry, now: float, turn: _Turn) -> None:
         """Place a prompt if there is room for it beside what others claim."""
-        rank = entry.find_rank(now)
-        if turn.is_misfit(rank, entry.request):
+        rank, objective = entry.find_rank(now), entry.demand.objective
+        entry.tried = True
+        if turn.is_misfit(rank, entry.request, objective):
             return
         turn.tries += 1
         request = replace(entry.request, patient=True)
@@ -419,7 +481,7 @@
             request = replace(request, excluded=(*request.excluded, *turn.claims))
         answer = self._place(request, entry, self._find_reserve(entry, now), now)
         if answer.crowded or (turn.claims and not answer.instance):
-            turn.note_misfit(rank, entry.request)
+            turn.note_misfit(rank, entry.request, objective)
             turn.note_claim(entry, answer.instance, now)
             return
         self._note_end("granted" if answer.instance else "no upstream", entry)
@@ -432,6 +494,7 @@
         answer = self.try_place(request, reserve, now)
         if answer.instance and not answer.crowded:
             self._share.add(entry.demand.organisation, request.tokens, now)
+            self._starts_since_offer += 1
             if self.refusals is not None:
                 self.refusals.note_start(self.service, now)
         return answer
@@ -439,6 +502,7 @@
     def _answer(self, entry: _Entry, answer: PlaceAnswer, now: float) -> None:
         self._entries.pop(entry.get_ticket(), None)
         self._answers[entry.get_ticket()] = (answer, now)
+        self.note_answer(entry.get_ticket())
 
     def _order(self, entries: Iterable[_Entry], now: float) -> Iterator[_Entry]:
         """Yield prompts in order; keys change as organisations are served, and then only grow."""
@@ -468,7 +532,7 @@
         room they would start no sooner, and delay those that can still start in time.
         """
         waits_on = self.refusals is not None and not self._can_preempt(entry.demand, now)
-        return now >= entry.patience_end and not waits_on
+        return not waits_on and now >= min(entry.patience_end, entry.find_last_offer())
 
     def _find_patience_end(self, request: PlaceRequest, demand: Demand, now: float) -> float:
         """Return when a prompt's patience ends.
--- a/tests/test_promptqueue.py
+++ b/tests/test_promptqueue.py
@@ -12,12 +12,16 @@
 from daleroad.promptqueue import (
     HOLD_SECONDS,
     KEPT_ANSWER_SECONDS,
+    LAST_OFFER_INTERVAL_SECONDS,
+    LAST_OFFER_SECONDS,
+    LAST_OFFER_STARTS,
     MAX_WAITING,
     OVERTAKING_SECONDS,
     POLL_SLACK_SECONDS,
     SILENT_SECONDS,
     PromptQueue,
 )
+from daleroad.refusals import find_patience
 from daleroad.reserves import Reserve
 
 CROWDED = PlaceAnswer("", crowded=True)
@@ -188,6 +192,15 @@
         self.assertEqual(self.room, {"e1": 1000, "e2": 0})
         self.assertEqual(self.free(4000, now), ["large"])
 
+    def test_prompt_with_a_longer_objective_is_tried_after_one_that_can_not_start_in_time(
+        self,
+    ) -> None:
+        short = make_request("short", tokens=1000)
+        assert short.demand is not None
+        patient = replace(short, ticket="patient", demand=replace(short.demand, objective=9.0))
+        self.wait(short, patient)
+        self.assertEqual(set(self.reserves), {"short", "patient"})
+
 
 class LifecycleTest(QueueCase):
     def test_full_queue_sends_further_prompts_to_the_best_engine(self) -> None:
@@ -246,6 +259,42 @@
         self.free(1000)
         self.assertEqual((refusals.starts, refusals.done), (1, ["a"]))
 
+    def test_prompt_that_was_not_tried_yet_is_not_refused(self) -> None:
+        self.queue.refusals = FakeRefusals(most_ahead=1)
+        waiting = [make_request(f"w{number}", age=0.1) for number in range(100)]
+        for request in waiting:
+            self.queue.begin_poll(request, 0.0)
+        self.room["e1"] = 200_000
+        self.assertEqual(self.queue.submit(make_request("new"), 0.0), CROWDED)
+        self.queue.begin_poll(make_request("new"), 0.0)
+        self.assertIn("new", self.free(0))
+
+    def test_caller_that_leaves_before_its_patience_ends_gets_an_engine_before(self) -> None:
+        request = make_request("a")
+        assert request.demand is not None
+        request = replace(request, demand=replace(request.demand, time_left=LAST_OFFER_SECONDS))
+        self.assertEqual(self.queue.submit(request, 0.0), PlaceAnswer("e1"))
+
+    def test_prompt_whose_caller_gives_up_soon_is_placed_after_others_started(self) -> None:
+        self.queue.refusals = FakeRefusals()
+        last = find_patience(make_request("a").demand) - LAST_OFFER_SECONDS
+        polls = [make_request(f"late{number}", age=last) for number in range(2)]
+        for poll in polls:
+            self.queue.begin_poll(poll, 0.0)
+        self.assertEqual([len(self.queue.drain(0.0)) for _ in range(2)], [1, 0])
+        self.wait(*(make_request(f"young{number}") for number in range(LAST_OFFER_STARTS)))
+        self.room["e1"] = 0
+        self.assertEqual(len(self.free(1000 * LAST_OFFER_STARTS, 0.0)), LAST_OFFER_STARTS)
+        self.assertEqual(self.queue.drain(0.0), [("g1", "late1")])
+
+    def test_last_offers_are_made_once_in_an_interval_without_starts(self) -> None:
+        self.queue.refusals = FakeRefusals()
+        for step in range(3):
+            now = step * LAST_OFFER_INTERVAL_SECONDS
+            for number in range(3):
+                self.queue.begin_poll(make_request(f"{step}.{number}", age=7.9), now)
+            self.assertEqual(len(self.queue.drain(now)), 1)
+
     def test_operators_see_what_waits_in_order(self) -> None:
         self.wait(make_request("b", rank=1, organisation="o2"), make_request("a", age=0.2))
         shown = [(w.rank, w.organisation, w.tokens) for w in self.queue.list_waiting(0.1)]
