--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -1,6 +1,6 @@
 """Selects upstreams for one gateway, by asking the central placer or from local state."""
 
-from collections.abc import Awaitable, Callable, Collection, Container, Iterator
+from collections.abc import Awaitable, Callable, Collection, Container, Iterable, Iterator
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -16,6 +16,7 @@
 from daleroad.health import Ejector
 from daleroad.instances import Instance
 from daleroad.limitedsends import GrantClient, list_limit_notices
+from daleroad.limitprobes import RecentFailures, is_suitable
 from daleroad.loads import GatewayLoads
 from daleroad.notices import Demand, Load, PlaceAnswer, PlaceRequest, WithdrawRequest
 from daleroad.paces import GetPace
@@ -108,6 +109,7 @@
         self._unsent_loads: dict[str, Load] = {}
         self.ejector = Ejector()
         self._limited_sends = GrantClient(options.address, fleet, guard)
+        self._recent_failures = RecentFailures()
         self._unreached = UnreachableUpstreams(fleet)
         self._options = options
         self._fleet = fleet
@@ -199,6 +201,7 @@
         demand: Demand | None = None,
         ticket: str = "",
         is_waiting: bool = False,
+        repeatable: bool = True,
     ) -> Instance | InsufficientMemory | Refused | None:
         """Return the upstream that a request should go to, if there is one.
 
@@ -215,18 +218,25 @@
         :param ticket: identifies the request while it waits for room, which needs a demand, too.
         :param is_waiting: whether the last answer was ``InsufficientMemory``, so that it waits in a
             queue now.
+        :param repeatable: whether the request may be sent elsewhere if it fails.
         """
         asked_at = anyio.current_time()
-        answer = None
+        answer = request = None
         needs_placer = self._needs_placer(service, prompt)
         if needs_placer or demand is not None:
-            request = self._make_place_request(service, tokens, prompt, excluded, may_wait)
+            request = self._make_place_request(
+                service, tokens, prompt, excluded, may_wait, repeatable=repeatable
+            )
             request = replace(request, demand=demand, ticket=ticket if demand is not None else "")
             call = self.await_placement if is_waiting else self.request_placement
             if needs_placer and call is not None:
                 answer = await call(request)
-            if answer is None and request.ticket:
-                answer = await self._wait_alone(request, is_waiting)
+        if answer is None and not is_waiting:
+            preferred = self._pick_preferred(service, tokens, excluded, prompt, demand, repeatable)
+            if preferred is not None:
+                return preferred
+        if answer is None and request is not None and request.ticket:
+            answer = await self._wait_alone(request, is_waiting)
         if answer is None:
             picked = self.pick(service, tokens, excluded, prompt, demand)
             return picked or self._pick_within_share(service, tokens, excluded)
@@ -306,6 +316,7 @@
         excluded: Collection[str] = (),
         may_wait: bool = False,
         only: str = "",
+        repeatable: bool = True,
     ) -> PlaceRequest:
         instances = self._fleet.list_ready(service.name)
         resting = (instance.id for instance in instances if self._guard.is_backing_off(instance))
@@ -318,7 +329,7 @@
             tokens,
             prompt.tokens if prompt is not None else 0,
             (*excluded, *resting),
-            tuple(filter(self._is_failing, ready)),
+            tuple(i for i in ready if self._is_failing(i) or self._is_risky(i, repeatable)),
             tuple(filter(self._is_unreachable, ready)),
             may_wait,
             tuple(list_limit_notices(self._fleet, ready, anyio.current_time())),
@@ -353,14 +364,42 @@
             return self._limited_sends.try_acquire_fallback(instance, self.gateways)
         return answer.granted and answer.instance == instance.id
 
+    def _pick_preferred(
+        self,
+        service: ServiceRule,
+        tokens: int,
+        excluded: Container[str],
+        prompt: Prompt | None,
+        demand: Demand | None,
+        repeatable: bool,
+    ) -> Instance | None:
+        """Return a rate-limited upstream that should get a request although others have room.
+
+        This gateway has a share of it left, and the request is not worse off there.
+        """
+        if not self._limited_sends.has_limited_upstreams(service.name):
+            return None
+        unread = prompt.tokens if prompt is not None else 0
+        picked = self._find_within_share(
+            candidate
+            for candidate in self.list_rate_limited(service, tokens, excluded, demand, unread)
+            if is_suitable(candidate) and not self._is_risky(candidate.instance.id, repeatable)
+        )
+        if picked is not None:
+            self._note_reading(service, picked.id, unread)
+        return picked
+
     def _pick_within_share(
         self, service: ServiceRule, tokens: int, excluded: Container[str]
     ) -> Instance | None:
         """Return a rate-limited upstream of which this gateway has a share left, if any."""
-        limited = (c.instance for c in self.list_rate_limited(service, tokens, excluded))
+        return self._find_within_share(self.list_rate_limited(service, tokens, excluded))
+
+    def _find_within_share(self, limited: Iterable[Candidate]) -> Instance | None:
+        instances = (candidate.instance for candidate in limited)
+        sends = self._limited_sends
         return next(
-            (i for i in limited if self._limited_sends.try_store_fallback_grant(i, self.gateways)),
-            None,
+            (i for i in instances if sends.try_store_fallback_grant(i, self.gateways)), None
         )
 
     def pick_rate_limited(
@@ -383,6 +422,7 @@
         """
         self.ejector.forget(instance_id)
         self._limited_sends.forget(instance_id)
+        self._recent_failures.forget(instance_id)
         self._reading_rates.forget(instance_id)
 
     def pick_backup(
@@ -410,6 +450,12 @@
         now = anyio.current_time()
         return not self.ejector.is_open(instance_id, now) or self._is_unreachable(instance_id)
 
+    def _is_risky(self, instance_id: str, repeatable: bool) -> bool:
+        """Return whether a request could fail for good at a limited upstream that failed lately."""
+        if repeatable or self._fleet.get_rate_limit(instance_id) is None:
+            return False
+        return self._recent_failures.has_failed(instance_id, anyio.current_time())
+
     def _is_unreachable(self, instance_id: str) -> bool:
         now = anyio.current_time()
         return self._unreached.is_unreachable(instance_id, self._options.zone, now)
@@ -444,7 +490,12 @@
                 yield candidate
 
     def list_rate_limited(
-        self, service: ServiceRule, tokens: int, excluded: Container[str]
+        self,
+        service: ServiceRule,
+        tokens: int,
+        excluded: Container[str],
+        demand: Demand | None = None,
+        unread: int = 0,
     ) -> Iterator[Candidate]:
         """Yield the upstreams of a service that announced a rate limit.
 
@@ -453,8 +504,10 @@
         :param service: the service.
         :param tokens: tokens of memory that the request may use.
         :param excluded: instances not to use.
+        :param demand: what the request demands, if requests to the service compete.
+        :param unread: prompt tokens to read there; 0 for a stream that moves with its memory.
         """
-        for candidate in self._list_all(service, tokens, excluded):
+        for candidate in self._list_all(service, tokens, excluded, demand, unread):
             if candidate.rate_limited and not self._guard.is_cold_limited(candidate.instance):
                 yield candidate
 
@@ -490,3 +543,5 @@
         """
         upstreams = len(self._fleet.list_ready(instance.service))
         self.ejector.note(instance.id, ok, upstreams, anyio.current_time())
+        if self._fleet.get_rate_limit(instance.id) is not None:
+            self._recent_failures.note(instance.id, ok, anyio.current_time())
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -235,6 +235,7 @@
             demand,
             state.ticket,
             state.is_waiting,
+            self._can_repeat(state),
         )
         state.is_waiting = demand is not None and isinstance(placed, InsufficientMemory)
         return placed
@@ -427,6 +428,10 @@
         gateway = self._gateway
         return gateway.take_retry(state.service.name)
 
+    def _can_repeat(self, state: _RequestState) -> bool:
+        """Return whether the request may run once more if the next attempt fails."""
+        return state.route.is_repeatable() and state.possible_runs + 1 < state.route.attempts
+
     def _make_final_outcome(self, state: _RequestState, reason: str) -> Outcome:
         """Return the final outcome of a request that is not sent again."""
         if state.failed_response is not None:
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -17,6 +17,7 @@
 from daleroad.contention import NO_CONTENTION, Contention
 from daleroad.fleet import Fleet
 from daleroad.guardedstreams import ReadingRates, StreamGuard
+from daleroad.limitprobes import LimitProber
 from daleroad.loads import LoadTotals
 from daleroad.notices import Load, PlaceAnswer, PlaceRequest
 from daleroad.paces import GetPace
@@ -48,6 +49,7 @@
         get_pace: GetPace = lambda instance_id: None,
     ) -> None:
         self._limits = limits or GrantLimiter(ColdRule())
+        self._prober = LimitProber(fleet, self._limits)
         self._fleet = fleet
         self._unreached = UnreachableUpstreams(fleet)
         self._loads = loads
@@ -105,7 +107,8 @@
         if reserve is not None and service.engine is not None:
             load, memory = Load("", 1, request.tokens, request.unread), service.engine.memory_tokens
             candidates = apply_reserve(candidates, reserve, load, memory, self._loads.get_total)
-        chosen = pick_upstream(candidates, request.zone, self._random)
+        preferred = self._prober.narrow(candidates, now)
+        chosen = pick_upstream(preferred, request.zone, self._random)
         if chosen is None:
             return PlaceAnswer("")
         if chosen.lacks_memory and request.patient:
