Pass what a request needs of an upstream as one query

Cause: nine positional arguments had come together in the choice of an upstream, of which callers passed most by place. Change: UpstreamQuery holds them; the calls in tests are written anew, what they check is the same.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -1,7 +1,7 @@
 """Selects upstreams for one gateway, by asking the central placer or from local state."""
 
 from collections.abc import Awaitable, Callable, Collection, Container, Iterable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from random import Random
 
 import anyio
@@ -49,6 +49,37 @@
     retry_after: float
 
 
+@dataclass(frozen=True)
+class UpstreamQuery:
+    """What a request needs of the upstream that it is sent to.
+
+    :param service: the service that it is for.
+    :param tokens: tokens of memory that it may use.
+    :param excluded: instances not to use.
+    :param prompt: its prompt, if it has one.
+    :param may_wait: whether it waits rather than go to an engine that lacks memory.
+    :param demand: what it demands, if requests to the service compete.
+    :param ticket: identifies it while it waits for room, for which it needs a demand, too.
+    :param is_waiting: whether the last answer was ``InsufficientMemory``, so that it waits in a
+        queue now.
+    :param repeatable: whether it may be sent elsewhere if it fails.
+    """
+
+    service: ServiceRule
+    tokens: int = 0
+    excluded: Collection[str] = ()
+    prompt: Prompt | None = None
+    may_wait: bool = False
+    demand: Demand | None = None
+    ticket: str = ""
+    is_waiting: bool = False
+    repeatable: bool = True
+
+    def count_unread(self) -> int:
+        """Return the tokens of its prompt."""
+        return self.prompt.tokens if self.prompt is not None else 0
+
+
 @dataclass(frozen=True)
 class GatewayOptions:
     """Startup options of a gateway. Times are in seconds.
@@ -191,62 +222,40 @@
     def _rank_by_work(self, candidate: Candidate) -> tuple[int, float]:
         return self._loads.get_total(candidate.instance.id).runs, candidate.load
 
-    async def place(
-        self,
-        service: ServiceRule,
-        tokens: int,
-        excluded: Collection[str],
-        prompt: Prompt | None = None,
-        may_wait: bool = False,
-        demand: Demand | None = None,
-        ticket: str = "",
-        is_waiting: bool = False,
-        repeatable: bool = True,
-    ) -> Instance | InsufficientMemory | Refused | None:
+    async def place(self, query: UpstreamQuery) -> Instance | InsufficientMemory | Refused | None:
         """Return the upstream that a request should go to, if there is one.
 
         Asks the central placer where one should place the request, and picks from local state if
         there is no answer or the answer is unusable.
 
-        :param service: the service.
-        :param tokens: tokens of memory that the request may use.
-        :param excluded: instances not to use.
-        :param prompt: the request's prompt, if it has one.
-        :param may_wait: whether to return ``InsufficientMemory`` rather than an engine that lacks
-            memory.
-        :param demand: what the request demands, if requests to the service compete.
-        :param ticket: identifies the request while it waits for room, which needs a demand, too.
-        :param is_waiting: whether the last answer was ``InsufficientMemory``, so that it waits in a
-            queue now.
-        :param repeatable: whether the request may be sent elsewhere if it fails.
+        :param query: what the request needs.
         """
         asked_at = anyio.current_time()
         answer = request = None
-        needs_placer = self._needs_placer(service, prompt)
-        if needs_placer or demand is not None:
-            request = self._make_place_request(
-                service, tokens, prompt, excluded, may_wait, repeatable=repeatable
-            )
-            request = replace(request, demand=demand, ticket=ticket if demand is not None else "")
-            call = self.await_placement if is_waiting else self.request_placement
+        needs_placer = self._needs_placer(query.service, query.prompt)
+        if needs_placer or query.demand is not None:
+            request = self._make_place_request(query)
+            call = self.await_placement if query.is_waiting else self.request_placement
             if needs_placer and call is not None:
                 answer = await call(request)
-        if answer is None and not is_waiting:
-            preferred = self._pick_preferred(service, tokens, excluded, prompt, demand, repeatable)
+        if answer is None and not query.is_waiting:
+            preferred = self._pick_preferred(query)
             if preferred is not None:
                 return preferred
         if answer is None and request is not None and request.ticket:
-            answer = await self._wait_alone(request, is_waiting)
+            answer = await self._wait_alone(request, query.is_waiting)
         if answer is None:
-            picked = self.pick(service, tokens, excluded, prompt, demand)
-            return picked or self._pick_within_share(service, tokens, excluded)
+            return self._pick_for(query) or self._pick_within_share(query)
         if answer.refused:
             return Refused(answer.retry_after)
         if answer.crowded:
             return InsufficientMemory()
         self._limited_sends.store_grant(answer, asked_at)
-        placed = self._find_usable(answer.instance, excluded)
-        return placed or self.pick(service, tokens, excluded, prompt, demand)
+        return self._find_usable(answer.instance, query.excluded) or self._pick_for(query)
+
+    def _pick_for(self, query: UpstreamQuery) -> Instance | None:
+        """Pick an upstream from local state; return nothing if there is none."""
+        return self.pick(query.service, query.tokens, query.excluded, query.prompt, query.demand)
 
     async def _wait_alone(self, request: PlaceRequest, is_waiting: bool) -> PlaceAnswer | None:
         """Return the place of a request among those of this gateway, if any upstream may get it."""
@@ -308,32 +317,25 @@
             return False
         return self.gateways > 1 or bool(service.cold_rate)
 
-    def _make_place_request(
-        self,
-        service: ServiceRule,
-        tokens: int,
-        prompt: Prompt | None,
-        excluded: Collection[str] = (),
-        may_wait: bool = False,
-        only: str = "",
-        repeatable: bool = True,
-    ) -> PlaceRequest:
-        instances = self._fleet.list_ready(service.name)
+    def _make_place_request(self, query: UpstreamQuery, only: str = "") -> PlaceRequest:
+        instances = self._fleet.list_ready(query.service.name)
         resting = (instance.id for instance in instances if self._guard.is_backing_off(instance))
         ready = [instance.id for instance in instances]
         options = self._options
         return PlaceRequest(
             options.address,
             options.zone,
-            service.name,
-            tokens,
-            prompt.tokens if prompt is not None else 0,
-            (*excluded, *resting),
-            tuple(i for i in ready if self._is_failing(i) or self._is_risky(i, repeatable)),
+            query.service.name,
+            query.tokens,
+            query.count_unread(),
+            (*query.excluded, *resting),
+            tuple(i for i in ready if self._is_failing(i) or self._is_risky(i, query.repeatable)),
             tuple(filter(self._is_unreachable, ready)),
-            may_wait,
+            query.may_wait,
             tuple(list_limit_notices(self._fleet, ready, anyio.current_time())),
             only,
+            query.demand,
+            query.ticket if query.demand is not None else "",
         )
 
     def _find_usable(self, instance_id: str, excluded: Container[str]) -> Instance | None:
@@ -358,42 +360,38 @@
         answer = None
         if self.request_placement is not None:
             answer = await self.request_placement(
-                self._make_place_request(service, 0, None, only=instance.id)
+                self._make_place_request(UpstreamQuery(service), only=instance.id)
             )
         if answer is None:
             return self._limited_sends.try_acquire_fallback(instance, self.gateways)
         return answer.granted and answer.instance == instance.id
 
-    def _pick_preferred(
-        self,
-        service: ServiceRule,
-        tokens: int,
-        excluded: Container[str],
-        prompt: Prompt | None,
-        demand: Demand | None,
-        repeatable: bool,
-    ) -> Instance | None:
+    def _pick_preferred(self, query: UpstreamQuery) -> Instance | None:
         """Return a rate-limited upstream that should get a request although others have room.
 
         This gateway has a share of it left, and the request is not worse off there.
         """
+        service, unread = query.service, query.count_unread()
         if not self._limited_sends.has_limited_upstreams(service.name):
             return None
-        unread = prompt.tokens if prompt is not None else 0
+        limited = self.list_rate_limited(
+            service, query.tokens, query.excluded, query.demand, unread
+        )
         picked = self._find_within_share(
             candidate
-            for candidate in self.list_rate_limited(service, tokens, excluded, demand, unread)
-            if is_suitable(candidate) and not self._is_risky(candidate.instance.id, repeatable)
+            for candidate in limited
+            if is_suitable(candidate)
+            and not self._is_risky(candidate.instance.id, query.repeatable)
         )
         if picked is not None:
             self._note_reading(service, picked.id, unread)
         return picked
 
-    def _pick_within_share(
-        self, service: ServiceRule, tokens: int, excluded: Container[str]
-    ) -> Instance | None:
+    def _pick_within_share(self, query: UpstreamQuery) -> Instance | None:
         """Return a rate-limited upstream of which this gateway has a share left, if any."""
-        return self._find_within_share(self.list_rate_limited(service, tokens, excluded))
+        return self._find_within_share(
+            self.list_rate_limited(query.service, query.tokens, query.excluded)
+        )
 
     def _find_within_share(self, limited: Iterable[Candidate]) -> Instance | None:
         instances = (candidate.instance for candidate in limited)
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from daleroad.choosing import InsufficientMemory, Refused
+from daleroad.choosing import InsufficientMemory, Refused, UpstreamQuery
 from daleroad.defaults import (
     ENGINE_RETRY_AFTER_SECONDS,
     EVACUATED_RETRY_SECONDS,
@@ -226,7 +226,7 @@
         demand = self._make_demand(state, now)
         if demand is not None and not state.is_waiting:
             state.ticket = f"{gateway.random.getrandbits(TICKET_BITS):x}"
-        placed = await gateway.selector.place(
+        query = UpstreamQuery(
             state.service,
             tokens,
             state.tried_ids,
@@ -237,6 +237,7 @@
             state.is_waiting,
             self._can_repeat(state),
         )
+        placed = await gateway.selector.place(query)
         state.is_waiting = demand is not None and isinstance(placed, InsufficientMemory)
         return placed
 
--- a/tests/test_limitprobes.py
+++ b/tests/test_limitprobes.py
@@ -15,7 +15,7 @@
 import trio.testing
 
 from daleroad.backpressure import Backpressure
-from daleroad.choosing import GatewayOptions
+from daleroad.choosing import GatewayOptions, UpstreamQuery
 from daleroad.coldmodel import count_peak_requests
 from daleroad.dispatch import Attempt, Reply, Whole
 from daleroad.errors import Failure
@@ -261,7 +261,7 @@
         selector = sim.gateways[0].selector
         sim.gateways[0].fleet.note_all(sim.sightings, 0.0)
         with patch.object(selector, "list_rate_limited") as listed:
-            placed = trio.run(selector.place, sim.config.services[0], 0, ())
+            placed = trio.run(selector.place, UpstreamQuery(sim.config.services[0]))
         self.assertIsInstance(placed, Instance)
         listed.assert_not_called()
 
@@ -275,9 +275,10 @@
             gateway.fleet.note_all(sim.sightings, anyio.current_time())
             gateway.fleet.note_limit("i1", RateLimit(6.0), anyio.current_time())
             with patch.object(gateway.selector, "_wait_alone", return_value=PlaceAnswer("i2")):
-                return await gateway.selector.place(
-                    service, 9, (), PROMPT, False, demand, "t", is_waiting
+                query = UpstreamQuery(
+                    service, 9, (), PROMPT, False, demand, "t", is_waiting=is_waiting
                 )
+                return await gateway.selector.place(query)
 
         for is_waiting, expected in ((True, "i2"), (False, "i1")):
             placed = trio.run(place, is_waiting)
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -10,6 +10,7 @@
 import trio
 import trio.testing
 
+from daleroad.choosing import UpstreamQuery
 from daleroad.codec import decode
 from daleroad.defaults import PLACER_RETRY_SECONDS, PLACER_TIMEOUT_SECONDS
 from daleroad.dispatch import Prompt
@@ -104,7 +105,7 @@
         async def body(gateway: Gateway) -> None:
             calls = self.connect(gateway, PlaceAnswer("i3"))
             for _ in range(5):
-                found = await gateway.selector.place(SERVICE, 4000, ("i1",), PROMPT)
+                found = await gateway.selector.place(UpstreamQuery(SERVICE, 4000, ("i1",), PROMPT))
                 assert found is not None
                 self.assertEqual(found.id, "i3")
             request = decode(PlaceRequest, calls.sent[0][1])
@@ -121,11 +122,13 @@
                 calls = self.connect(gateway, answer)
                 for _ in range(3):
                     asked_at = anyio.current_time()
-                    self.assertIsNotNone(await gateway.selector.place(SERVICE, 4000, (), PROMPT))
+                    self.assertIsNotNone(
+                        await gateway.selector.place(UpstreamQuery(SERVICE, 4000, (), PROMPT))
+                    )
                     self.assertLess(anyio.current_time() - asked_at, PLACER_TIMEOUT_SECONDS + 0.001)
                 self.assertEqual(len(calls.sent), 1)
                 await anyio.sleep(PLACER_RETRY_SECONDS)
-                await gateway.selector.place(SERVICE, 4000, (), PROMPT)
+                await gateway.selector.place(UpstreamQuery(SERVICE, 4000, (), PROMPT))
                 self.assertEqual(len(calls.sent), 2)
 
         self.run_with_gateway(body)
@@ -136,7 +139,7 @@
             gateway.fleet.note(leaving, anyio.current_time())
             for chosen in ("i3", "i1", "i9", ""):
                 self.connect(gateway, PlaceAnswer(chosen))
-                found = await gateway.selector.place(SERVICE, 4000, ("i1",), PROMPT)
+                found = await gateway.selector.place(UpstreamQuery(SERVICE, 4000, ("i1",), PROMPT))
                 assert found is not None
                 self.assertEqual(found.id, "i2")
 
@@ -146,9 +149,9 @@
         async def body(gateway: Gateway) -> None:
             calls = self.connect(gateway, PlaceAnswer("i3"))
             plain = ServiceRule("s", "/", 100, None)
-            await gateway.selector.place(plain, 0, (), None)
+            await gateway.selector.place(UpstreamQuery(plain))
             gateway.selector.gateways = 1
-            await gateway.selector.place(SERVICE, 4000, (), PROMPT)
+            await gateway.selector.place(UpstreamQuery(SERVICE, 4000, (), PROMPT))
             self.assertEqual(calls.sent, [])
 
         self.run_with_gateway(body)
