--- a/tests/test_playout.py
+++ b/tests/test_playout.py
@@ -97,6 +97,30 @@
         sent, failure = self.play([0.01] * 40, seconds_to_send=0.1)
         self.assertEqual((len(sent), failure), (40, None))
 
+    def test_client_that_goes_away_ends_the_reading_too(self) -> None:
+        ended: list[bool] = []
+
+        async def give() -> AsyncGenerator[bytes | Failure, None]:
+            try:
+                while True:
+                    await anyio.sleep(0.02)
+                    yield b"1"
+            finally:
+                ended.append(True)
+
+        async def send(piece: bytes) -> None:
+            await anyio.sleep_forever()
+
+        async def main() -> bool:
+            pieces = give()
+            with anyio.move_on_after(1.0) as scope:
+                await deliver_pieces(pieces, PlayoutSchedule(PAUSE), send)
+            await pieces.aclose()
+            return scope.cancelled_caught
+
+        self.assertTrue(trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0)))
+        self.assertEqual(ended, [True])
+
     def test_without_a_schedule_pieces_are_sent_as_they_arrive(self) -> None:
         sent: list[bytes] = []
 
