Name the system error behind failed connections, and count unreachable upstreams

Reasons now carry the error's name, and a gauge shows how many upstreams a gateway could not connect to since their last heartbeat; it tells a gateway that is cut off, and that it forgets so.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -458,6 +458,10 @@
         now = anyio.current_time()
         return self._unreached.is_unreachable(instance_id, self._options.zone, now)
 
+    def count_unreachable(self) -> int:
+        """Return how many upstreams could not be connected to since they were last heard."""
+        return sum(map(self._is_unreachable, self._unreached.list_failed()))
+
     def record_connect_failure(self, instance: Instance) -> None:
         """Record a failed connection attempt to an upstream.
 
--- a/src/daleroad/unreached.py
+++ b/src/daleroad/unreached.py
@@ -53,6 +53,10 @@
             del self._failure_times[instance_id]
         return zone in failed_zones or len(failed_zones) >= MIN_FAILED_ZONES
 
+    def list_failed(self) -> list[str]:
+        """Return the upstreams with failed connections, whether they were heard since or not."""
+        return list(self._failure_times)
+
     def prune(self) -> None:
         """Forget upstreams that have left the fleet."""
         unknown = [name for name in self._failure_times if self.fleet.get(name) is None]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -551,6 +551,17 @@
         (reply,) = self.send_requests(Upstream(answer("503 Full", ID)))
         self.assertIsInstance(reply, Whole)
 
+    def test_reason_of_a_failed_connection_names_the_system_error(self) -> None:
+        async def main() -> Reply:
+            client = EngineClient()
+            instance = Instance("i-1", "s", "127.0.0.1:1", "z", 4, InstanceState.READY, 1)
+            job = ClientRequest("abc", "GET", b"/", "h", "/", (), b"", "", 0.0, 9.0)
+            return await client.send(Attempt(job, instance, "", 1.5))
+
+        reply = anyio.run(main)
+        assert isinstance(reply, NotRun)
+        self.assertIn("ECONNREFUSED", reply.reason)
+
     def test_surplus_bytes_after_a_response_are_not_the_next_response(self) -> None:
         surplus = answer("200 OK", *SIGNED) + answer("200 OK", *SIGNED, body=b"more")
         own = answer("200 OK", "X-Daleroad-Attempt-Id: def", SIGNED[1], body=b"own")
