Carry connections of a cut-off gateway through another one

Cause: a gateway had one path to an upstream, its own, and took another process's heartbeats for proof that it worked.

A gateway now opens a connection through another gateway where its own does not come about: the connection is carried, not the request, so its owner, attempts, limits, holds and time left stay as they are, and a connection that did not come about still proves that nothing ran. Which path works is known by what was connected, and paths that do not work are probed. Requests that may be sent elsewhere give up open connections that hang. Failures to connect that another gateway does not share no longer make others avoid an upstream.

--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -20,6 +20,7 @@
 from daleroad.loads import GatewayLoads
 from daleroad.notices import Demand, Load, PlaceAnswer, PlaceRequest, WithdrawRequest
 from daleroad.paces import GetPace
+from daleroad.paths import Reach
 from daleroad.picking import Candidate, make_preference_order, pick_upstream, sample_candidates
 from daleroad.promptwaits import PromptWaits
 from daleroad.reserves import Reserve, apply_reserve
@@ -120,6 +121,7 @@
     :ivar send_withdrawal: tells the central placer that a request waits no longer.
     :ivar waits: the gateway's own waiting requests, while no central placer answers.
     :ivar get_pace: returns the pace of an engine, or nothing if it is unknown.
+    :ivar get_reach: returns which upstreams the gateway reaches itself.
     :ivar get_contention: returns how the prompt routes of a service compete.
     """
 
@@ -149,6 +151,7 @@
         self._random = random
         self._get_service = get_service
         self.get_pace: GetPace = lambda instance_id: None
+        self.get_reach: Callable[[], Reach] = lambda: Reach.FULL
         self.get_contention: Callable[[str], Contention] = lambda service: NO_CONTENTION
         self._reading_rates = ReadingRates()
         self._stream_guard = StreamGuard(
@@ -330,7 +333,7 @@
             query.count_unread(),
             (*query.excluded, *resting),
             tuple(i for i in ready if self._is_failing(i) or self._is_risky(i, query.repeatable)),
-            tuple(filter(self._is_unreachable, ready)),
+            tuple(filter(self._is_unreachable, ready)) if self._is_reach_known() else (),
             query.may_wait,
             tuple(list_limit_notices(self._fleet, ready, anyio.current_time())),
             only,
@@ -458,6 +461,13 @@
         now = anyio.current_time()
         return self._unreached.is_unreachable(instance_id, self._options.zone, now)
 
+    def _is_reach_known(self) -> bool:
+        """Return whether a failed connection tells something of the upstream.
+
+        Not so while this gateway reaches none: other gateways must not avoid upstreams for that.
+        """
+        return self.get_reach() is not Reach.NONE
+
     def count_unreachable(self) -> int:
         """Return how many upstreams could not be connected to since they were last heard."""
         return sum(map(self._is_unreachable, self._unreached.list_failed()))
--- /dev/null
+++ b/src/daleroad/connections.py
@@ -0,0 +1,216 @@
+"""The connections of a gateway to its upstreams, for the HTTP client's pools."""
+
+import errno
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import anyio
+import httpcore
+
+from daleroad.defaults import CONNECT_SECONDS, SILENCE_SECONDS
+from daleroad.dialing import Dialer, DialError, Target, Tunnel
+from daleroad.errors import Failure, FailureKind
+from daleroad.paths import PathChange, PathState, PathTable
+from daleroad.silences import SWEEP_SECONDS, SilenceWatch
+from daleroad.sockets import make_socket_options
+from daleroad.tunnels import TunnelClient, TunnelStream
+
+PEER_INFO = "peer"
+"""Name of a connection's extra information: the gateway's tunnels that it goes through, or ""."""
+
+SocketOption = (
+    tuple[int, int, int] | tuple[int, int, bytes | bytearray] | tuple[int, int, None, int]
+)
+
+
+class NoPathError(httpcore.ConnectError):
+    """No connection was tried, as none just worked."""
+
+
+class _DirectConnection(httpcore.AsyncNetworkStream):
+    """A direct connection; what comes on it shows that its path works."""
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream, note: Callable[[], None]) -> None:
+        self._stream = stream
+        self._note = note
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        data = await self._stream.read(max_bytes, timeout)
+        self._note()
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        return "" if info == PEER_INFO else self._stream.get_extra_info(info)
+
+
+class _TunnelConnection(httpcore.AsyncNetworkStream):
+    """A connection through another gateway."""
+
+    def __init__(self, stream: TunnelStream, peer: str) -> None:
+        self._stream = stream
+        self._peer = peer
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        try:
+            with anyio.fail_after(timeout):
+                return await self._stream.receive(max_bytes)
+        except anyio.EndOfStream:
+            return b""
+        except TimeoutError as error:
+            raise httpcore.ReadTimeout(str(error)) from error
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise httpcore.ReadError(f"the tunnel through {self._peer} was cut") from error
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        if not buffer:
+            return
+        try:
+            with anyio.fail_after(timeout):
+                await self._stream.send(buffer)
+        except TimeoutError as error:
+            raise httpcore.WriteTimeout(str(error)) from error
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise httpcore.WriteError(f"the tunnel through {self._peer} was cut") from error
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        match info:
+            case "peer":
+                return self._peer
+            case "socket":
+                return self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            case "is_readable":
+                return self._stream.is_readable()
+        return None
+
+
+class _Backend(httpcore.AsyncNetworkBackend):
+    """Makes the connections of one pool.
+
+    :param dialer: connects to upstreams.
+    :param silence: seconds for which an upstream's TCP may acknowledge nothing.
+    """
+
+    def __init__(self, dialer: Dialer[httpcore.AsyncNetworkStream], silence: float) -> None:
+        self._dialer = dialer
+        self._silence = silence
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[SocketOption] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        target = Target(f"{host}:{port}", self._silence)
+        try:
+            dialed = await self._dialer.dial(target, timeout or CONNECT_SECONDS)
+        except DialError as error:
+            kind = httpcore.ConnectError if error.tried else NoPathError
+            raise kind(error.failure.reason) from error
+        return dialed.connection
+
+
+class UpstreamConnector:
+    """Connects a gateway to its upstreams, directly or through other gateways.
+
+    :param tunnels: opens tunnels, or None where no other gateway offers any.
+    :param is_heard: returns whether an upstream's heartbeats show that it is alive.
+    :ivar on_change: called when a path's state has changed.
+    """
+
+    def __init__(
+        self,
+        tunnels: TunnelClient | None = None,
+        is_heard: Callable[[str], bool] = lambda address: True,
+    ) -> None:
+        self.paths = PathTable()
+        self.silences = SilenceWatch(self.paths)
+        self.on_change: Callable[[PathChange], None] = lambda change: None
+        self._tunnels = tunnels
+        self._direct = httpcore.AnyIOBackend()
+        self._dialer: Dialer[httpcore.AsyncNetworkStream] = Dialer(
+            self.paths,
+            self._dial_direct,
+            self._open_tunnel,
+            is_heard,
+            lambda change: self.on_change(change),
+        )
+
+    def make_pool(self, silence: float, kept: int | None, expiry: float | None = None) -> Any:
+        """Return a pool of connections.
+
+        :param silence: seconds for which an upstream's TCP may acknowledge nothing.
+        :param kept: most idle connections to keep, or None for any number.
+        :param expiry: seconds after which an idle connection is closed.
+        """
+        return httpcore.AsyncConnectionPool(
+            max_connections=None,
+            max_keepalive_connections=kept,
+            keepalive_expiry=expiry,
+            network_backend=_Backend(self._dialer, silence),
+        )
+
+    async def run(self) -> None:
+        """Check silent paths and probe those that are not direct until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._dialer.probe_paths, SILENCE_SECONDS, CONNECT_SECONDS)
+            while True:
+                await anyio.sleep(SWEEP_SECONDS)
+                for address in self.silences.sweep(anyio.current_time()):
+                    target = Target(address, SILENCE_SECONDS)
+                    tasks.start_soon(self._dialer.check, target, CONNECT_SECONDS)
+
+    def count_tunneled(self) -> int:
+        """Return how many upstreams are reached through other gateways only."""
+        return self.paths.count(PathState.TUNNELED)
+
+    def count_blocked(self) -> int:
+        """Return how many upstreams are not reached by any path."""
+        return self.paths.count(PathState.BLOCKED)
+
+    async def _dial_direct(self, target: Target) -> httpcore.AsyncNetworkStream | Failure:
+        host, _, port = target.address.partition(":")
+        options = make_socket_options(target.silence)
+        try:
+            stream = await self._direct.connect_tcp(host, int(port), socket_options=options)
+        except httpcore.NetworkError as error:
+            return Failure(FailureKind.UNREACHABLE, describe_error(error))
+
+        def note() -> None:
+            self.paths.record_received(target.address, anyio.current_time())
+
+        return _DirectConnection(stream, note)
+
+    async def _open_tunnel(self, target: Target) -> Tunnel[httpcore.AsyncNetworkStream] | Failure:
+        if self._tunnels is None:
+            return Failure(FailureKind.UNREACHABLE, "no gateway offers tunnels")
+        found = await self._tunnels.open(target)
+        if isinstance(found, Failure):
+            return found
+        return Tunnel(_TunnelConnection(found.connection, found.peer), found.peer)
+
+
+def describe_error(error: BaseException) -> str:
+    """Return a network error with the name of the system's error that caused it.
+
+    Libraries put the cause behind texts that are the same for refused, reset and hanging links.
+
+    :param error: the error.
+    """
+    found: BaseException | None = error
+    while found is not None:
+        if isinstance(found, OSError) and found.errno:
+            name = errno.errorcode.get(found.errno, str(found.errno))
+            return f"{type(error).__name__}: {name}"
+        found = found.__cause__ or found.__context__
+    return repr(error)
--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -429,6 +429,7 @@
             now - arrived_at,
             self.record.zones if message.zones < self.record.zones.version else None,
             self.presence.paces.tell(message.gateway.address, now) if message.wants_loads else (),
+            self.presence.list_tunnels(message.gateway.address, message.gateway.zone),
         )
 
     async def _serve_loads(self, request: Request) -> Answer:
--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -101,6 +101,7 @@
         be broken only after the request was sent on it, the request may have run.
     :param silence_timeout_seconds: seconds without any response after which the upstream is given
         up.
+    :param repeatable: whether the request may be sent elsewhere even if it runs here.
     :param last_event: id of the last event that the client has received, for a stream that is
         restarted after it; empty to pass on the client's own header. That of ``source``
         overrides it.
@@ -116,6 +117,7 @@
     new_connection: bool = False
     silence_timeout_seconds: float = SILENCE_SECONDS
     last_event: str = ""
+    repeatable: bool = False
 
 
 @dataclass(frozen=True)
@@ -139,10 +141,16 @@
 
     :param unread: whether the upstream cut a response that this gateway left unread, as a stream's
         client did not read or the gateway had no room for a whole one.
+    :param cut_off: whether only this gateway's link to the upstream is known to be cut.
     """
 
     reason: str
     unread: bool = False
+    cut_off: bool = False
+
+    def blames_upstream(self) -> bool:
+        """Return whether the upstream may be the cause."""
+        return not self.unread and not self.cut_off
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -123,6 +123,17 @@
         328, logging.WARNING, "A generation could not be copied, or a stream resumed, elsewhere."
     )
     ANSWER_CUT = Kind(329, logging.INFO, "An answer to a client ended before it was whole.")
+    PATH_LOST = Kind(
+        340, logging.WARNING, "A gateway can't connect to an upstream directly; others may."
+    )
+    PATH_RESTORED = Kind(341, logging.INFO, "A gateway connects to an upstream directly again.")
+    ATTEMPT_TUNNELED = Kind(
+        342, logging.INFO, "A request reached its upstream through another gateway."
+    )
+    TUNNEL_ENDED = Kind(343, logging.INFO, "A gateway carried a connection for another one.")
+    LINK_SILENT = Kind(
+        344, logging.WARNING, "A request was given up on an open connection that is cut."
+    )
     MEMORY_BOUND_REACHED = Kind(
         350, logging.WARNING, "A gateway holds as many bytes as its memory allows."
     )
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -308,6 +308,14 @@
             and self._holds_address(known)
         ]
 
+    def list_at(self, address: str) -> list[Instance]:
+        """Return the instances at an address that are not gone.
+
+        :param address: IP:PORT.
+        """
+        found = (known.instance for known in self._known.values())
+        return [i for i in found if i.address == address and i.state is not InstanceState.GONE]
+
     def list_leaving(self, service: str) -> list[Instance]:
         """Return the instances of a service that are shutting down.
 
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -44,6 +44,7 @@
 from daleroad.instances import Instance
 from daleroad.metrics import RequestMetrics
 from daleroad.notices import Demand
+from daleroad.paths import PROBE_SECONDS, Reach
 from daleroad.playout import PlayoutSchedule
 from daleroad.routing import Repeat, RouteRule, RoutingTable, ServiceRule
 from daleroad.runs import RetryState, StreamRegistry, StreamRun
@@ -302,6 +303,7 @@
             backup=backup,
             new_connection=state.route.repeat is Repeat.STREAM,
             silence_timeout_seconds=state.route.get_silence_timeout(),
+            repeatable=self._can_repeat(state),
         )
         unread_tokens = state.job.prompt.tokens if state.job.prompt else 0
         demand = self._make_demand(state, anyio.current_time())
@@ -396,11 +398,11 @@
                 elif not sent and not held:
                     self._gateway.selector.record_connect_failure(instance)
                 return None
-            case Lost(reason, unread):
+            case Lost(reason):
                 state.possible_runs += 1
                 fingerprint = fingerprint_job(state.job, state.organisation)
                 self._log_failed_attempt(state, instance, "lost", reason, fingerprint)
-                if not unread:
+                if reply.blames_upstream():
                     self._gateway.selector.record_result(instance, False)
                 if state.route.is_repeatable():
                     return None
@@ -442,6 +444,9 @@
         if self._gateway.is_evacuated(state.service):
             reason = "all zones with upstreams are evacuated"
             return Failure(FailureKind.EVACUATED, reason, Ran.NO, EVACUATED_RETRY_SECONDS)
+        if self._gateway.get_reach() is Reach.NONE:
+            reason = "this gateway reaches no upstream, itself or through others"
+            return Failure(FailureKind.NO_UPSTREAM, reason, Ran.NO, PROBE_SECONDS)
         retry_after = (
             ENGINE_RETRY_AFTER_SECONDS if state.service.engine else PLAIN_RETRY_AFTER_SECONDS
         )
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -15,7 +15,7 @@
 from daleroad.backpressure import Backpressure
 from daleroad.choosing import GatewayOptions, UpstreamSelector
 from daleroad.contention import NO_CONTENTION, Contention, find_contentions
-from daleroad.defaults import LAST_ANSWER_SECONDS
+from daleroad.defaults import LAST_ANSWER_SECONDS, LATE_HEARTBEATS
 from daleroad.dispatch import Dispatcher
 from daleroad.evacuations import EvacuatedZones
 from daleroad.events import Event, log_event
@@ -27,10 +27,12 @@
 from daleroad.notices import GatewayNotice, Pace, UpstreamNotice
 from daleroad.outbox import Outbox
 from daleroad.paces import GatewayPaces
+from daleroad.paths import Reach
 from daleroad.ratelimits import RateLimit
 from daleroad.retries import WindowBudget
 from daleroad.routing import RoutingConfig, RoutingTable, ServiceRule
 from daleroad.suspects import Suspects, Suspicion
+from daleroad.tunnelpeers import TunnelPeers
 
 TrialCallback = Callable[[str], Awaitable[bool]]
 """Asks another process for permission to send a long-held request from this gateway."""
@@ -44,6 +46,8 @@
     :param dispatcher: sends requests to upstreams.
     :param random: random source for choosing between equal upstreams.
     :param other_gateways: number of other gateways that accept clients.
+    :param tunnel_address: IP:PORT of its tunnels for other gateways; empty if it offers none.
+    :param get_reach: returns which upstreams this gateway reaches itself.
     :param exits_at: earliest time at which the process exits, on the runtime's clock; infinite
         until a drain begins.
     """
@@ -60,6 +64,10 @@
     open_requests: int = 0
     on_leaving: Callable[[Instance], None] = lambda instance: None
     on_update: Callable[[], None] = lambda: None
+    on_peer_withdrawn: Callable[[str], None] = lambda peer: None
+    tunnel_address: str = ""
+    get_reach: Callable[[], Reach] = lambda: Reach.FULL
+    tunnel_peers: TunnelPeers = field(default_factory=TunnelPeers)
     request_trial: TrialCallback | None = None
     _attempt_scopes: set[anyio.CancelScope] = field(default_factory=set)
     _leaving_since: dict[str, float] = field(default_factory=dict)
@@ -82,6 +90,7 @@
         )
         self.selector.get_contention = self.get_contention
         self.guard.request_grant_callback = self.selector.request_grant
+        self.selector.get_reach = lambda: self.get_reach()
         self.paces = GatewayPaces()
         self.selector.get_pace = self.paces.get
 
@@ -112,7 +121,14 @@
     def make_notice(self) -> GatewayNotice:
         """Return this gateway's announcement to the coordinators."""
         options = self.options
-        return GatewayNotice(options.address, options.zone, options.region, self.is_ready())
+        return GatewayNotice(
+            options.address,
+            options.zone,
+            options.region,
+            self.is_ready(),
+            tunnel=self.tunnel_address,
+            reach=self.get_reach(),
+        )
 
     def begin_drain(self, ends_at: float) -> None:
         """Stop accepting new clients, and bound the attempts in progress by the process exit.
@@ -306,6 +322,34 @@
         """
         return self.budget.try_acquire(service, self.selector.gateways, anyio.current_time())
 
+    def update_tunnel_peers(self, tunnels: tuple[str, ...]) -> None:
+        """Use other gateways for tunnels from now on.
+
+        :param tunnels: IP:PORT of their tunnels, the preferred ones first.
+        """
+        for peer in self.tunnel_peers.replace(tunnels):
+            self.on_peer_withdrawn(peer)
+
+    def is_heard(self, address: str) -> bool:
+        """Return whether a live upstream at an address was not late with its heartbeat.
+
+        The time in which this gateway heard no coordinator doesn't count.
+
+        :param address: its IP:PORT.
+        """
+        now = anyio.current_time()
+        limit = LATE_HEARTBEATS * self.options.heartbeat + self.get_heard_age()
+        return any(self.fleet.get_age(i.id, now) <= limit for i in self.fleet.list_at(address))
+
+    def find_tunnel_refusal(self, address: str) -> str:
+        """Return why this gateway opens no tunnel to an address, or an empty string.
+
+        :param address: its IP:PORT.
+        """
+        if not self.serving:
+            return "the gateway is shutting down"
+        return "" if self.fleet.list_at(address) else "no upstream is known at this address"
+
     def mark_replaced(self, instance: Instance) -> None:
         """Mark an upstream as gone because another instance answered at its address.
 
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -253,10 +253,10 @@
         async for piece in self._stream.events():
             now = anyio.current_time()
             if isinstance(piece, Lost):
-                unread = stall.explains_cut(now - ready_at)
-                if not unread:
+                piece = replace(piece, unread=stall.explains_cut(now - ready_at))
+                if piece.blames_upstream():
                     self._guard.record_lost(self._attempt)
-                yield replace(piece, unread=unread)
+                yield piece
                 return
             begun = True
             stall.note_event(now - ready_at)
@@ -300,7 +300,7 @@
             case NotRun():
                 pass
             case Lost():
-                if not reply.unread:
+                if reply.blames_upstream():
                     self._guard.record_lost(attempt)
             case Whole():
                 if not reply.is_failed():
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -5,6 +5,7 @@
 from daleroad.evacuations import EvacuatedZones
 from daleroad.instances import Sighting
 from daleroad.patches import Patch
+from daleroad.paths import Reach
 from daleroad.ratelimits import RateLimit
 from daleroad.suspects import Suspicion
 
@@ -18,6 +19,8 @@
     :param region: its region.
     :param serving: whether it accepts new clients.
     :param age: seconds since it was heard.
+    :param tunnel: IP:PORT of its tunnels for other gateways; empty if it offers none.
+    :param reach: which upstreams it reaches itself.
     """
 
     address: str
@@ -25,6 +28,8 @@
     region: str
     serving: bool
     age: float = 0.0
+    tunnel: str = ""
+    reach: Reach = Reach.FULL
 
 
 @dataclass(frozen=True)
@@ -360,6 +365,7 @@
     :param held: seconds that the request waited at the coordinator.
     :param zones: the evacuated zones, if the gateway's version of them is older.
     :param paces: paces of engines over all gateways, in some of the answers with loads.
+    :param tunnels: IP:PORT of the tunnels of some gateways that reach upstreams themselves.
     """
 
     epoch: str
@@ -379,6 +385,7 @@
     held: float = 0.0
     zones: EvacuatedZones | None = None
     paces: tuple[Pace, ...] = ()
+    tunnels: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -38,8 +38,10 @@
     WatchRequest,
 )
 from daleroad.paces import PaceTable
+from daleroad.paths import Reach
 from daleroad.peers import Peers
 from daleroad.sharedsuspects import SharedSuspects
+from daleroad.tunneloffers import TunnelOffers, make_offers
 
 MAX_SNAPSHOT_AGE_SECONDS = 0.05
 """How long a snapshot of all gateways is reused; every watch of a gateway needs one."""
@@ -87,11 +89,13 @@
     :param at: when the snapshot was taken.
     :param alive: number of gateways heard recently, whether they accept clients or not.
     :param serving: gateways heard recently that accept clients.
+    :param offers: those that other gateways may reach upstreams through.
     """
 
     at: float
     alive: int
     serving: tuple[GatewayNotice, ...]
+    offers: TunnelOffers
 
 
 class Presence:
@@ -335,14 +339,26 @@
         gateways = list(self._get_snapshot(now).serving)
         if not gateways:
             gateways = self._list_heard(now, GATEWAY_DOUBTFUL_SECONDS)
+        # A gateway that reaches no upstream can only refuse, so it is named where all are like it.
+        useful = [notice for notice in gateways if notice.reach is not Reach.NONE]
+        gateways = useful or gateways
         gateways.sort(key=lambda notice: (notice.zone != zone, notice.address))
         return [notice.address for notice in gateways]
 
+    def list_tunnels(self, address: str, zone: str) -> tuple[str, ...]:
+        """Return IP:PORT of the tunnels that a gateway should use, the preferred ones first.
+
+        :param address: the gateway.
+        :param zone: its availability zone.
+        """
+        return self._get_snapshot(anyio.current_time()).offers.choose(address, zone)
+
     def _get_snapshot(self, now: float) -> _Snapshot:
         """Return the cached snapshot of the gateways, or a new one if it is missing or expired."""
         if self._snapshot is None or now - self._snapshot.at > MAX_SNAPSHOT_AGE_SECONDS:
             heard = self._list_heard(now, GATEWAY_TIMEOUT_SECONDS, serving=False)
-            self._snapshot = _Snapshot(now, len(heard), tuple(n for n in heard if n.serving))
+            serving = tuple(notice for notice in heard if notice.serving)
+            self._snapshot = _Snapshot(now, len(heard), serving, make_offers(serving))
         return self._snapshot
 
     def _list_heard(self, now: float, seconds: float, serving: bool = True) -> list[GatewayNotice]:
@@ -362,7 +378,7 @@
             self._snapshot = None
             _log_gateway(notice)
         elif heard_at >= known.heard_at:
-            if known.notice.serving != notice.serving:
+            if _differs(known.notice, notice):
                 self._revision += 1
                 known.revision = self._revision
                 self._snapshot = None
@@ -431,6 +447,15 @@
         return self.loads.sum_others(excluded)
 
 
+def _differs(known: GatewayNotice, notice: GatewayNotice) -> bool:
+    """Return whether other coordinators need to hear of a gateway's newer notice."""
+    return (known.serving, known.tunnel, known.reach) != (
+        notice.serving,
+        notice.tunnel,
+        notice.reach,
+    )
+
+
 def _log_gateway(notice: GatewayNotice) -> None:
     event = Event.GATEWAY_NAMED if notice.serving else Event.GATEWAY_WITHDRAWN
-    log_event(event, name=notice.address)
+    log_event(event, name=notice.address, reach=notice.reach.value)
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -235,7 +235,7 @@
         if continuation is not None:
             failure = await self._resume_at(run, continuation.instance, continuation.source, cut_at)
         else:
-            if not cut.unread:
+            if cut.blames_upstream():
                 self._gateway.selector.record_result(run.attempt.instance, False)
             failure = Failure(FailureKind.UPSTREAM_LOST, cut.reason, Ran.PARTIAL)
         while failure is not None and failure.kind is FailureKind.UPSTREAM_LOST:
--- /dev/null
+++ b/src/daleroad/tunnels.py
@@ -0,0 +1,218 @@
+"""Tunnels: connections to upstreams through another gateway.
+
+A tunnel is one HTTP exchange whose two bodies carry the bytes of one connection. The gateway at its
+other end dials the upstream and answers only once it is connected, so a tunnel that did not come
+about carried nothing. The end of the answer's body stands for the end of the upstream's connection;
+a tunnel that ends without it was cut.
+"""
+
+from collections.abc import Callable, Mapping
+from select import POLLIN, poll
+from typing import Any
+
+import anyio
+import h11
+from anyio.abc import ByteStream, SocketAttribute, SocketStream
+
+from daleroad.calls import parse_problem
+from daleroad.dialing import Target, Tunnel
+from daleroad.errors import Failure, FailureKind
+from daleroad.sockets import make_socket_options
+from daleroad.tunnelpeers import TunnelPeers
+
+TUNNEL_PATH = "/tunnel/"
+"""Followed by the upstream's IP:PORT."""
+
+SILENCE_HEADER = "x-silence-seconds"
+"""How long the upstream's TCP may acknowledge nothing."""
+
+PEER_CONNECT_SECONDS = 0.12
+"""Limit of a connection to another gateway; several round trips between regions."""
+
+MAX_PEERS_TRIED = 2
+"""Gateways that are tried for one tunnel; the time of a dial allows no more."""
+
+NETWORK_ERRORS = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    h11.ProtocolError,
+)
+
+_OK = 200
+
+
+class TunnelStream(ByteStream):
+    """The near end of an open tunnel.
+
+    :param stream: the connection to the other gateway.
+    :param http: its protocol state, after the head of the response.
+    :param on_close: called once when it is closed.
+    """
+
+    def __init__(
+        self, stream: SocketStream, http: h11.Connection, on_close: Callable[[], None]
+    ) -> None:
+        self._stream = stream
+        self._http = http
+        self._on_close: Callable[[], None] | None = on_close
+        self._unread = b""
+
+    async def receive(self, max_bytes: int = 65_536) -> bytes:
+        """Return the next bytes from the upstream.
+
+        :param max_bytes: most bytes to return.
+        :raises anyio.EndOfStream: when the upstream closed its connection.
+        :raises anyio.BrokenResourceError: when the tunnel was cut.
+        """
+        if not self._unread:
+            self._unread = await self._read()
+        data, self._unread = self._unread[:max_bytes], self._unread[max_bytes:]
+        return data
+
+    async def _read(self) -> bytes:
+        while True:
+            try:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    self._http.receive_data(await self._stream.receive())
+                    continue
+            except (anyio.EndOfStream, h11.ProtocolError) as error:
+                raise anyio.BrokenResourceError from error
+            match event:
+                case h11.Data(data=data):
+                    return bytes(data)
+                case h11.EndOfMessage():
+                    raise anyio.EndOfStream
+                case _:
+                    raise anyio.BrokenResourceError
+
+    def is_readable(self) -> bool:
+        """Return whether something came that was not asked for, or the connection ended."""
+        number = self._stream.extra(SocketAttribute.raw_socket).fileno()
+        if self._unread or number < 0:
+            return True
+        polled = poll()
+        polled.register(number, POLLIN)
+        return bool(polled.poll(0))
+
+    async def send(self, item: bytes) -> None:
+        """Send bytes to the upstream.
+
+        :param item: the bytes.
+        """
+        await self._stream.send(self._http.send(h11.Data(data=item)) or b"")
+
+    async def send_eof(self) -> None:
+        """Do nothing: no upstream is told that a request is over by the end of its connection."""
+
+    async def aclose(self) -> None:
+        """Close the tunnel, and with it the upstream's connection."""
+        on_close, self._on_close = self._on_close, None
+        if on_close is not None:
+            on_close()
+        await anyio.aclose_forcefully(self._stream)
+
+    @property
+    def extra_attributes(self) -> Mapping[Any, Callable[[], Any]]:
+        """Attributes of the connection to the other gateway."""
+        return self._stream.extra_attributes
+
+
+class TunnelClient:
+    """Opens tunnels through other gateways.
+
+    :param peers: the gateways that offer them.
+    :param token: shown to them.
+    """
+
+    def __init__(self, peers: TunnelPeers, token: str) -> None:
+        self.peers = peers
+        self._token = token
+
+    async def open(self, target: Target) -> Tunnel[TunnelStream] | Failure:
+        """Open a tunnel to an upstream through one of a few gateways.
+
+        :param target: the upstream.
+        """
+        tried: dict[str, Failure] = {}
+        while len(tried) < MAX_PEERS_TRIED:
+            peer = self.peers.choose(target.address, tried, anyio.current_time())
+            if peer is None:
+                break
+            found = await self._open_through(peer, target)
+            if not isinstance(found, Failure):
+                return Tunnel(found, peer)
+            tried[peer] = found
+        reasons = [f"{peer}: {failure.reason}" for peer, failure in tried.items()]
+        reason = "; ".join(reasons) or "no other gateway is known"
+        return Failure(FailureKind.UNREACHABLE, reason)
+
+    async def _open_through(self, peer: str, target: Target) -> TunnelStream | Failure:
+        stream = await self._connect(peer, target)
+        if isinstance(stream, Failure):
+            self.peers.record_silent(peer, anyio.current_time())
+            return stream
+        opened = False
+        try:
+            http = h11.Connection(h11.CLIENT)
+            await stream.send(self._make_head(http, peer, target))
+            answer = await _read_answer(stream, http)
+            if isinstance(answer, Failure):
+                self.peers.record_refused(peer, target.address, anyio.current_time())
+                return answer
+            opened = True
+        except NETWORK_ERRORS as error:
+            self.peers.record_silent(peer, anyio.current_time())
+            return Failure(FailureKind.UNREACHABLE, repr(error))
+        except anyio.get_cancelled_exc_class():
+            # The time of the dial is over, and the gateway has not answered.
+            self.peers.record_silent(peer, anyio.current_time())
+            raise
+        finally:
+            if not opened:
+                await anyio.aclose_forcefully(stream)
+        self.peers.change_open(peer, 1)
+        return TunnelStream(stream, http, lambda: self.peers.change_open(peer, -1))
+
+    async def _connect(self, peer: str, target: Target) -> SocketStream | Failure:
+        host, _, port = peer.partition(":")
+        with anyio.move_on_after(PEER_CONNECT_SECONDS):
+            try:
+                stream = await anyio.connect_tcp(host, int(port))
+            except OSError as error:
+                return Failure(FailureKind.UNREACHABLE, repr(error))
+            raw = stream.extra(SocketAttribute.raw_socket)
+            for option in make_socket_options(target.silence):
+                raw.setsockopt(*option)
+            return stream
+        return Failure(FailureKind.UNREACHABLE, f"not connected in {PEER_CONNECT_SECONDS:g} s")
+
+    def _make_head(self, http: h11.Connection, peer: str, target: Target) -> bytes:
+        headers = [
+            ("host", peer),
+            ("authorization", f"Bearer {self._token}"),
+            ("transfer-encoding", "chunked"),
+            (SILENCE_HEADER, f"{target.silence:g}"),
+        ]
+        path = f"{TUNNEL_PATH}{target.address}"
+        return http.send(h11.Request(method="POST", target=path, headers=headers)) or b""
+
+
+async def _read_answer(stream: SocketStream, http: h11.Connection) -> Failure | None:
+    """Read the head of the response; return nothing if the tunnel is open."""
+    status, body = 0, b""
+    while True:
+        match http.next_event():
+            case h11.NEED_DATA:
+                http.receive_data(await stream.receive())
+            case h11.Response(status_code=status):
+                if status == _OK:
+                    return None
+            case h11.Data(data=data):
+                body += bytes(data)
+            case h11.EndOfMessage():
+                return parse_problem(body)
+            case _:
+                raise anyio.EndOfStream
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -274,6 +274,7 @@
             gateway.other_gateways = answer.others
         if answer.zones is not None and gateway.replace_zones(answer.zones):
             _log_zones(answer.zones, name)
+        gateway.update_tunnel_peers(answer.tunnels)
         self._coordinators = answer.coordinators
         self._leader = answer.leader or self._leader
         self._failed_at = {n: at for n, at in self._failed_at.items() if n in self._coordinators}
--- a/tests/cutsite.py
+++ b/tests/cutsite.py
@@ -1,5 +1,6 @@
 """A small site in one process, with gateways that can be cut off from its upstreams."""
 
+import json
 import sys
 import tempfile
 from collections.abc import AsyncIterator
@@ -7,14 +8,22 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import anyio
 import httpx
-from anyio.abc import TaskGroup
+from anyio.abc import SocketStream, TaskGroup
 
 from tools.cutnetwork import VM, Cut, CutNetwork
 from tools.soakledger import Ledger
-from tools.soakupstreams import ENGINE_SERVICE, PLAIN_SERVICE, SIZE_HEADER, Engine, Upstream
+from tools.soakupstreams import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+    SIZE_HEADER,
+    Engine,
+    Upstream,
+    UpstreamRequest,
+)
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
@@ -25,6 +34,8 @@
 from daleroad.channels import ChannelCalls  # noqa: E402
 
 CLIENT_PORT, READY_PORT, CONTROL_PORT, OUR_PORT, METRICS_PORT = 28740, 28749, 28748, 27200, 29464
+NO_KEPT_CONNECTIONS = httpx.Limits(max_connections=None, max_keepalive_connections=0)
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 CONTACT_SECONDS = 3.0
 """From when on after a cut the platform expects callers to be served."""
 
@@ -40,6 +51,55 @@
         return self.statuses.count(status)
 
 
+class MovingEngine(Engine):
+    """A stand-in engine whose generations can be copied to another and go on there.
+
+    :ivar stopped: events made of the generations that were stopped here for a copy.
+    :ivar moved: generations that go on here.
+    """
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.made: dict[str, int] = {}
+        self.stopped: set[str] = set()
+        self.moved: list[str] = []
+
+    async def handle_call(self, stream: SocketStream, path: str, body: bytes) -> None:
+        """Answer a call to copy a generation, which stops it."""
+        request = json.loads(body)["id"]
+        self.stopped.add(request)
+        answer = json.dumps({"handle": request, "made": self.made.get(request, 0)}).encode()
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(answer)}\r\n\r\n"
+        await stream.send(head.encode() + answer)
+
+    async def _answer(self, stream: SocketStream, asked: UpstreamRequest) -> None:
+        if "kv-from" in asked.headers:
+            self.moved.append(asked.headers["x-daleroad-attempt-id"])
+            await self._run(stream, asked.headers["x-daleroad-attempt-id"], asked.headers)
+            return
+        if "x-daleroad-attempt-id" not in asked.headers:
+            await self.handle_call(stream, "", asked.body)
+            return
+        await super()._answer(stream, asked)
+
+    async def _run(self, stream: SocketStream, request: str, head: dict[str, str]) -> None:
+        events, pause = head[SIZE_HEADER].split(",")
+        first = int(head.get("last-event-id", "0")) + 1
+        try:
+            await self._send_stream_head(stream, request)
+            for number in range(first, int(events) + 1):
+                await anyio.sleep(float(pause))
+                if request in self.stopped:
+                    return
+                self.made[request] = number
+                event = f"id: {number}\ndata: {request}\n\n"
+                await stream.send(f"{len(event):x}\r\n{event}\r\n".encode())
+            await stream.send(b"0\r\n\r\n")
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            # The caller is gone, so the generation stops.
+            return
+
+
 class Site:
     """One coordinator, gateways in zones by turns, three plain upstreams and three engines.
 
@@ -55,11 +115,14 @@
         self.control = f"{network}.0.99:{CONTROL_PORT}"
         self.upstreams = [
             kind(number, self.ledger, Random(number), [self.control], network, linked=False)
-            for kind in (Upstream, Engine)
+            for kind in (Upstream, MovingEngine)
             for number in range(3)
         ]
+        self.engines = [u for u in self.upstreams if isinstance(u, MovingEngine)]
         self.gateways: dict[str, GatewayProcess] = {}
         self.coordinator_scope = anyio.CancelScope()
+        self.gateway_scopes = {name: anyio.CancelScope() for name in self.names}
+        self.once: set[str] = set()
         self._number = 0
 
     def get_address(self, name: str) -> str:
@@ -70,8 +133,8 @@
         async with AsyncExitStack() as stack:
             stack.enter_context(self.links.install())
             folder = stack.enter_context(tempfile.TemporaryDirectory())
-            client = await stack.enter_async_context(
-                httpx.AsyncClient(timeout=1.5, trust_env=False)
+            client = self._client = await stack.enter_async_context(
+                httpx.AsyncClient(timeout=1.5, trust_env=False, limits=NO_KEPT_CONNECTIONS)
             )
             tasks = await stack.enter_async_context(anyio.create_task_group())
             stack.callback(tasks.cancel_scope.cancel)
@@ -97,7 +160,8 @@
         node = self._make_node(name, f"{self._network}.0.{number + 1}", f"z{number % 3}", "")
         process = GatewayProcess(node, ChannelCalls("secret"), METRICS_PORT)
         self.gateways[name] = process
-        await _run_process(process)
+        with self.gateway_scopes[name]:
+            await _run_process(process)
 
     def _make_node(self, name: str, ip: str, zone: str, folder: str) -> NodeFile:
         listen = {"frontend": f"{ip}:{CLIENT_PORT}", "readiness": f"{ip}:{READY_PORT}"}
@@ -156,23 +220,26 @@
         """Send one request on a connection of its own; return its status and how long it took."""
         self._number += 1
         request = f"q{self._number}"
+        if "again" not in path:
+            self.once.add(request)
         headers = {"host": "h", "x-daleroad-attempt-id": request, SIZE_HEADER: size}
         headers |= {"x-daleroad-deadline-ms": "20000" if "stream" in path else "1500"}
         if "stream" in path:
             headers |= {"x-daleroad-token-usage": "60,40"}
         begun = anyio.current_time()
         status = 0
+        url = f"http://{self.get_address(name)}{path}"
         timeout = 20.0 if "stream" in path else 2.0
-        async with httpx.AsyncClient(timeout=timeout, trust_env=False) as client:
-            try:
-                url = f"http://{self.get_address(name)}{path}"
-                answer = await client.post(url, content=b"body", headers=headers)
-                events = int(size.partition(",")[0])
-                whole = "stream" not in path or answer.text.count("data:") == events
-                status = answer.status_code if whole or answer.is_error else 0
-            except httpx.HTTPError:
-                # Closed or silent: no status.
-                pass
+        try:
+            answer = await self._client.post(url, content=b"body", headers=headers, timeout=timeout)
+            events = int(size.partition(",")[0])
+            whole = "stream" not in path or answer.text.count("data:") == events
+            status = answer.status_code if whole or answer.is_error else 0
+            if status in NOT_RUN_STATUSES:
+                self.ledger.promised_not_run.add(request)
+        except httpx.HTTPError:
+            # Closed or silent: no status.
+            pass
         return status, anyio.current_time() - begun
 
     async def ask_many(self, name: str, count: int, gap: float = 0.03) -> Answers:
--- a/tools/cutnetwork.py
+++ b/tools/cutnetwork.py
@@ -116,6 +116,12 @@
     def __getattr__(self, name: str) -> Any:
         return getattr(self._stream, name)
 
+    async def __aenter__(self) -> "_CutStream":
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self.aclose()
+
     async def receive(self, max_bytes: int = 65_536) -> bytes:
         """Return what comes, once the link is well."""
         data = await self._stream.receive(max_bytes)
