Keep a stream behind a cut until its memory is copied

The stream was closed first and its copy asked for then; a run that is over can't be copied. Now the copy is asked for first, through a tunnel, sooner (0.3 s of silence), and the stream is left only when there is one. Tests: a stream that goes on elsewhere, one that is over and stays, and a second of silence of all upstreams.

--- a/src/daleroad/dialing.py
+++ b/src/daleroad/dialing.py
@@ -13,7 +13,14 @@
 
 from daleroad.errors import DaleroadError, Failure, FailureKind
 from daleroad.events import Event, log_event
-from daleroad.paths import PROBE_SECONDS, DialPlan, PathChange, PathState, PathTable
+from daleroad.paths import (
+    PROBE_SECONDS,
+    TUNNEL_DELAY_SECONDS,
+    DialPlan,
+    PathChange,
+    PathState,
+    PathTable,
+)
 
 
 class Closable(Protocol):
@@ -135,15 +142,18 @@
     async def _dial_by(self, plan: DialPlan, target: Target, seconds: float) -> Dialed[T]:
         address = target.address
         race = await self._run_race(target, plan, seconds)
-        now = anyio.current_time()
         if race.won is None:
-            self._apply(self._paths.record_failure(address, now))
+            self._apply(self._paths.record_failure(address, anyio.current_time()))
             raise DialError(f"{address}: {'; '.join(race.reasons) or 'timed out'}")
-        if race.won.peer:
+        self._record(address, race.won)
+        return race.won
+
+    def _record(self, address: str, dialed: Dialed[T]) -> None:
+        now = anyio.current_time()
+        if dialed.peer:
             self._apply(self._paths.record_tunnel(address, now))
         else:
             self._apply(self._paths.record_direct(address, now))
-        return race.won
 
     async def _run_race(self, target: Target, plan: DialPlan, seconds: float) -> _Race[T]:
         race: _Race[T] = _Race()
@@ -190,30 +200,12 @@
         """Find out whether a silent upstream is cut off from this gateway only.
 
         :param target: the upstream.
-        :param seconds: limit of each connection.
+        :param seconds: limit.
         """
-        address = target.address
-        if await self._connects(target, seconds):
-            self._apply(self._paths.record_direct(address, anyio.current_time()))
-            return
-        if self._may_tunnel(address) and await self._reaches_by_tunnel(target, seconds):
-            self._apply(self._paths.record_tunnel(address, anyio.current_time()))
-
-    async def _connects(self, target: Target, seconds: float) -> bool:
-        with anyio.move_on_after(seconds):
-            found = await self._dial_direct(target)
-            if not isinstance(found, Failure):
-                await found.aclose()
-                return True
-        return False
-
-    async def _reaches_by_tunnel(self, target: Target, seconds: float) -> bool:
-        with anyio.move_on_after(seconds):
-            found = await self._open_tunnel(target)
-            if not isinstance(found, Failure):
-                await found.connection.aclose()
-                return True
-        return False
+        race = await self._run_race(target, DialPlan(False, TUNNEL_DELAY_SECONDS), seconds)
+        if race.won is not None:
+            self._record(target.address, race.won)
+            await race.won.connection.aclose()
 
     async def probe_paths(self, silence: float, seconds: float) -> None:
         """Probe the paths that are not direct, again and again, until cancelled.
@@ -236,7 +228,12 @@
             await dialed.connection.aclose()
 
     async def _probe_tunneled(self, target: Target, seconds: float) -> None:
-        connected = await self._connects(target, seconds)
+        connected = False
+        with anyio.move_on_after(seconds):
+            found = await self._dial_direct(target)
+            if not isinstance(found, Failure):
+                await found.aclose()
+                connected = True
         now = anyio.current_time()
         self._apply(self._paths.record_probe(target.address, connected, now))
 
--- a/src/daleroad/migration.py
+++ b/src/daleroad/migration.py
@@ -70,14 +70,25 @@
             return run.resume_point
         return await self._recover_cut_run(run)
 
+    async def copy_cut_off(self, run: StreamRun) -> ResumePoint | None:
+        """Stop a run on an engine that this gateway's link to is cut, and copy it elsewhere.
+
+        :param run: the run; its stream hangs.
+        :return: the engine with the copy. None if there is none: the run may be over.
+        """
+        if not self._can_move(run):
+            return None
+        destination = self._get_live_backup(run)
+        destination = destination or self._pick_destination(run, {run.attempt.instance.id})
+        return await self._copy_finally(run, destination) if destination is not None else None
+
     async def _recover_cut_run(self, run: StreamRun) -> ResumePoint | None:
         """Find an engine to resume on after a cut without notice.
 
         The engine may have crashed, or only the connection may be broken. A final copy stops the
         run on an engine that still works, so that two engines do not run it at once.
         """
-        service = self._gateway.get_service(run.attempt.instance.service)
-        if service is None or service.engine is None or not service.engine.moves:
+        if not self._can_move(run):
             return None
         backup = self._get_live_backup(run)
         destination = backup or self._pick_destination(run, {run.attempt.instance.id})
@@ -93,6 +104,18 @@
         source = CopySource(backup.address, run.attempt.job.id, run.last_event)
         return ResumePoint(backup, source)
 
+    def _can_move(self, run: StreamRun) -> bool:
+        """Return whether the engines of a run's service copy running generations."""
+        service = self._gateway.get_service(run.attempt.instance.service)
+        return service is not None and service.engine is not None and service.engine.moves
+
+    async def _copy_finally(self, run: StreamRun, destination: Instance) -> ResumePoint | None:
+        result = await self._copy(run, destination, final=True)
+        if isinstance(result, Copied):
+            return self._make_continuation(run, destination, result)
+        self._log_copy_failure(run, destination.id, result.reason)
+        return None
+
     async def _run_migration(self, run: StreamRun) -> None:
         try:
             await self._migrate(run)
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -5,7 +5,7 @@
 has is dropped, provided that event ids are decimal numbers that increase within the stream.
 """
 
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from typing import Protocol
@@ -136,6 +136,9 @@
     async def find_resume_point(self, run: StreamRun) -> ResumePoint | None:
         """Return the engine that can resume a run whose stream was cut, if there is one."""
 
+    async def copy_cut_off(self, run: StreamRun) -> ResumePoint | None:
+        """Stop a run whose stream hangs, and return the engine that can resume it, if any."""
+
 
 class StreamRegistry:
     """The open streams of one gateway.
@@ -170,6 +173,23 @@
         self._runs[run.attempt.job.id] = run
         self._migrate_if_leaving(run)
 
+    def recover_cut_off(self, request: str, abandon: Callable[[], None]) -> None:
+        """Let a stream that hangs go on at another engine, if its memory can be copied there.
+
+        :param request: the id of its request.
+        :param abandon: ends the stream that hangs.
+        """
+        run = self._runs.get(request)
+        if run is not None and not run.migrating:
+            self._gateway.spawn(self._recover_cut_off, run, abandon)
+
+    async def _recover_cut_off(self, run: StreamRun, abandon: Callable[[], None]) -> None:
+        """Copy a run and end its stream; without a copy, its rest may still come after the cut."""
+        if run.resume_point is None:
+            run.resume_point = await self._mover.copy_cut_off(run)
+        if run.resume_point is not None:
+            abandon()
+
     async def deliver(self, run: StreamRun) -> AsyncGenerator[bytes | Failure, None]:
         """Yield a stream's events, resuming on other upstreams after cuts; a failure is last.
 
--- a/src/daleroad/silences.py
+++ b/src/daleroad/silences.py
@@ -20,8 +20,11 @@
 """How long an answer is waited for before the path is checked. Most plain requests take less than a
 fifth of that, and a silent upstream may be busy."""
 
-SILENT_STREAM_SECONDS = 1.0
-"""The same for the next event of a stream; an engine may pause for that long."""
+SILENT_STREAM_SECONDS = 0.3
+"""The same for the next event of a stream; the longest pauses that routes allow are shorter."""
+
+GIVE_UP_AGAIN_SECONDS = 1.0
+"""How much longer a wait that went on is silent before it is given up again."""
 
 
 @dataclass(eq=False)
@@ -32,7 +35,7 @@
     :param begun_at: when its request was sent.
     :param limit: seconds of silence after which to act.
     :param since: when something came last; infinity while nothing is waited for.
-    :param give_up: ends the wait; None if the request can't be sent elsewhere.
+    :param give_up: called when the wait is in vain; None if the request can't go on elsewhere.
     """
 
     address: str
@@ -65,7 +68,7 @@
             self._waits.discard(wait)
 
     def sweep(self, now: float) -> Iterator[str]:
-        """End the waits that are in vain; yield the upstreams whose paths should be checked.
+        """Give up the waits that are in vain; yield the upstreams whose paths should be checked.
 
         :param now: the time.
         """
@@ -73,6 +76,7 @@
             if self.paths.get_state(wait.address) is PathState.TUNNELED:
                 # A request that was sent since goes through a tunnel.
                 if wait.give_up is not None and wait.begun_at < self.paths.get_since(wait.address):
+                    wait.limit += GIVE_UP_AGAIN_SECONDS
                     wait.give_up()
             elif self.paths.should_check(wait.address, wait.since, now):
                 yield wait.address
--- a/tests/cutsite.py
+++ b/tests/cutsite.py
@@ -61,15 +61,19 @@
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         self.made: dict[str, int] = {}
+        self.running: set[str] = set()
         self.stopped: set[str] = set()
         self.moved: list[str] = []
 
     async def handle_call(self, stream: SocketStream, path: str, body: bytes) -> None:
         """Answer a call to copy a generation, which stops it."""
         request = json.loads(body)["id"]
-        self.stopped.add(request)
-        answer = json.dumps({"handle": request, "made": self.made.get(request, 0)}).encode()
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(answer)}\r\n\r\n"
+        answer, status = b"{}", "404 No such run"
+        if request in self.running:
+            self.stopped.add(request)
+            answer = json.dumps({"handle": request, "made": self.made.get(request, 0)}).encode()
+            status = "200 OK"
+        head = f"HTTP/1.1 {status}\r\nContent-Length: {len(answer)}\r\n\r\n"
         await stream.send(head.encode() + answer)
 
     async def _answer(self, stream: SocketStream, asked: UpstreamRequest) -> None:
@@ -85,6 +89,7 @@
     async def _run(self, stream: SocketStream, request: str, head: dict[str, str]) -> None:
         events, pause = head[SIZE_HEADER].split(",")
         first = int(head.get("last-event-id", "0")) + 1
+        self.running.add(request)
         try:
             await self._send_stream_head(stream, request)
             for number in range(first, int(events) + 1):
@@ -92,12 +97,16 @@
                 if request in self.stopped:
                     return
                 self.made[request] = number
+                if number == int(events):
+                    self.running.discard(request)
                 event = f"id: {number}\ndata: {request}\n\n"
                 await stream.send(f"{len(event):x}\r\n{event}\r\n".encode())
             await stream.send(b"0\r\n\r\n")
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             # The caller is gone, so the generation stops.
             return
+        finally:
+            self.running.discard(request)
 
 
 class Site:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -88,22 +88,48 @@
 
         self.play("127.46", body)
 
+    async def stream_through_cut(self, site: Site, size: str, names: list[str], heal: float) -> int:
+        """Return the status of a stream that a cut hits after a second and that heals later."""
+        found: list[int] = []
+
+        async def ask() -> None:
+            found.append((await site.ask("gateway-0", "/stream/x", size))[0])
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await anyio.sleep(1.0)
+            await site.cut_off(names, Cut.HANG)
+            await anyio.sleep(heal)
+            for name in names:
+                site.links.heal(name)
+        return found[0]
+
     def test_stream_that_a_cut_silences_goes_on_through_another_gateway(self) -> None:
         async def body(site: Site) -> None:
-            found: list[tuple[int, float]] = []
-
-            async def ask() -> None:
-                found.append(await site.ask("gateway-0", "/stream/x", "100,0.05"))
-
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(ask)
-                await anyio.sleep(1.0)
-                await site.cut_off(["gateway-0"], Cut.HANG)
-            self.assertEqual(found[0][0], 200)
+            status = await self.stream_through_cut(site, "100,0.05", ["gateway-0"], 9.0)
+            self.assertEqual(status, 200)
             self.assertTrue(any(engine.moved for engine in site.engines))
 
         self.play("127.47", body)
 
+    def test_stream_whose_run_ended_behind_a_cut_is_whole_after_it(self) -> None:
+        async def body(site: Site) -> None:
+            status = await self.stream_through_cut(site, "24,0.05", ["gateway-0"], 3.0)
+            self.assertEqual(status, 200)
+            self.assertFalse(any(engine.moved for engine in site.engines))
+
+        self.play("127.54", body)
+
+    def test_upstreams_that_are_silent_for_a_second_are_not_taken_as_cut(self) -> None:
+        async def body(site: Site) -> None:
+            status = await self.stream_through_cut(site, "60,0.05", site.names, 1.1)
+            self.assertEqual(status, 200)
+            self.assertFalse(any(engine.moved for engine in site.engines))
+            counts = [g.connector.count_tunneled() for g in site.gateways.values()]
+            self.assertEqual(counts, [0, 0, 0])
+
+        self.play("127.55", body)
+
     def test_gateways_that_reach_no_upstream_by_any_path_refuse_at_once(self) -> None:
         async def body(site: Site) -> None:
             await site.cut_off(site.names, Cut.HANG)
