Keep rejections by brittle upstreams below what makes them crash

Looked for in the code: nothing read the header, and no limit, backoff or grant counted rejections.

Now the leader places requests to such a service by its count of what runs, which gateways report at once meanwhile; without a leader each gateway keeps to its share of the slots. A gateway that was rejected backs off from that upstream for so long that all gateways together cause half of what it bears.

--- a/src/daleroad/candidates.py
+++ b/src/daleroad/candidates.py
@@ -51,6 +51,8 @@
             if instance.id in excluded or instance.zone in self.evacuated:
                 continue
             expected = self.get_load(instance.id).add(Load(instance.id, 1, tokens))
+            if self.fleet.is_brittle(instance.id, now) and expected.runs > instance.slots:
+                continue
             lacks_memory = bool(memory) and expected.tokens > memory
             missed_heartbeats = self.fleet.get_age(instance.id, now) / self.heartbeat
             yield Candidate(
--- a/src/daleroad/choosing.py
+++ b/src/daleroad/choosing.py
@@ -25,6 +25,7 @@
 from daleroad.promptwaits import PromptWaits
 from daleroad.reserves import Reserve, apply_reserve
 from daleroad.routing import ServiceRule
+from daleroad.sendlimits import find_slot_share
 from daleroad.unreached import UnreachableUpstreams
 
 PlacementCall = Callable[[PlaceRequest], Awaitable[PlaceAnswer | None]]
@@ -253,6 +254,9 @@
             return Refused(answer.retry_after)
         if answer.crowded:
             return InsufficientMemory()
+        if not answer.instance and self._has_brittle_upstreams(query.service.name):
+            # They are full by the leader's count, which is newer than the one here.
+            return None
         self._limited_sends.store_grant(answer, asked_at)
         return self._find_usable(answer.instance, query.excluded) or self._pick_for(query)
 
@@ -316,10 +320,16 @@
         """Return whether the central placer should place a request."""
         if self._limited_sends.has_limited_upstreams(service.name):
             return True
+        if self._has_brittle_upstreams(service.name):
+            return True
         if service.engine is None or prompt is None:
             return False
         return self.gateways > 1 or bool(service.cold_rate)
 
+    def _has_brittle_upstreams(self, service: str) -> bool:
+        now = anyio.current_time()
+        return any(self._fleet.is_brittle(i.id, now) for i in self._fleet.list_ready(service))
+
     def _make_place_request(self, query: UpstreamQuery, only: str = "") -> PlaceRequest:
         instances = self._fleet.list_ready(query.service.name)
         resting = (instance.id for instance in instances if self._guard.is_backing_off(instance))
@@ -545,7 +555,24 @@
             penalty,
         )
         candidates = judge.list_candidates(service, tokens, excluded, now)
-        return (c for c in candidates if not self._guard.is_backing_off(c.instance))
+        return (
+            c
+            for c in candidates
+            if not self._guard.is_backing_off(c.instance) and self._may_add_run(c.instance, service)
+        )
+
+    def _may_add_run(self, instance: Instance, service: ServiceRule) -> bool:
+        """Return whether this gateway may choose a brittle upstream without the leader.
+
+        Requests to plain services end before other gateways hear of them, so each keeps to its
+        share of the slots.
+        """
+        now = anyio.current_time()
+        if service.engine is not None or not self._fleet.is_brittle(instance.id, now):
+            return True
+        address, gateways = self._options.address, self.gateways
+        share = find_slot_share(address, instance.id, instance.slots, gateways)
+        return self._loads.get_own(instance.id).runs < share
 
     def record_result(self, instance: Instance, ok: bool) -> None:
         """Record the result of a request for the ejection of failing upstreams.
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -22,6 +22,9 @@
 GONE_KEPT_SECONDS = 60.0
 """How long an instance that is gone is kept; heartbeats are delayed by seconds, not minutes."""
 
+BRITTLE_KEPT_SECONDS = 5.0
+"""How long an instance counts as brittle after it said so; it says so in each answer."""
+
 _MAX_LAG_HEARTBEATS = 2.6
 """How far an instance's last heartbeat may lag, in heartbeat intervals, behind the newest one from
 the same address before the instance is regarded as dead. Allows for one lost heartbeat, one late
@@ -42,6 +45,7 @@
     started_at: float
     revision: int
     limit: KnownLimit = field(default_factory=KnownLimit)
+    brittle_until: float = float("-inf")
 
     def make_report(self, now: float) -> Sighting:
         """Return the report on the instance for other processes."""
@@ -187,6 +191,26 @@
         self._mark_changed(known)
         return True
 
+    def note_brittle(self, instance_id: str, brittle: bool, now: float) -> None:
+        """Record whether an instance says that many rejections make it crash.
+
+        :param instance_id: the instance.
+        :param brittle: whether it does.
+        :param now: the current time.
+        """
+        known = self._known.get(instance_id)
+        if known is not None:
+            known.brittle_until = now + BRITTLE_KEPT_SECONDS if brittle else now
+
+    def is_brittle(self, instance_id: str, now: float) -> bool:
+        """Return whether an instance crashes if it has to reject many requests.
+
+        :param instance_id: the instance.
+        :param now: the current time.
+        """
+        known = self._known.get(instance_id)
+        return known is not None and now < known.brittle_until
+
     def note_leaving(self, instance_id: str) -> list[Instance]:
         """Mark an instance as leaving; return it if that changed its state.
 
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -19,7 +19,7 @@
 from daleroad.dispatch import Dispatcher
 from daleroad.evacuations import EvacuatedZones
 from daleroad.events import Event, log_event
-from daleroad.fleet import GONE_KEPT_SECONDS, Fleet
+from daleroad.fleet import BRITTLE_KEPT_SECONDS, GONE_KEPT_SECONDS, Fleet
 from daleroad.guarding import Guard, GuardedDispatcher
 from daleroad.instances import Instance, InstanceState
 from daleroad.limitedsends import list_upstream_notices
@@ -294,8 +294,18 @@
                 by="its answer",
             )
             self._queue_upstream_notice(instance)
-        if self.guard.backoffs.record(instance.get_name(), signals.backoff_seconds, now):
-            log_event(Event.UPSTREAM_RESTS, id=instance.id, seconds=signals.backoff_seconds)
+        brittle = signals.max_rejections_per_second is not None
+        self.fleet.note_brittle(instance.id, brittle, now)
+        if brittle:
+            self.loads.report_runs_until = now + BRITTLE_KEPT_SECONDS
+        backoff_seconds = signals.find_backoff_seconds(self.selector.gateways)
+        if self.guard.backoffs.record(instance.get_name(), backoff_seconds, now):
+            log_event(
+                Event.UPSTREAM_RESTS,
+                id=instance.id,
+                seconds=round(backoff_seconds, 3),
+                bears=signals.max_rejections_per_second,
+            )
         leaving = self.fleet.note_leaving(instance.id) if signals.leaving else []
         if leaving:
             log_event(Event.UPSTREAM_SAYS_LEAVING, id=instance.id)
--- a/src/daleroad/limitedsends.py
+++ b/src/daleroad/limitedsends.py
@@ -75,9 +75,9 @@
 
 
 def list_limit_notices(fleet: Fleet, names: Iterable[str], now: float) -> Iterator[UpstreamNotice]:
-    """Yield notices of the limits that instances advertised.
+    """Yield notices of the limits that instances advertised, and of those that are brittle.
 
-    These are part of each place request, so instances that never advertised a limit are left out.
+    These are part of each place request, so the others are left out.
 
     :param fleet: what is known of the instances.
     :param names: their ids.
@@ -85,8 +85,9 @@
     """
     for name in names:
         limit = fleet.make_limit_report(name, now)
-        if limit is not None:
-            yield UpstreamNotice(name, limit)
+        brittle = fleet.is_brittle(name, now)
+        if limit is not None or brittle:
+            yield UpstreamNotice(name, limit, brittle=brittle)
 
 
 def list_upstream_notices(
--- a/src/daleroad/loads.py
+++ b/src/daleroad/loads.py
@@ -116,10 +116,12 @@
     """The load of one gateway on each upstream, and the last known load of the others.
 
     :ivar changed: set when this gateway's memory tokens or unread prompt tokens change.
+    :ivar report_runs_until: until when it is also set when the number of requests changes.
     """
 
     def __init__(self) -> None:
         self.changed = anyio.Event()
+        self.report_runs_until = float("-inf")
         self._own: dict[str, Load] = {}
         self._others: dict[str, Load] = {}
 
@@ -141,9 +143,16 @@
             self._own.pop(instance.id, None)
         else:
             self._own[instance.id] = load
-        if tokens or unread:
+        if tokens or unread or anyio.current_time() < self.report_runs_until:
             self.changed.set()
 
+    def get_own(self, instance_id: str) -> Load:
+        """Return this gateway's own load on an instance.
+
+        :param instance_id: the instance.
+        """
+        return self._own.get(instance_id) or Load(instance_id)
+
     def list_own_loads(self) -> tuple[Load, ...]:
         """Return this gateway's own load on each instance."""
         return tuple(self._own.values())
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -129,11 +129,13 @@
     :param instance: its id.
     :param limit: its newest rate limit, or None if it never announced one.
     :param leaving: whether it is leaving.
+    :param brittle: whether many rejections make it crash.
     """
 
     instance: str
     limit: RateLimit | None = None
     leaving: bool = False
+    brittle: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/placer.py
+++ b/src/daleroad/placer.py
@@ -84,6 +84,8 @@
         for notice in request.limits:
             if notice.limit is not None:
                 self._fleet.note_limit(notice.instance, notice.limit, now)
+            if notice.brittle:
+                self._fleet.note_brittle(notice.instance, True, now)
         failing = frozenset(request.failing)
 
         def is_failing(instance_id: str) -> bool:
--- a/src/daleroad/sendlimits.py
+++ b/src/daleroad/sendlimits.py
@@ -233,6 +233,22 @@
         self._last_used_slots.pop(instance_id, None)
 
 
+def find_slot_share(gateway_id: str, instance_id: str, slots: int, gateways: int) -> int:
+    """Return how many requests a gateway may have at an upstream whose load it can't know.
+
+    The shares of all gateways add up to the upstream's slots on average. Where there are fewer
+    slots than gateways, a hash decides which of them have one.
+
+    :param gateway_id: the gateway.
+    :param instance_id: the upstream.
+    :param slots: requests that the upstream runs concurrently.
+    :param gateways: the number of gateways.
+    """
+    whole, rest = divmod(slots, max(1, gateways))
+    drawn = xxh3_64_intdigest(f"{gateway_id} {instance_id} slot".encode()) % max(1, gateways)
+    return whole + (drawn < rest)
+
+
 @dataclass
 class Grants:
     """The unused grants of one gateway; each allows one request."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -137,9 +137,9 @@
             calls = ChannelCalls("secret")
             watcher = Watcher(gateway, calls, parse)
             gateway.on_update = watcher.send_report_now
-            gateway.selector.request_placement = PlacerClient(
-                gateway, calls, watcher.get_leader
-            ).request_placement
+            places = PlacerClient(gateway, calls, watcher.get_leader)
+            gateway.selector.request_placement = places.request_placement
+            tasks.start_soon(places.report_loads)
             tasks.start_soon(watcher.run)
         gateway.selector.gateways = GATEWAYS
         self.all.append(gateway)
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from daleroad.backpressure import Backpressure
+from daleroad.backpressure import MAX_BRITTLE_BACKOFF_SECONDS, Backpressure
 from daleroad.dispatch import Attempt
 from daleroad.errors import Failure
 from daleroad.fleet import Fleet
@@ -48,6 +48,21 @@
         assert isinstance(decoded, Backpressure)
         self.assertEqual(decoded.backoff_seconds, 3600.0)
 
+    def test_brittle_upstream_counts_its_rejections_for_want_of_room(self) -> None:
+        headers = {b"server-brittle": b"4", b"x-daleroad-not-executed": b"1"}
+        found = [wire.decode_backpressure(status, headers) for status in (503, 429)]
+        self.assertEqual(found[0], Backpressure(max_rejections_per_second=4.0, rejected=True))
+        self.assertEqual(found[1], Backpressure(max_rejections_per_second=4.0))
+
+    def test_backoff_from_brittle_upstream_grows_with_the_gateways(self) -> None:
+        rejected = Backpressure(max_rejections_per_second=4.0, rejected=True)
+        self.assertEqual(rejected.find_backoff_seconds(2), 1.0)
+        self.assertEqual(rejected.find_backoff_seconds(12), 6.0)
+        self.assertEqual(rejected.find_backoff_seconds(350), MAX_BRITTLE_BACKOFF_SECONDS)
+        self.assertEqual(Backpressure(max_rejections_per_second=4.0).find_backoff_seconds(12), 0.0)
+        none = Backpressure(max_rejections_per_second=0.0, rejected=True)
+        self.assertEqual(none.find_backoff_seconds(1), MAX_BRITTLE_BACKOFF_SECONDS)
+
     def test_invalid_numbers_are_refused(self) -> None:
         for text in ("", "many", "-1", "nan", "inf", "1e300"):
             self.assertIsInstance(self.decode(200, server_limit=text), Failure)
--- a/tests/test_sendlimits.py
+++ b/tests/test_sendlimits.py
@@ -30,6 +30,7 @@
     ColdRule,
     FallbackShare,
     GrantLimiter,
+    find_slot_share,
     make_window_limits,
 )
 from tests.fakes import WHOLE, FakeDispatcher, make_config, make_gateway, make_instance, make_job
@@ -189,6 +190,19 @@
                 self.assertGreater(len(arrivals), 0.3 * rate * 100)
 
 
+class SlotShareTest(unittest.TestCase):
+    def test_shares_of_all_gateways_add_up_to_the_slots_on_average(self) -> None:
+        for gateways, slots in ((3, 6), (12, 6), (70, 24)):
+            upstreams = [f"u{number}" for number in range(200)]
+            shares = [
+                find_slot_share(f"g{gateway}", upstream, slots, gateways)
+                for gateway in range(gateways)
+                for upstream in upstreams
+            ]
+            self.assertAlmostEqual(sum(shares) / len(upstreams), slots, delta=0.1 * slots)
+            self.assertLessEqual(max(shares) - min(shares), 1)
+
+
 class GrantRequestTest(unittest.TestCase):
     """Any send to an upstream with a limit needs a grant and asks for one."""
 
