Cut gateways off from all upstreams in the soak

Cuts of one, most or all gateways now come beside the other faults, in four ways: open connections hang, are reset, or live on, and new ones hang or are refused.

--- a/tools/cutnetwork.py
+++ b/tools/cutnetwork.py
@@ -126,11 +126,13 @@
         """Return what comes, once the link is well."""
         data = await self._stream.receive(max_bytes)
         await self._wait_until_carried()
+        self._check_reset()
         return data
 
     async def send(self, item: bytes) -> None:
         """Send, once the link is well; the kernel of a VM would take the bytes at once."""
         await self._wait_until_carried()
+        self._check_reset()
         await self._stream.send(item)
 
     async def aclose(self) -> None:
@@ -138,6 +140,10 @@
         self._network.drop(self)
         await self._stream.aclose()
 
+    def _check_reset(self) -> None:
+        if self._network.get_cut(self._vm, self.address) in (Cut.RESET, Cut.REFUSE):
+            raise anyio.BrokenResourceError
+
     async def _wait_until_carried(self) -> None:
         while self._network.get_cut(self._vm, self.address) is Cut.HANG:
             await anyio.sleep(0.01)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -37,6 +37,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from tools.cutnetwork import Cut  # noqa: E402
 from tools.faultylink import LinkFault  # noqa: E402
 from tools.soakledger import (  # noqa: E402
     GRACE_SECONDS,
@@ -61,6 +62,7 @@
 from tools.soakzones import ZoneOperator  # noqa: E402
 
 ROOT = Path(__file__).resolve().parent.parent
+SOAK_GATEWAY = ROOT / "tools" / "soakgateway.py"
 
 SECONDS = 20.0
 """Length of one plan; several elections and drains."""
@@ -93,6 +95,17 @@
 TURN_SECONDS = (GRACE_SECONDS + 1.0, GRACE_SECONDS + 3.0)
 """Time from the last stop of a turn to the next turn; by then those gateways serve again."""
 
+CUT_OFF = "cut-off "
+"""Begins the kinds of steps that cut a gateway off from all upstreams."""
+
+CUT_GAP_SECONDS = (1.0, 5.0)
+CUT_SECONDS = (0.5, 5.0)
+"""Time between two cuts of gateways from all upstreams, and how long they last; a stream through
+another gateway goes on after that."""
+
+TUNNELED_SECONDS = 10.0
+"""How long after a cut a stream of its gateway may still hang on another one."""
+
 RESTART = "restart"
 
 RESTART_GAP_SECONDS = (0.5, 5.0)
@@ -179,6 +192,19 @@
         yield Step(round(at, 2), RESTART, f"link-{random.randrange(UPSTREAMS)}", hold)
 
 
+def plan_cuts(random: Random, seconds: float) -> Iterator[Step]:
+    """Yield the cuts of gateways from all upstreams, in order: of one, most or all at once."""
+    at = FIRST_SECONDS
+    while True:
+        at += random.uniform(*CUT_GAP_SECONDS)
+        hold = round(random.uniform(*CUT_SECONDS), 2)
+        if at + hold >= seconds - QUIET_SECONDS:
+            return
+        kind = CUT_OFF + random.choice(list(Cut)).value
+        for number in random.sample(range(GATEWAYS), random.randint(1, GATEWAYS)):
+            yield Step(round(at, 2), kind, f"gateway-{number}", hold)
+
+
 class Processes:
     """The site's processes, by name; restarts those that end, as the platform does."""
 
@@ -212,6 +238,9 @@
         environment = {"PATH": os.environ["PATH"], "DALEROAD_NODE_FILE": str(settings)}
         with (self._folder / f"{name}.log").open("ab") as log:
             command = [sys.executable, str(ROOT / "platform" / "node.py"), role, str(port)]
+            if role == "gateway":
+                cut = str(self._get_cut_file(name))
+                command = [sys.executable, str(SOAK_GATEWAY), cut, role, str(port)]
             self._running[name] = subprocess.Popen(
                 command, stdout=log, stderr=log, env=environment, cwd=ROOT
             )
@@ -241,6 +270,16 @@
         path.write_text(json.dumps(settings))
         return path
 
+    def _get_cut_file(self, name: str) -> Path:
+        return self._folder / f"{name}.cut"
+
+    async def cut(self, name: str, cut: Cut, seconds: float) -> None:
+        """Cut a gateway off from all upstreams for a while."""
+        path = self._get_cut_file(name)
+        path.write_text(cut.value)
+        await anyio.sleep(seconds)
+        path.unlink(missing_ok=True)
+
     def send(self, name: str, number: int) -> subprocess.Popen | None:
         """Send a signal to a process that this soak started; return it if it still ran."""
         process = self._running[name]
@@ -291,8 +330,9 @@
         # The other faults of a seed are the same with and without the stops.
         self.stops = list(plan_stops(Random(f"{seed} stops"), seconds))
         restarts = list(plan_restarts(Random(f"{seed} restarts"), seconds))
+        cuts = list(plan_cuts(Random(f"{seed} cuts"), seconds))
         faults = list(plan_steps(self.random, seconds))
-        self.steps = sorted(faults + self.stops + restarts, key=lambda step: step.at)
+        self.steps = sorted(faults + self.stops + restarts + cuts, key=lambda step: step.at)
         self.ledger = Ledger()
         self.idempotent: set[str] = set()
         entries = [f"{network}.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
@@ -388,8 +428,11 @@
     async def _carry_out(self, processes: Processes, step: Step) -> None:
         if step.kind not in ("stop", "hup"):
             now = anyio.current_time()
-            self.ledger.history.hurts.append(Hurt(step.target, now, now + step.hold))
+            after = TUNNELED_SECONDS if step.kind.startswith(CUT_OFF) else 0.0
+            self.ledger.history.hurts.append(Hurt(step.target, now, now + step.hold + after))
         match step.kind:
+            case kind if kind.startswith(CUT_OFF):
+                await processes.cut(step.target, Cut(kind.removeprefix(CUT_OFF)), step.hold)
             case "kill" | "kill-twice":
                 processes.send(step.target, signal.SIGKILL)
                 if step.kind == "kill-twice":
