Leave a gateway that carries tunnels and hangs

Requests of a cut-off gateway whose tunnels go through a VM that freezes hung until TCP gave up after 2.5 s, as open tunnels showed nothing.

--- a/src/daleroad/connections.py
+++ b/src/daleroad/connections.py
@@ -167,8 +167,14 @@
             while True:
                 await anyio.sleep(SWEEP_SECONDS)
                 for address in self.silences.sweep(anyio.current_time()):
-                    target = Target(address, SILENCE_SECONDS)
-                    tasks.start_soon(self._dialer.check, target, CONNECT_SECONDS)
+                    tasks.start_soon(self._check, address)
+
+    async def _check(self, address: str) -> None:
+        """Find out why an upstream is silent: its link is cut, or the gateway before it hangs."""
+        if self.paths.get_state(address) is not PathState.TUNNELED:
+            await self._dialer.check(Target(address, SILENCE_SECONDS), CONNECT_SECONDS)
+        elif self._tunnels is not None:
+            await self._tunnels.check_peers()
 
     def count_tunneled(self) -> int:
         """Return how many upstreams are reached through other gateways only."""
--- a/src/daleroad/paths.py
+++ b/src/daleroad/paths.py
@@ -174,14 +174,14 @@
         self._get(address, now).received_at = now
 
     def should_check(self, address: str, silent_since: float, now: float) -> bool:
-        """Return whether to find out if the path to a silent upstream still works.
+        """Return whether to find out if the path to a silent upstream, or its tunnel, still works.
 
         :param address: the upstream.
         :param silent_since: from when on something was expected from it.
         :param now: the time.
         """
         path = self._get(address, now)
-        if path.state is not PathState.DIRECT or path.received_at > silent_since:
+        if path.state is PathState.BLOCKED or path.received_at > silent_since:
             return False
         if now - path.checked_at < CHECK_SECONDS:
             return False
--- a/src/daleroad/silences.py
+++ b/src/daleroad/silences.py
@@ -73,9 +73,10 @@
         :param now: the time.
         """
         for wait in [w for w in self._waits if now - w.since >= w.limit]:
-            if self.paths.get_state(wait.address) is PathState.TUNNELED:
-                # A request that was sent since goes through a tunnel.
-                if wait.give_up is not None and wait.begun_at < self.paths.get_since(wait.address):
+            tunneled = self.paths.get_state(wait.address) is PathState.TUNNELED
+            # A request that was sent since the path is tunneled goes through a tunnel.
+            if tunneled and wait.begun_at < self.paths.get_since(wait.address):
+                if wait.give_up is not None:
                     wait.limit += GIVE_UP_AGAIN_SECONDS
                     wait.give_up()
             elif self.paths.should_check(wait.address, wait.since, now):
--- a/src/daleroad/tunnelpeers.py
+++ b/src/daleroad/tunnelpeers.py
@@ -104,6 +104,10 @@
         if not self._open[peer]:
             del self._open[peer]
 
+    def list_open(self) -> list[str]:
+        """Return the gateways through which tunnels are open."""
+        return list(self._open)
+
     def count_open(self) -> int:
         """Return how many tunnels are open."""
         return self._open.total()
--- a/src/daleroad/tunnels.py
+++ b/src/daleroad/tunnels.py
@@ -32,6 +32,12 @@
 MAX_PEERS_TRIED = 2
 """Gateways that are tried for one tunnel; the time of a dial allows no more."""
 
+CHECK_SECONDS = 0.3
+"""How long a gateway that carries tunnels may take to refuse one."""
+
+_NO_UPSTREAM = Target("none:0", 1.0)
+"""A target that every gateway refuses."""
+
 NETWORK_ERRORS = (
     OSError,
     anyio.EndOfStream,
@@ -125,10 +131,12 @@
 
     :param peers: the gateways that offer them.
     :param token: shown to them.
+    :ivar on_silent: called with a gateway that did not answer.
     """
 
     def __init__(self, peers: TunnelPeers, token: str) -> None:
         self.peers = peers
+        self.on_silent: Callable[[str], None] = lambda peer: None
         self._token = token
 
     async def open(self, target: Target) -> Tunnel[TunnelStream] | Failure:
@@ -149,10 +157,26 @@
         reason = "; ".join(reasons) or "no other gateway is known"
         return Failure(FailureKind.UNREACHABLE, reason)
 
+    async def check_peers(self) -> None:
+        """Find out which of the gateways that carry tunnels now still answer."""
+        async with anyio.create_task_group() as tasks:
+            for peer in self.peers.list_open():
+                tasks.start_soon(self._check_peer, peer)
+
+    async def _check_peer(self, peer: str) -> None:
+        with anyio.move_on_after(CHECK_SECONDS):
+            found = await self._open_through(peer, _NO_UPSTREAM)
+            if not isinstance(found, Failure):
+                await found.aclose()
+
+    def _note_silent(self, peer: str) -> None:
+        self.peers.record_silent(peer, anyio.current_time())
+        self.on_silent(peer)
+
     async def _open_through(self, peer: str, target: Target) -> TunnelStream | Failure:
         stream = await self._connect(peer, target)
         if isinstance(stream, Failure):
-            self.peers.record_silent(peer, anyio.current_time())
+            self._note_silent(peer)
             return stream
         opened = False
         try:
@@ -160,15 +184,16 @@
             await stream.send(self._make_head(http, peer, target))
             answer = await _read_answer(stream, http)
             if isinstance(answer, Failure):
-                self.peers.record_refused(peer, target.address, anyio.current_time())
+                if target is not _NO_UPSTREAM:
+                    self.peers.record_refused(peer, target.address, anyio.current_time())
                 return answer
             opened = True
         except NETWORK_ERRORS as error:
-            self.peers.record_silent(peer, anyio.current_time())
+            self._note_silent(peer)
             return Failure(FailureKind.UNREACHABLE, repr(error))
         except anyio.get_cancelled_exc_class():
             # The time of the dial is over, and the gateway has not answered.
-            self.peers.record_silent(peer, anyio.current_time())
+            self._note_silent(peer)
             raise
         finally:
             if not opened:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -195,6 +195,14 @@
 
         self.check_after("127.52", cut)
 
+    def test_requests_go_through_another_gateway_when_one_freezes(self) -> None:
+        async def freeze(site: Site, peer: str) -> None:
+            site.links.frozen.add(site.get_tunnel_address(peer))
+            # Its open tunnels hang; those that wait on them find out.
+            await site.ask_many("gateway-0", 9)
+
+        self.check_after("127.56", freeze)
+
     def test_requests_go_through_another_gateway_when_one_drains(self) -> None:
         async def drain(site: Site, peer: str) -> None:
             site.gateways[peer].gateway.begin_drain(anyio.current_time() + 30.0)
--- a/tools/cutnetwork.py
+++ b/tools/cutnetwork.py
@@ -36,14 +36,22 @@
     """The links from VMs to upstreams.
 
     :param is_upstream: returns whether an IP:PORT is an upstream's.
+    :param may_freeze: returns whether an IP:PORT may be added to ``frozen``.
     :ivar cuts: what is cut, by name of the VM.
     :ivar spared: addresses of upstreams that cut VMs reach all the same.
+    :ivar frozen: addresses that answer nothing to anybody.
     """
 
-    def __init__(self, is_upstream: Callable[[str], bool]) -> None:
+    def __init__(
+        self,
+        is_upstream: Callable[[str], bool],
+        may_freeze: Callable[[str], bool] = lambda address: False,
+    ) -> None:
         self.cuts: dict[str, Cut] = {}
         self.spared: set[str] = set()
+        self.frozen: set[str] = set()
         self._is_upstream = is_upstream
+        self._may_freeze = may_freeze
         self._open: dict[_CutStream, str] = {}
         self._connect: Callable[..., Awaitable[SocketStream]] = anyio.connect_tcp
 
@@ -80,6 +88,8 @@
         :param vm: the VM's name.
         :param address: the IP:PORT.
         """
+        if address in self.frozen:
+            return Cut.HANG
         if address in self.spared or not self._is_upstream(address):
             return None
         return self.cuts.get(vm)
@@ -93,7 +103,7 @@
             case Cut.REFUSE | Cut.REFUSE_NEW:
                 raise ConnectionRefusedError(111, "refused")
         stream = await self._connect(remote_host, remote_port, **options)
-        if not self._is_upstream(address):
+        if not self._is_upstream(address) and not self._may_freeze(address):
             return stream
         carried = _CutStream(stream, vm, address, self)
         self._open[carried] = vm
