--- a/src/daleroad/migration.py
+++ b/src/daleroad/migration.py
@@ -76,11 +76,9 @@
         :param run: the run; its stream hangs.
         :return: the engine with the copy. None if there is none: the run may be over.
         """
-        if not self._can_move(run):
-            return None
-        destination = self._get_live_backup(run)
-        destination = destination or self._pick_destination(run, {run.attempt.instance.id})
-        return await self._copy_finally(run, destination) if destination is not None else None
+        destination = self._find_destination(run)
+        copied = await self._copy_finally(run, destination) if destination is not None else None
+        return copied if isinstance(copied, ResumePoint) else None
 
     async def _recover_cut_run(self, run: StreamRun) -> ResumePoint | None:
         """Find an engine to resume on after a cut without notice.
@@ -88,33 +86,33 @@
         The engine may have crashed, or only the connection may be broken. A final copy stops the
         run on an engine that still works, so that two engines do not run it at once.
         """
-        if not self._can_move(run):
-            return None
-        backup = self._get_live_backup(run)
-        destination = backup or self._pick_destination(run, {run.attempt.instance.id})
+        destination = self._find_destination(run)
         if destination is None:
             return None
-        result = await self._copy(run, destination, final=True)
-        if isinstance(result, Copied):
-            return self._make_continuation(run, destination, result)
-        self._log_copy_failure(run, destination.id, result.reason)
-        if backup is None or result.fault is CopyFault.BUSY:
+        copied = await self._copy_finally(run, destination)
+        if isinstance(copied, ResumePoint):
+            return copied
+        backup = self._get_live_backup(run)
+        if backup is None or copied.fault is CopyFault.BUSY:
             return None
         # The handle of a backup is the request's id.
         source = CopySource(backup.address, run.attempt.job.id, run.last_event)
         return ResumePoint(backup, source)
 
-    def _can_move(self, run: StreamRun) -> bool:
-        """Return whether the engines of a run's service copy running generations."""
+    def _find_destination(self, run: StreamRun) -> Instance | None:
+        """Return the engine to copy a run to: that with its backup, or else another, if any."""
         service = self._gateway.get_service(run.attempt.instance.service)
-        return service is not None and service.engine is not None and service.engine.moves
+        if service is None or service.engine is None or not service.engine.moves:
+            return None
+        backup = self._get_live_backup(run)
+        return backup or self._pick_destination(run, {run.attempt.instance.id})
 
-    async def _copy_finally(self, run: StreamRun, destination: Instance) -> ResumePoint | None:
+    async def _copy_finally(self, run: StreamRun, destination: Instance) -> ResumePoint | NotCopied:
         result = await self._copy(run, destination, final=True)
         if isinstance(result, Copied):
             return self._make_continuation(run, destination, result)
         self._log_copy_failure(run, destination.id, result.reason)
-        return None
+        return result
 
     async def _run_migration(self, run: StreamRun) -> None:
         try:
