Tell a tunnel that is cut from an upstream that is lost behind it

A gateway that carried tunnels and crashed made its tunnels' upstreams look crashed at the gateway before them: counted against the upstreams, and against the requests, which are held after three. The far end now says by a trailer that the upstream's connection was lost; a tunnel that ends without an end of its body was itself cut, and blames no upstream.

--- a/src/daleroad/connections.py
+++ b/src/daleroad/connections.py
@@ -13,7 +13,7 @@
 from daleroad.paths import PathChange, PathState, PathTable
 from daleroad.silences import SWEEP_SECONDS, SilenceWatch
 from daleroad.sockets import make_socket_options
-from daleroad.tunnels import TunnelClient, TunnelStream
+from daleroad.tunnels import TunnelClient, TunnelLostError, TunnelStream
 
 PEER_INFO = "peer"
 """Name of a connection's extra information: the gateway's tunnels that it goes through, or ""."""
@@ -27,6 +27,14 @@
     """No connection was tried, as none just worked."""
 
 
+class TunnelReadError(httpcore.ReadError):
+    """A tunnel was cut while its answer was awaited; the upstream may be well."""
+
+
+class TunnelWriteError(httpcore.WriteError):
+    """A tunnel was cut while a request was sent; the upstream may be well."""
+
+
 class _DirectConnection(httpcore.AsyncNetworkStream):
     """A direct connection; what comes on it shows that its path works."""
 
@@ -64,8 +72,10 @@
             return b""
         except TimeoutError as error:
             raise httpcore.ReadTimeout(str(error)) from error
+        except TunnelLostError as error:
+            raise TunnelReadError(f"the tunnel through {self._peer} was cut") from error
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            raise httpcore.ReadError(f"the tunnel through {self._peer} was cut") from error
+            raise httpcore.ReadError(f"lost behind the tunnel through {self._peer}") from error
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         if not buffer:
@@ -75,8 +85,10 @@
                 await self._stream.send(buffer)
         except TimeoutError as error:
             raise httpcore.WriteTimeout(str(error)) from error
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            raise httpcore.WriteError(f"the tunnel through {self._peer} was cut") from error
+        except TunnelLostError as error:
+            raise TunnelWriteError(f"the tunnel through {self._peer} was cut") from error
+        except anyio.ClosedResourceError as error:
+            raise httpcore.WriteError(repr(error)) from error
 
     async def aclose(self) -> None:
         await self._stream.aclose()
--- a/src/daleroad/dialing.py
+++ b/src/daleroad/dialing.py
@@ -100,6 +100,12 @@
         with anyio.CancelScope(shield=True):
             await dialed.connection.aclose()
 
+    async def abandon(self) -> None:
+        """Close the connection that won, as nobody waits for it any more."""
+        if self.won is not None:
+            with anyio.CancelScope(shield=True):
+                await self.won.connection.aclose()
+
 
 class Dialer(Generic[T]):
     """Connects to upstreams over the path that works, and finds out which one does.
@@ -171,10 +177,14 @@
                 await first_failed.wait()
             await run(not plan.tunnel_first)
 
-        with anyio.move_on_after(seconds):
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(run, plan.tunnel_first)
-                tasks.start_soon(run_second)
+        try:
+            with anyio.move_on_after(seconds):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(run, plan.tunnel_first)
+                    tasks.start_soon(run_second)
+        except anyio.get_cancelled_exc_class():
+            await race.abandon()
+            raise
         return race
 
     async def _try_direct(self, target: Target, race: _Race[T]) -> bool:
--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -141,7 +141,7 @@
 
     :param unread: whether the upstream cut a response that this gateway left unread, as a stream's
         client did not read or the gateway had no room for a whole one.
-    :param cut_off: whether only this gateway's link to the upstream is known to be cut.
+    :param cut_off: whether only this gateway's link to the upstream, or a tunnel, is cut.
     """
 
     reason: str
--- a/src/daleroad/tunnels.py
+++ b/src/daleroad/tunnels.py
@@ -3,10 +3,10 @@
 A tunnel is one HTTP exchange whose two bodies carry the bytes of one connection. The gateway at its
 other end dials the upstream and answers only once it is connected, so a tunnel that did not come
 about carried nothing. The end of the answer's body stands for the end of the upstream's connection;
-a tunnel that ends without it was cut.
+a tunnel that ends without it was cut. A trailer says that the upstream's connection was lost.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from select import POLLIN, poll
 from typing import Any
 
@@ -26,8 +26,12 @@
 SILENCE_HEADER = "x-silence-seconds"
 """How long the upstream's TCP may acknowledge nothing."""
 
+LOST_TRAILER = "x-upstream-lost"
+"""Name of the trailer of a body that ended as the upstream's connection was lost."""
+
 PEER_CONNECT_SECONDS = 0.12
-"""Limit of a connection to another gateway; several round trips between regions."""
+"""Limit of a connection to another gateway while there is one more to try; several round trips
+between regions. The last one has the rest of the dial's time."""
 
 MAX_PEERS_TRIED = 2
 """Gateways that are tried for one tunnel; the time of a dial allows no more."""
@@ -46,9 +50,14 @@
     h11.ProtocolError,
 )
 
+_TUNNEL_ERRORS = (anyio.EndOfStream, anyio.BrokenResourceError, h11.ProtocolError)
 _OK = 200
 
 
+class TunnelLostError(anyio.BrokenResourceError):
+    """A tunnel was cut; the upstream may be well."""
+
+
 class TunnelStream(ByteStream):
     """The near end of an open tunnel.
 
@@ -70,7 +79,8 @@
 
         :param max_bytes: most bytes to return.
         :raises anyio.EndOfStream: when the upstream closed its connection.
-        :raises anyio.BrokenResourceError: when the tunnel was cut.
+        :raises TunnelLostError: when the tunnel was cut.
+        :raises anyio.BrokenResourceError: when the upstream's connection was lost.
         """
         if not self._unread:
             self._unread = await self._read()
@@ -84,15 +94,16 @@
                 if event is h11.NEED_DATA:
                     self._http.receive_data(await self._stream.receive())
                     continue
-            except (anyio.EndOfStream, h11.ProtocolError) as error:
-                raise anyio.BrokenResourceError from error
+            except _TUNNEL_ERRORS as error:
+                raise TunnelLostError from error
             match event:
                 case h11.Data(data=data):
                     return bytes(data)
-                case h11.EndOfMessage():
-                    raise anyio.EndOfStream
+                case h11.EndOfMessage(headers=headers):
+                    lost = any(name.decode() == LOST_TRAILER for name, _ in headers)
+                    raise anyio.BrokenResourceError if lost else anyio.EndOfStream
                 case _:
-                    raise anyio.BrokenResourceError
+                    raise TunnelLostError
 
     def is_readable(self) -> bool:
         """Return whether something came that was not asked for, or the connection ended."""
@@ -107,8 +118,12 @@
         """Send bytes to the upstream.
 
         :param item: the bytes.
+        :raises TunnelLostError: when the tunnel was cut.
         """
-        await self._stream.send(self._http.send(h11.Data(data=item)) or b"")
+        try:
+            await self._stream.send(self._http.send(h11.Data(data=item)) or b"")
+        except _TUNNEL_ERRORS as error:
+            raise TunnelLostError from error
 
     async def send_eof(self) -> None:
         """Do nothing: no upstream is told that a request is over by the end of its connection."""
@@ -149,7 +164,9 @@
             peer = self.peers.choose(target.address, tried, anyio.current_time())
             if peer is None:
                 break
-            found = await self._open_through(peer, target)
+            is_last = len(tried) + 1 == MAX_PEERS_TRIED or self._is_last(peer, target, tried)
+            seconds = float("inf") if is_last else PEER_CONNECT_SECONDS
+            found = await self._open_through(peer, target, seconds)
             if not isinstance(found, Failure):
                 return Tunnel(found, peer)
             tried[peer] = found
@@ -157,6 +174,9 @@
         reason = "; ".join(reasons) or "no other gateway is known"
         return Failure(FailureKind.UNREACHABLE, reason)
 
+    def _is_last(self, peer: str, target: Target, tried: Iterable[str]) -> bool:
+        return self.peers.choose(target.address, {*tried, peer}, anyio.current_time()) is None
+
     async def check_peers(self) -> None:
         """Find out which of the gateways that carry tunnels now still answer."""
         async with anyio.create_task_group() as tasks:
@@ -165,7 +185,7 @@
 
     async def _check_peer(self, peer: str) -> None:
         with anyio.move_on_after(CHECK_SECONDS):
-            found = await self._open_through(peer, _NO_UPSTREAM)
+            found = await self._open_through(peer, _NO_UPSTREAM, CHECK_SECONDS)
             if not isinstance(found, Failure):
                 await found.aclose()
 
@@ -173,8 +193,10 @@
         self.peers.record_silent(peer, anyio.current_time())
         self.on_silent(peer)
 
-    async def _open_through(self, peer: str, target: Target) -> TunnelStream | Failure:
-        stream = await self._connect(peer, target)
+    async def _open_through(
+        self, peer: str, target: Target, seconds: float
+    ) -> TunnelStream | Failure:
+        stream = await self._connect(peer, target, seconds)
         if isinstance(stream, Failure):
             self._note_silent(peer)
             return stream
@@ -201,9 +223,9 @@
         self.peers.change_open(peer, 1)
         return TunnelStream(stream, http, lambda: self.peers.change_open(peer, -1))
 
-    async def _connect(self, peer: str, target: Target) -> SocketStream | Failure:
+    async def _connect(self, peer: str, target: Target, seconds: float) -> SocketStream | Failure:
         host, _, port = peer.partition(":")
-        with anyio.move_on_after(PEER_CONNECT_SECONDS):
+        with anyio.move_on_after(seconds):
             try:
                 stream = await anyio.connect_tcp(host, int(port))
             except OSError as error:
@@ -212,7 +234,7 @@
             for option in make_socket_options(target.silence):
                 raw.setsockopt(*option)
             return stream
-        return Failure(FailureKind.UNREACHABLE, f"not connected in {PEER_CONNECT_SECONDS:g} s")
+        return Failure(FailureKind.UNREACHABLE, f"not connected in {seconds:g} s")
 
     def _make_head(self, http: h11.Connection, peer: str, target: Target) -> bytes:
         headers = [
--- a/src/daleroad/tunnelserver.py
+++ b/src/daleroad/tunnelserver.py
@@ -2,6 +2,7 @@
 
 import hmac
 from collections.abc import Callable
+from contextlib import suppress
 
 import anyio
 import h11
@@ -14,7 +15,7 @@
 from daleroad.security import get_bearer
 from daleroad.serving import make_problem
 from daleroad.sockets import make_socket_options
-from daleroad.tunnels import NETWORK_ERRORS, SILENCE_HEADER, TUNNEL_PATH
+from daleroad.tunnels import LOST_TRAILER, NETWORK_ERRORS, SILENCE_HEADER, TUNNEL_PATH
 
 MAX_TUNNELS = 200
 """Tunnels through one gateway at a time; each holds up to two reads and the buffers of two
@@ -178,7 +179,9 @@
                     http.receive_data(await stream.receive(_CHUNK_BYTES))
                 case h11.Data(data=data):
                     tunnel.awaits_answer = True
-                    await upstream.send(bytes(data))
+                    # That the connection is lost is told by what reads from it.
+                    with suppress(anyio.BrokenResourceError):
+                        await upstream.send(bytes(data))
                 case _:
                     raise anyio.EndOfStream
 
@@ -186,9 +189,10 @@
         while True:
             try:
                 data = await upstream.receive(_CHUNK_BYTES)
-            except anyio.EndOfStream:
-                # Only this end of the body says that the upstream ended its connection properly.
-                await stream.send(http.send(h11.EndOfMessage()) or b"")
+            except (anyio.EndOfStream, anyio.BrokenResourceError) as error:
+                lost = isinstance(error, anyio.BrokenResourceError)
+                trailers = [(LOST_TRAILER, "1")] if lost else []
+                await stream.send(http.send(h11.EndOfMessage(headers=trailers)) or b"")
                 tasks.cancel_scope.cancel()
                 return
             tunnel.awaits_answer = False
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -12,7 +12,7 @@
 from daleroad.dialing import Target, Tunnel
 from daleroad.errors import Failure
 from daleroad.tunnelpeers import TunnelPeers
-from daleroad.tunnels import TunnelClient, TunnelStream
+from daleroad.tunnels import TunnelClient, TunnelLostError, TunnelStream
 from daleroad.tunnelserver import MAX_TUNNELS, TunnelServer
 from tests.cutsite import CONTACT_SECONDS, Answers, Site
 from tools.cutnetwork import Cut
@@ -224,10 +224,16 @@
             upstream = await anyio.create_tcp_listener(local_host="127.0.0.1")
             port = upstream.extra(anyio.abc.SocketAttribute.local_port)
             self.server = TunnelServer("secret", lambda address: refusal)
+            self.scope = anyio.CancelScope()
             peer = "127.0.0.1:29999"
+
+            async def serve() -> None:
+                with self.scope:
+                    await self.server.run(peer)
+
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(upstream.serve, handle)
-                tasks.start_soon(self.server.run, peer)
+                tasks.start_soon(serve)
                 await anyio.sleep(0.05)
                 client = TunnelClient(TunnelPeers((peer,)), "secret")
                 await body(client, f"127.0.0.1:{port}", peer)
@@ -266,7 +272,24 @@
             stream = await self.open(client, address)
             await stream.send(b"x")
             self.assertEqual(await stream.receive(), b"half an answer")
-            with self.assertRaises(anyio.BrokenResourceError):
+            with self.assertRaises(anyio.BrokenResourceError) as found:
+                await stream.receive()
+            self.assertNotIsInstance(found.exception, TunnelLostError)
+
+        self.play(body, handle)
+
+    def test_tunnel_that_is_cut_is_told_from_a_lost_upstream(self) -> None:
+        async def handle(stream: SocketStream) -> None:
+            await stream.receive()
+            await stream.send(b"half an answer")
+            await anyio.sleep_forever()
+
+        async def body(client: TunnelClient, address: str, peer: str) -> None:
+            stream = await self.open(client, address)
+            await stream.send(b"x")
+            self.assertEqual(await stream.receive(), b"half an answer")
+            self.scope.cancel()
+            with self.assertRaises(TunnelLostError):
                 await stream.receive()
 
         self.play(body, handle)
