--- a/src/daleroad/sockets.py
+++ b/src/daleroad/sockets.py
@@ -6,8 +6,8 @@
 """Idle time before the first TCP keep-alive probe, and the interval of the probes."""
 
 _UNACKED_MARGIN_SECONDS = 0.5
-"""How much shorter than the allowed silence the time limit on unacknowledged data is. On Linux it
-also decides when keep-alive probes give up, whatever their count."""
+"""How much shorter than the allowed silence unacknowledged data may wait. On Linux this limit also
+decides when keep-alive probes give up, whatever their count."""
 
 
 def make_socket_options(silence: float) -> list[tuple[int, int, int]]:
--- a/tests/test_unreached.py
+++ b/tests/test_unreached.py
@@ -6,12 +6,17 @@
 
 import anyio
 
+from daleroad.choosing import UpstreamQuery
 from daleroad.dispatch import NotRun
 from daleroad.fleet import Fleet
 from daleroad.instances import Sighting
 from daleroad.loads import LoadTotals
-from daleroad.notices import PlaceAnswer, PlaceRequest
+from daleroad.notices import GatewayNotice, PlaceAnswer, PlaceRequest, ShareRequest
+from daleroad.paths import Reach
+from daleroad.peers import Peers
 from daleroad.placer import Placer
+from daleroad.presence import Presence
+from daleroad.ratelimits import RateLimit
 from daleroad.routing import Repeat, ServiceRule
 from daleroad.unreached import UnreachableUpstreams
 from tests.fakes import (
@@ -94,5 +99,41 @@
         anyio.run(main)
 
 
+class CutGatewayTest(unittest.TestCase):
+    def test_gateway_that_reaches_no_upstream_reports_none_as_unreachable(self) -> None:
+        async def main() -> None:
+            gateway = make_gateway(FakeDispatcher(), make_config(Repeat.ONCE), 0.0)
+            requests: list[PlaceRequest] = []
+
+            async def answer_place(request: PlaceRequest) -> PlaceAnswer | None:
+                requests.append(request)
+                return None
+
+            gateway.selector.request_placement = answer_place
+            gateway.fleet.note_limit("i1", RateLimit(1.0), anyio.current_time())
+            gateway.fleet.note(Sighting(make_instance(2), 0.0), anyio.current_time())
+            gateway.selector.record_connect_failure(make_instance(2))
+            for reach in (Reach.FULL, Reach.NONE):
+                gateway.get_reach = lambda reach=reach: reach
+                await gateway.selector.place(UpstreamQuery(SERVICE))
+            self.assertEqual([request.unreached for request in requests], [("i2",), ()])
+
+        anyio.run(main)
+
+    def test_gateway_that_reaches_no_upstream_is_named_only_if_all_are_like_it(self) -> None:
+        async def main() -> None:
+            presence = Presence("c", None, Peers("c", set()), list, lambda: None)
+            for number, reach in enumerate((Reach.NONE, Reach.PARTIAL, Reach.FULL)):
+                notice = GatewayNotice(f"g{number}", "z", "r", True, reach=reach)
+                presence.merge_share(ShareRequest("d", (notice,)))
+            self.assertEqual(presence.list_gateways("z"), ["g1", "g2"])
+            for number in (1, 2):
+                notice = GatewayNotice(f"g{number}", "z", "r", True, reach=Reach.NONE)
+                presence.merge_share(ShareRequest("d", (notice,)))
+            self.assertEqual(presence.list_gateways("z"), ["g0", "g1", "g2"])
+
+        anyio.run(main)
+
+
 if __name__ == "__main__":
     unittest.main()
