Count tunnels of dropped pools as closed

When a path changes its pool is dropped with its idle connections. Tunnels among them stayed counted as open, which skewed the choice of the gateway with the fewest. A test drops one.

--- a/src/daleroad/tunnels.py
+++ b/src/daleroad/tunnels.py
@@ -63,7 +63,7 @@
 
     :param stream: the connection to the other gateway.
     :param http: its protocol state, after the head of the response.
-    :param on_close: called once when it is closed.
+    :param on_close: called once when it is closed or dropped.
     """
 
     def __init__(
@@ -130,10 +130,17 @@
 
     async def aclose(self) -> None:
         """Close the tunnel, and with it the upstream's connection."""
+        self._note_closed()
+        await anyio.aclose_forcefully(self._stream)
+
+    def _note_closed(self) -> None:
         on_close, self._on_close = self._on_close, None
         if on_close is not None:
             on_close()
-        await anyio.aclose_forcefully(self._stream)
+
+    def __del__(self) -> None:
+        # A pool that is dropped leaves its idle connections to the garbage collector.
+        self._note_closed()
 
     @property
     def extra_attributes(self) -> Mapping[Any, Callable[[], Any]]:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -1,5 +1,6 @@
 """Tests of gateways that clients reach and that reach no upstream themselves."""
 
+import gc
 import unittest
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
@@ -313,6 +314,19 @@
 
         self.play(body, handle)
 
+    def test_tunnel_that_is_dropped_is_not_counted(self) -> None:
+        async def handle(stream: SocketStream) -> None:
+            await anyio.sleep_forever()
+
+        async def body(client: TunnelClient, address: str, peer: str) -> None:
+            stream = await self.open(client, address)
+            self.assertEqual(client.peers.count_open(), 1)
+            del stream
+            gc.collect()
+            self.assertEqual(client.peers.count_open(), 0)
+
+        self.play(body, handle)
+
     def test_tunnel_is_open_only_once_the_upstream_is_connected(self) -> None:
         async def handle(stream: SocketStream) -> None:
             await stream.aclose()
