End a carried tunnel whose other gateway is gone without a word

The connection to the other gateway had no bound on silence, so the upstream's stayed open until the upstream closed it. It has the same options as the upstream's now.

--- a/src/daleroad/tunnelserver.py
+++ b/src/daleroad/tunnelserver.py
@@ -95,6 +95,7 @@
             await stream.send(_make_refusal(http, upstream))
             return
         assert isinstance(target, Target)
+        _limit_silence(stream, target.silence)
         begun = anyio.current_time()
         tunnel = _Carried()
         self._open.add(tunnel)
@@ -147,13 +148,18 @@
             upstream = await anyio.connect_tcp(host, int(port))
         except OSError as error:
             return Failure(FailureKind.UNREACHABLE, f"not connected: {error.__cause__ or error!r}")
-        raw = upstream.extra(SocketAttribute.raw_socket)
-        for option in make_socket_options(target.silence):
-            raw.setsockopt(*option)
+        _limit_silence(upstream, target.silence)
         return upstream
     return Failure(FailureKind.UNREACHABLE, f"not connected in {DIAL_SECONDS:g} s")
 
 
+def _limit_silence(stream: SocketStream, silence: float) -> None:
+    """Let a connection end once its other end acknowledges nothing for some seconds."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    for option in make_socket_options(silence):
+        raw.setsockopt(*option)
+
+
 def _make_refusal(http: h11.Connection, failure: Failure) -> bytes:
     body = orjson.dumps(make_problem(failure))
     headers = [("content-length", str(len(body))), ("connection", "close")]
