--- a/tools/soakgateway.py
+++ b/tools/soakgateway.py
@@ -5,10 +5,14 @@
 While the file exists its text names a :class:`~tools.cutnetwork.Cut`.
 """
 
+import signal
 import sys
 from pathlib import Path
 from runpy import run_path
 
+# As in node.py: its default action would end the process during the imports.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
