Copy a hanging stream once, however often it is found silent

A stream behind a cut whose final copy took longer than a second was found silent again, and a second copy was asked for. Its refusal ('another copy is under way') overwrote the first one's result, so the stream was lost although its memory had been copied. Found by reading; the test asks three times while one copy takes 2 s and fails without the change.

--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -77,6 +77,7 @@
     :param events: number of events delivered.
     :param last_event: id of the last event that had one.
     :param migrating: whether a migration off its engine was started.
+    :param recovering: whether a copy is under way because its stream hangs.
     :param resume_point: set once the generation was stopped and its memory copied elsewhere.
     :param migration_done: set when the migration has ended, successfully or not, or the stream is
         closed.
@@ -104,6 +105,7 @@
     events: int = 0
     last_event: str = ""
     migrating: bool = False
+    recovering: bool = False
     resume_point: ResumePoint | None = None
     migration_done: anyio.Event = field(default_factory=anyio.Event)
     ended: bool = False
@@ -180,13 +182,18 @@
         :param abandon: ends the stream that hangs.
         """
         run = self._runs.get(request)
-        if run is not None and not run.migrating:
-            self._gateway.spawn(self._recover_cut_off, run, abandon)
+        if run is None or run.migrating or run.recovering:
+            return
+        run.recovering = True
+        self._gateway.spawn(self._recover_cut_off, run, abandon)
 
     async def _recover_cut_off(self, run: StreamRun, abandon: Callable[[], None]) -> None:
         """Copy a run and end its stream; without a copy, its rest may still come after the cut."""
-        if run.resume_point is None:
-            run.resume_point = await self._mover.copy_cut_off(run)
+        try:
+            if run.resume_point is None:
+                run.resume_point = await self._mover.copy_cut_off(run)
+        finally:
+            run.recovering = False
         if run.resume_point is not None:
             abandon()
 
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -84,6 +84,36 @@
             else:
                 self.event_ids.append(piece.decode().split()[1])
 
+    def test_hanging_stream_is_copied_once_however_often_it_is_found_silent(self) -> None:
+        abandoned: list[bool] = []
+
+        async def copy(*_: object, **__: object) -> Copied | NotCopied:
+            self.dispatcher.copies.append(("", "", True))
+            if len(self.dispatcher.copies) > 1:
+                return NotCopied("another is under way", CopyFault.BUSY)
+            await anyio.sleep(2.0)
+            return Copied("handle", 4)
+
+        async def main() -> StreamRun:
+            now = anyio.current_time()
+            gateway = make_gateway(self.dispatcher, make_config(Repeat.STREAM, engine=True), now)
+            runs = StreamRegistry(gateway, EngineMigrator(gateway))
+            async with anyio.create_task_group() as tasks:
+                gateway.start(tasks)
+                run = self.make_run(gateway, FakeStream(1, 4), now)
+                runs.open(run)
+                for _ in range(3):
+                    runs.recover_cut_off(run.attempt.job.id, lambda: abandoned.append(True))
+                    await anyio.sleep(1.5)
+                await runs.close(run)
+            return run
+
+        with patch.object(self.dispatcher, "copy", copy):
+            run = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(len(self.dispatcher.copies), 1)
+        self.assertIsNotNone(run.resume_point)
+        self.assertTrue(abandoned)
+
     def test_complete_stream_is_passed_on(self) -> None:
         run = self.deliver(FakeStream(1, 4))
         self.assertEqual(self.event_ids, ["1", "2", "3", "4"])
