Take a gateway as silent only if it had the time to answer

When a direct connection won while a tunnel was being opened, or a client left, the other gateway counted as silent: it was left alone for 2 s and all idle tunnels were dropped. And one that did not even accept the connection was not noted when the dial's time ended. Now it counts as silent after 0.25 s without an answer, wherever it hung. Also, bytes on a connection of an upstream that left no longer make its path known again, which kept a gateway from seeing that it reaches nothing. Both found by reading; each has a test.

--- a/src/daleroad/paths.py
+++ b/src/daleroad/paths.py
@@ -171,7 +171,9 @@
         :param address: the upstream.
         :param now: the time.
         """
-        self._get(address, now).received_at = now
+        path = self._paths.get(address)
+        if path is not None:
+            path.received_at = now
 
     def should_check(self, address: str, silent_since: float, now: float) -> bool:
         """Return whether to find out if the path to a silent upstream, or its tunnel, still works.
--- a/src/daleroad/tunnels.py
+++ b/src/daleroad/tunnels.py
@@ -36,6 +36,10 @@
 MAX_PEERS_TRIED = 2
 """Gateways that are tried for one tunnel; the time of a dial allows no more."""
 
+SILENT_PEER_SECONDS = 0.25
+"""How long a gateway may take to answer before it counts as silent: the limit of its connection to
+the upstream, and some round trips."""
+
 CHECK_SECONDS = 0.3
 """How long a gateway that carries tunnels may take to refuse one."""
 
@@ -202,6 +206,18 @@
 
     async def _open_through(
         self, peer: str, target: Target, seconds: float
+    ) -> TunnelStream | Failure:
+        begun = anyio.current_time()
+        try:
+            return await self._try_through(peer, target, seconds)
+        except anyio.get_cancelled_exc_class():
+            # A direct connection may have won, or the client have left, before it could answer.
+            if anyio.current_time() - begun >= SILENT_PEER_SECONDS:
+                self._note_silent(peer)
+            raise
+
+    async def _try_through(
+        self, peer: str, target: Target, seconds: float
     ) -> TunnelStream | Failure:
         stream = await self._connect(peer, target, seconds)
         if isinstance(stream, Failure):
@@ -220,10 +236,6 @@
         except NETWORK_ERRORS as error:
             self._note_silent(peer)
             return Failure(FailureKind.UNREACHABLE, repr(error))
-        except anyio.get_cancelled_exc_class():
-            # The time of the dial is over, and the gateway has not answered.
-            self._note_silent(peer)
-            raise
         finally:
             if not opened:
                 await anyio.aclose_forcefully(stream)
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -73,8 +73,14 @@
         self.paths.record_tunnel("a", 2.0)
         self.assertIs(self.paths.get_reach(), Reach.PARTIAL)
 
+    def test_upstream_that_left_is_forgotten_though_a_connection_still_carries(self) -> None:
+        self.paths.record_direct("a", 1.0)
+        self.paths.forget("a")
+        self.paths.record_received("a", 2.0)
+        self.assertEqual(self.paths.count(PathState.DIRECT), 0)
+
     def test_silent_path_is_checked_rarely_and_only_if_nothing_came(self) -> None:
-        self.paths.record_received("a", 1.0)
+        self.paths.record_direct("a", 1.0)
         self.assertFalse(self.paths.should_check("a", 0.5, 2.0))
         self.assertTrue(self.paths.should_check("a", 1.5, 2.0))
         self.assertFalse(self.paths.should_check("a", 1.5, 2.0 + CHECK_SECONDS / 2))
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -337,6 +337,23 @@
 
         self.play(body, handle)
 
+    def test_gateway_is_silent_only_if_it_had_the_time_to_answer(self) -> None:
+        async def handle(stream: SocketStream) -> None:
+            await anyio.sleep_forever()
+
+        async def body(client: TunnelClient, address: str, peer: str) -> None:
+            silent: list[str] = []
+            client.on_silent = silent.append
+            async with await anyio.create_tcp_listener(local_host="127.0.0.1") as deaf:
+                port = deaf.extra(anyio.abc.SocketAttribute.local_port)
+                client.peers.listed = (f"127.0.0.1:{port}",)
+                for seconds, expected in ((0.1, 0), (0.3, 1)):
+                    with anyio.move_on_after(seconds):
+                        await client.open(Target(address, 3.0))
+                    self.assertEqual(len(silent), expected)
+
+        self.play(body, handle)
+
     def test_callers_and_unknown_addresses_are_refused(self) -> None:
         async def handle(stream: SocketStream) -> None:
             self.fail("the upstream was connected to")
