--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -190,6 +190,26 @@
 
         self.check_after("127.51", crash)
 
+    def test_requests_under_way_when_their_gateway_crashes_run_once(self) -> None:
+        async def body(site: Site) -> None:
+            await site.cut_off(["gateway-0"], Cut.REFUSE)
+            self.assert_served(await site.ask_many("gateway-0", 18))
+            peer = max(("gateway-1", "gateway-2"), key=lambda n: site.gateways[n].tunnels.count())
+            answers = Answers()
+            async with anyio.create_task_group() as tasks:
+
+                async def ask() -> None:
+                    found = await site.ask_many("gateway-0", REQUESTS, 0.01)
+                    answers.statuses.extend(found.statuses)
+
+                tasks.start_soon(ask)
+                await anyio.sleep(0.2)
+                self.assertGreater(site.gateways[peer].tunnels.count_busy(), 0)
+                site.gateway_scopes[peer].cancel()
+            self.assertGreater(answers.count(200), 0)
+
+        self.play("127.57", body)
+
     def test_requests_go_through_another_gateway_when_one_is_cut_off_too(self) -> None:
         async def cut(site: Site, peer: str) -> None:
             await site.cut_off([peer], Cut.HANG)
