Log callers, parts and ages of answers that upstreams cut

Callers saw engines end one after the other, and the log lines of the streams that were cut told neither what these have in common nor how long they had been answered. No decision changes.

--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -33,6 +33,10 @@
     tokens: int
     max_output_tokens: int
 
+    def list_shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the parts that other requests may have too: all but the last."""
+        return tuple(part for part, _ in self.parts[:-1])
+
     def ends_soon(self) -> bool:
         """Return whether the generation is estimated as too short to be worth a migration."""
         return self.estimate_seconds() < MOVE_WORTH_SECONDS
@@ -70,6 +74,10 @@
     prompt: Prompt | None = None
     held: RequestBytes | None = field(default=None, compare=False, repr=False)
 
+    def list_shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the parts of its prompt that other requests may have too."""
+        return self.prompt.list_shared_parts() if self.prompt is not None else ()
+
 
 @dataclass(frozen=True)
 class CopySource:
--- a/src/daleroad/fingerprints.py
+++ b/src/daleroad/fingerprints.py
@@ -15,6 +15,23 @@
 _LENGTH_PREFIX_BYTES = 8
 
 
+MAX_LOGGED_PARTS = 16
+"""Parts of a prompt that a log line names; those of a long conversation are many."""
+
+
+def describe_evidence(job: ClientRequest, organisation: str) -> dict[str, object]:
+    """Return the log fields that tell what two requests that lost their upstreams have in common.
+
+    :param job: the request.
+    :param organisation: the organisation that sent it, or empty.
+    """
+    return {
+        "fingerprint": fingerprint_job(job, organisation),
+        "caller": organisation,
+        "parts": list(job.list_shared_parts()[:MAX_LOGGED_PARTS]),
+    }
+
+
 def fingerprint_job(job: ClientRequest, organisation: str) -> str:
     """Return the fingerprint of a gateway's request.
 
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -7,8 +7,9 @@
 started stream are decided in :mod:`daleroad.runs`, which takes from the same budget.
 """
 
-from collections.abc import AsyncGenerator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 import anyio
 
@@ -39,7 +40,7 @@
 from daleroad.draining import DurationEstimate, estimate_duration, find_retry_after, should_accept
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
-from daleroad.fingerprints import fingerprint_job
+from daleroad.fingerprints import describe_evidence, fingerprint_job
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance
 from daleroad.metrics import RequestMetrics
@@ -400,8 +401,8 @@
                 return None
             case Lost(reason):
                 state.possible_runs += 1
-                fingerprint = fingerprint_job(state.job, state.organisation)
-                self._log_failed_attempt(state, instance, "lost", reason, fingerprint)
+                evidence = describe_evidence(state.job, state.organisation)
+                self._log_failed_attempt(state, instance, "lost", reason, evidence)
                 if reply.blames_upstream():
                     self._gateway.selector.record_result(instance, False)
                 if state.route.is_repeatable():
@@ -478,7 +479,7 @@
         instance: Instance,
         outcome: str,
         reason: str,
-        fingerprint: str = "",
+        evidence: Mapping[str, object] = MappingProxyType({}),
     ) -> None:
         gateway = self._gateway
         log_event(
@@ -488,7 +489,7 @@
             upstream=instance.id,
             outcome=outcome,
             reason=reason,
-            fingerprint=fingerprint,
+            **evidence,
             config=state.table.config.version,
             fleet=gateway.fleet.revision,
             heartbeat_age=round(gateway.fleet.get_age(instance.id, anyio.current_time()), 3),
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -16,7 +16,7 @@
 from daleroad.draining import DurationEstimate
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
-from daleroad.fingerprints import fingerprint_job
+from daleroad.fingerprints import describe_evidence
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance, InstanceState
 from daleroad.notices import Demand
@@ -95,6 +95,8 @@
     :param gap_from: when the last event arrived, if the gateway waited for it at its engine.
     :param demand: what the request demands, if requests to its service compete.
     :param playout: when its events are delivered; nothing to do so as they arrive.
+    :param answering_since: when its engine's answer began to arrive.
+    :param answered: how long that had arrived for when it was cut, in seconds.
     """
 
     attempt: Attempt
@@ -119,6 +121,8 @@
     gap_from: float | None = None
     demand: Demand | None = None
     playout: PlayoutSchedule | None = None
+    answering_since: float = 0.0
+    answered: float = 0.0
 
     def count_guarded(self) -> int:
         """Return 1 if the stream is guarded, else 0, as it counts in the load of its engine."""
@@ -173,6 +177,7 @@
         :param run: the stream.
         """
         self._runs[run.attempt.job.id] = run
+        run.answering_since = anyio.current_time()
         self._migrate_if_leaving(run)
 
     def recover_cut_off(self, request: str, abandon: Callable[[], None]) -> None:
@@ -215,6 +220,7 @@
             if cut is None:
                 run.outcome = StreamEnd.WHOLE
                 return
+            run.answered = anyio.current_time() - run.answering_since
             failure = await self._resume(run, cut)
             if failure is not None:
                 run.outcome = _classify_end(failure)
@@ -370,6 +376,7 @@
         run.migrating = False
         run.resume_point = None
         run.ready_at = float("inf")
+        run.answering_since = anyio.current_time()
         run.migration_done = anyio.Event()
         guarded = run.count_guarded()
         self._gateway.loads.add_load(attempt.instance, 1, run.tokens, guarded=guarded)
@@ -390,9 +397,10 @@
             self._gateway.loads.add_load(run.backup, 0, -run.tokens)
 
     def _log_end(self, run: StreamRun) -> None:
-        fingerprint = ""
+        evidence: dict[str, object] = {}
         if run.outcome is StreamEnd.UPSTREAM:
-            fingerprint = fingerprint_job(run.attempt.job, run.attempt.organisation)
+            evidence = describe_evidence(run.attempt.job, run.attempt.organisation)
+            evidence["answered"] = round(run.answered, 3)
         log_event(
             Event.STREAM_ENDED,
             request=run.attempt.job.id,
@@ -402,7 +410,7 @@
             most=run.attempt.job.prompt.max_output_tokens if run.attempt.job.prompt else 0,
             outcome=run.outcome.value,
             reason=run.reason,
-            fingerprint=fingerprint,
+            **evidence,
             longest_pause=round(run.longest_pause, 3),
             paused=0 < run.max_pause < run.get_delivered_pause(),
             shortened=run.playout.shortened if run.playout else 0,
