Test that a part of prompts which crashes engines is held

Callers lose engine after engine to streams that share one part of their prompts and differ otherwise.

--- a/tools/crashtrial.py
+++ b/tools/crashtrial.py
@@ -17,12 +17,14 @@
 
 import anyio
 import httpx
+from anyio.abc import TaskGroup
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from tools.soak import CLIENT_PORT, CONTROL_PORT, Processes  # noqa: E402
 from tools.soakledger import Ledger  # noqa: E402
 from tools.soakupstreams import (  # noqa: E402
+    BODY,
     CRASHING_BODY,
     ENGINE_SERVICE,
     PLAIN_SERVICE,
@@ -105,38 +107,45 @@
     :param seconds: its length.
     :param seed: fixes what callers do.
     :param crashing: whether the crashing request comes.
+    :param network: begins its addresses; trials beside each other need one each.
     """
 
     def __init__(
-        self, kind: TrialKind, seconds: float = SECONDS, seed: int = 1, crashing: bool = True
+        self,
+        kind: TrialKind,
+        seconds: float = SECONDS,
+        seed: int = 1,
+        crashing: bool = True,
+        network: str = NETWORK,
     ) -> None:
+        self._network = network
         self._kind = kind
         self._seconds = seconds
         self._crashing = crashing
         self._random = Random(seed)
-        self._began = 0.0
+        self.began = 0.0
         self._number = 0
         self.report = CrashReport()
-        entries = [f"{NETWORK}.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
+        entries = [f"{network}.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
         shape = Engine if kind is TrialKind.STREAMS else Upstream
-        self._upstreams = [
-            shape(number, Ledger(), Random(f"{seed} {number}"), entries, NETWORK, False)
+        self.upstreams = [
+            shape(number, Ledger(), Random(f"{seed} {number}"), entries, network, False)
             for number in range(UPSTREAMS)
         ]
 
     async def run(self) -> CrashReport:
         """Play the trial and return what was seen."""
         with tempfile.TemporaryDirectory(prefix="daleroad-crash-") as folder:
-            processes = Processes(Path(folder), GATEWAYS, COORDINATORS, NETWORK)
+            processes = Processes(Path(folder), GATEWAYS, COORDINATORS, self._network)
             processes.start_all()
             try:
                 await self._play(processes)
             finally:
                 processes.end_all()
         report = self.report
-        for upstream in self._upstreams:
-            report.crashed += [at - self._began for at in upstream.crashed_at]
-            report.reached += [at - self._began for at, _ in upstream.reached]
+        for upstream in self.upstreams:
+            report.crashed += [at - self.began for at in upstream.crashed_at[BODY]]
+            report.reached += [at - self.began for at, _ in upstream.reached[BODY]]
         return report
 
     async def _play(self, processes: Processes) -> None:
@@ -144,20 +153,23 @@
             httpx.AsyncClient(timeout=1.5, trust_env=False) as client,
             anyio.create_task_group() as tasks,
         ):
-            for upstream in self._upstreams:
+            for upstream in self.upstreams:
                 tasks.start_soon(upstream.run)
                 tasks.start_soon(upstream.beat, client)
             await self._save(client)
             await anyio.sleep(1.0)
-            self._began = anyio.current_time()
-            for number in range(CALLERS):
-                tasks.start_soon(self._ask_others, number)
-            for _ in range(CRASHERS if self._crashing else 0):
-                tasks.start_soon(self._ask_crashing)
+            self.began = anyio.current_time()
+            self._start_callers(tasks)
             tasks.start_soon(self._kill_gateways, processes)
-            await anyio.sleep_until(self._began + self._seconds)
+            await anyio.sleep_until(self.began + self._seconds)
             tasks.cancel_scope.cancel()
 
+    def _start_callers(self, tasks: TaskGroup) -> None:
+        for number in range(CALLERS):
+            tasks.start_soon(self._ask_others, number)
+        for _ in range(CRASHERS if self._crashing else 0):
+            tasks.start_soon(self._ask_crashing)
+
     async def _kill_gateways(self, processes: Processes) -> None:
         gap = self._seconds / (GATEWAYS + 1)
         for number in range(GATEWAYS):
@@ -179,7 +191,7 @@
         with anyio.fail_after(30.0):
             while True:
                 try:
-                    place = f"http://{NETWORK}.0.1:{CONTROL_PORT}"
+                    place = f"http://{self._network}.0.1:{CONTROL_PORT}"
                     if (await client.put(f"{place}/-/config", json=config)).status_code == 200:
                         return
                 except httpx.HTTPError:
@@ -190,7 +202,7 @@
         random = Random(f"caller {number}")
         async with httpx.AsyncClient(timeout=REQUEST_SECONDS, trust_env=False) as client:
             while True:
-                sent = anyio.current_time() - self._began
+                sent = anyio.current_time() - self.began
                 status = await self._ask(client, f"work of {number} at {sent}".encode())
                 if status != NOT_CONNECTED:
                     self.report.others.append((sent, status == httpx.codes.OK))
@@ -205,18 +217,21 @@
                     self.report.refused.append(anyio.current_time() - sent)
                 await anyio.sleep(self._random.uniform(*AGAIN_SECONDS))
 
-    async def _ask(self, client: httpx.AsyncClient, body: bytes) -> int | None:
+    async def _ask(
+        self, client: httpx.AsyncClient, body: bytes, shared: str = "5c1e07a2:40"
+    ) -> int | None:
         """Send a request to any gateway; return its status, or nothing if it was cut.
 
-        A gateway that was killed can't be reached; the status is NOT_CONNECTED then.
+        A gateway that was killed can't be reached; the status is NOT_CONNECTED then. ``shared`` has
+        the parts of its prompt but the last.
         """
         self._number += 1
-        gateway = f"http://{NETWORK}.0.{self._random.randrange(GATEWAYS) + 1}:{CLIENT_PORT}"
+        gateway = f"http://{self._network}.0.{self._random.randrange(GATEWAYS) + 1}:{CLIENT_PORT}"
         headers = {
             "host": "h",
             "x-daleroad-attempt-id": f"a{self._number}",
             "x-daleroad-token-usage": "60,40",
-            "x-daleroad-prefix-hash": f"5c1e07a2:40,{self._number:x}:20",
+            "x-daleroad-prefix-hash": f"{shared},{self._number:x}:20",
             "x-daleroad-deadline-ms": str(int(REQUEST_SECONDS * 1000)),
             SIZE_HEADER: f"{EVENTS},{PAUSE_SECONDS}",
         }
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -51,6 +51,7 @@
 from tools.soakneeds import GATEWAY_HEADER  # noqa: E402
 from tools.soakstreams import StreamClient  # noqa: E402
 from tools.soakupstreams import (  # noqa: E402
+    BODY,
     CRASHING_BODY,
     ENGINE_SERVICE,
     HEARTBEAT_SECONDS,
@@ -361,7 +362,7 @@
 
     def count_crashes(self) -> int:
         """Return how many upstreams ended under a request."""
-        return sum(len(upstream.crashed_at) for upstream in self.upstreams)
+        return sum(len(upstream.crashed_at[BODY]) for upstream in self.upstreams)
 
     async def run(self) -> Ledger:
         """Play the plan and return what was found."""
@@ -378,8 +379,8 @@
             self.zones.check(upstream.zone, upstream.arrivals)
             upstream.needs.check()
         for kind in (Upstream, Engine):
-            crashed = [at for u in self.upstreams if type(u) is kind for at in u.crashed_at]
-            reached = [r for u in self.upstreams if type(u) is kind for r in u.reached]
+            crashed = [at for u in self.upstreams if type(u) is kind for at in u.crashed_at[BODY]]
+            reached = [r for u in self.upstreams if type(u) is kind for r in u.reached[BODY]]
             self.ledger.check_crashing(kind.service, crashed, reached)
         if not self._late_served:
             self.ledger.broken.append("nothing was served after the last fault")
--- a/tools/soakupstreams.py
+++ b/tools/soakupstreams.py
@@ -1,6 +1,7 @@
 """The stand-in upstreams of a soak: plain services, and engines that stream events."""
 
 import time
+from collections import defaultdict
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from random import Random
@@ -23,6 +24,10 @@
 CRASHING_BODY = b"crash"
 """A request with this body ends the upstream that begins to run it."""
 
+BODY = "body"
+CRASHING_PARTS = ("bad0bad0", "bad1bad1")
+"""A request with one of these among its prompt's parts, but for the last, does so too."""
+
 CRASHED_SECONDS = 2.0
 """Time from a crash until the upstream is back, under its id."""
 
@@ -34,12 +39,20 @@
     headers: dict[str, str]
     body: bytes
 
+    def find_culprit(self) -> str:
+        """Return what in it ends the upstream that begins to run it: BODY, a part, or nothing."""
+        if self.body == CRASHING_BODY:
+            return BODY
+        parts = self.headers.get("x-daleroad-prefix-hash", "").split(",")[:-1]
+        shared = {part.partition(":")[0] for part in parts}
+        return next((part for part in CRASHING_PARTS if part in shared), "")
+
 
 class Upstream:
     """A stand-in plain service that answers each request with its id and a signature.
 
-    A request whose body is CRASHING_BODY ends it: its connections end, nothing listens, no
-    heartbeat comes, and CRASHED_SECONDS later it starts again.
+    A request with CRASHING_BODY or one of CRASHING_PARTS ends it: its connections end, nothing
+    listens, no heartbeat comes, and CRASHED_SECONDS later it starts again.
 
     :param number: tells its VM.
     :param ledger: where it notes what it runs.
@@ -77,10 +90,10 @@
         self.born = read_clock()
         self.restarted_at = float("-inf")
         self.ran_at = float("-inf")
-        self.crashed_at: list[float] = []
-        self.reached: list[tuple[float, str]] = []
+        self.crashed_at: dict[str, list[float]] = defaultdict(list)
+        self.reached: dict[str, list[tuple[float, str]]] = defaultdict(list)
         drawn = Random(f"{random.random()} {self.id}")
-        self.needs = Needs(self.id, self.link_name, drawn, ledger, self._go_down)
+        self.needs = Needs(self.id, self.link_name, drawn, ledger, self.go_down)
 
     def restart(self) -> None:
         """Start again under the same id; what was open must be cut off by its link."""
@@ -107,11 +120,11 @@
             async for request in read_requests(stream):
                 await self._answer(stream, request)
 
-    def _crash(self) -> None:
-        self.crashed_at.append(anyio.current_time())
-        self._go_down()
+    def _crash(self, culprit: str) -> None:
+        self.crashed_at[culprit].append(anyio.current_time())
+        self.go_down()
 
-    def _go_down(self) -> None:
+    def go_down(self) -> None:
         """End; what it runs is cut off."""
         now = anyio.current_time()
         self._ledger.history.hurts.append(Hurt(self.link_name, now, now + CRASHED_SECONDS))
@@ -133,18 +146,19 @@
             return
         self.ran_at = anyio.current_time()
         self.arrivals.append((self.ran_at, request))
-        if asked.body == CRASHING_BODY:
-            self.reached.append((self.ran_at, request))
+        culprit = asked.find_culprit()
+        if culprit:
+            self.reached[culprit].append((self.ran_at, request))
         self._ledger.runs[request] = self._ledger.runs.get(request, 0) + 1
         self._ledger.reached.setdefault(request, set()).add(self.link_name)
-        if asked.body == CRASHING_BODY:
-            await self._begin_and_crash(stream, request)
+        if culprit:
+            await self._begin_and_crash(stream, request, culprit)
         else:
             await self._run(stream, request, head)
 
-    async def _begin_and_crash(self, stream: SocketStream, request: str) -> None:
+    async def _begin_and_crash(self, stream: SocketStream, request: str, culprit: str) -> None:
         await anyio.sleep(self._random.uniform(0.02, 0.1))
-        self._crash()
+        self._crash(culprit)
         await anyio.sleep_forever()
 
     async def _run(self, stream: SocketStream, request: str, head: dict[str, str]) -> None:
@@ -190,9 +204,9 @@
     port = 18010
     slots = 24
 
-    async def _begin_and_crash(self, stream: SocketStream, request: str) -> None:
+    async def _begin_and_crash(self, stream: SocketStream, request: str, culprit: str) -> None:
         await self._send_stream_head(stream, request)
-        await super()._begin_and_crash(stream, request)
+        await super()._begin_and_crash(stream, request, culprit)
 
     async def _send_stream_head(self, stream: SocketStream, request: str, *words: str) -> None:
         kind = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
