Hold a part of prompts that crashes engines

Cause: a crash counts against requests to the letter only. Streams that share a poison part differ, so each has one crash, and the evidence never adds up.

Change: a crash is evidence against the shared parts of the prompts as well, for runs that had not got far with their answer. Any answer on a part that goes on for a second, or is complete, cancels its crashes at all gateways. Blame goes to the most specific candidate that explains the crashes. A blamed part is held by the same guard, news, disk, trial and release as a request, for the organisations that crashed engines with it, and for all once there are two.

--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -33,10 +33,6 @@
     tokens: int
     max_output_tokens: int
 
-    def list_shared_parts(self) -> tuple[str, ...]:
-        """Return the ids of the parts that other requests may have too: all but the last."""
-        return tuple(part for part, _ in self.parts[:-1])
-
     def ends_soon(self) -> bool:
         """Return whether the generation is estimated as too short to be worth a migration."""
         return self.estimate_seconds() < MOVE_WORTH_SECONDS
@@ -59,6 +55,8 @@
     :param deadline: when the client stops waiting.
     :param prompt: description of the prompt, if the request carries one.
     :param held: account of the bytes that the gateway holds for it, if there is one.
+    :param model: the model that it names, or empty.
+    :param parts: ids of the parts of its prompt, in order; also known where its size is not.
     """
 
     id: str
@@ -73,10 +71,15 @@
     deadline: float
     prompt: Prompt | None = None
     held: RequestBytes | None = field(default=None, compare=False, repr=False)
+    model: str = ""
+    parts: tuple[str, ...] = ()
 
     def list_shared_parts(self) -> tuple[str, ...]:
-        """Return the ids of the parts of its prompt that other requests may have too."""
-        return self.prompt.list_shared_parts() if self.prompt is not None else ()
+        """Return the ids of the prompt's parts that other requests may have too: all but the last.
+
+        The last one belongs to the request itself or to its conversation.
+        """
+        return self.parts[:-1]
 
 
 @dataclass(frozen=True)
@@ -150,11 +153,13 @@
     :param unread: whether the upstream cut a response that this gateway left unread, as a stream's
         client did not read or the gateway had no room for a whole one.
     :param cut_off: whether only this gateway's link to the upstream, or a tunnel, is cut.
+    :param begun: whether the response had begun to arrive.
     """
 
     reason: str
     unread: bool = False
     cut_off: bool = False
+    begun: bool = False
 
     def blames_upstream(self) -> bool:
         """Return whether the upstream may be the cause."""
@@ -169,6 +174,10 @@
     headers: Headers
     body: bytes
 
+    def is_success(self) -> bool:
+        """Return whether the status is a success (2xx)."""
+        return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
+
     def is_failed(self) -> bool:
         """Return whether the status is a server error (5xx)."""
         return self.status >= HTTPStatus.INTERNAL_SERVER_ERROR
--- a/src/daleroad/fingerprints.py
+++ b/src/daleroad/fingerprints.py
@@ -52,10 +52,20 @@
     :param target: path and query, as received.
     :param body: the whole body.
     """
+    head = (caller.encode(), method.encode(), host.lower().encode(), target)
+    return make_digest(*head, unframed=body)
+
+
+def make_digest(*parts: bytes, unframed: bytes = b"") -> str:
+    """Return a digest of parts in hexadecimal digits.
+
+    :param parts: each is hashed with its length.
+    :param unframed: hashed last, without its length.
+    """
     digest = sha256()
-    for part in (caller.encode(), method.encode(), host.lower().encode(), target):
+    for part in parts:
         # The length prefix keeps bytes from moving between adjacent parts unnoticed.
         digest.update(len(part).to_bytes(_LENGTH_PREFIX_BYTES, "big"))
         digest.update(part)
-    digest.update(body)
+    digest.update(unframed)
     return digest.hexdigest()[:FINGERPRINT_HEX_DIGITS]
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -14,6 +14,7 @@
 import anyio
 
 from daleroad.choosing import InsufficientMemory, Refused, UpstreamQuery
+from daleroad.crashevidence import Verdict
 from daleroad.defaults import (
     ENGINE_RETRY_AFTER_SECONDS,
     EVACUATED_RETRY_SECONDS,
@@ -40,7 +41,7 @@
 from daleroad.draining import DurationEstimate, estimate_duration, find_retry_after, should_accept
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
-from daleroad.fingerprints import describe_evidence, fingerprint_job
+from daleroad.fingerprints import describe_evidence
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance
 from daleroad.metrics import RequestMetrics
@@ -91,6 +92,7 @@
     :param reached_upstream: whether the last attempt may have reached an upstream.
     :param ticket: identifies the request while it waits for room.
     :param is_waiting: whether it waits in a queue.
+    :param held_by: the fingerprint of the suspect for which it was refused; empty if it was not.
     """
 
     job: ClientRequest
@@ -109,6 +111,7 @@
     reached_upstream: bool = True
     ticket: str = ""
     is_waiting: bool = False
+    held_by: str = ""
 
 
 class Forwarder:
@@ -193,10 +196,10 @@
                 return refusal
             if now >= self._find_start_deadline(state):
                 return self._make_final_outcome(state, "the gateway is shutting down")
-            standing = self._gateway.guard.get_standing(state.job, state.organisation)
-            if standing is Standing.HELD or not await self._may_send(state, standing):
-                return self._make_held_failure(state)
-            instance = await self._pick_instance(state, standing)
+            verdict = self._find_verdict(state)
+            if verdict.standing is Standing.HELD or not await self._may_send(verdict):
+                return self._make_held_failure(state, verdict)
+            instance = await self._pick_instance(state, verdict.standing)
             if isinstance(instance, InsufficientMemory):
                 if not state.is_waiting:
                     await anyio.sleep(MEMORY_WAIT_PAUSE_SECONDS)
@@ -261,25 +264,30 @@
             return False
         return now - state.job.received_at < MAX_MEMORY_WAIT_OBJECTIVES * state.route.objective
 
-    async def _may_send(self, state: _RequestState, standing: Standing) -> bool:
+    def _find_verdict(self, state: _RequestState) -> Verdict:
+        """Return whether and how the request may run, by the crashes that were recorded."""
+        evidence = self._gateway.guard.evidence
+        return evidence.find_verdict(state.job, state.organisation, state.service.name)
+
+    async def _may_send(self, verdict: Verdict) -> bool:
         """Return whether this gateway may send the request; in a trial only one gateway may."""
-        if standing is not Standing.TRIAL:
+        if verdict.standing is not Standing.TRIAL:
             return True
-        return await self._gateway.acquire_trial(fingerprint_job(state.job, state.organisation))
+        return await self._gateway.acquire_trial(verdict.fingerprint)
 
-    def _make_held_failure(self, state: _RequestState) -> Failure:
+    def _make_held_failure(self, state: _RequestState, verdict: Verdict) -> Failure:
         """Return the failure for a request that is held, or whose trial was not granted.
 
         Upstreams crashed while running it. Retry-After is the remaining hold time,
         TRIAL_INTERVAL_SECONDS at least; a request that may have run gets UPSTREAM_LOST without
         Retry-After.
         """
-        reason = "upstreams crashed while running this request"
+        reason = verdict.describe()
+        state.held_by = verdict.fingerprint
         if state.possible_runs:
             return Failure(FailureKind.UPSTREAM_LOST, reason, Ran.UNKNOWN)
         now = anyio.current_time()
-        fingerprint = fingerprint_job(state.job, state.organisation)
-        hold_seconds = self._gateway.suspects.get_hold_remaining(fingerprint, now)
+        hold_seconds = self._gateway.suspects.get_hold_remaining(verdict.fingerprint, now)
         return Failure(
             FailureKind.HELD, reason, Ran.NO, round(max(hold_seconds, TRIAL_INTERVAL_SECONDS))
         )
@@ -510,6 +518,7 @@
                 "sends": state.sends,
                 "config": state.table.config.version,
             }
+            fields |= {"held_by": state.held_by} if state.held_by else {}
         if not self._gateway.serving:
             left = self._gateway.exits_at - job.received_at
             fields["left_at_arrival"] = round(left, 3)
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -15,6 +15,7 @@
 from daleroad.backpressure import Backpressure
 from daleroad.choosing import GatewayOptions, UpstreamSelector
 from daleroad.contention import NO_CONTENTION, Contention, find_contentions
+from daleroad.crashevidence import CrashEvidence
 from daleroad.defaults import LAST_ANSWER_SECONDS, LATE_HEARTBEATS
 from daleroad.dispatch import Dispatcher
 from daleroad.evacuations import EvacuatedZones
@@ -80,7 +81,8 @@
         self.suspects = Suspects()
         self.suspicion_outbox: Outbox[Suspicion] = Outbox()
         self.upstream_outbox: Outbox[str] = Outbox()
-        self.guard = Guard(self.suspects, self.fleet, self.publish_suspicion)
+        evidence = CrashEvidence(self.suspects, self.fleet, self.publish_suspicion)
+        self.guard = Guard(evidence, self.fleet)
         self.dispatcher = GuardedDispatcher(self.dispatcher, self.guard)
         self.budget = WindowBudget(options.retry_ratio, options.retry_slack, options.retry_window)
         self.configured = anyio.Event()
@@ -209,9 +211,13 @@
         return anyio.current_time() - self.last_heard_at
 
     def count_held(self) -> int:
-        """Return how many requests are held because upstreams crashed while running them."""
+        """Return how many requests and parts are held because upstreams crashed on them."""
         return self.suspects.count_held(anyio.current_time())
 
+    def count_held_parts(self) -> int:
+        """Return how many parts of prompts are held because upstreams crashed on them."""
+        return self.suspects.count_held_parts(anyio.current_time())
+
     def count_limited(self) -> int:
         """Return how many upstreams have announced a request rate limit."""
         return self.fleet.count_limited()
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -19,6 +19,7 @@
 
 from daleroad.backpressure import UpstreamBackoffs
 from daleroad.clientstalls import ClientStall
+from daleroad.crashevidence import CrashEvidence
 from daleroad.dispatch import (
     Attempt,
     ClientRequest,
@@ -37,12 +38,11 @@
 )
 from daleroad.errors import Failure
 from daleroad.evacuations import EvacuatedZones
-from daleroad.events import Event, log_event
-from daleroad.fingerprints import fingerprint_job
 from daleroad.fleet import Fleet
 from daleroad.instances import Instance, InstanceState
+from daleroad.onsets import Onset, Progress
 from daleroad.sendlimits import Grants
-from daleroad.suspects import Standing, Suspects, Suspicion
+from daleroad.suspects import Standing
 
 GrantRequester = Callable[[Attempt], Awaitable[bool]]
 """Requests a grant to send to a rate-limited upstream; returns whether it was given."""
@@ -52,11 +52,10 @@
 
 @dataclass
 class Guard:
-    """Decides whether a gateway may send a request, and records crashes and successes.
+    """Decides whether a gateway may send a request.
 
-    :param suspects: the requests suspected of crashing upstreams.
+    :param evidence: what is suspected of crashing upstreams.
     :param fleet: the known upstreams.
-    :param tell: called with the reports on suspected requests that other processes need.
     :param zones: the evacuated availability zones.
     :param backoffs: the upstreams that asked this gateway to back off.
     :param cold_limited_services: services whose upstreams are rate-limited while they are cold.
@@ -66,9 +65,8 @@
     :param resumed_at: when the VM last resumed after a suspension, which is no client's stall.
     """
 
-    suspects: Suspects
+    evidence: CrashEvidence
     fleet: Fleet
-    tell: Callable[[Suspicion], None]
     zones: EvacuatedZones = EvacuatedZones()
     backoffs: UpstreamBackoffs = field(default_factory=UpstreamBackoffs)
     cold_limited_services: frozenset[str] = frozenset()
@@ -118,8 +116,9 @@
         :param attempt: the attempt.
         """
         instance = attempt.instance
-        if self.get_standing(attempt.job, attempt.organisation) is Standing.HELD:
-            return "the request is held because upstreams crashed while running it"
+        verdict = self.evidence.find_verdict(attempt.job, attempt.organisation, instance.service)
+        if verdict.standing is Standing.HELD:
+            return f"held: {verdict.describe()}"
         return self.find_unavailable_reason(instance) or self._find_leaving_reason(attempt)
 
     def find_unavailable_reason(self, instance: Instance) -> str:
@@ -164,71 +163,6 @@
             attempt
         )
 
-    def get_standing(self, job: ClientRequest, organisation: str) -> Standing:
-        """Return whether and how a request may run.
-
-        :param job: the request.
-        :param organisation: the organisation that sent it, or empty.
-        """
-        if self.suspects.is_empty():
-            # Skips hashing the request in the common case.
-            return Standing.CLEAR
-        fingerprint = fingerprint_job(job, organisation)
-        return self.suspects.get_standing(fingerprint, anyio.current_time())
-
-    def record_lost(self, attempt: Attempt) -> None:
-        """Record that an upstream was lost while it may have been running a request.
-
-        :param attempt: the attempt.
-        """
-        instance = self.fleet.get(attempt.instance.id) or attempt.instance
-        leaves = instance.state is not InstanceState.READY
-        if leaves and not self.fleet.is_replaced(instance):
-            # An announced shutdown is not a crash. A replaced instance is taken to have crashed: it
-            # is marked as gone when a newer start is heard of, even if it announced nothing.
-            return
-        now = anyio.current_time()
-        fingerprint = fingerprint_job(attempt.job, attempt.organisation)
-        host_and_path = f"{attempt.job.host}{attempt.job.path}"
-        report = self.suspects.record_crash(
-            fingerprint, attempt.organisation, host_and_path, attempt.instance.id, now
-        )
-        if report is None:
-            return
-        standing = self.suspects.get_standing(fingerprint, now)
-        if standing is not Standing.CLEAR:
-            log_suspect(self.suspects.get(fingerprint, now), standing)
-        self.tell(report)
-
-    def record_success(self, attempt: Attempt) -> None:
-        """Record that a request had a complete response.
-
-        :param attempt: the attempt.
-        """
-        fingerprint = fingerprint_job(attempt.job, attempt.organisation)
-        report = self.suspects.record_success(fingerprint, anyio.current_time())
-        if report is not None:
-            self.tell(report)
-
-
-def log_suspect(known: Suspicion | None, standing: Standing) -> None:
-    """Log the crashes recorded for a request; ``ended`` has the ids of the instances.
-
-    :param known: the report on it; if None, nothing is logged.
-    :param standing: its standing.
-    """
-    if known is None:
-        return
-    log_event(
-        Event.REQUEST_SUSPECTED,
-        fingerprint=known.fingerprint,
-        caller=known.caller,
-        route=known.route,
-        standing=standing.value,
-        ended=list(known.crashes),
-        age=round(known.age, 3),
-    )
-
 
 class _RecordedStream:
     """Passes on a stream, and records the crash or the success that it ends with.
@@ -244,10 +178,12 @@
         self._stream = stream
         self._attempt = attempt
         self._guard = guard
+        self._onset = Onset(anyio.current_time())
 
     async def events(self) -> AsyncIterator[StreamEvent | Lost]:
         """Yield complete events, then :class:`Lost` if the stream was interrupted."""
         begun = False
+        evidence = self._guard.evidence
         stall = ClientStall()
         ready_at = anyio.current_time()
         async for piece in self._stream.events():
@@ -255,18 +191,20 @@
             if isinstance(piece, Lost):
                 piece = replace(piece, unread=stall.explains_cut(now - ready_at))
                 if piece.blames_upstream():
-                    self._guard.record_lost(self._attempt)
+                    evidence.record_lost(self._attempt, self._onset.get_progress())
                 yield piece
                 return
             begun = True
             stall.note_event(now - ready_at)
+            if self._onset.note_event(now - ready_at, now):
+                evidence.record_far(self._attempt)
             yield piece
             ready_at = anyio.current_time()
             stall.note_taken(ready_at - max(now, self._guard.resumed_at))
         # A stream that ends with its connection also gets here when its upstream crashes, so one
         # without any event is not recorded as a success.
         if begun:
-            self._guard.record_success(self._attempt)
+            evidence.record_success(self._attempt)
 
     async def close(self) -> None:
         """Close the connection if the stream is not over."""
@@ -296,15 +234,17 @@
         if attempt.backup is not None and self._guard.find_unavailable_reason(attempt.backup):
             attempt = replace(attempt, backup=None)
         reply = await self._inner.send(attempt)
+        evidence = self._guard.evidence
         match reply:
             case NotRun():
                 pass
-            case Lost():
+            case Lost(begun=begun):
                 if reply.blames_upstream():
-                    self._guard.record_lost(attempt)
+                    progress = Progress.BEGUN if begun else Progress.UNBEGUN
+                    evidence.record_lost(attempt, progress)
             case Whole():
                 if not reply.is_failed():
-                    self._guard.record_success(attempt)
+                    evidence.record_success(attempt, reply.is_success())
             case _:
                 return _RecordedStream(reply, attempt, self._guard)
         return reply
--- /dev/null
+++ b/src/daleroad/promptparts.py
@@ -0,0 +1,43 @@
+"""Shared parts of prompts, as candidates for what crashes upstreams.
+
+Requests name the parts of their prompts. All but the last are shared with other requests. The same
+name for another service or model stands for another part, as other weights read it.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import islice
+
+from daleroad.dispatch import ClientRequest
+from daleroad.fingerprints import make_digest
+
+MAX_PARTS = 64
+"""Shared parts of a request that are looked at; a long conversation has one for each turn."""
+
+MAX_NAME_CHARS = 64
+"""Length to which a part's name is cut for logs and operators."""
+
+
+@dataclass(frozen=True)
+class SharedPart:
+    """A part of a prompt that other requests may have too.
+
+    :param fingerprint: identifies it, with its service and model.
+    :param name: its name for operators: service, model and the id that requests use.
+    :param depth: its place in the prompt, from 0.
+    """
+
+    fingerprint: str
+    name: str
+    depth: int
+
+
+def list_shared_parts(job: ClientRequest, service: str) -> Iterator[SharedPart]:
+    """Yield the shared parts of a request's prompt, in order.
+
+    :param job: the request.
+    :param service: the service that runs it.
+    """
+    for depth, part in enumerate(islice(job.list_shared_parts(), MAX_PARTS)):
+        digest = make_digest(b"part", service.encode(), job.model.encode(), part.encode())
+        yield SharedPart(digest, f"{service}/{job.model}/{part}"[:MAX_NAME_CHARS], depth)
--- a/src/daleroad/requestholds.py
+++ b/src/daleroad/requestholds.py
@@ -10,11 +10,11 @@
 import anyio
 
 from daleroad.codec import encode
+from daleroad.crashevidence import log_suspect
 from daleroad.defaults import LEASE_REMOVAL_DELAY_SECONDS
 from daleroad.environment import Environment
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.fingerprints import make_fingerprint
-from daleroad.guarding import log_suspect
 from daleroad.messages import Suspicions
 from daleroad.records import Organisation, Route, State
 from daleroad.suspects import Standing, Suspicion
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -20,13 +20,10 @@
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance, InstanceState
 from daleroad.notices import Demand
+from daleroad.onsets import MIN_WAIT_SECONDS
 from daleroad.playout import PlayoutSchedule
 from daleroad.suspects import Standing
 
-MIN_WAIT_SECONDS = 0.001
-"""An event that arrives sooner after the gateway is ready to read it was there before, so its time
-says nothing of the engine: the client read slowly, or this process was busy."""
-
 
 class StreamEnd(StrEnum):
     """How a stream to a client ended."""
@@ -285,8 +282,10 @@
         service = gateway.get_service(run.attempt.instance.service)
         if service is None or tries.ran >= tries.max_runs:
             return None
-        job, organisation = run.attempt.job, run.attempt.organisation
-        if gateway.guard.get_standing(job, organisation) is not Standing.CLEAR:
+        verdict = gateway.guard.evidence.find_verdict(
+            run.attempt.job, run.attempt.organisation, service.name
+        )
+        if verdict.standing is not Standing.CLEAR:
             # Upstreams crashed while running the request, so it is not restarted here. If its
             # client sends it again, the forwarder decides whether it may run.
             return None
--- a/src/daleroad/sharedsuspects.py
+++ b/src/daleroad/sharedsuspects.py
@@ -81,7 +81,7 @@
         return heard_at >= max(cut_at, self._stalled_at) + ALIVE_AFTER_SECONDS
 
     def list_all(self) -> SuspectsAnswer:
-        """Return all suspected requests, and which of them are held."""
+        """Return all suspected requests and parts, and which of them are held."""
         now = anyio.current_time()
         known = self.suspects.list_changed(now)
         standings = ((r.fingerprint, self.suspects.get_standing(r.fingerprint, now)) for r in known)
@@ -96,7 +96,7 @@
         released = self.suspects.release(fingerprint, anyio.current_time())
         if released is None:
             return Failure(
-                FailureKind.NOT_FOUND, f"no crashes are recorded for request {fingerprint}"
+                FailureKind.NOT_FOUND, f"no crashes are recorded for {fingerprint}"
             )
         ended = list(released.cleared)
         log_event(Event.REQUEST_RELEASED, fingerprint=fingerprint, ended=ended)
--- a/src/daleroad/suspectcommands.py
+++ b/src/daleroad/suspectcommands.py
@@ -11,10 +11,13 @@
 
 
 class SuspectCommands:
-    """Requests suspected of crashing upstreams. Set DALEROAD_SECRET to the processes' secret."""
+    """Requests and parts of prompts suspected of crashing upstreams.
+
+    Set DALEROAD_SECRET to the processes' secret.
+    """
 
     def list(self, coordinator: str) -> None:
-        """Print the suspected requests as JSON lines; any coordinator can answer.
+        """Print the suspected requests and parts as JSON lines; any coordinator can answer.
 
         Args:
             coordinator: IP:PORT of its internal API.
@@ -24,9 +27,13 @@
             row = {
                 "fingerprint": known.fingerprint,
                 "held": known.fingerprint in answer.held,
+                "part": known.part,
                 "caller": known.caller,
+                "callers": known.callers,
                 "route": known.route,
                 "ended": known.crashes,
+                "ended_as_begun": known.begun,
+                "answered": known.whole,
                 "taken_back": known.cleared,
                 "seconds_ago": round(known.age, 1),
             }
@@ -34,7 +41,7 @@
 
     @SetParseFn(str, "fingerprint")
     def release(self, coordinator: str, fingerprint: str) -> None:
-        """Retract all crashes recorded for a request, at all gateways.
+        """Retract all crashes recorded for a request or a part, at all gateways.
 
         Args:
             coordinator: IP:PORT of its internal API.
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -1,18 +1,22 @@
-"""Detection of poison requests, which crash the upstreams that run them.
+"""Detection of poison requests and poison parts of prompts, which crash upstreams that run them.
 
-When an upstream crashes, every request that it was running is a suspect. These rules tell a poison
-request from those that merely ran beside it:
+When an upstream crashes, every request that it was running is a suspect, and so are the parts that
+their prompts share with others. These rules tell poison from what merely ran beside it:
 
 - Only crashes of different instances count, and several are needed.
 - A poison request never has a complete response. Each complete response cancels one crash that is
   recorded already, or else becomes a credit, which cancels one recorded soon after.
+- An engine never gets far with an answer on a poison part. Any answer that does cancels all crashes
+  of the part, those recorded soon after as well.
 - An instance that is heard from after its supposed crash is alive, so that crash is retracted.
-- A request with MIN_CRASHES_HELD crashes or more and no known complete response explains its
-  crashes: they are not counted against requests that had a complete response or have fewer crashes.
+- What explains a crash better takes the blame for it, see :mod:`daleroad.blame`.
+
+A part is held for the organisations whose requests crashed upstreams with it, and for all once
+there are two of these: no organisation can have a part of another's prompts held by itself.
 
 Processes exchange reports of crashes by instance, of those that were retracted, and of whether
 there was a complete response. Merging a report adds to these; a retracted crash doesn't come back
-when it is reported again. The reports of ``list_changed`` carry all of these for a request, so
+when it is reported again. The reports of ``list_changed`` carry all of these for a suspect, so
 processes that exchange them, in any order and repeatedly, agree on the crashes, as far as none was
 dropped under the limits below.
 
@@ -20,16 +24,18 @@
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-MIN_CRASHES_LAST_TRY = 2
-"""Counted crashes from which on a request is on its last try, see :class:`Standing`."""
-
-MIN_CRASHES_HELD = 3
-"""Counted crashes from which on a request is held: it reaches no upstream. With two, a request that
-merely was running during two unrelated crashes would be held."""
+from daleroad.blame import (
+    MIN_CRASHES_HELD,
+    MIN_CRASHES_LAST_TRY,
+    MIN_UNBEGUN_CRASHES_HELD,
+    CrashRecord,
+    count_blamed_crashes,
+)
+from daleroad.promptparts import SharedPart
 
 HOLD_BACKOFF_SECONDS = (300.0, 3_600.0, 86_400.0)
 """Time since its last crash after which a held request may be tried again: with MIN_CRASHES_HELD
@@ -43,6 +49,17 @@
 doubled for each further one, up to the first of HOLD_BACKOFF_SECONDS. It is shorter since a request
 that crashes every upstream never has a complete response."""
 
+PART_SUCCESS_SECONDS = 10.0
+"""Time for which an answer on a part cancels crashes that are recorded later: those of upstreams
+that crash for other reasons."""
+
+MAX_SUCCEEDED_PARTS = 4096
+"""Parts remembered that had answers. Beyond that, the part is forgotten whose last answer is the
+oldest."""
+
+MAX_CALLERS_KEPT = 8
+"""Organisations remembered for a part; with two of them it is held for all."""
+
 SUSPECT_RETENTION_SECONDS = 600.0
 """Time since its last crash after which a request with fewer than MIN_CRASHES_HELD counted crashes
 is forgotten."""
@@ -55,7 +72,7 @@
 """Minimum time between two trials of one request; by then a crash in the first one is known."""
 
 MAX_SUSPECTS = 2048
-"""Requests remembered, at about 600 bytes each. When there is no room for a new one, the
+"""Requests and parts remembered, at about 600 bytes each. When there is no room for a new one, the
 organisation with the most of them loses one of its own."""
 
 MAX_CRASHES_KEPT = 16
@@ -96,15 +113,19 @@
 
 @dataclass(frozen=True)
 class Suspicion:
-    """A report on one suspected request, as processes exchange it.
+    """A report on one suspected request or part, as processes exchange it.
 
-    :param fingerprint: identifies the request.
-    :param caller: the organisation that sent it, or empty.
+    :param fingerprint: identifies it.
+    :param caller: the organisation that sent it, or empty; for a part, the first that is known.
     :param route: its host and path at a gateway, or its route's name at an entry.
     :param crashes: ids of instances that crashed while they ran it, without the retracted ones.
     :param cleared: ids of instances whose crash was retracted, or cancelled by a complete response.
-    :param age: seconds since the last recorded crash of the request.
-    :param whole: whether it is known to have had a complete response.
+    :param age: seconds since the last recorded crash of it.
+    :param whole: whether it is known to have had a complete response, a part also one that got far.
+    :param part: the name of a part; empty for a request.
+    :param depth: the place of a part in its prompt, from 0.
+    :param begun: for a part, ids of instances that crashed when they had just begun to answer.
+    :param callers: for a part, the organisations whose requests ran on those instances.
     """
 
     fingerprint: str
@@ -114,6 +135,10 @@
     cleared: tuple[str, ...] = ()
     age: float = 0.0
     whole: bool = False
+    part: str = ""
+    depth: int = 0
+    begun: tuple[str, ...] = ()
+    callers: tuple[str, ...] = ()
 
 
 @dataclass
@@ -122,14 +147,19 @@
     route: str
     last_crash_at: float
     revision: int
+    part: str = ""
+    depth: int = 0
     crashes: dict[str, None] = field(default_factory=dict)
     retracted: dict[str, None] = field(default_factory=dict)
+    begun: dict[str, None] = field(default_factory=dict)
+    callers: dict[str, None] = field(default_factory=dict)
     flagged: bool = False
     succeeded: bool = False
 
-    def has_recorded(self, instance: str) -> bool:
+    def has_recorded(self, instance: str, begun: bool) -> bool:
         """Return whether the crash of an instance is recorded, retracted or not."""
-        return instance in self.crashes or instance in self.retracted
+        counted = instance in self.crashes and (not begun or instance in self.begun)
+        return counted or instance in self.retracted
 
     def count_crashes(self) -> int:
         """Return the number of crashes not retracted, also of those that another explains."""
@@ -150,8 +180,32 @@
             self.retracted.pop(next(iter(self.retracted)))
         for instance in fresh:
             self.crashes.pop(instance, None)
+            self.begun.pop(instance, None)
         return bool(fresh)
 
+    def add_details(self, report: Suspicion) -> bool:
+        """Add what a report says of a part; return whether any of it is new."""
+        begun = [i for i in report.begun if i in self.crashes and i not in self.begun]
+        callers = [c for c in report.callers if c not in self.callers]
+        callers = callers[: MAX_CALLERS_KEPT - len(self.callers)]
+        self.begun.update(dict.fromkeys(begun))
+        self.callers.update(dict.fromkeys(callers))
+        return bool(begun or callers)
+
+    def is_held_for(self, caller: str) -> bool:
+        """Return whether a hold of a part covers an organisation's requests."""
+        return caller in self.callers or len(self.callers) > 1
+
+    def make_record(self, fingerprint: str) -> CrashRecord:
+        """Return the crashes as they are attributed to it or to another suspect."""
+        return CrashRecord(
+            fingerprint,
+            frozenset(self.crashes),
+            frozenset(self.begun),
+            self.succeeded,
+            self.depth if self.part else None,
+        )
+
 
 @dataclass(frozen=True)
 class _Credits:
@@ -162,21 +216,22 @@
 
 
 class Suspects:
-    """The requests that one process suspects of crashing upstreams.
+    """The requests and parts of prompts that one process suspects of crashing upstreams.
 
-    A request is flagged once it has MIN_CRASHES_LAST_TRY crashes, and stays flagged when crashes
+    A suspect is flagged once it has MIN_CRASHES_LAST_TRY crashes, and stays flagged when crashes
     are retracted, so that those who heard of it hear of the retraction.
 
     :ivar revision: grows with each change that a report makes here.
-    :ivar flagged_revision: the revision of the last change to a flagged request.
+    :ivar flagged_revision: the revision of the last change to a flagged suspect.
     """
 
     def __init__(self) -> None:
         self.revision = 0
         self.flagged_revision = 0
         self._known: dict[str, _Suspect] = {}
-        self._counts: dict[str, int] = {}
+        self._counts: Mapping[str, int] = {}
         self._credits: OrderedDict[str, _Credits] = OrderedDict()
+        self._succeeded_parts: OrderedDict[str, float] = OrderedDict()
 
     def record_crash(
         self, fingerprint: str, caller: str, route: str, instance: str, now: float
@@ -190,7 +245,7 @@
         :param now: the time.
         """
         suspect = self._known.get(fingerprint)
-        if suspect is not None and suspect.has_recorded(instance):
+        if suspect is not None and suspect.has_recorded(instance, begun=False):
             # Several concurrent runs of a request on one instance count as one crash.
             return None
         crashes = (instance,)
@@ -212,17 +267,78 @@
         first = next(iter(suspect.crashes))
         return self._retract(fingerprint, suspect, [first], now, succeeded=True)
 
+    def record_part_crash(
+        self, part: SharedPart, caller: str, route: str, instance: str, begun: bool, now: float
+    ) -> Suspicion | None:
+        """Record that an instance crashed which had not got far with an answer on a part.
+
+        Return a report for others, if any.
+
+        :param part: the part.
+        :param caller: the organisation that sent the request, or empty.
+        :param route: the route that it took.
+        :param instance: the instance's id.
+        :param begun: whether the answer had begun to arrive.
+        :param now: the time.
+        """
+        suspect = self._known.get(part.fingerprint)
+        known = suspect is not None and caller in suspect.callers
+        if known and suspect is not None and suspect.has_recorded(instance, begun):
+            return None
+        crashes = (instance,)
+        succeeded_at = self._succeeded_parts.get(part.fingerprint, float("-inf"))
+        recent = now - succeeded_at <= PART_SUCCESS_SECONDS
+        report = Suspicion(
+            part.fingerprint,
+            caller,
+            route,
+            crashes,
+            crashes if recent else (),
+            whole=part.fingerprint in self._succeeded_parts,
+            part=part.name,
+            depth=part.depth,
+            begun=crashes if begun else (),
+            callers=(caller,),
+        )
+        return report if self.merge(report, now) else None
+
+    def record_part_success(self, fingerprint: str, now: float) -> Suspicion | None:
+        """Record that an engine got far with an answer on a part; return a report for others.
+
+        :param fingerprint: the part.
+        :param now: the time.
+        """
+        self._succeeded_parts.pop(fingerprint, None)
+        self._succeeded_parts[fingerprint] = now
+        if len(self._succeeded_parts) > MAX_SUCCEEDED_PARTS:
+            self._succeeded_parts.popitem(last=False)
+        return self._clear_part(fingerprint, now)
+
+    def _clear_part(self, fingerprint: str, now: float) -> Suspicion | None:
+        """Cancel the crashes of a part that had an answer here; return a report for others."""
+        suspect = self._known.get(fingerprint)
+        succeeded_at = self._succeeded_parts.get(fingerprint)
+        if suspect is None or succeeded_at is None:
+            return None
+        recent = now - succeeded_at <= PART_SUCCESS_SECONDS
+        crashes = list(suspect.crashes) if recent else []
+        if not crashes and suspect.succeeded:
+            return None
+        return self._retract(fingerprint, suspect, crashes, now, succeeded=True)
+
     def apply_credits(self, fingerprint: str, now: float) -> Suspicion | None:
-        """Cancel a request's crashes with its credits here; return a report for others, if any.
+        """Cancel crashes with what succeeded here; return a report for others, if any.
 
         Called after reports of other processes were merged.
 
-        :param fingerprint: the request.
+        :param fingerprint: the request or part.
         :param now: the time.
         """
         suspect = self._known.get(fingerprint)
         if suspect is None:
             return None
+        if suspect.part:
+            return self._clear_part(fingerprint, now)
         used = self._use_credits(fingerprint, len(suspect.crashes), now)
         if not used:
             return None
@@ -230,9 +346,9 @@
         return self._retract(fingerprint, suspect, crashes, now, succeeded=True)
 
     def release(self, fingerprint: str, now: float) -> Suspicion | None:
-        """Retract all crashes of a request at an operator's order; return a report for others.
+        """Retract all crashes of a suspect at an operator's order; return a report for others.
 
-        :param fingerprint: the request.
+        :param fingerprint: the request or part.
         :param now: the time.
         """
         suspect = self._known.get(fingerprint)
@@ -278,22 +394,26 @@
             if not report.crashes:
                 return False
             self._evict()
-            suspect = _Suspect(report.caller, report.route, now - report.age, 0)
+            suspect = _Suspect(
+                report.caller, report.route, now - report.age, 0, report.part, report.depth
+            )
             self._known[report.fingerprint] = suspect
         retracted = suspect.retract(report.cleared)
         added = suspect.add_crashes(report.crashes)
+        detailed = suspect.add_details(report)
         newly_succeeded = report.whole and not suspect.succeeded
         suspect.succeeded = suspect.succeeded or report.whole
         if added:
             suspect.last_crash_at = max(suspect.last_crash_at, now - report.age)
-        if added or retracted or newly_succeeded:
+        changed = added or retracted or detailed or newly_succeeded
+        if changed:
             self.revision += 1
             suspect.revision = self.revision
             suspect.flagged = suspect.flagged or suspect.count_crashes() >= MIN_CRASHES_LAST_TRY
             if suspect.flagged:
                 self.flagged_revision = self.revision
             self._update_counts()
-        return added or retracted or newly_succeeded
+        return changed
 
     def _evict(self) -> None:
         """Make room for a new suspect: drop one of the organisation that has the most.
@@ -308,33 +428,33 @@
         del self._known[least]
 
     def _update_counts(self) -> None:
-        """Count the crashes that no other request explains, by request.
-
-        Only requests with MIN_CRASHES_LAST_TRY crashes or more, explained or not, have a count.
-        """
-        candidates = [
-            (f, s) for f, s in self._known.items() if s.count_crashes() >= MIN_CRASHES_LAST_TRY
-        ]
-        explained: set[str] = set()
-        for _, suspect in candidates:
-            if suspect.count_crashes() >= MIN_CRASHES_HELD and not suspect.succeeded:
-                explained |= suspect.crashes.keys()
-        self._counts = {}
-        for fingerprint, suspect in candidates:
-            # A request that may itself be poison explains crashes, but all of its own are counted:
-            # two that crash the same upstreams would otherwise explain each other's away.
-            poison = suspect.count_crashes() >= MIN_CRASHES_HELD and not suspect.succeeded
-            crashes = suspect.crashes.keys()
-            self._counts[fingerprint] = len(crashes if poison else crashes - explained)
+        """Attribute the crashes to the suspects that have several."""
+        self._counts = count_blamed_crashes(
+            suspect.make_record(fingerprint)
+            for fingerprint, suspect in self._known.items()
+            if suspect.count_crashes() >= MIN_CRASHES_LAST_TRY
+        )
 
     def is_empty(self) -> bool:
-        """Return whether no request has enough crashes to restrict where it runs."""
+        """Return whether nothing has enough crashes to restrict where it runs."""
         return not self._counts
 
+    def get_part_standing(self, fingerprint: str, caller: str, now: float) -> Standing:
+        """Return whether and how an organisation's requests with a part may run.
+
+        :param fingerprint: the part.
+        :param caller: the organisation, or empty.
+        :param now: the time.
+        """
+        suspect = self._known.get(fingerprint)
+        if suspect is None or not suspect.is_held_for(caller):
+            return Standing.CLEAR
+        return self.get_standing(fingerprint, now)
+
     def get_standing(self, fingerprint: str, now: float) -> Standing:
-        """Return whether and how a request may run.
+        """Return whether and how a request may run, or requests with a part.
 
-        :param fingerprint: the request.
+        :param fingerprint: the request or part.
         :param now: the time.
         """
         count = self._counts.get(fingerprint, 0)
@@ -356,20 +476,24 @@
         suspect = self._known.get(fingerprint)
         if suspect is None:
             return 0.0
-        further = max(0, self._counts.get(fingerprint, 0) - MIN_CRASHES_HELD)
-        if suspect.succeeded:
-            seconds = min(HOLD_BACKOFF_SECONDS[0], SUCCEEDED_HOLD_SECONDS * 2**further)
-        else:
-            seconds = HOLD_BACKOFF_SECONDS[min(further, len(HOLD_BACKOFF_SECONDS) - 1)]
+        seconds = _find_hold_seconds(suspect, self._counts.get(fingerprint, 0))
         return max(0.0, suspect.last_crash_at + seconds - now)
 
     def count_held(self, now: float) -> int:
-        """Return how many requests are held.
+        """Return how many requests and parts are held.
 
         :param now: the time.
         """
         return sum(self.get_standing(f, now) is Standing.HELD for f in self._counts)
 
+    def count_held_parts(self, now: float) -> int:
+        """Return how many parts are held.
+
+        :param now: the time.
+        """
+        parts = (f for f in self._counts if self._known[f].part)
+        return sum(self.get_standing(f, now) is Standing.HELD for f in parts)
+
     def get(self, fingerprint: str, now: float) -> Suspicion | None:
         """Return the report on a request, or None if it is not suspected.
 
@@ -447,6 +571,18 @@
         return True
 
 
+def _find_hold_seconds(suspect: _Suspect, count: int) -> float:
+    """Return how long a hold lasts with a number of counted crashes."""
+    further = max(0, count - MIN_CRASHES_HELD)
+    if suspect.succeeded:
+        return min(HOLD_BACKOFF_SECONDS[0], SUCCEEDED_HOLD_SECONDS * 2**further)
+    if suspect.part:
+        # Several requests with a part may be under way when it is held.
+        doublings = max(0, count - MIN_UNBEGUN_CRASHES_HELD)
+        return min(HOLD_BACKOFF_SECONDS[-1], HOLD_BACKOFF_SECONDS[0] * 2**doublings)
+    return HOLD_BACKOFF_SECONDS[min(further, len(HOLD_BACKOFF_SECONDS) - 1)]
+
+
 def _make_report(fingerprint: str, suspect: _Suspect, now: float) -> Suspicion:
     return Suspicion(
         fingerprint,
@@ -456,4 +592,8 @@
         tuple(suspect.retracted),
         now - suspect.last_crash_at,
         suspect.succeeded,
+        suspect.part,
+        suspect.depth,
+        tuple(suspect.begun),
+        tuple(suspect.callers),
     )
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -13,6 +13,7 @@
 
 from daleroad.calls import Calls
 from daleroad.codec import encode
+from daleroad.crashevidence import log_suspect
 from daleroad.defaults import (
     LEADER_RETRY_SECONDS,
     MIN_LOAD_EXCHANGE_SECONDS,
@@ -28,7 +29,6 @@
 from daleroad.evacuations import EvacuatedZones
 from daleroad.events import Event, log_event
 from daleroad.gateway import Gateway
-from daleroad.guarding import log_suspect
 from daleroad.instances import InstanceState
 from daleroad.notices import Pace, WatchAnswer, WatchRequest
 from daleroad.paces import ReportedPaces
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -11,7 +11,7 @@
 import trio
 import trio.testing
 
-from daleroad.dispatch import Attempt, Prompt, Reply
+from daleroad.dispatch import Attempt, ClientRequest, Prompt, Reply
 from daleroad.errors import Failure
 from daleroad.forwarding import StreamResponse
 from daleroad.gateway import Gateway
@@ -34,8 +34,11 @@
 POISON = "bad0bad0"
 
 
-def make_prompt(*parts: str) -> Prompt:
-    return Prompt(tuple((part, 100) for part in parts), 100 * len(parts), 40)
+def make_part_job(number: int, *parts: str) -> ClientRequest:
+    """Return a request that differs from all with other numbers, with the parts of a prompt."""
+    prompt = Prompt(tuple((part, 100) for part in parts), 100 * len(parts), 40)
+    job = make_job(anyio.current_time(), prompt=prompt)
+    return replace(job, id=f"{number} {parts}", body=f"{number}".encode(), parts=parts)
 
 
 class CrashingDispatcher(FakeDispatcher):
@@ -48,9 +51,8 @@
         self.last_number = 3
 
     async def send(self, attempt: Attempt) -> Reply:
-        prompt = attempt.job.prompt
-        assert prompt is not None and self.gateway is not None
-        if POISON not in [name for name, _ in prompt.parts[:-1]]:
+        assert self.gateway is not None
+        if POISON not in attempt.job.parts[:-1]:
             return FakeStream(1, 3)
         now = anyio.current_time()
         self.reached_at.append(now)
@@ -79,9 +81,8 @@
             whole = 0
             for number in range(times):
                 for name, shared in (("bad", parts), ("sound", ("first", "second"))):
-                    prompt = make_prompt(*shared, f"last {name} {number}")
-                    job = replace(make_job(anyio.current_time(), prompt=prompt), id=f"{name}")
-                    outcome = await forwarder.serve(replace(job, body=f"{number}".encode()))
+                    job = make_part_job(number, *shared, f"last {name} {number}")
+                    outcome = await forwarder.serve(job)
                     if isinstance(outcome, StreamResponse):
                         pieces = [piece async for piece in outcome.pieces]
                         await outcome.close()
--- a/tests/test_guarding.py
+++ b/tests/test_guarding.py
@@ -13,6 +13,7 @@
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance, InstanceState, Sighting
+from daleroad.onsets import Progress
 from daleroad.routing import Repeat
 from daleroad.suspects import HOLD_BACKOFF_SECONDS, TRIAL_INTERVAL_SECONDS, Standing
 from tests.fakes import (
@@ -42,7 +43,7 @@
     """Record three crashed upstreams for the request of these tests."""
     for number in (4, 5, 6):
         attempt = make_attempt(number)
-        gateway.guard.record_lost(attempt)
+        gateway.guard.evidence.record_lost(attempt, Progress.UNBEGUN)
 
 
 class CrashRecordTest(unittest.TestCase):
@@ -67,7 +68,7 @@
                 reply = await gateway.dispatcher.send(make_attempt(1 + number))
                 if not isinstance(reply, NotRun | Lost | Whole):
                     self.pieces = [piece async for piece in reply.events()]
-            return gateway.guard.get_standing(make_job(0.0), "")
+            return gateway.guard.evidence.find_verdict(make_job(0.0), "", "s").standing
 
         return run(main)
 
@@ -145,7 +146,7 @@
             config = make_config(Repeat.IDEMPOTENT, attempts)
             gateway = make_gateway(dispatcher, config, anyio.current_time())
             for number in range(crashes):
-                gateway.guard.record_lost(make_attempt(4 + number))
+                gateway.guard.evidence.record_lost(make_attempt(4 + number), Progress.UNBEGUN)
             forwarder = make_forwarder(gateway)
             began = anyio.current_time()
             outcome = await forwarder.serve(make_job(began))
@@ -193,14 +194,16 @@
             dispatcher = FakeDispatcher(WHOLE)
             gateway = make_gateway(dispatcher, make_config(Repeat.ONCE), anyio.current_time())
             for number in (4, 5):
-                gateway.guard.record_lost(make_attempt(number))
+                gateway.guard.evidence.record_lost(make_attempt(number), Progress.UNBEGUN)
             for number, count in ((1, 3), (2, 1), (3, 2)):
                 gateway.loads.add_load(make_instance(number), count, 0)
             forwarder = make_forwarder(gateway)
             self.assertEqual(await forwarder.serve(make_job(anyio.current_time())), WHOLE)
             (attempt,) = dispatcher.attempts
             self.assertEqual(attempt.instance.id, "i2")
-            self.assertIs(gateway.guard.get_standing(make_job(0.0), ""), Standing.CLEAR)
+            self.assertIs(
+                gateway.guard.evidence.find_verdict(make_job(0.0), "", "s").standing, Standing.CLEAR
+            )
 
         run(main)
 
--- a/tests/test_heldbytes.py
+++ b/tests/test_heldbytes.py
@@ -233,7 +233,7 @@
                 FakeDispatcher(Lost("cut", unread)), make_config(Repeat.ONCE), now
             )
             gateway.selector.record_result = result = Mock()  # type: ignore[method-assign]
-            gateway.guard.record_lost = suspected = Mock()  # type: ignore[method-assign]
+            gateway.guard.evidence.record_lost = suspected = Mock()  # type: ignore[method-assign]
             runs = StreamRegistry(gateway, EngineMigrator(gateway))
             outcome = await Forwarder(gateway, runs, RequestMetrics(Metrics())).serve(make_job(now))
             assert isinstance(outcome, Failure), outcome
@@ -463,7 +463,7 @@
                 dispatcher, make_config(Repeat.STREAM, attempts=3, resumable=True), now
             )
             gateway.selector.record_result = self.recorded = Mock()  # type: ignore[method-assign]
-            gateway.guard.record_lost = self.suspected = Mock()  # type: ignore[method-assign]
+            gateway.guard.evidence.record_lost = self.suspected = Mock()  # type: ignore[method-assign]
             runs = StreamRegistry(gateway, EngineMigrator(gateway))
             attempt = Attempt(make_job(now, 60.0, PROMPT), make_instance(1), "", 60.0)
             stream = await gateway.dispatcher.send(attempt)
--- a/tests/test_heldrequests.py
+++ b/tests/test_heldrequests.py
@@ -31,6 +31,7 @@
     TrialRequest,
     WatchAnswer,
 )
+from daleroad.onsets import Progress
 from daleroad.suspectcommands import SuspectCommands
 from daleroad.suspects import MIN_CRASHES_HELD, Standing, Suspicion
 from daleroad.watching import Watcher
@@ -87,16 +88,19 @@
     def report_crash(self, gateway: Gateway, number: int) -> None:
         """Report to a gateway that an upstream crashed during the request of these tests."""
         job = make_job(anyio.current_time())
-        gateway.guard.record_lost(Attempt(job, make_instance(number), "", 1.0))
+        attempt = Attempt(job, make_instance(number), "", 1.0)
+        gateway.guard.evidence.record_lost(attempt, Progress.UNBEGUN)
 
 
 def get_standing(gateway: Gateway) -> Standing:
-    return gateway.guard.get_standing(make_job(0.0), "")
+    return gateway.guard.evidence.find_verdict(make_job(0.0), "", "s").standing
 
 
 def all_hold(gateways: list[Gateway], job: ClientRequest | None = None) -> bool:
     asked = job or make_job(0.0)
-    return all(g.guard.get_standing(asked, "") is Standing.HELD for g in gateways)
+    return all(
+        g.guard.evidence.find_verdict(asked, "", "s").standing is Standing.HELD for g in gateways
+    )
 
 
 def run_watched_site(body: Callable) -> None:
@@ -128,7 +132,7 @@
                 for number in range(MIN_CRASHES_HELD):
                     job = replace(make_job(began), body=f"body {round_number}".encode())
                     attempt = Attempt(job, make_instance(number + 1), "", 1.0)
-                    gateways[number].guard.record_lost(attempt)
+                    gateways[number].guard.evidence.record_lost(attempt, Progress.UNBEGUN)
                 await wait_for(partial(all_hold, gateways, job))
                 durations.append(anyio.current_time() - began)
             self.assertLess(median(durations), MAX_PROPAGATION_SECONDS)
--- a/tools/measurespread.py
+++ b/tools/measurespread.py
@@ -19,6 +19,7 @@
 
 from daleroad.codec import encode  # noqa: E402
 from daleroad.dispatch import Attempt  # noqa: E402
+from daleroad.onsets import Progress  # noqa: E402
 from daleroad.suspects import MIN_CRASHES_HELD, Suspicion  # noqa: E402
 from tests.fakes import make_instance, make_job  # noqa: E402
 from tests.test_coordinator import Site, make_document, run_site  # noqa: E402
@@ -49,7 +50,7 @@
         job = replace(make_job(began), body=f"{count} {number}".encode())
         for seen_by in range(MIN_CRASHES_HELD):
             attempt = Attempt(job, make_instance(100 * number + seen_by), "", 1.0)
-            gateways[seen_by].guard.record_lost(attempt)
+            gateways[seen_by].guard.evidence.record_lost(attempt, Progress.UNBEGUN)
         await wait_until(partial(all_hold, gateways, job))
         taken.append(anyio.current_time() - began)
     ends = tuple(f"i-{number:010x}@1768712629029" for number in range(MIN_CRASHES_HELD))
