Compare rules for holding parts of prompts, with many gateways

Before, the only figures for a rule on parts were of one process that sees all at once. The model has 12 gateways that hear of each other after 0.3 s, herds, single crashes, a loss of all engines and gateways that are cut off.

--- /dev/null
+++ b/src/daleroad/partmodel.py
@@ -0,0 +1,479 @@
+"""Simulation that compares rules for holding back poison parts of prompts, in virtual time.
+
+Streams come to any of several gateways. Each has a first part, a second one and a last one of its
+own; some parts are common. Engines crash on a poison part as they begin to write on it, or for
+reasons of their own. News takes a while from one gateway to the others. The figures of merit are
+the engines lost until the part is held, and the sound streams that are refused.
+
+Does no I/O.
+"""
+
+import heapq
+import math
+from collections import Counter, deque
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+from itertools import count
+from random import Random
+from typing import Protocol
+
+from daleroad.onsets import ONSET_SECONDS, Progress
+from daleroad.promptparts import SharedPart
+from daleroad.suspects import Standing, Suspects, Suspicion
+
+GATEWAYS = 12
+NEWS_SECONDS = 0.3
+"""Time until the other gateways hear of a report."""
+
+ENGINES = 14
+RESTART_SECONDS = 3.0
+STREAMS_PER_SECOND = 12.0
+READ_SECONDS = (0.1, 0.5)
+"""Time from the arrival of a stream at its engine until the answer begins."""
+
+SHORT_SECONDS, LONG_SECONDS = (0.3, 1.2), (2.0, 6.0)
+SHORT_SHARE = 0.6
+"""How long answers last, and the share of short ones."""
+
+FIRST_WEIGHTS = (40, 25, 12, 10, 6, 4, 2, 1)
+"""Popularity of the first parts; one is on a tenth of all streams."""
+
+SECOND_WEIGHTS = (20, 10, *([3] * 15), *([1] * 23))
+POISON_PER_SECOND = 2.0
+POISON_SECONDS = 0.06
+"""Time from the beginning of an answer on a poison part until its engine crashes."""
+
+POISON = "poison"
+
+
+class _EventKind(StrEnum):
+    ARRIVE = "stream arrives"
+    BEGIN = "answer begins"
+    FAR = "answer has gone on for a while"
+    FINISH = "answer ends"
+    CRASH = "engines crash"
+    CUT = "a gateway loses its links"
+
+
+class PartRule(Protocol):
+    """A rule that decides which parts are held back at each gateway."""
+
+    def record_crash(
+        self,
+        gateway: int,
+        parts: tuple[SharedPart, ...],
+        engine: str,
+        progress: Progress,
+        now: float,
+    ) -> None:
+        """Record that an engine crashed while it ran a stream."""
+
+    def record_success(self, gateway: int, parts: tuple[SharedPart, ...], now: float) -> None:
+        """Record that an answer went on for a while, or was complete."""
+
+    def find_held(
+        self, gateway: int, parts: tuple[SharedPart, ...], now: float
+    ) -> SharedPart | None:
+        """Return the part for which a gateway holds a stream back, if there is one."""
+
+
+class CurrentPartRule:
+    """The rule that gateways use, :class:`Suspects`, at each of them."""
+
+    def __init__(self) -> None:
+        self._suspects = [Suspects() for _ in range(GATEWAYS)]
+        self._news: deque[tuple[float, int, Suspicion]] = deque()
+
+    def record_crash(
+        self,
+        gateway: int,
+        parts: tuple[SharedPart, ...],
+        engine: str,
+        progress: Progress,
+        now: float,
+    ) -> None:
+        """Record that an engine crashed while it ran a stream."""
+        self._deliver(now)
+        if progress is Progress.FAR:
+            return
+        for part in parts:
+            begun = progress is Progress.BEGUN
+            suspects = self._suspects[gateway]
+            report = suspects.record_part_crash(part, "caller", "route", engine, begun, now)
+            self._publish(gateway, report, now)
+
+    def record_success(self, gateway: int, parts: tuple[SharedPart, ...], now: float) -> None:
+        """Record that an answer went on for a while, or was complete."""
+        self._deliver(now)
+        for part in parts:
+            report = self._suspects[gateway].record_part_success(part.fingerprint, now)
+            self._publish(gateway, report, now)
+
+    def find_held(
+        self, gateway: int, parts: tuple[SharedPart, ...], now: float
+    ) -> SharedPart | None:
+        """Return the part for which a gateway holds a stream back, if there is one."""
+        self._deliver(now)
+        suspects = self._suspects[gateway]
+        for part in parts:
+            standing = suspects.get_part_standing(part.fingerprint, "caller", now)
+            if standing in (Standing.HELD, Standing.TRIAL):
+                return part
+        return None
+
+    def _publish(self, gateway: int, report: Suspicion | None, now: float) -> None:
+        if report is not None:
+            self._news.append((now + NEWS_SECONDS, gateway, report))
+
+    def _deliver(self, now: float) -> None:
+        while self._news and self._news[0][0] <= now:
+            at, sender, report = self._news.popleft()
+            for gateway, suspects in enumerate(self._suspects):
+                if gateway == sender:
+                    continue
+                suspects.merge(report, at)
+                self._publish(gateway, suspects.apply_credits(report.fingerprint, at), at)
+
+
+@dataclass
+class _Tally:
+    crashes: set[str] = field(default_factory=set)
+    score: float = 0.0
+
+
+class CountRule:
+    """Holds a part after three crashes of engines that ran it; each whole answer cancels one.
+
+    Counts every run on the engine, however far its answer had got, and knows all at once.
+    """
+
+    THRESHOLD = 3
+
+    def __init__(self) -> None:
+        self._tallies: dict[str, _Tally] = {}
+
+    def record_crash(
+        self,
+        gateway: int,
+        parts: tuple[SharedPart, ...],
+        engine: str,
+        progress: Progress,
+        now: float,
+    ) -> None:
+        """Record that an engine crashed while it ran a stream."""
+        for part in parts:
+            self._tallies.setdefault(part.fingerprint, _Tally()).crashes.add(engine)
+
+    def record_success(self, gateway: int, parts: tuple[SharedPart, ...], now: float) -> None:
+        """Record that an answer went on for a while, or was complete."""
+        for part in parts:
+            tally = self._tallies.get(part.fingerprint)
+            if tally is not None and tally.crashes:
+                tally.crashes.pop()
+
+    def find_held(
+        self, gateway: int, parts: tuple[SharedPart, ...], now: float
+    ) -> SharedPart | None:
+        """Return the part for which a gateway holds a stream back, if there is one."""
+        return next((p for p in parts if self._is_held(p.fingerprint)), None)
+
+    def _is_held(self, fingerprint: str) -> bool:
+        tally = self._tallies.get(fingerprint)
+        return tally is not None and len(tally.crashes) >= self.THRESHOLD
+
+
+class LikelihoodRule:
+    """Wald's sequential test with the popularity of each part, which knows all at once.
+
+    A crash with a part that hardly any engine runs weighs more than one with a part that most do.
+    """
+
+    POISON_CRASHES, POISON_SUCCEEDS = 0.95, 0.02
+    LIMIT = math.log(1e5)
+
+    def __init__(self) -> None:
+        self._tallies: dict[str, _Tally] = {}
+        self._begun: Counter[str] = Counter()
+        self._streams = 0
+
+    def record_crash(
+        self,
+        gateway: int,
+        parts: tuple[SharedPart, ...],
+        engine: str,
+        progress: Progress,
+        now: float,
+    ) -> None:
+        """Record that an engine crashed while it ran a stream."""
+        for part in parts:
+            tally = self._tallies.setdefault(part.fingerprint, _Tally())
+            if progress is Progress.FAR or engine in tally.crashes:
+                continue
+            tally.crashes.add(engine)
+            share = (self._begun[part.fingerprint] + 1) / (self._streams + 2)
+            beside = 1 - (1 - share) ** (STREAMS_PER_SECOND * ONSET_SECONDS / ENGINES + 1)
+            tally.score += math.log(self.POISON_CRASHES / min(0.9, beside))
+
+    def record_success(self, gateway: int, parts: tuple[SharedPart, ...], now: float) -> None:
+        """Record that an answer went on for a while, or was complete."""
+        self._streams += 1
+        for part in parts:
+            self._begun[part.fingerprint] += 1
+            tally = self._tallies.setdefault(part.fingerprint, _Tally())
+            tally.score = max(0.0, tally.score + math.log(self.POISON_SUCCEEDS))
+
+    def find_held(
+        self, gateway: int, parts: tuple[SharedPart, ...], now: float
+    ) -> SharedPart | None:
+        """Return the part for which a gateway holds a stream back, if there is one."""
+        for part in parts:
+            tally = self._tallies.get(part.fingerprint)
+            if tally is not None and tally.score >= self.LIMIT:
+                return part
+        return None
+
+
+@dataclass(frozen=True)
+class PartCase:
+    """What crashes engines in a simulation.
+
+    :param name: the label in the table; it also seeds the random generator.
+    :param poison_depth: place of the poison part; None for no poison.
+    :param popular: whether the sound part beside the poison is a common one.
+    :param group: number of engines that crash at once for other reasons.
+    :param crashes: how often they do.
+    :param cuts: how often a gateway loses all of its links to engines, which looks like crashes.
+    :param gap: seconds between these crashes or cuts.
+    """
+
+    name: str
+    poison_depth: int | None = None
+    popular: bool = True
+    group: int = 0
+    crashes: int = 0
+    cuts: int = 0
+    gap: float = 1.0
+    seconds: float = 60.0
+
+
+CASES = (
+    PartCase("a poison second part, beside a common first", 1),
+    PartCase("a poison second part, beside a rare first", 1, popular=False),
+    PartCase("a poison first part", 0),
+    PartCase("a poison part beside single crashes", 1, group=1, crashes=30),
+    PartCase("six herds of five engines", group=5, crashes=6, gap=5.0),
+    PartCase("thirty single crashes", group=1, crashes=30),
+    PartCase("all engines at once, twice", group=ENGINES, crashes=2, gap=15.0),
+    PartCase("gateways cut off, six times", cuts=6, gap=5.0),
+    PartCase("a poison part beside gateways cut off", 1, cuts=6, gap=5.0),
+)
+
+
+@dataclass
+class PartOutcome:
+    """The counts of a rule in simulations of one case.
+
+    :param crashed: engines that the poison crashed.
+    :param sound: sound streams.
+    :param refused: those of them that were held back.
+    :param held_parts: sound parts for which streams were held back.
+    """
+
+    crashed: int = 0
+    sound: int = 0
+    refused: int = 0
+    held_parts: set[str] = field(default_factory=set)
+
+
+@dataclass
+class _Stream:
+    gateway: int
+    parts: tuple[SharedPart, ...]
+    poison: bool
+    seconds: float
+    begun_at: float | None = None
+
+    def get_progress(self, now: float) -> Progress:
+        if self.begun_at is None:
+            return Progress.UNBEGUN
+        return Progress.FAR if now - self.begun_at >= ONSET_SECONDS else Progress.BEGUN
+
+
+@dataclass
+class _Engine:
+    name: str
+    up_at: float = 0.0
+    running: dict[int, _Stream] = field(default_factory=dict)
+
+
+class _Simulation:
+    """One simulation of a case under a rule."""
+
+    FIRST_CRASH_SECONDS = 5.0
+
+    def __init__(self, case: PartCase, rule: PartRule, seed: int) -> None:
+        self._case = case
+        self._rule = rule
+        self._random = Random(f"{case.name} {seed}")
+        self._numbers = count()
+        self._engines = [_Engine(f"e{next(self._numbers)}") for _ in range(ENGINES)]
+        self._heap: list[tuple[float, int, _EventKind, int, _Stream | None, _Engine | None]] = []
+        self.outcome = PartOutcome()
+
+    def run(self) -> PartOutcome:
+        """Run the simulation and return the rule's counts."""
+        for at, kind, stream in self._generate_events():
+            self._push(at, kind, stream)
+        while self._heap:
+            now, _, kind, number, stream, engine = heapq.heappop(self._heap)
+            match kind:
+                case _EventKind.ARRIVE if stream is not None:
+                    self._arrive(stream, now)
+                case _EventKind.CRASH:
+                    self._crash_random(now)
+                case _EventKind.CUT:
+                    self._cut_off(self._random.randrange(GATEWAYS), now)
+                case _ if engine is not None and number in engine.running:
+                    self._advance(kind, number, engine, now)
+        return self.outcome
+
+    def _generate_events(self) -> Iterator[tuple[float, _EventKind, _Stream | None]]:
+        for at in self._draw_times(STREAMS_PER_SECOND, 0.0):
+            self.outcome.sound += 1
+            yield at, _EventKind.ARRIVE, self._draw_stream()
+        if self._case.poison_depth is not None:
+            for at in self._draw_times(POISON_PER_SECOND, self.FIRST_CRASH_SECONDS):
+                yield at, _EventKind.ARRIVE, self._draw_poison(self._case.poison_depth)
+        for number in range(self._case.crashes):
+            yield self.FIRST_CRASH_SECONDS + number * self._case.gap, _EventKind.CRASH, None
+        for number in range(self._case.cuts):
+            yield self.FIRST_CRASH_SECONDS + number * self._case.gap, _EventKind.CUT, None
+
+    def _draw_times(self, rate: float, since: float) -> Iterator[float]:
+        at = since + self._random.expovariate(rate)
+        while at < self._case.seconds:
+            yield at
+            at += self._random.expovariate(rate)
+
+    def _draw_part(self, depth: int) -> SharedPart:
+        weights = (FIRST_WEIGHTS, SECOND_WEIGHTS)[depth]
+        (number,) = self._random.choices(range(len(weights)), weights)
+        return SharedPart(f"{depth}-{number}", f"{depth}-{number}", depth)
+
+    def _draw_stream(self) -> _Stream:
+        short = self._random.random() < SHORT_SHARE
+        seconds = self._random.uniform(*(SHORT_SECONDS if short else LONG_SECONDS))
+        parts = (self._draw_part(0), self._draw_part(1))
+        return _Stream(self._random.randrange(GATEWAYS), parts, False, seconds)
+
+    def _draw_poison(self, depth: int) -> _Stream:
+        poison = SharedPart(POISON, POISON, depth)
+        common = 0 if self._case.popular else len(FIRST_WEIGHTS) - 1
+        beside = SharedPart(f"0-{common}", f"0-{common}", 0) if depth else self._draw_part(1)
+        parts = (beside, poison) if depth else (poison, beside)
+        return _Stream(self._random.randrange(GATEWAYS), parts, True, POISON_SECONDS)
+
+    def _push(
+        self,
+        at: float,
+        kind: _EventKind,
+        stream: _Stream | None = None,
+        engine: _Engine | None = None,
+        run: int = 0,
+    ) -> None:
+        heapq.heappush(self._heap, (at, next(self._numbers), kind, run, stream, engine))
+
+    def _arrive(self, stream: _Stream, now: float) -> None:
+        held = self._rule.find_held(stream.gateway, stream.parts, now)
+        if held is not None:
+            self.outcome.refused += not stream.poison
+            if not stream.poison:
+                self.outcome.held_parts.add(held.fingerprint)
+            return
+        alive = [engine for engine in self._engines if engine.up_at <= now]
+        if alive:
+            engine, run = self._random.choice(alive), next(self._numbers)
+            engine.running[run] = stream
+            self._push(
+                now + self._random.uniform(*READ_SECONDS), _EventKind.BEGIN, None, engine, run
+            )
+
+    def _advance(self, kind: _EventKind, run: int, engine: _Engine, now: float) -> None:
+        stream = engine.running[run]
+        match kind:
+            case _EventKind.BEGIN:
+                stream.begun_at = now
+                self._push(now + stream.seconds, _EventKind.FINISH, None, engine, run)
+                if stream.seconds > ONSET_SECONDS:
+                    self._push(now + ONSET_SECONDS, _EventKind.FAR, None, engine, run)
+            case _EventKind.FAR:
+                self._rule.record_success(stream.gateway, stream.parts, now)
+            case _ if stream.poison:
+                self.outcome.crashed += 1
+                self._crash(engine, now)
+            case _:
+                del engine.running[run]
+                self._rule.record_success(stream.gateway, stream.parts, now)
+
+    def _crash_random(self, now: float) -> None:
+        alive = [engine for engine in self._engines if engine.up_at <= now]
+        for engine in self._random.sample(alive, min(self._case.group, len(alive))):
+            self._crash(engine, now)
+
+    def _cut_off(self, gateway: int, now: float) -> None:
+        for engine in self._engines:
+            cut = {
+                run: stream for run, stream in engine.running.items() if stream.gateway == gateway
+            }
+            for run, stream in cut.items():
+                del engine.running[run]
+                self._record_cut(engine, stream, now)
+
+    def _record_cut(self, engine: _Engine, stream: _Stream, now: float) -> None:
+        progress = stream.get_progress(now)
+        self._rule.record_crash(stream.gateway, stream.parts, engine.name, progress, now)
+
+    def _crash(self, engine: _Engine, now: float) -> None:
+        cut, engine.running = engine.running, {}
+        for stream in cut.values():
+            self._record_cut(engine, stream, now)
+        engine.name = f"e{next(self._numbers)}"
+        engine.up_at = now + RESTART_SECONDS
+
+
+def make_part_rules() -> dict[str, PartRule]:
+    """Return a new instance of each rule by its name."""
+    return {
+        "count of 3, each run": CountRule(),
+        "likelihood ratio": LikelihoodRule(),
+        "in use": CurrentPartRule(),
+    }
+
+
+def simulate_parts(case: PartCase, rule: PartRule, seed: int) -> PartOutcome:
+    """Return the counts of a rule in one simulation of a case.
+
+    :param case: the case.
+    :param rule: a new instance of the rule.
+    :param seed: seeds the random generator, with the case's name.
+    """
+    return _Simulation(case, rule, seed).run()
+
+
+def compare_part_rules(cases: Iterable[PartCase], seeds: int) -> Iterator[str]:
+    """Yield a table: engines lost to the poison, the most of any run; sound streams refused.
+
+    :param cases: the cases.
+    :param seeds: simulations of each case and rule.
+    """
+    yield f"{'case':46}{'rule':22}{'lost':>6}{'most':>6}{'sound':>8}{'refused':>9}{'parts':>7}"
+    for case in cases:
+        for name in make_part_rules():
+            found = [simulate_parts(case, make_part_rules()[name], n) for n in range(seeds)]
+            lost = [f.crashed for f in found]
+            yield (
+                f"{case.name:46}{name:22}{sum(lost) / seeds:>6.1f}{max(lost):>6}"
+                f"{sum(f.sound for f in found):>8}{sum(f.refused for f in found):>9}"
+                f"{sum(len(f.held_parts) for f in found) / seeds:>7.1f}"
+            )
--- a/src/daleroad/sharedsuspects.py
+++ b/src/daleroad/sharedsuspects.py
@@ -95,9 +95,7 @@
         """
         released = self.suspects.release(fingerprint, anyio.current_time())
         if released is None:
-            return Failure(
-                FailureKind.NOT_FOUND, f"no crashes are recorded for {fingerprint}"
-            )
+            return Failure(FailureKind.NOT_FOUND, f"no crashes are recorded for {fingerprint}")
         ended = list(released.cleared)
         log_event(Event.REQUEST_RELEASED, fingerprint=fingerprint, ended=ended)
         self._wake()
--- a/src/daleroad/suspectcommands.py
+++ b/src/daleroad/suspectcommands.py
@@ -7,6 +7,8 @@
 from daleroad.codec import encode
 from daleroad.commandcalls import ask_coordinator
 from daleroad.notices import ReleaseRequest, SuspectsAnswer
+from daleroad.partmodel import CASES as PART_CASES
+from daleroad.partmodel import compare_part_rules
 from daleroad.suspectmodel import CASES, compare_rules
 
 
@@ -58,3 +60,12 @@
         """
         for line in compare_rules(CASES, seeds):
             print(line)
+
+    def weigh_parts(self, seeds: int = 10) -> None:
+        """Simulate and compare rules for holding parts of prompts back.
+
+        Args:
+            seeds: simulations of each case and rule.
+        """
+        for line in compare_part_rules(PART_CASES, seeds):
+            print(line)
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -196,6 +196,11 @@
         """Return whether a hold of a part covers an organisation's requests."""
         return caller in self.callers or len(self.callers) > 1
 
+    def may_be_blamed(self) -> bool:
+        """Return whether it has crashes enough to be restricted."""
+        enough = MIN_CRASHES_HELD if self.part else MIN_CRASHES_LAST_TRY
+        return self.count_crashes() >= enough
+
     def make_record(self, fingerprint: str) -> CrashRecord:
         """Return the crashes as they are attributed to it or to another suspect."""
         return CrashRecord(
@@ -432,7 +437,7 @@
         self._counts = count_blamed_crashes(
             suspect.make_record(fingerprint)
             for fingerprint, suspect in self._known.items()
-            if suspect.count_crashes() >= MIN_CRASHES_LAST_TRY
+            if suspect.may_be_blamed()
         )
 
     def is_empty(self) -> bool:
