Go on with a stream that ended without a length as it was moved

What callers would see: the first part of a long stream as a whole one (event 18 of 1,001 was the last, outcome "whole").

Cause: an engine that is asked to stop a generation for its final copy closes the stream's connection. With a length or chunks that is an interruption, and the stream goes on at the copy. Answers with neither end with their connection, so the end looked like the end of the answer.

Change: the client of upstreams says whether a response is delimited. Where it is not, the end of a stream waits for a move that is under way, and counts as an interruption if the generation was moved.

Looked at beside it, and said to hold: a plain one arrives whole, a stream that ends inside an event is lost, the connection isn't used again (tests); a tunnel tells the upstream's end, its loss and the tunnel's own (code).

--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -168,11 +168,16 @@
 
 @dataclass(frozen=True)
 class Whole:
-    """A complete response; a successful one carried the upstream's signature."""
+    """A complete response; a successful one carried the upstream's signature.
+
+    :param delimited: whether it had a length or chunks. Without, it ended with its connection, and
+        looks complete even if its upstream crashed.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    delimited: bool = True
 
     def is_success(self) -> bool:
         """Return whether the status is a success (2xx)."""
@@ -192,10 +197,14 @@
 
 
 class Stream(Protocol):
-    """An event stream that an upstream has started."""
+    """An event stream that an upstream has started.
+
+    :ivar delimited: as for :class:`Whole`.
+    """
 
     status: int
     headers: Headers
+    delimited: bool
 
     def events(self) -> AsyncIterator[StreamEvent | Lost]:
         """Yield complete events, then :class:`Lost` if the stream was cut."""
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -175,6 +175,7 @@
     def __init__(self, stream: Stream, attempt: Attempt, guard: Guard) -> None:
         self.status = stream.status
         self.headers: Headers = stream.headers
+        self.delimited = stream.delimited
         self._stream = stream
         self._attempt = attempt
         self._guard = guard
--- a/src/daleroad/migration.py
+++ b/src/daleroad/migration.py
@@ -62,13 +62,18 @@
     async def find_resume_point(self, run: StreamRun) -> ResumePoint | None:
         """Return the engine that can resume a run whose stream was cut, if there is one.
 
+        :param run: the run.
+        """
+        return await self.find_migrated(run) or await self._recover_cut_run(run)
+
+    async def find_migrated(self, run: StreamRun) -> ResumePoint | None:
+        """Return the engine that a run was migrated to, if it was; wait for a migration under way.
+
         :param run: the run.
         """
         if run.migrating:
             await run.migration_done.wait()
-        if run.resume_point is not None:
-            return run.resume_point
-        return await self._recover_cut_run(run)
+        return run.resume_point
 
     async def copy_cut_off(self, run: StreamRun) -> ResumePoint | None:
         """Stop a run on an engine that this gateway's link to is cut, and copy it elsewhere.
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -139,6 +139,9 @@
     async def find_resume_point(self, run: StreamRun) -> ResumePoint | None:
         """Return the engine that can resume a run whose stream was cut, if there is one."""
 
+    async def find_migrated(self, run: StreamRun) -> ResumePoint | None:
+        """Return the engine that a run was migrated to, if it was, once that is known."""
+
     async def copy_cut_off(self, run: StreamRun) -> ResumePoint | None:
         """Stop a run whose stream hangs, and return the engine that can resume it, if any."""
 
@@ -214,9 +217,10 @@
                     self._note_gap(run)
                     yield piece.data
                     run.ready_at = anyio.current_time()
-            if cut is None:
+            if cut is None and not await self._has_been_moved(run):
                 run.outcome = StreamEnd.WHOLE
                 return
+            cut = cut or Lost("the stream ended as its generation was moved")
             run.answered = anyio.current_time() - run.answering_since
             failure = await self._resume(run, cut)
             if failure is not None:
@@ -225,6 +229,12 @@
                 yield failure
                 return
 
+    async def _has_been_moved(self, run: StreamRun) -> bool:
+        """Return whether the connection that ended a stream was closed by the generation's move."""
+        if run.stream.delimited:
+            return False
+        return await self._mover.find_migrated(run) is not None
+
     def _note_gap(self, run: StreamRun) -> None:
         """Record the gap before an event if the gateway waited for both events at one engine."""
         instance = run.attempt.instance
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -75,6 +75,7 @@
 
     status = 200
     headers = ()
+    delimited = True
 
     def __init__(self, first: int, last: int, cut: bool = False, wait: Callable | None = None):
         self._events = range(first, last + 1)
