Count an answer that ends with its connection once its engine is heard from

What callers would see: engines crash under a poison part for longer, as some of the answers on it look whole and clear it.

Cause: an answer with neither length nor chunks whose engine crashes between two events ends like a whole one. It was a success with one event or more, and nothing at all without.

Change: what such an answer shows is left open. It is a success once the engine is heard from a second or more later, and a crash if the engine started again, if it alone falls silent, or if another stream on it is cut at the same time. The trial's streams end in three ways; torn ones must not look whole.

--- a/src/daleroad/crashevidence.py
+++ b/src/daleroad/crashevidence.py
@@ -4,8 +4,9 @@
 requests (:mod:`daleroad.blame`). Both are looked up here before anything is sent.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
 import anyio
 
@@ -16,8 +17,15 @@
 from daleroad.instances import Instance, InstanceState
 from daleroad.onsets import Progress
 from daleroad.promptparts import SharedPart, list_shared_parts
+from daleroad.sharedsuspects import ALIVE_AFTER_SECONDS, UNCONFIRMED_SECONDS
 from daleroad.suspects import Standing, Suspects, Suspicion
 
+CUT_TOGETHER_SECONDS = 0.2
+"""Time within which the connections to an upstream that crashes end."""
+
+MAX_UNCONFIRMED = 256
+"""Answers that wait to be confirmed; beyond that the oldest is dropped."""
+
 _SEVERITY = (Standing.CLEAR, Standing.LAST_TRY, Standing.TRIAL, Standing.HELD)
 
 
@@ -47,6 +55,26 @@
 CLEAR = Verdict(Standing.CLEAR)
 
 
+@dataclass(frozen=True)
+class _Run:
+    """What is known of one attempt once it is over."""
+
+    instance: Instance
+    caller: str
+    route: str
+    fingerprint: str
+    parts: tuple[SharedPart, ...]
+
+
+@dataclass(frozen=True)
+class _Unconfirmed:
+    """An answer that ended with its connection: complete, or cut between two events by a crash."""
+
+    run: _Run
+    ended_at: float
+    progress: Progress
+
+
 @dataclass
 class CrashEvidence:
     """Records crashes and successes, and judges requests by them.
@@ -59,6 +87,7 @@
     suspects: Suspects
     fleet: Fleet
     tell: Callable[[Suspicion], None]
+    _unconfirmed: deque[_Unconfirmed] = field(default_factory=lambda: deque(maxlen=MAX_UNCONFIRMED))
 
     def find_verdict(self, job: ClientRequest, organisation: str, service: str) -> Verdict:
         """Return whether and how a request may run.
@@ -84,19 +113,30 @@
         :param attempt: the attempt.
         :param progress: how far its answer had got.
         """
-        if self._has_left(attempt.instance):
-            return
         now = anyio.current_time()
-        job, caller, instance = attempt.job, attempt.organisation, attempt.instance.id
-        route = f"{job.host}{job.path}"
-        fingerprint = fingerprint_job(job, caller)
-        self._publish(self.suspects.record_crash(fingerprint, caller, route, instance, now))
-        if progress is Progress.FAR:
+        self._record_crash(_describe_run(attempt), progress, now)
+        ended_beside = [
+            answer
+            for answer in self._unconfirmed
+            if answer.run.instance.id == attempt.instance.id
+            and now - answer.ended_at <= CUT_TOGETHER_SECONDS
+        ]
+        for answer in ended_beside:
+            self._unconfirmed.remove(answer)
+            self._record_crash(answer.run, answer.progress, now)
+
+    def _record_crash(self, run: _Run, progress: Progress, now: float) -> None:
+        """Record a crash against a request, and against its parts unless its answer had got far."""
+        if self._has_left(run.instance):
             return
+        instance = run.instance.id
+        self._publish(
+            self.suspects.record_crash(run.fingerprint, run.caller, run.route, instance, now)
+        )
         begun = progress is Progress.BEGUN
-        for part in list_shared_parts(job, attempt.instance.service):
+        for part in run.parts if progress is not Progress.FAR else ():
             self._publish(
-                self.suspects.record_part_crash(part, caller, route, instance, begun, now)
+                self.suspects.record_part_crash(part, run.caller, run.route, instance, begun, now)
             )
 
     def _has_left(self, instance: Instance) -> bool:
@@ -114,10 +154,19 @@
         :param attempt: the attempt.
         :param clears_parts: whether it answers the prompt.
         """
-        fingerprint = fingerprint_job(attempt.job, attempt.organisation)
-        service = attempt.instance.service
-        parts = tuple(list_shared_parts(attempt.job, service)) if clears_parts else ()
-        self._note_success(fingerprint, parts)
+        run = _describe_run(attempt)
+        self._record_whole(run if clears_parts else replace(run, parts=()))
+
+    def record_undelimited(self, attempt: Attempt, progress: Progress) -> None:
+        """Record a response that ended with its connection, and looks complete.
+
+        What it shows is known once its upstream is heard from again, or is not.
+
+        :param attempt: the attempt.
+        :param progress: how far it had got.
+        """
+        run = _describe_run(attempt)
+        self._unconfirmed.append(_Unconfirmed(run, anyio.current_time(), progress))
 
     def record_far(self, attempt: Attempt) -> None:
         """Record that an upstream has got far with an answer.
@@ -126,11 +175,31 @@
         """
         self._note_parts(list_shared_parts(attempt.job, attempt.instance.service))
 
-    def _note_success(self, fingerprint: str, parts: Iterable[SharedPart]) -> None:
-        report = self.suspects.record_success(fingerprint, anyio.current_time())
+    def settle_undelimited(self, now: float) -> None:
+        """Count the responses that ended with their connections, as far as more is known now.
+
+        :param now: the time.
+        """
+        waiting, self._unconfirmed = self._unconfirmed, deque(maxlen=MAX_UNCONFIRMED)
+        for answer in waiting:
+            instance = answer.run.instance
+            heard_at = now - self.fleet.get_age(instance.id, now)
+            if heard_at >= answer.ended_at + ALIVE_AFTER_SECONDS:
+                self._record_whole(answer.run)
+            elif self.fleet.is_replaced(instance) or self.fleet.is_late(instance.id):
+                self._record_crash(answer.run, answer.progress, now)
+            elif now - answer.ended_at <= UNCONFIRMED_SECONDS:
+                self._unconfirmed.append(answer)
+
+    def count_unconfirmed(self) -> int:
+        """Return how many responses that ended with their connections still wait to be counted."""
+        return len(self._unconfirmed)
+
+    def _record_whole(self, run: _Run) -> None:
+        report = self.suspects.record_success(run.fingerprint, anyio.current_time())
         if report is not None:
             self.tell(report)
-        self._note_parts(parts)
+        self._note_parts(run.parts)
 
     def _note_parts(self, parts: Iterable[SharedPart]) -> None:
         now = anyio.current_time()
@@ -150,6 +219,17 @@
         self.tell(report)
 
 
+def _describe_run(attempt: Attempt) -> _Run:
+    job, caller = attempt.job, attempt.organisation
+    return _Run(
+        attempt.instance,
+        caller,
+        f"{job.host}{job.path}",
+        fingerprint_job(job, caller),
+        tuple(list_shared_parts(job, attempt.instance.service)),
+    )
+
+
 def log_suspect(known: Suspicion | None, standing: Standing) -> None:
     """Log the crashes recorded for a suspect; ``ended`` has the ids of the instances.
 
--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -16,6 +16,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field, replace
 
+from daleroad.defaults import LATE_HEARTBEATS
 from daleroad.instances import Instance, InstanceState, Sighting, make_instance_id
 from daleroad.ratelimits import KnownLimit, RateLimit
 
@@ -314,6 +315,19 @@
         known = self._known.get(instance_id)
         return now - known.heartbeat_at if known else float("inf")
 
+    def is_late(self, instance_id: str) -> bool:
+        """Return whether others were heard LATE_HEARTBEATS intervals or more after an instance.
+
+        Unlike an age, this doesn't grow when no news of any instance arrives.
+
+        :param instance_id: its id.
+        """
+        known = self._known.get(instance_id)
+        if known is None:
+            return True
+        newest = max(other.heartbeat_at for other in self._known.values())
+        return newest - known.heartbeat_at > LATE_HEARTBEATS * self.heartbeat
+
     def is_cold(self, instance_id: str, now: float) -> bool:
         """Return whether an instance is still cold after its start."""
         known = self._known.get(instance_id)
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -202,9 +202,9 @@
             yield piece
             ready_at = anyio.current_time()
             stall.note_taken(ready_at - max(now, self._guard.resumed_at))
-        # A stream that ends with its connection also gets here when its upstream crashes, so one
-        # without any event is not recorded as a success.
-        if begun:
+        if not self.delimited:
+            evidence.record_undelimited(self._attempt, self._onset.get_progress())
+        elif begun:
             evidence.record_success(self._attempt)
 
     async def close(self) -> None:
@@ -244,8 +244,10 @@
                     progress = Progress.BEGUN if begun else Progress.UNBEGUN
                     evidence.record_lost(attempt, progress)
             case Whole():
-                if not reply.is_failed():
-                    evidence.record_success(attempt, reply.is_success())
+                if reply.is_success() and not reply.delimited:
+                    evidence.record_undelimited(attempt, Progress.BEGUN)
+                elif not reply.is_failed():
+                    evidence.record_success(attempt, clears_parts=reply.is_success())
             case _:
                 return _RecordedStream(reply, attempt, self._guard)
         return reply
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -286,6 +286,7 @@
             self._log_change(instance.id, instance.state, name)
         gateway.apply_instance_changes(changed)
         gateway.fleet.note_ages(answer.ages, made_at)
+        gateway.guard.evidence.settle_undelimited(now)
         self._apply_suspicions(answer, now)
         if answer.loads is not None:
             gateway.loads.set_other_loads(answer.loads)
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -115,6 +115,7 @@
             whole, sent = report.find_whole(beside, report.find_known_at(), float("inf"))
             self.assertGreaterEqual(whole, 0.9 * sent, summary)
             self.assertGreater(sent, 0, summary)
+        self.assertEqual((sum(report.torn), bool(report.torn)), (0, True), summary)
 
     def test_sound_streams_are_served_beside_a_poison_part(self) -> None:
         self.check(anyio.run(PartTrial(PartCase.SECOND, self.SECONDS).play))
--- a/tests/test_undelimited.py
+++ b/tests/test_undelimited.py
@@ -4,20 +4,25 @@
 """
 
 import unittest
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 
 import anyio
 import trio
 import trio.testing
 
-from daleroad.dispatch import Lost, Reply, StreamEvent, Whole
-from daleroad.instances import InstanceState, Sighting
+from daleroad.dispatch import Attempt, Lost, Reply, StreamEvent, Whole
+from daleroad.gateway import Gateway
+from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.migration import EngineMigrator
+from daleroad.onsets import Progress
 from daleroad.routing import Repeat
 from daleroad.runs import StreamRegistry
+from daleroad.sharedsuspects import ALIVE_AFTER_SECONDS, UNCONFIRMED_SECONDS
+from daleroad.suspects import Standing
 from tests import test_moves, test_platform
-from tests.fakes import make_config, make_gateway, make_instance
+from tests.fakes import FakeDispatcher, FakeStream, make_config, make_gateway, make_instance
+from tests.test_crashingparts import POISON, make_part_job
 from tests.test_moves import LinkedEngines, RunningStream
 from tests.test_platform import SIGNED, EventStream, Upstream
 
@@ -29,6 +34,12 @@
     return "\r\n".join([*head, "", ""]).encode() + body
 
 
+def make_undelimited(first: int, last: int) -> FakeStream:
+    stream = FakeStream(first, last)
+    stream.delimited = False
+    return stream
+
+
 class ClientTest(unittest.TestCase):
     send_requests = test_platform.EngineClientTest.send_requests
 
@@ -61,6 +72,111 @@
         self.assertEqual(upstream.connections, 2)
 
 
+class EvidenceTest(unittest.TestCase):
+    """What such a response shows of the part of a prompt that it was for."""
+
+    def find_standing(self, meanwhile: Callable[[Gateway, Instance], None]) -> Standing:
+        """Return the standing of a part after such responses of three upstreams.
+
+        :param meanwhile: called a while after each response.
+        """
+
+        async def main() -> Standing:
+            dispatcher = FakeDispatcher(*[make_undelimited(1, 2) for _ in range(3)])
+            config = make_config(Repeat.STREAM, engine=True)
+            gateway = make_gateway(dispatcher, config, anyio.current_time())
+            for number in range(3):
+                instance = make_instance(1 + number)
+                job = make_part_job(number, "first", POISON, f"last {number}")
+                reply = await gateway.dispatcher.send(Attempt(job, instance, "", 5.0))
+                assert not isinstance(reply, Whole)
+                pieces = [piece async for piece in reply.events()]  # type: ignore[union-attr]
+                self.assertEqual(len(pieces), 2)
+                await anyio.sleep(ALIVE_AFTER_SECONDS + 0.1)
+                meanwhile(gateway, instance)
+                gateway.guard.evidence.settle_undelimited(anyio.current_time())
+            job = make_part_job(9, "first", POISON, "last 9")
+            return gateway.guard.evidence.find_verdict(job, "", "s").standing
+
+        return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def crash(self, gateway: Gateway, number: int) -> None:
+        """Record that an upstream crashed as it began to answer a request with the part."""
+        job = make_part_job(number, "first", POISON, f"last {number}")
+        attempt = Attempt(job, make_instance(number), "", 5.0)
+        gateway.guard.evidence.record_lost(attempt, Progress.BEGUN)
+
+    def hear(self, gateway: Gateway, instance: Instance) -> None:
+        gateway.fleet.note(Sighting(replace(instance, sequence=9), 0.0), anyio.current_time())
+
+    def restart(self, gateway: Gateway, instance: Instance) -> None:
+        name = instance.id
+        younger = replace(instance, id=f"{name}@9", name=name, born=9, sequence=1)
+        gateway.fleet.note(Sighting(younger, 0.0), anyio.current_time())
+
+    def test_it_is_no_success_while_its_upstream_is_not_heard_from(self) -> None:
+        self.assertIs(self.find_standing(lambda gateway, instance: None), Standing.CLEAR)
+
+        def crash_another(gateway: Gateway, instance: Instance) -> None:
+            self.crash(gateway, 20 + int(instance.id.removeprefix("i")))
+
+        self.assertIs(self.find_standing(crash_another), Standing.HELD)
+
+    def test_it_is_a_crash_if_its_upstream_has_restarted(self) -> None:
+        self.assertIs(self.find_standing(self.restart), Standing.HELD)
+
+    def test_it_is_a_crash_if_only_its_upstream_is_silent(self) -> None:
+        def hear_others(gateway: Gateway, instance: Instance) -> None:
+            for seconds in (0.0, 2.0, 4.0):
+                others = replace(make_instance(4), sequence=int(10 * anyio.current_time()) + 1)
+                later = anyio.current_time() + seconds
+                gateway.fleet.note(Sighting(others, 0.0), later)
+
+        self.assertIs(self.find_standing(hear_others), Standing.HELD)
+
+    def test_it_is_a_success_if_its_upstream_is_heard_from(self) -> None:
+        def hear(gateway: Gateway, instance: Instance) -> None:
+            for number in (21, 22, 23):
+                self.crash(gateway, number)
+            self.hear(gateway, instance)
+
+        self.assertIs(self.find_standing(hear), Standing.CLEAR)
+
+    def test_it_is_a_crash_if_another_stream_is_cut_at_the_same_time(self) -> None:
+        async def main() -> Standing:
+            dispatcher = FakeDispatcher(*[make_undelimited(1, 1) for _ in range(3)])
+            config = make_config(Repeat.STREAM, engine=True)
+            gateway = make_gateway(dispatcher, config, anyio.current_time())
+            evidence = gateway.guard.evidence
+            for number in range(3):
+                instance = make_instance(1 + number)
+                job = make_part_job(number, "first", POISON, f"last {number}")
+                reply = await gateway.dispatcher.send(Attempt(job, instance, "", 5.0))
+                async for _ in reply.events():  # type: ignore[union-attr]
+                    pass
+                beside = make_part_job(number, "other", f"last {number}")
+                evidence.record_lost(Attempt(beside, instance, "", 5.0), Progress.FAR)
+            return evidence.find_verdict(make_part_job(9, POISON, "last"), "", "s").standing
+
+        self.assertIs(
+            trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0)), Standing.HELD
+        )
+
+    def test_it_is_forgotten_after_a_while(self) -> None:
+        async def main() -> None:
+            dispatcher = FakeDispatcher(Whole(200, (), b"answer", delimited=False))
+            gateway = make_gateway(dispatcher, make_config(Repeat.ONCE), anyio.current_time())
+            job = make_part_job(1, POISON, "last")
+            await gateway.dispatcher.send(Attempt(job, make_instance(1), "", 5.0))
+            evidence = gateway.guard.evidence
+            for seconds, waiting in ((0.0, 1), (UNCONFIRMED_SECONDS + 1.0, 0)):
+                await anyio.sleep(seconds)
+                evidence.settle_undelimited(anyio.current_time())
+                self.assertEqual(evidence.count_unconfirmed(), waiting)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 class UndelimitedRunningStream(RunningStream):
     """A stream whose connection its engine closes when the generation is stopped."""
 
--- a/tools/crashtrial.py
+++ b/tools/crashtrial.py
@@ -30,6 +30,7 @@
     PLAIN_SERVICE,
     SIZE_HEADER,
     Engine,
+    Framing,
     Upstream,
 )
 
@@ -218,12 +219,16 @@
                 await anyio.sleep(self._random.uniform(*AGAIN_SECONDS))
 
     async def _ask(
-        self, client: httpx.AsyncClient, body: bytes, shared: str = "5c1e07a2:40"
+        self,
+        client: httpx.AsyncClient,
+        body: bytes,
+        shared: str = "5c1e07a2:40",
+        framing: Framing = Framing.CHUNKS,
     ) -> int | None:
         """Send a request to any gateway; return its status, or nothing if it was cut.
 
         A gateway that was killed can't be reached; the status is NOT_CONNECTED then. ``shared`` has
-        the parts of its prompt but the last.
+        the parts of its prompt but the last, ``framing`` tells how a stream ends.
         """
         self._number += 1
         gateway = f"http://{self._network}.0.{self._random.randrange(GATEWAYS) + 1}:{CLIENT_PORT}"
@@ -233,7 +238,7 @@
             "x-daleroad-token-usage": "60,40",
             "x-daleroad-prefix-hash": f"{shared},{self._number:x}:20",
             "x-daleroad-deadline-ms": str(int(REQUEST_SECONDS * 1000)),
-            SIZE_HEADER: f"{EVENTS},{PAUSE_SECONDS}",
+            SIZE_HEADER: f"{EVENTS},{PAUSE_SECONDS},{framing}",
         }
         try:
             answer = await client.post(f"{gateway}/{self._kind}/x", content=body, headers=headers)
@@ -241,7 +246,8 @@
             return NOT_CONNECTED
         except httpx.HTTPError:
             return None
-        return answer.status_code
+        whole = self._kind is TrialKind.CALLS or answer.text.count("id: ") == EVENTS
+        return answer.status_code if whole or answer.is_error else None
 
 
 def main() -> None:
--- a/tools/parttrial.py
+++ b/tools/parttrial.py
@@ -1,6 +1,8 @@
 """A trial with real processes: parts of prompts end each upstream that begins to write on them.
 
-    python tools/parttrial.py second-part|first-part|two-parts|own-ends|none [SECONDS] [SEED] [NETWORK]
+    python tools/parttrial.py CASE [SECONDS] [SEED] [NETWORK]
+
+CASE is second-part, first-part, two-parts, own-ends or none.
 
 The site of :mod:`tools.crashtrial`. Twelve callers ask for streams of three parts: two first parts,
 forty second ones, the last its own. Two more ask, at any gateway, for streams with a part that
@@ -32,7 +34,7 @@
     CrashTrial,
     TrialKind,
 )
-from tools.soakupstreams import CRASHING_PARTS  # noqa: E402
+from tools.soakupstreams import CRASHING_PARTS, Framing  # noqa: E402
 
 SECONDS = 26.0
 NETWORK = "127.7"
@@ -46,6 +48,9 @@
 CRASHES_BORNE = 5
 """Crashes under one part after which requests with it should reach no upstream any more."""
 
+FRAMINGS = {Framing.CHUNKS: 0.45, Framing.CLOSE: 0.45, Framing.TORN: 0.1}
+"""Shares of the sound streams by how they end."""
+
 OWN_ENDS, OWN_END_GAP_SECONDS = 7, 1.0
 
 
@@ -79,11 +84,14 @@
 
     :param crashed: when an upstream ended under a part, by part.
     :param reached: when a request with a part reached an upstream, by part.
+    :param ends: when upstreams ended of themselves.
+    :param torn: whether each stream that ended inside an event looked whole.
     """
 
     crashed: dict[str, list[float]] = field(default_factory=dict)
     reached: dict[str, list[float]] = field(default_factory=dict)
     ends: list[float] = field(default_factory=list)
+    torn: list[bool] = field(default_factory=list)
     sound: list[SoundStream] = field(default_factory=list)
 
     def count_late(self) -> int:
@@ -117,6 +125,7 @@
             f"later than {CONTACT_SECONDS:g} s after the fifth; sound streams whole before, amid "
             f"and after, same first part, then the other: "
             + ", ".join(f"{whole} of {sent}" for whole, sent in shares)
+            + f"; {sum(self.torn)} of {len(self.torn)} torn ones looked whole"
         )
 
 
@@ -163,9 +172,12 @@
                 first = random.choice(FIRST_PARTS)
                 sent = anyio.current_time() - self.began
                 shared = f"{first}:40,{random.choice(SECOND_PARTS)}:30"
-                status = await self._ask(client, f"{sent} {number}".encode(), shared)
-                if status != NOT_CONNECTED:
-                    whole = status == httpx.codes.OK
+                (framing,) = random.choices(list(FRAMINGS), FRAMINGS.values())
+                status = await self._ask(client, f"{sent} {number}".encode(), shared, framing)
+                whole = status == httpx.codes.OK
+                if framing is Framing.TORN:
+                    self.parts.torn.append(whole)
+                elif status != NOT_CONNECTED:
                     self.parts.sound.append(SoundStream(sent, first == FIRST_PARTS[0], whole))
                 await anyio.sleep(random.uniform(*IDLE_SECONDS))
 
@@ -173,7 +185,8 @@
         await anyio.sleep(QUIET_SECONDS)
         async with httpx.AsyncClient(timeout=REQUEST_SECONDS, trust_env=False) as client:
             for shared in self._draw_shared(random):
-                await self._ask(client, f"part {random.random()}".encode(), shared)
+                framing = random.choice((Framing.CHUNKS, Framing.CLOSE))
+                await self._ask(client, f"part {random.random()}".encode(), shared, framing)
                 await anyio.sleep(random.uniform(*AGAIN_SECONDS))
 
     def _draw_shared(self, random: Random) -> Iterator[str]:
--- a/tools/soakupstreams.py
+++ b/tools/soakupstreams.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from enum import StrEnum
 from random import Random
 
 import anyio
@@ -17,7 +18,7 @@
 PLAIN_SERVICE, ENGINE_SERVICE = "s", "e"
 
 SIZE_HEADER = "x-soak-stream"
-"""Carries the events of a stream and the seconds between them, as EVENTS,SECONDS."""
+"""Carries the size of a stream and how it ends, as EVENTS,SECONDS,FRAMING: a :class:`Framing`."""
 
 HEARTBEAT_SECONDS = 0.5
 
@@ -32,6 +33,16 @@
 """Time from a crash until the upstream is back, under its id."""
 
 
+class Framing(StrEnum):
+    """How the end of a stream is told."""
+
+    CHUNKS = "chunks"
+    CLOSE = "close"
+    """By the end of its connection."""
+    TORN = "torn"
+    """By the end of its connection inside the last event."""
+
+
 @dataclass(frozen=True)
 class UpstreamRequest:
     """A request as an upstream read it; names of headers are in lower case."""
@@ -152,11 +163,13 @@
         self._ledger.runs[request] = self._ledger.runs.get(request, 0) + 1
         self._ledger.reached.setdefault(request, set()).add(self.link_name)
         if culprit:
-            await self._begin_and_crash(stream, request, culprit)
+            await self._begin_and_crash(stream, request, culprit, head)
         else:
             await self._run(stream, request, head)
 
-    async def _begin_and_crash(self, stream: SocketStream, request: str, culprit: str) -> None:
+    async def _begin_and_crash(
+        self, stream: SocketStream, request: str, culprit: str, head: dict[str, str]
+    ) -> None:
         await anyio.sleep(self._random.uniform(0.02, 0.1))
         self._crash(culprit)
         await anyio.sleep_forever()
@@ -204,30 +217,53 @@
     port = 18010
     slots = 24
 
-    async def _begin_and_crash(self, stream: SocketStream, request: str, culprit: str) -> None:
-        await self._send_stream_head(stream, request)
-        await super()._begin_and_crash(stream, request, culprit)
+    async def _begin_and_crash(
+        self, stream: SocketStream, request: str, culprit: str, head: dict[str, str]
+    ) -> None:
+        await self._send_stream_head(stream, request, read_size(head)[2])
+        await super()._begin_and_crash(stream, request, culprit, head)
 
-    async def _send_stream_head(self, stream: SocketStream, request: str, *words: str) -> None:
-        kind = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+    async def _send_stream_head(
+        self, stream: SocketStream, request: str, framing: Framing, *words: str
+    ) -> None:
+        kind = ["Content-Type: text/event-stream"]
+        kind += ["Transfer-Encoding: chunked"] if framing is Framing.CHUNKS else []
         await _send_head(stream, request, *kind, *words)
 
     async def _run(self, stream: SocketStream, request: str, head: dict[str, str]) -> None:
-        events, pause = head[SIZE_HEADER].split(",")
+        events, pause, framing = read_size(head)
         words = self.needs.list_words()
         try:
-            await self._send_stream_head(stream, request, *words)
+            await self._send_stream_head(stream, request, framing, *words)
             self.needs.note_told(head.get(GATEWAY_HEADER, ""), words)
-            for number in range(1, int(events) + 1):
-                await anyio.sleep(float(pause))
+            for number in range(1, events + 1):
+                await anyio.sleep(pause)
                 event = f"id: {number}\ndata: {request}\n\n"
-                await stream.send(f"{len(event):x}\r\n{event}\r\n".encode())
-            await stream.send(b"0\r\n\r\n")
+                if framing is Framing.TORN and number == events:
+                    event = event[:-3]
+                await stream.send(_frame(event.encode(), framing))
+            if framing is Framing.CHUNKS:
+                await stream.send(b"0\r\n\r\n")
+            else:
+                await stream.aclose()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             # The caller is gone, so the generation stops.
             return
 
 
+def read_size(head: dict[str, str]) -> tuple[int, float, Framing]:
+    """Return the events of a stream, the seconds between them, and how it ends.
+
+    :param head: the headers of its request.
+    """
+    events, pause, *framing = head[SIZE_HEADER].split(",")
+    return int(events), float(pause), Framing(framing[0]) if framing else Framing.CHUNKS
+
+
+def _frame(event: bytes, framing: Framing) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(event), event) if framing is Framing.CHUNKS else event
+
+
 def read_clock() -> int:
     """Return the time of day in milliseconds."""
     return int(time.time() * 1000)
@@ -268,7 +304,7 @@
             length = int(headers.get("content-length", "0"))
             while len(data) < length:
                 data += await stream.receive()
-        except (anyio.EndOfStream, anyio.BrokenResourceError):
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
             return
         yield UpstreamRequest(headers, data[:length])
         data = data[length:]
