Hold the beginning of prompts that crashes engines at the entries too

Callers of the product's own interface would see what the gateways' callers saw: requests that share the beginning of their prompts and differ after it crash one engine after the other, each under a fingerprint of its own.

Cause: the same as at the gateways; evidence was kept by whole requests. A prompt is plain text there, so its beginning, which already chooses the engine with a warm cache, stands for the part that prompts share.

Change: entries record, clear, tell and hold it by the same rule. With real processes, three engines are killed as they begin to answer three prompts with one beginning: a fourth one is refused at each entry, as not run, and others are served (test).

--- a/src/daleroad/generations.py
+++ b/src/daleroad/generations.py
@@ -19,6 +19,7 @@
 from daleroad.finishing import compute_latest_start, estimate_max_tokens
 from daleroad.jobs import Job, authenticate, describe_work, parse_job
 from daleroad.messages import EngineCompletion, PermitAnswer, PermitEnd, Work
+from daleroad.onsets import Onset, Progress
 from daleroad.organisationlimits import OrganisationLimits
 from daleroad.ranking import rank_upstreams
 from daleroad.records import Organisation, Upstream
@@ -58,6 +59,7 @@
     :param slot: identifies the request to the organisation's limits.
     :param answer: raw events received so far, to be stored with the claim of a request that may not
         be repeated.
+    :param onset: tells whether its upstream got far with it.
     """
 
     generation: str
@@ -68,6 +70,7 @@
     job: Job | None = None
     slot: str = ""
     answer: list[bytes] = field(default_factory=list)
+    onset: Onset = field(default_factory=lambda: Onset(anyio.current_time()))
 
 
 class GenerationHandler:
@@ -180,7 +183,9 @@
         avoid: set[str] = set()
         attempt = 0
         while True:
-            held = self._holding.find_refusal(_make_fingerprint(job))
+            held = self._holding.find_refusal(
+                _make_fingerprint(job), job.organisation.name, job.find_shared_part()
+            )
             permit = held or await self._obtain_permit_in_time(job, avoid)
             if isinstance(permit, Failure):
                 return await self._attach_or_refuse(job, _include_earlier_ran(permit, ran))
@@ -456,13 +461,16 @@
         env = self._env
         env.metrics.inflight.inc()
         last_part: StreamPart = active.first
+        ready_at = anyio.current_time()
         try:
             async for part in _iterate_parts(active):
                 last_part = part
                 match part:
                     case TokenChunk(raw, count):
                         self._record_progress(active, raw, count)
+                        self._note_onset(active, anyio.current_time() - ready_at)
                         yield raw
+                        ready_at = anyio.current_time()
                     case StreamEnded(raw, _):
                         active.answer.append(raw)
                         yield raw
@@ -482,6 +490,14 @@
         if active.job is not None and not active.job.route.repeatable:
             active.answer.append(raw)
 
+    def _note_onset(self, active: ActiveGeneration, waited: float) -> None:
+        """Clear the part that a prompt shares, once its upstream has got far with the answer."""
+        if not active.onset.note_event(waited, anyio.current_time()) or active.job is None:
+            return
+        part = active.job.find_shared_part()
+        if part is not None:
+            self._holding.record_far(part)
+
     async def _clean_up(self, active: ActiveGeneration, last_part: StreamPart) -> None:
         """Release what a generation holds, by how its delivery ended: whole, broken or left.
 
@@ -501,10 +517,11 @@
             if end == "broken":
                 self._record_health(active.permit.upstream, False)
                 if job is not None and isinstance(last_part, StreamFailed):
-                    self._record_loss(job, active.permit, last_part.failure)
+                    progress = active.onset.get_progress()
+                    self._record_loss(job, active.permit, last_part.failure, progress)
             await self._return_permit(active.permit, tokens, started=True, ok=whole)
         if job is not None and whole:
-            self._holding.record_success(_make_fingerprint(job))
+            self._holding.record_success(_make_fingerprint(job), job.find_shared_part())
         if job is not None and not job.route.repeatable and whole:
             answer = b"".join(active.answer)
             kept = answer.decode() if len(answer) <= MAX_CLAIM_ANSWER_BYTES else ""
@@ -516,12 +533,21 @@
         end = PermitEnd(permit.upstream.name, permit.work.generation, tokens, started, ok)
         await self._stewardship.return_permit(end)
 
-    def _record_loss(self, job: Job, permit: Permit, failure: Failure) -> None:
+    def _record_loss(
+        self,
+        job: Job,
+        permit: Permit,
+        failure: Failure,
+        progress: Progress = Progress.UNBEGUN,
+    ) -> None:
         if failure.kind is not FailureKind.UPSTREAM_LOST:
             # A refusal, or a stall after the response began, is not a crash.
             return
         name = permit.upstream.name
-        self._holding.record_lost(_make_fingerprint(job), job.organisation, job.route, name)
+        part = job.find_shared_part()
+        self._holding.record_lost(
+            _make_fingerprint(job), job.organisation, job.route, name, part, progress
+        )
 
     def _record_health(self, upstream: Upstream, ok: bool) -> None:
         env = self._env
--- a/src/daleroad/jobs.py
+++ b/src/daleroad/jobs.py
@@ -12,6 +12,7 @@
 from daleroad.directory import Directory, pick_split
 from daleroad.errors import Failure, FailureKind
 from daleroad.messages import Completion, Work
+from daleroad.promptparts import SharedPart, make_shared_part
 from daleroad.records import Organisation, Route
 from daleroad.security import get_bearer, hash_token
 from daleroad.serving import Request
@@ -45,6 +46,12 @@
         """Hash of the first characters of the prompt, for cache affinity."""
         return xxh3_128_hexdigest(self.completion.prompt[:_PREFIX_CHARS].encode())
 
+    def find_shared_part(self) -> SharedPart | None:
+        """Return the beginning of the prompt, which other requests may share; None if it is all."""
+        if len(self.completion.prompt) <= _PREFIX_CHARS:
+            return None
+        return make_shared_part(self.route.service, self.model, self.prefix, 0)
+
     @property
     def priority(self) -> int:
         """Priority for the engine; the lower number goes first."""
--- a/src/daleroad/promptparts.py
+++ b/src/daleroad/promptparts.py
@@ -39,5 +39,16 @@
     :param service: the service that runs it.
     """
     for depth, part in enumerate(islice(job.list_shared_parts(), MAX_PARTS)):
-        digest = make_digest(b"part", service.encode(), job.model.encode(), part.encode())
-        yield SharedPart(digest, f"{service}/{job.model}/{part}"[:MAX_NAME_CHARS], depth)
+        yield make_shared_part(service, job.model, part, depth)
+
+
+def make_shared_part(service: str, model: str, part: str, depth: int) -> SharedPart:
+    """Return a part of prompts as a candidate.
+
+    :param service: the service that reads it.
+    :param model: the model that reads it, or empty.
+    :param part: the id that requests use.
+    :param depth: its place in the prompt, from 0.
+    """
+    digest = make_digest(b"part", service.encode(), model.encode(), part.encode())
+    return SharedPart(digest, f"{service}/{model}/{part}"[:MAX_NAME_CHARS], depth)
--- a/src/daleroad/requestholds.py
+++ b/src/daleroad/requestholds.py
@@ -2,7 +2,8 @@
 
 The rule is that of the gateways, :mod:`daleroad.suspects`. Entries report crashes to each other at
 once; an entry that can't be reached misses that report. Calls that an upstream makes while it runs
-a request arrive as requests of their own, so they are checked here too.
+a request arrive as requests of their own, so they are checked here too. A prompt is plain text
+here; its beginning stands for the part that it shares with others.
 """
 
 from http import HTTPStatus
@@ -10,12 +11,14 @@
 import anyio
 
 from daleroad.codec import encode
-from daleroad.crashevidence import log_suspect
+from daleroad.crashevidence import Verdict, log_suspect
 from daleroad.defaults import LEASE_REMOVAL_DELAY_SECONDS
 from daleroad.environment import Environment
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.fingerprints import make_fingerprint
 from daleroad.messages import Suspicions
+from daleroad.onsets import Progress
+from daleroad.promptparts import SharedPart
 from daleroad.records import Organisation, Route, State
 from daleroad.suspects import Standing, Suspicion
 
@@ -29,21 +32,37 @@
     def __init__(self, env: Environment) -> None:
         self._env = env
 
-    def find_refusal(self, fingerprint: str) -> Failure | None:
+    def find_refusal(
+        self, fingerprint: str, caller: str = "", part: SharedPart | None = None
+    ) -> Failure | None:
         """Return a failure if a request is held, or None if it may run.
 
         :param fingerprint: the request.
+        :param caller: the organisation that sent it.
+        :param part: the part of its prompt that other requests may share, if there is one.
         """
         suspects = self._env.suspects
         now = anyio.current_time()
-        if suspects.get_standing(fingerprint, now) is not Standing.HELD:
+        if suspects.get_standing(fingerprint, now) is Standing.HELD:
+            return self._make_refusal(Verdict(Standing.HELD, fingerprint), now)
+        if part is None:
             return None
-        left = suspects.get_hold_remaining(fingerprint, now)
-        reason = "upstreams crashed while running this request"
-        return Failure(FailureKind.HELD, reason, Ran.NO, round(left))
+        if suspects.get_part_standing(part.fingerprint, caller, now) is Standing.HELD:
+            return self._make_refusal(Verdict(Standing.HELD, part.fingerprint, part.name), now)
+        return None
+
+    def _make_refusal(self, verdict: Verdict, now: float) -> Failure:
+        left = self._env.suspects.get_hold_remaining(verdict.fingerprint, now)
+        return Failure(FailureKind.HELD, verdict.describe(), Ran.NO, round(left))
 
     def record_lost(
-        self, fingerprint: str, organisation: Organisation, route: Route, upstream: str
+        self,
+        fingerprint: str,
+        organisation: Organisation,
+        route: Route,
+        upstream: str,
+        part: SharedPart | None = None,
+        progress: Progress = Progress.UNBEGUN,
     ) -> None:
         """Record that an upstream was lost while it may have been running a request.
 
@@ -51,31 +70,48 @@
         :param organisation: the organisation that sent it.
         :param route: the route that it took.
         :param upstream: the upstream's name, which differs for each start of it.
+        :param part: the part of its prompt that other requests may share, if there is one.
+        :param progress: how far its answer had got.
         """
         known = self._env.catalog.upstreams.get(upstream)
         if known is not None and known.state is not State.SERVING:
             # An announced shutdown is not a crash.
             return
         now = anyio.current_time()
-        report = self._env.suspects.record_crash(
-            fingerprint, organisation.name, route.name, upstream, now
-        )
-        if report is None:
-            return
-        standing = self._env.suspects.get_standing(fingerprint, now)
-        if standing is not Standing.CLEAR:
-            log_suspect(self._env.suspects.get(fingerprint, now), standing)
-        self._env.spawn(self._broadcast, [report])
-        self._env.spawn(self._check_alive, upstream)
+        suspects = self._env.suspects
+        caller, begun = organisation.name, progress is Progress.BEGUN
+        found = [suspects.record_crash(fingerprint, caller, route.name, upstream, now)]
+        if part is not None and progress is not Progress.FAR:
+            found.append(suspects.record_part_crash(part, caller, route.name, upstream, begun, now))
+        reports = [report for report in found if report is not None]
+        for report in reports:
+            standing = suspects.get_standing(report.fingerprint, now)
+            if standing is not Standing.CLEAR:
+                log_suspect(suspects.get(report.fingerprint, now), standing)
+        if reports:
+            self._env.spawn(self._broadcast, reports)
+            self._env.spawn(self._check_alive, upstream)
 
-    def record_success(self, fingerprint: str) -> None:
+    def record_success(self, fingerprint: str, part: SharedPart | None = None) -> None:
         """Record that a request had a complete response.
 
         :param fingerprint: the request.
+        :param part: the part of its prompt that other requests may share, if there is one.
         """
         report = self._env.suspects.record_success(fingerprint, anyio.current_time())
         if report is not None:
             self._env.spawn(self._broadcast, [report])
+        if part is not None:
+            self.record_far(part)
+
+    def record_far(self, part: SharedPart) -> None:
+        """Record that an upstream has got far with an answer.
+
+        :param part: the part of its prompt that other requests may share.
+        """
+        report = self._env.suspects.record_part_success(part.fingerprint, anyio.current_time())
+        if report is not None:
+            self._env.spawn(self._broadcast, [report])
 
     def merge_reports(self, told: Suspicions) -> None:
         """Merge the reports of another entry.
--- a/tests/test_requestholds.py
+++ b/tests/test_requestholds.py
@@ -15,8 +15,11 @@
 
 from daleroad.defaults import LEASE_REMOVAL_DELAY_SECONDS
 from daleroad.entry import Entry
+from daleroad.errors import FailureKind, Ran
 from daleroad.loopback import Site, get_token, make_site
 from daleroad.messages import Suspicions
+from daleroad.onsets import Progress
+from daleroad.promptparts import make_shared_part
 from daleroad.records import Organisation, Route, State, Upstream
 from daleroad.suspects import Standing
 from tests.harness import SiteTest, generate, wait_for
@@ -89,6 +92,24 @@
 
         self.run_entry(body)
 
+    def test_the_beginning_of_prompts_is_held_whatever_follows(self) -> None:
+        async def body(entry: Entry) -> None:
+            part = make_shared_part("narrator", "narrator-v1", "beginning", 0)
+            other = make_shared_part("narrator", "narrator-v1", "another", 0)
+            for number in range(3):
+                entry.holding.record_lost(
+                    f"request {number}", ORGANISATION, ROUTE, f"u{number}", part, Progress.BEGUN
+                )
+            caller = ORGANISATION.name
+            refusal = entry.holding.find_refusal("request 4", caller, part)
+            assert refusal is not None
+            self.assertEqual((refusal.kind, refusal.ran), (FailureKind.HELD, Ran.NO))
+            self.assertIsNone(entry.holding.find_refusal("request 4", caller, other))
+            entry.holding.record_far(part)
+            self.assertIsNone(entry.holding.find_refusal("request 4", caller, part))
+
+        self.run_entry(body)
+
 
 class CrashedEnginesTest(SiteTest):
     """Three engines are killed while running one request, sent through different entries."""
@@ -103,8 +124,17 @@
 
     def test_the_request_is_refused_at_each_entry_and_others_are_served(self) -> None:
         prompt = "Narrate the Danube #tokens=4000"
-        for number in range(3):
-            self.kill_engine_running(prompt, number % len(self.site.entries))
+        self.check_refused([prompt] * 3, prompt)
+
+    def test_prompts_with_a_poison_beginning_are_refused_at_each_entry(self) -> None:
+        beginning = "Narrate the Danube from its springs to its mouth, with all the towns beside it"
+        prompts = [f"{beginning}, part {number} #tokens=4000" for number in range(4)]
+        self.check_refused(prompts[:3], prompts[3])
+
+    def check_refused(self, prompts: list[str], prompt: str) -> None:
+        """Kill an engine for each prompt; check that another is refused, and others are served."""
+        for number, crashing in enumerate(prompts):
+            self.kill_engine_running(crashing, number % len(self.site.entries))
         wait_for(self.is_held_everywhere, "the request held at all entries")
         for entry in range(len(self.site.entries)):
             began = time.monotonic()
