Test held parts on each path of a gateway, and news of them among gateways

First attempts, re-opened streams, copies, backups, requests without a prompt's size, a hold that comes while a place is awaited, another service or model, the last part, late crashes, an answer under way; 12 gateways and three coordinators on loopback, one that starts later, and an answer at one that clears it for all.

--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -5,26 +5,45 @@
 """
 
 import unittest
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 
 import anyio
 import trio
 import trio.testing
 
-from daleroad.dispatch import Attempt, ClientRequest, Prompt, Reply
-from daleroad.errors import Failure
+from daleroad.choosing import UpstreamQuery
+from daleroad.crashevidence import Verdict
+from daleroad.dispatch import (
+    Attempt,
+    ClientRequest,
+    CopySource,
+    Lost,
+    NotRun,
+    Prompt,
+    Reply,
+    Stream,
+    StreamEvent,
+    Whole,
+)
+from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.forwarding import StreamResponse
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance, InstanceState, Sighting
+from daleroad.onsets import ONSET_SECONDS, Progress
 from daleroad.routing import Repeat
+from daleroad.suspects import HOLD_BACKOFF_SECONDS, MIN_CRASHES_HELD, Standing
 from tests.fakes import (
     FakeDispatcher,
     FakeStream,
     make_config,
     make_forwarder,
     make_gateway,
+    make_instance,
     make_job,
 )
+from tests.test_coordinator import wait_for
+from tests.test_heldrequests import WatchedSite, run_watched_site
 from tools.crashtrial import CONTACT_SECONDS
 from tools.parttrial import CRASHES_BORNE, PartCase, PartReport, PartTrial
 
@@ -65,6 +84,24 @@
         return FakeStream(1, 0, cut=True)
 
 
+def crash_engine(gateway: Gateway, number: int, progress: Progress = Progress.BEGUN) -> None:
+    """Record that an engine crashed while it ran a request with the part."""
+    job = make_part_job(number, "first", POISON, f"last {number}")
+    attempt = Attempt(job, make_instance(10 + number), "", 5.0)
+    gateway.guard.evidence.record_lost(attempt, progress)
+
+
+def crash_engines(gateway: Gateway, progress: Progress = Progress.BEGUN) -> None:
+    """Record the crashes of as many engines as it takes to hold the part."""
+    for number in range(MIN_CRASHES_HELD):
+        crash_engine(gateway, number, progress)
+
+
+async def read_all(stream: Stream) -> None:
+    async for _ in stream.events():
+        pass
+
+
 class PoisonPartTest(unittest.TestCase):
     def send_repeatedly(self, *parts: str, times: int = 20) -> tuple[CrashingDispatcher, int]:
         """Send poison requests, no two alike, and a sound one beside each.
@@ -102,6 +139,152 @@
                 self.assertEqual(whole, 20)
 
 
+class HeldPartTest(unittest.TestCase):
+    """A gateway at which the part is held; it has seen three crashes of other engines."""
+
+    def run_held(self, body: Callable[[Gateway, FakeDispatcher], Awaitable[None]]) -> None:
+        async def main() -> None:
+            dispatcher = FakeDispatcher()
+            config = make_config(Repeat.STREAM, 2, engine=True, resumable=True)
+            gateway = make_gateway(dispatcher, config, anyio.current_time())
+            crash_engines(gateway)
+            await body(gateway, dispatcher)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_a_request_with_the_part_is_not_sent_in_any_way(self) -> None:
+        """First attempts, re-opened streams, generations resumed from a copy, and backups."""
+
+        async def body(gateway: Gateway, dispatcher: FakeDispatcher) -> None:
+            for changes in (
+                {},
+                {"last_event": "7", "new_connection": True},
+                {"source": CopySource("10.0.0.2:1", "handle", "7")},
+                {"backup": make_instance(3)},
+                {"repeatable": True},
+            ):
+                job = make_part_job(9, "first", POISON, "last")
+                attempt = Attempt(job, make_instance(1), "", 2.0)
+                reply = await gateway.dispatcher.send(replace(attempt, **changes))  # type: ignore[arg-type]
+                self.assertEqual((type(reply), dispatcher.attempts), (NotRun, []))
+
+        self.run_held(body)
+
+    def test_its_caller_is_refused_at_once_as_not_run(self) -> None:
+        async def body(gateway: Gateway, dispatcher: FakeDispatcher) -> None:
+            forwarder = make_forwarder(gateway)
+            began = anyio.current_time()
+            for job in (
+                make_part_job(9, "first", POISON, "last"),
+                replace(make_part_job(9, POISON, "last"), prompt=None),
+            ):
+                outcome = await forwarder.serve(job)
+                assert isinstance(outcome, Failure)
+                self.assertEqual((outcome.kind, outcome.ran), (FailureKind.HELD, Ran.NO))
+                self.assertEqual(outcome.retry_after, HOLD_BACKOFF_SECONDS[0])
+            self.assertEqual((anyio.current_time(), dispatcher.attempts), (began, []))
+
+        self.run_held(body)
+
+    def test_the_same_name_is_another_part_elsewhere_and_at_the_end(self) -> None:
+        async def body(gateway: Gateway, dispatcher: FakeDispatcher) -> None:
+            find_verdict = gateway.guard.evidence.find_verdict
+            job = make_part_job(9, "first", POISON, "last")
+            for other, service in (
+                (job, "another service"),
+                (replace(job, model="another model"), "s"),
+                (replace(job, parts=("first", "last", POISON)), "s"),
+                (replace(job, parts=(POISON,)), "s"),
+            ):
+                self.assertIs(find_verdict(other, "", service).standing, Standing.CLEAR)
+            self.assertIs(find_verdict(job, "", "s").standing, Standing.HELD)
+
+        self.run_held(body)
+
+    def test_a_hold_during_placement_ends_the_wait(self) -> None:
+        async def main() -> None:
+            dispatcher = FakeDispatcher()
+            config = make_config(Repeat.STREAM, engine=True)
+            gateway = make_gateway(dispatcher, config, anyio.current_time())
+            place = gateway.selector.place
+
+            async def place_late(query: UpstreamQuery) -> object:
+                crash_engines(gateway)
+                return await place(query)
+
+            gateway.selector.place = place_late  # type: ignore[method-assign, assignment]
+            job = make_part_job(9, "first", POISON, "last")
+            outcome = await make_forwarder(gateway).serve(job)
+            assert isinstance(outcome, Failure)
+            self.assertEqual((outcome.kind, outcome.ran), (FailureKind.HELD, Ran.NO))
+            self.assertEqual(dispatcher.attempts, [])
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_a_crash_late_in_an_answer_is_no_evidence_against_its_parts(self) -> None:
+        async def main() -> None:
+            gateway = make_gateway(FakeDispatcher(), make_config(Repeat.STREAM), 0.0)
+            crash_engines(gateway, Progress.FAR)
+            verdict = gateway.guard.evidence.find_verdict(make_part_job(9, POISON, "l"), "", "s")
+            self.assertEqual(verdict, Verdict(Standing.CLEAR))
+
+        trio.run(main)
+
+    def test_an_answer_under_way_for_a_second_clears_its_parts(self) -> None:
+        async def main() -> None:
+            step = anyio.Event()
+
+            class LongStream(FakeStream):
+                async def events(self) -> AsyncIterator[StreamEvent | Lost]:
+                    for number in range(30):
+                        await anyio.sleep(ONSET_SECONDS / 10)
+                        yield StreamEvent(b"event", str(number))
+                    step.set()
+                    await anyio.sleep_forever()
+
+            dispatcher = FakeDispatcher(LongStream(1, 1))
+            gateway = make_gateway(dispatcher, make_config(Repeat.STREAM), anyio.current_time())
+            job = make_part_job(1, POISON, "last")
+            reply = await gateway.dispatcher.send(Attempt(job, make_instance(1), "", 9.0))
+            assert not isinstance(reply, NotRun | Lost | Whole)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(read_all, reply)
+                await step.wait()
+                crash_engines(gateway)
+                verdict = gateway.guard.evidence.find_verdict(job, "", "s")
+                self.assertIs(verdict.standing, Standing.CLEAR)
+                tasks.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class PartNewsTest(unittest.TestCase):
+    """Gateways and coordinators on loopback."""
+
+    def find_verdicts(self, gateways: list[Gateway]) -> set[Standing]:
+        job = make_part_job(99, "first", POISON, "last")
+        return {g.guard.evidence.find_verdict(job, "", "s").standing for g in gateways}
+
+    def test_crashes_at_different_gateways_hold_the_part_at_all_and_an_answer_clears_it(
+        self,
+    ) -> None:
+        async def body(sites: WatchedSite, names: list[str]) -> None:
+            gateways = sites.add(12)
+            await wait_for(lambda: all(g.get_version() for g in gateways))
+            for number in range(MIN_CRASHES_HELD):
+                crash_engine(gateways[number], number)
+            await wait_for(lambda: self.find_verdicts(gateways) == {Standing.HELD})
+            (new_gateway,) = sites.add(1)
+            await new_gateway.configured.wait()
+            await wait_for(lambda: self.find_verdicts([new_gateway]) == {Standing.HELD})
+            job = make_part_job(50, "first", POISON, "last")
+            attempt = Attempt(job, make_instance(1), "", 1.0)
+            gateways[7].guard.evidence.record_success(attempt)
+            await wait_for(lambda: self.find_verdicts(sites.gateways) == {Standing.CLEAR})
+
+        run_watched_site(body)
+
+
 class PartTrialTest(unittest.TestCase):
     """A trial with real processes, and sound streams beside the poison part."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -302,6 +302,23 @@
         assert job.prompt is not None
         self.assertEqual((job.prompt.tokens, job.prompt.max_output_tokens), (1460, 80))
 
+    def test_parts_of_a_prompt_are_read_also_where_sizes_are_missing_or_malformed(self) -> None:
+        for lists, tokens, parts in (
+            ((b"5C:800,91:660,e4:20",), b"1480,80", ("5c", "91", "e4")),
+            ((b"5c:800", b"91:660"), b"1460,80", ("5c", "91")),
+            ((b"5c:800, 91:x,e4",), b"many", ("5c", "91", "e4")),
+            ((b",,",), None, ()),
+            ((), b"1460,80", ()),
+        ):
+            headers = [(b"x-daleroad-prefix-hash", value) for value in lists]
+            headers += [(b"x-daleroad-token-usage", tokens)] if tokens is not None else []
+            job = self.make(
+                (b"x-daleroad-attempt-id", b"abc"), (b"X-Daleroad-Model", b"m"), *headers
+            )
+            assert isinstance(job, ClientRequest)
+            self.assertEqual((job.parts, job.model), (parts, "m"))
+            self.assertEqual(job.list_shared_parts(), parts[:-1])
+
     def test_fingerprint_does_not_depend_on_body_chunks(self) -> None:
         async def read(*parts: bytes) -> bytes | Failure | None:
             events = [
