--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -113,7 +113,9 @@
     STREAM_MOVED = Kind(
         327, logging.INFO, "A stream goes on at another upstream, resumed or restarted."
     )
-    REQUEST_SUSPECTED = Kind(337, logging.WARNING, "Upstreams crashed while they ran a request.")
+    REQUEST_SUSPECTED = Kind(
+        337, logging.WARNING, "Upstreams crashed on a request or a part of prompts."
+    )
     REQUEST_RELEASED = Kind(338, logging.WARNING, "An operator released a request that was held.")
     EVENT_DOUBLED = Kind(336, logging.WARNING, "An upstream sent an event that the client has.")
     STREAM_COPIED = Kind(330, logging.INFO, "A generation's memory was copied to another engine.")
