Count only begun answers against a part that ever had one

What callers could see: a sound first part of most prompts held for 10 s, where engines that answered nobody for 10 s all end while its streams wait there.

Cause: five crashes before an answer began hold a part, to find one that crashes engines while they read it. A part on which an answer ever got far doesn't do that.

Change: such a part needs three crashes at the beginning of an answer. The new test fails before.

--- a/src/daleroad/blame.py
+++ b/src/daleroad/blame.py
@@ -6,7 +6,7 @@
 
 - A request with MIN_CRASHES_HELD crashes and no complete response is always blamed.
 - A part needs MIN_CRASHES_HELD crashes at the beginning of an answer, or MIN_UNBEGUN_CRASHES_HELD
-  of any kind.
+  of any kind if no answer on it ever got far.
 - The more specific candidate is blamed first, and explains its crashes: a request before the parts
   that it brings, a later part before an earlier one. What it explains counts no more against
   requests that are not always blamed. Against a part, it counts only once the part has
@@ -55,8 +55,9 @@
         """Return whether its crashes suffice to blame it."""
         if self.depth is None:
             return len(self.crashes) >= MIN_CRASHES_HELD and not self.succeeded
-        begun = len(self.begun & self.crashes)
-        return begun >= MIN_CRASHES_HELD or len(self.crashes) >= MIN_UNBEGUN_CRASHES_HELD
+        if len(self.begun & self.crashes) >= MIN_CRASHES_HELD:
+            return True
+        return not self.succeeded and len(self.crashes) >= MIN_UNBEGUN_CRASHES_HELD
 
 
 def count_blamed_crashes(records: Iterable[CrashRecord]) -> Mapping[str, int]:
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -4,7 +4,8 @@
 
 from daleroad.blame import CrashRecord, count_blamed_crashes
 from daleroad.onsets import ONSET_SECONDS, Onset, Progress
-from daleroad.partmodel import CASES, CurrentPartRule, simulate_parts
+from daleroad.partmodel import CASES, simulate_parts
+from daleroad.partrules import CurrentPartRule
 from daleroad.promptparts import SharedPart
 from daleroad.suspects import (
     HOLD_BACKOFF_SECONDS,
@@ -68,6 +69,10 @@
             record = CrashRecord("part", frozenset(crashes), frozenset("ab"), depth=1)
             self.assertEqual(self.blame(record), blamed)
 
+    def test_crashes_before_an_answer_began_say_nothing_of_a_part_that_had_answers(self) -> None:
+        record = CrashRecord("part", frozenset("abcdefgh"), frozenset("ab"), True, depth=1)
+        self.assertEqual(self.blame(record), set())
+
 
 class PartHoldTest(unittest.TestCase):
     def setUp(self) -> None:
