--- a/tools/measurespread.py
+++ b/tools/measurespread.py
@@ -1,4 +1,4 @@
-"""Measures how soon all gateways hold a request that three of them have seen end an upstream.
+"""Measures how soon all gateways hold a part on which three of them have seen an upstream end.
 
     python tools/measurespread.py [GATEWAYS...]
 
@@ -47,14 +47,18 @@
     for number in range(ROUNDS):
         await anyio.sleep(1.0)
         began = anyio.current_time()
-        job = replace(make_job(began), body=f"{count} {number}".encode())
+        job = replace(make_job(began), parts=("first", f"part {number}", "last"))
         for seen_by in range(MIN_CRASHES_HELD):
-            attempt = Attempt(job, make_instance(100 * number + seen_by), "", 1.0)
-            gateways[seen_by].guard.evidence.record_lost(attempt, Progress.UNBEGUN)
+            unlike = replace(job, body=f"{number} {seen_by}".encode())
+            attempt = Attempt(unlike, make_instance(100 * number + seen_by), "", 1.0)
+            gateways[seen_by].guard.evidence.record_lost(attempt, Progress.BEGUN)
         await wait_until(partial(all_hold, gateways, job))
         taken.append(anyio.current_time() - began)
     ends = tuple(f"i-{number:010x}@1768712629029" for number in range(MIN_CRASHES_HELD))
-    size = len(encode(Suspicion("f" * 32, "organisation", "host.example/path/x", ends)))
+    told = Suspicion("f" * 32, "organisation", "host.example/path/x", ends)
+    size = len(
+        encode(replace(told, part="service/model/part", begun=ends, callers=("organisation",)))
+    )
     print(
         f"{count} gateways: all hold it after {median(taken):.3f} s in the median, "
         f"{max(taken):.3f} s at most of {ROUNDS}; {size} bytes a gateway before compression",
