--- a/tests/cutsite.py
+++ b/tests/cutsite.py
@@ -23,6 +23,7 @@
     Engine,
     Upstream,
     UpstreamRequest,
+    read_size,
 )
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
@@ -88,17 +89,17 @@
         await super()._answer(stream, asked)
 
     async def _run(self, stream: SocketStream, request: str, head: dict[str, str]) -> None:
-        events, pause = head[SIZE_HEADER].split(",")
+        events, pause, framing = read_size(head)
         first = int(head.get("last-event-id", "0")) + 1
         self.running.add(request)
         try:
-            await self._send_stream_head(stream, request)
-            for number in range(first, int(events) + 1):
-                await anyio.sleep(float(pause))
+            await self._send_stream_head(stream, request, framing)
+            for number in range(first, events + 1):
+                await anyio.sleep(pause)
                 if request in self.stopped:
                     return
                 self.made[request] = number
-                if number == int(events):
+                if number == events:
                     self.running.discard(request)
                 event = f"id: {number}\ndata: {request}\n\n"
                 await stream.send(f"{len(event):x}\r\n{event}\r\n".encode())
