Wait for a server in a test of the queue until it listens

test_poll_on_a_channel_is_answered_when_a_load_report_shows_room slept for 0.2 s before its first call. It waits until the server accepts connections now, and then checks what it did before.

--- a/tests/test_promptwaits.py
+++ b/tests/test_promptwaits.py
@@ -205,6 +205,18 @@
         self.serve(body)
 
 
+async def wait_until_listening(name: str) -> None:
+    """Wait until a server accepts connections; on a busy machine its start takes a while."""
+    host, _, port = name.partition(":")
+    with anyio.fail_after(10.0):
+        while True:
+            try:
+                await (await anyio.connect_tcp(host, int(port))).aclose()
+                return
+            except OSError:
+                await anyio.sleep(0.02)
+
+
 async def report_room(calls: ChannelCalls, name: str) -> None:
     """Report that a gateway's requests have ended."""
     await anyio.sleep(0.05)
@@ -276,7 +288,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(serve_app, self.router, name, Tls(), anyio.sleep_forever, 0.1)
                 tasks.start_soon(self.coordinator.waits.run)
-                await anyio.sleep(0.2)
+                await wait_until_listening(name)
                 body = encode(make_request("a"))
                 answer = await calls.call(f"http://{name}/site/place", body, PlaceAnswer)
                 self.assertEqual(answer, CROWDED)
