--- a/src/daleroad/partmodel.py
+++ b/src/daleroad/partmodel.py
@@ -64,6 +64,7 @@
     :param crashes: how often they do.
     :param cuts: how often a gateway loses all of its links to engines, which looks like crashes.
     :param gap: seconds between these crashes or cuts.
+    :param seconds: length of the simulation.
     """
 
     name: str
--- a/tools/parttrial.py
+++ b/tools/parttrial.py
@@ -86,6 +86,7 @@
     :param reached: when a request with a part reached an upstream, by part.
     :param ends: when upstreams ended of themselves.
     :param torn: whether each stream that ended inside an event looked whole.
+    :param sound: the streams that crash nothing, but for the torn ones.
     """
 
     crashed: dict[str, list[float]] = field(default_factory=dict)
