Need five crashes to hold a part that ever had an answer

Cause, by the rule: three crashes within 10 s of silence hold a part, also one whose answers are known. Beside crashes of another cause that is the part that most streams carry.

Change: such a part takes five crashes at the beginning of an answer. A part that never had one is held after three as before; five is what the users' rule bears.

--- a/src/daleroad/blame.py
+++ b/src/daleroad/blame.py
@@ -6,7 +6,8 @@
 
 - A request with MIN_CRASHES_HELD crashes and no complete response is always blamed.
 - A part needs MIN_CRASHES_HELD crashes at the beginning of an answer, or MIN_UNBEGUN_CRASHES_HELD
-  of any kind if no answer on it ever got far.
+  of any kind. If an answer on it ever got far, it needs MIN_ANSWERED_CRASHES_HELD at the beginning
+  of an answer.
 - The more specific candidate is blamed first, and explains its crashes: a request before the parts
   that it brings, a later part before an earlier one. What it explains counts no more against
   requests that are not always blamed. Against a part, it counts only once the part has
@@ -31,6 +32,10 @@
 """Counted crashes from which on a part is held, whether or not an answer had begun. Most runs that
 wait for their answer when an upstream crashes have nothing to do with it."""
 
+MIN_ANSWERED_CRASHES_HELD = 5
+"""Counted crashes at the beginning of an answer from which on a part is held although an answer on
+it once got far. Many requests may carry such a part, and it has turned poison at most lately."""
+
 MIN_UNEXPLAINED_CRASHES = 2
 """Crashes of a part which nothing more specific explains, for the part to be blamed as well."""
 
@@ -55,9 +60,10 @@
         """Return whether its crashes suffice to blame it."""
         if self.depth is None:
             return len(self.crashes) >= MIN_CRASHES_HELD and not self.succeeded
-        if len(self.begun & self.crashes) >= MIN_CRASHES_HELD:
-            return True
-        return not self.succeeded and len(self.crashes) >= MIN_UNBEGUN_CRASHES_HELD
+        begun = len(self.begun & self.crashes)
+        if self.succeeded:
+            return begun >= MIN_ANSWERED_CRASHES_HELD
+        return begun >= MIN_CRASHES_HELD or len(self.crashes) >= MIN_UNBEGUN_CRASHES_HELD
 
 
 def count_blamed_crashes(records: Iterable[CrashRecord]) -> Mapping[str, int]:
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -578,13 +578,12 @@
 
 def _find_hold_seconds(suspect: _Suspect, count: int) -> float:
     """Return how long a hold lasts with a number of counted crashes."""
-    further = max(0, count - MIN_CRASHES_HELD)
+    # Several requests with a part may be under way when it is held.
+    further = max(0, count - (MIN_UNBEGUN_CRASHES_HELD if suspect.part else MIN_CRASHES_HELD))
     if suspect.succeeded:
         return min(HOLD_BACKOFF_SECONDS[0], SUCCEEDED_HOLD_SECONDS * 2**further)
     if suspect.part:
-        # Several requests with a part may be under way when it is held.
-        doublings = max(0, count - MIN_UNBEGUN_CRASHES_HELD)
-        return min(HOLD_BACKOFF_SECONDS[-1], HOLD_BACKOFF_SECONDS[0] * 2**doublings)
+        return min(HOLD_BACKOFF_SECONDS[-1], HOLD_BACKOFF_SECONDS[0] * 2**further)
     return HOLD_BACKOFF_SECONDS[min(further, len(HOLD_BACKOFF_SECONDS) - 1)]
 
 
