Let an entry try a held part again with one request at a time

What callers could see: when the hold of a part is over, every request with it runs at every entry, and several engines end before the next hold is known.

Cause: entries refused what is held, and took a trial for leave to run. A gateway asks the leader for the one trial; an entry claimed none. With requests to the letter there were few to come; a part is in many.

Change: an entry claims the trial of a request or part for itself, one in ten seconds. Requests that don't get it are refused as not run, with that time.

The new test fails before ([True] * 5 for five requests at once) and passes. Found in reading the change over.

--- a/src/daleroad/requestholds.py
+++ b/src/daleroad/requestholds.py
@@ -20,7 +20,7 @@
 from daleroad.onsets import Progress
 from daleroad.promptparts import SharedPart
 from daleroad.records import Organisation, Route, State
-from daleroad.suspects import Standing, Suspicion
+from daleroad.suspects import TRIAL_INTERVAL_SECONDS, Standing, Suspicion, Trials
 
 
 class RequestHolds:
@@ -31,6 +31,7 @@
 
     def __init__(self, env: Environment) -> None:
         self._env = env
+        self._trials = Trials()
 
     def find_refusal(
         self, fingerprint: str, caller: str = "", part: SharedPart | None = None
@@ -43,17 +44,22 @@
         """
         suspects = self._env.suspects
         now = anyio.current_time()
-        if suspects.get_standing(fingerprint, now) is Standing.HELD:
-            return self._make_refusal(Verdict(Standing.HELD, fingerprint), now)
-        if part is None:
-            return None
-        if suspects.get_part_standing(part.fingerprint, caller, now) is Standing.HELD:
-            return self._make_refusal(Verdict(Standing.HELD, part.fingerprint, part.name), now)
+        verdicts = [Verdict(suspects.get_standing(fingerprint, now), fingerprint)]
+        if part is not None:
+            standing = suspects.get_part_standing(part.fingerprint, caller, now)
+            verdicts.append(Verdict(standing, part.fingerprint, part.name))
+        verdict = max(verdicts, key=Verdict.get_severity)
+        match verdict.standing:
+            case Standing.HELD:
+                return self._make_refusal(verdict, now)
+            case Standing.TRIAL if not self._trials.claim(verdict.fingerprint, now):
+                return self._make_refusal(verdict, now)
         return None
 
     def _make_refusal(self, verdict: Verdict, now: float) -> Failure:
         left = self._env.suspects.get_hold_remaining(verdict.fingerprint, now)
-        return Failure(FailureKind.HELD, verdict.describe(), Ran.NO, round(left))
+        retry_after = round(max(left, TRIAL_INTERVAL_SECONDS))
+        return Failure(FailureKind.HELD, verdict.describe(), Ran.NO, retry_after)
 
     def record_lost(
         self,
--- a/tests/test_requestholds.py
+++ b/tests/test_requestholds.py
@@ -21,7 +21,7 @@
 from daleroad.onsets import Progress
 from daleroad.promptparts import make_shared_part
 from daleroad.records import Organisation, Route, State, Upstream
-from daleroad.suspects import Standing
+from daleroad.suspects import HOLD_BACKOFF_SECONDS, Standing
 from tests.harness import SiteTest, generate, wait_for
 
 FINGERPRINT = "f" * 32
@@ -110,6 +110,23 @@
 
         self.run_entry(body)
 
+    def test_after_the_hold_one_request_at_a_time_tries_the_part_again(self) -> None:
+        async def body(entry: Entry) -> None:
+            part = make_shared_part("narrator", "narrator-v1", "beginning", 0)
+            for number in range(3):
+                entry.holding.record_lost(
+                    f"request {number}", ORGANISATION, ROUTE, f"u{number}", part, Progress.BEGUN
+                )
+            for _ in range(2):
+                await anyio.sleep(HOLD_BACKOFF_SECONDS[0])
+                tries = [
+                    entry.holding.find_refusal(f"request {number}", ORGANISATION.name, part)
+                    for number in range(5)
+                ]
+                self.assertEqual([held is None for held in tries], [True] + [False] * 4)
+
+        self.run_entry(body)
+
 
 class CrashedEnginesTest(SiteTest):
     """Three engines are killed while running one request, sent through different entries."""
