Try a part that had answers again while there is no leader

What callers could see: a sound part that was held beside crashes of another cause stays held while no coordinator leads, however long, as only the leader grants the trial that would clear it.

Cause: no leader and a leader that says no were the same answer.

Change: they differ. A poison part never had one, so it waits for a leader as before.

The new test: one send of five for a part that had an answer, none for another. Found in reading the change over.

--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -32,11 +32,11 @@
 from daleroad.ratelimits import RateLimit
 from daleroad.retries import WindowBudget
 from daleroad.routing import RoutingConfig, RoutingTable, ServiceRule
-from daleroad.suspects import Suspects, Suspicion
+from daleroad.suspects import Suspects, Suspicion, Trials
 from daleroad.tunnelpeers import TunnelPeers
 
-TrialCallback = Callable[[str], Awaitable[bool]]
-"""Asks another process for permission to send a long-held request from this gateway."""
+TrialCallback = Callable[[str], Awaitable[bool | None]]
+"""Asks the leader whether this gateway may try what was held; None if no leader answers."""
 
 
 @dataclass
@@ -79,6 +79,7 @@
         options = self.options
         self.fleet = Fleet(options.heartbeat)
         self.suspects = Suspects()
+        self._own_trials = Trials()
         self.suspicion_outbox: Outbox[Suspicion] = Outbox()
         self.upstream_outbox: Outbox[str] = Outbox()
         evidence = CrashEvidence(self.suspects, self.fleet, self.publish_suspicion)
@@ -277,11 +278,19 @@
         return instance is not None and self.learns_paces(instance.service)
 
     async def acquire_trial(self, fingerprint: str) -> bool:
-        """Return whether this gateway was granted the trial of a long-held request.
+        """Return whether this gateway may try a request or part whose hold is over.
 
-        :param fingerprint: the request's fingerprint.
+        The leader grants it to one gateway. Without a leader each gateway tries by itself what had
+        an answer before: a sound part would stay held for as long.
+
+        :param fingerprint: the request or part.
         """
-        return self.request_trial is not None and await self.request_trial(fingerprint)
+        granted = None
+        if self.request_trial is not None:
+            granted = await self.request_trial(fingerprint)
+        if granted is None and self.suspects.has_succeeded(fingerprint):
+            return self._own_trials.claim(fingerprint, anyio.current_time())
+        return bool(granted)
 
     def apply_backpressure(self, instance: Instance, signals: Backpressure) -> None:
         """Apply the backpressure signals that an upstream sent with a response.
--- a/src/daleroad/placerclient.py
+++ b/src/daleroad/placerclient.py
@@ -111,18 +111,20 @@
         self._set_failing(True, leader, reason)
         return None
 
-    async def request_trial(self, fingerprint: str) -> bool:
-        """Return whether this gateway may try a long-held request; only one gateway may at a time.
+    async def request_trial(self, fingerprint: str) -> bool | None:
+        """Return whether this gateway may try what was held; only one gateway may at a time.
 
-        :param fingerprint: fingerprint of the request.
+        None if no leader answers.
+
+        :param fingerprint: the request or part.
         """
         leader = self._get_leader()
         if leader is None:
-            return False
+            return None
         url = f"{make_url(leader)}/site/trial"
         body = encode(TrialRequest(fingerprint))
         answer = await self._calls.call(url, body, TrialAnswer, PLACER_TIMEOUT_SECONDS)
-        return isinstance(answer, TrialAnswer) and answer.granted
+        return answer.granted if isinstance(answer, TrialAnswer) else None
 
     async def report_loads(self) -> None:
         """Report load changes to the leading coordinator in short batches, until cancelled."""
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -484,6 +484,14 @@
         seconds = _find_hold_seconds(suspect, self._counts.get(fingerprint, 0))
         return max(0.0, suspect.last_crash_at + seconds - now)
 
+    def has_succeeded(self, fingerprint: str) -> bool:
+        """Return whether a suspect is known to have had a complete response.
+
+        :param fingerprint: the request or part.
+        """
+        suspect = self._known.get(fingerprint)
+        return suspect is not None and suspect.succeeded
+
     def count_held(self, now: float) -> int:
         """Return how many requests and parts are held.
 
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -12,6 +12,7 @@
 import trio
 import trio.testing
 
+from daleroad.blame import MIN_ANSWERED_CRASHES_HELD
 from daleroad.choosing import UpstreamQuery
 from daleroad.crashevidence import Verdict
 from daleroad.dispatch import (
@@ -32,7 +33,12 @@
 from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.onsets import ONSET_SECONDS, Progress
 from daleroad.routing import Repeat
-from daleroad.suspects import HOLD_BACKOFF_SECONDS, MIN_CRASHES_HELD, Standing
+from daleroad.suspects import (
+    HOLD_BACKOFF_SECONDS,
+    MIN_CRASHES_HELD,
+    PART_SUCCESS_SECONDS,
+    Standing,
+)
 from tests.fakes import (
     FakeDispatcher,
     FakeStream,
@@ -221,6 +227,33 @@
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def test_without_a_leader_only_a_part_that_had_answers_is_tried_again(self) -> None:
+        async def main(answered: bool) -> int:
+            dispatcher = FakeDispatcher(*[FakeStream(1, 0, cut=True) for _ in range(9)])
+            config = make_config(Repeat.STREAM, engine=True)
+            gateway = make_gateway(dispatcher, config, anyio.current_time())
+            if answered:
+                job = make_part_job(0, "first", POISON, "last")
+                attempt = Attempt(job, make_instance(1), "", 5.0)
+                gateway.guard.evidence.record_success(attempt)
+                await anyio.sleep(PART_SUCCESS_SECONDS + 1.0)
+            for number in range(MIN_ANSWERED_CRASHES_HELD):
+                crash_engine(gateway, number)
+            forwarder = make_forwarder(gateway)
+            await anyio.sleep(HOLD_BACKOFF_SECONDS[0])
+            for number in (1, 2, 3):
+                gateway.fleet.note(Sighting(make_instance(number), 0.0), anyio.current_time())
+            for number in range(20, 25):
+                outcome = await forwarder.serve(make_part_job(number, "first", POISON, "last"))
+                self.assertIsInstance(
+                    outcome, StreamResponse if number == 20 and answered else Failure
+                )
+            return len(dispatcher.attempts)
+
+        for answered in (True, False):
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            self.assertEqual(trio.run(main, answered, clock=clock), int(answered))
+
     def test_a_crash_late_in_an_answer_is_no_evidence_against_its_parts(self) -> None:
         async def main() -> None:
             gateway = make_gateway(FakeDispatcher(), make_config(Repeat.STREAM), 0.0)
