Count crashes at once as one against a part

What callers could see: all engines end within a second after all gateways have started (a loss of power); a part that most prompts carry is held for five minutes, as nobody remembers an answer on it.

Cause: each engine that ends counts, but a herd that ends at once has one cause, and a common part is on most of it.

Change: crashes within 0.1 s of each other count as one against a part, also where an earlier part is weighed beside a later one. Reports carry the age of each crash. Blame is computed anew only if a change can affect it.

--- a/src/daleroad/blame.py
+++ b/src/daleroad/blame.py
@@ -7,7 +7,7 @@
 - A request with MIN_CRASHES_HELD crashes and no complete response is always blamed.
 - A part needs MIN_CRASHES_HELD crashes at the beginning of an answer, or MIN_UNBEGUN_CRASHES_HELD
   of any kind. If an answer on it ever got far, it needs MIN_ANSWERED_CRASHES_HELD at the beginning
-  of an answer.
+  of an answer. Crashes within HERD_SECONDS of each other count as one.
 - The more specific candidate is blamed first, and explains its crashes: a request before the parts
   that it brings, a later part before an earlier one. What it explains counts no more against
   requests that are not always blamed. Against a part, it counts only once the part has
@@ -18,7 +18,7 @@
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 MIN_CRASHES_LAST_TRY = 2
 """Counted crashes from which on a request is on its last try."""
@@ -36,6 +36,10 @@
 """Counted crashes at the beginning of an answer from which on a part is held although an answer on
 it once got far. Many requests may carry such a part, and it has turned poison at most lately."""
 
+HERD_SECONDS = 0.1
+"""Crashes within this time of each other count as one against a part. Several upstreams that end at
+once have a cause in common, such as a loss of power, and a common part is on most of them."""
+
 MIN_UNEXPLAINED_CRASHES = 2
 """Crashes of a part which nothing more specific explains, for the part to be blamed as well."""
 
@@ -48,6 +52,7 @@
     :param begun: those of them that had just begun to answer; only for parts.
     :param succeeded: whether it is known to have had a complete response.
     :param depth: place of a part in its prompt, from 0; None for a request.
+    :param times: when the instances crashed; only for parts.
     """
 
     fingerprint: str
@@ -55,15 +60,29 @@
     begun: frozenset[str] = frozenset()
     succeeded: bool = False
     depth: int | None = None
+    times: Mapping[str, float] = field(default_factory=dict)
 
     def is_poison(self) -> bool:
         """Return whether its crashes suffice to blame it."""
         if self.depth is None:
             return len(self.crashes) >= MIN_CRASHES_HELD and not self.succeeded
-        begun = len(self.begun & self.crashes)
+        begun = self.count_apart(self.begun & self.crashes)
         if self.succeeded:
             return begun >= MIN_ANSWERED_CRASHES_HELD
-        return begun >= MIN_CRASHES_HELD or len(self.crashes) >= MIN_UNBEGUN_CRASHES_HELD
+        return begun >= MIN_CRASHES_HELD or self.count_apart(self.crashes) >= (
+            MIN_UNBEGUN_CRASHES_HELD
+        )
+
+    def count_apart(self, crashes: Iterable[str]) -> int:
+        """Return the number of crashes, with those within HERD_SECONDS of each other as one.
+
+        :param crashes: some of the crashes.
+        """
+        count, last = 0, float("-inf")
+        for time in sorted(self.times[instance] for instance in crashes):
+            if time - last >= HERD_SECONDS:
+                count, last = count + 1, time
+        return count
 
 
 def count_blamed_crashes(records: Iterable[CrashRecord]) -> Mapping[str, int]:
@@ -77,10 +96,10 @@
     counts: dict[str, int] = {}
     explained: set[str] = set()
     for record in sorted((r for r in known if r.is_poison()), key=_rank):
-        unexplained = record.crashes - explained
-        is_part = record.depth is not None
-        if is_part and len(unexplained) < min(MIN_UNEXPLAINED_CRASHES, len(record.crashes)):
-            continue
+        if record.depth is not None and explained & record.crashes:
+            unexplained = record.count_apart(record.crashes - explained)
+            if unexplained < MIN_UNEXPLAINED_CRASHES:
+                continue
         counts[record.fingerprint] = len(record.crashes)
         explained |= record.crashes
     for record in known:
--- a/src/daleroad/partmodel.py
+++ b/src/daleroad/partmodel.py
@@ -51,6 +51,7 @@
     FINISH = "answer ends"
     CRASH = "engines crash"
     CUT = "a gateway loses its links"
+    RESTART = "all gateways start anew"
 
 
 @dataclass(frozen=True)
@@ -64,6 +65,7 @@
     :param crashes: how often they do.
     :param cuts: how often a gateway loses all of its links to engines, which looks like crashes.
     :param gap: seconds between these crashes or cuts.
+    :param restarted: seconds before each of these crashes at which all gateways start anew.
     :param seconds: length of the simulation.
     """
 
@@ -74,6 +76,7 @@
     crashes: int = 0
     cuts: int = 0
     gap: float = 1.0
+    restarted: float | None = None
     seconds: float = 60.0
 
 
@@ -85,6 +88,13 @@
     PartCase("six herds of five engines", group=5, crashes=6, gap=5.0),
     PartCase("thirty single crashes", group=1, crashes=30),
     PartCase("all engines at once, twice", group=ENGINES, crashes=2, gap=15.0),
+    PartCase(
+        "all engines, a second after all gateways",
+        group=ENGINES,
+        crashes=2,
+        gap=15.0,
+        restarted=1.0,
+    ),
     PartCase("gateways cut off, six times", cuts=6, gap=5.0),
     PartCase("a poison part beside gateways cut off", 1, cuts=6, gap=5.0),
 )
@@ -152,6 +162,8 @@
                     self._arrive(stream, now)
                 case _EventKind.CRASH:
                     self._crash_random(now)
+                case _EventKind.RESTART:
+                    self._restart_gateways()
                 case _EventKind.CUT:
                     self._cut_off(self._random.randrange(GATEWAYS), now)
                 case _ if engine is not None and number in engine.running:
@@ -166,7 +178,10 @@
             for at in self._draw_times(POISON_PER_SECOND, self.FIRST_CRASH_SECONDS):
                 yield at, _EventKind.ARRIVE, self._draw_poison(self._case.poison_depth)
         for number in range(self._case.crashes):
-            yield self.FIRST_CRASH_SECONDS + number * self._case.gap, _EventKind.CRASH, None
+            at = self.FIRST_CRASH_SECONDS + number * self._case.gap
+            yield at, _EventKind.CRASH, None
+            if self._case.restarted is not None:
+                yield at - self._case.restarted, _EventKind.RESTART, None
         for number in range(self._case.cuts):
             yield self.FIRST_CRASH_SECONDS + number * self._case.gap, _EventKind.CUT, None
 
@@ -241,6 +256,12 @@
         for engine in self._random.sample(alive, min(self._case.group, len(alive))):
             self._crash(engine, now)
 
+    def _restart_gateways(self) -> None:
+        """Let all gateways forget; what they ran ends, and no engine has crashed."""
+        self._rule.forget()
+        for engine in self._engines:
+            engine.running.clear()
+
     def _cut_off(self, gateway: int, now: float) -> None:
         for engine in self._engines:
             cut = {
--- a/src/daleroad/partrules.py
+++ b/src/daleroad/partrules.py
@@ -41,13 +41,22 @@
     ) -> SharedPart | None:
         """Return the part for which a gateway holds a stream back, if there is one."""
 
+    def forget(self) -> None:
+        """Forget everything, as gateways do that start anew."""
+
 
 class CurrentPartRule:
     """The rule that gateways use, :class:`Suspects`, at each of them."""
 
     def __init__(self) -> None:
-        self._suspects = [Suspects() for _ in range(GATEWAYS)]
+        self._suspects: list[Suspects] = []
         self._news: deque[tuple[float, int, Suspicion]] = deque()
+        self.forget()
+
+    def forget(self) -> None:
+        """Forget everything, as gateways do that start anew."""
+        self._suspects = [Suspects() for _ in range(GATEWAYS)]
+        self._news.clear()
 
     def record_crash(
         self,
@@ -117,6 +126,10 @@
     def __init__(self) -> None:
         self._tallies: dict[str, _Tally] = {}
 
+    def forget(self) -> None:
+        """Forget everything, as gateways do that start anew."""
+        self._tallies.clear()
+
     def record_crash(
         self,
         gateway: int,
@@ -161,6 +174,12 @@
         self._begun: Counter[str] = Counter()
         self._streams = 0
 
+    def forget(self) -> None:
+        """Forget everything, as gateways do that start anew."""
+        self._tallies.clear()
+        self._begun.clear()
+        self._streams = 0
+
     def record_crash(
         self,
         gateway: int,
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -126,6 +126,7 @@
     :param depth: the place of a part in its prompt, from 0.
     :param begun: for a part, ids of instances that crashed when they had just begun to answer.
     :param callers: for a part, the organisations whose requests ran on those instances.
+    :param ages: for a part, seconds since each of the crashes; empty if all are as old as ``age``.
     """
 
     fingerprint: str
@@ -139,6 +140,7 @@
     depth: int = 0
     begun: tuple[str, ...] = ()
     callers: tuple[str, ...] = ()
+    ages: tuple[float, ...] = ()
 
 
 @dataclass
@@ -149,7 +151,7 @@
     revision: int
     part: str = ""
     depth: int = 0
-    crashes: dict[str, None] = field(default_factory=dict)
+    crashes: dict[str, float] = field(default_factory=dict)
     retracted: dict[str, None] = field(default_factory=dict)
     begun: dict[str, None] = field(default_factory=dict)
     callers: dict[str, None] = field(default_factory=dict)
@@ -165,11 +167,15 @@
         """Return the number of crashes not retracted, also of those that another explains."""
         return len(self.crashes)
 
-    def add_crashes(self, instances: Iterable[str]) -> bool:
+    def add_crashes(self, report: Suspicion, now: float) -> bool:
         """Record unknown crashes, up to MAX_CRASHES_KEPT; return whether any were recorded."""
-        fresh = [i for i in instances if i not in self.crashes and i not in self.retracted]
+        ages = report.ages or (report.age,) * len(report.crashes)
+        found = zip(report.crashes, ages, strict=False)
+        fresh = [
+            (i, now - age) for i, age in found if i not in self.crashes and i not in self.retracted
+        ]
         kept = fresh[: MAX_CRASHES_KEPT - len(self.crashes)]
-        self.crashes.update(dict.fromkeys(kept))
+        self.crashes.update(kept)
         return bool(kept)
 
     def retract(self, instances: Iterable[str]) -> bool:
@@ -209,6 +215,7 @@
             frozenset(self.begun),
             self.succeeded,
             self.depth if self.part else None,
+            self.crashes,
         )
 
 
@@ -404,7 +411,7 @@
             )
             self._known[report.fingerprint] = suspect
         retracted = suspect.retract(report.cleared)
-        added = suspect.add_crashes(report.crashes)
+        added = suspect.add_crashes(report, now)
         detailed = suspect.add_details(report)
         newly_succeeded = report.whole and not suspect.succeeded
         suspect.succeeded = suspect.succeeded or report.whole
@@ -417,7 +424,8 @@
             suspect.flagged = suspect.flagged or suspect.count_crashes() >= MIN_CRASHES_LAST_TRY
             if suspect.flagged:
                 self.flagged_revision = self.revision
-            self._update_counts()
+            if self._affects_counts(report.fingerprint, suspect):
+                self._update_counts()
         return changed
 
     def _evict(self) -> None:
@@ -440,6 +448,10 @@
             if suspect.may_be_blamed()
         )
 
+    def _affects_counts(self, fingerprint: str, suspect: _Suspect) -> bool:
+        """Return whether a change of a suspect may change what is blamed."""
+        return suspect.may_be_blamed() or fingerprint in self._counts
+
     def is_empty(self) -> bool:
         """Return whether nothing has enough crashes to restrict where it runs."""
         return not self._counts
@@ -608,4 +620,5 @@
         suspect.depth,
         tuple(suspect.begun),
         tuple(suspect.callers),
+        tuple(round(now - at, 2) for at in suspect.crashes.values()) if suspect.part else (),
     )
