Keep the parts that had answers for each organisation

Callers: one organisation that sends thousands of parts of its own made a process forget that another's common part had answers. Of 4,096 parts the one with the oldest answer went, whoever's it was, and a part without a known answer is held after three crashes, not five.

Change: AnsweredParts keeps them by the organisation that had the first answer; when there is no room, the organisation with the most loses its oldest, as suspects do.

Test: AnsweredPartsTest.

--- a/src/daleroad/crashevidence.py
+++ b/src/daleroad/crashevidence.py
@@ -173,7 +173,8 @@
 
         :param attempt: the attempt.
         """
-        self._note_parts(list_shared_parts(attempt.job, attempt.instance.service))
+        parts = list_shared_parts(attempt.job, attempt.instance.service)
+        self._note_parts(parts, attempt.organisation)
 
     def settle_undelimited(self, now: float) -> None:
         """Count the responses that ended with their connections, as far as more is known now.
@@ -199,12 +200,12 @@
         report = self.suspects.record_success(run.fingerprint, anyio.current_time())
         if report is not None:
             self.tell(report)
-        self._note_parts(run.parts)
+        self._note_parts(run.parts, run.caller)
 
-    def _note_parts(self, parts: Iterable[SharedPart]) -> None:
+    def _note_parts(self, parts: Iterable[SharedPart], caller: str) -> None:
         now = anyio.current_time()
         for part in parts:
-            report = self.suspects.record_part_success(part.fingerprint, now)
+            report = self.suspects.record_part_success(part.fingerprint, caller, now)
             if report is not None:
                 self.tell(report)
 
--- a/src/daleroad/generations.py
+++ b/src/daleroad/generations.py
@@ -496,7 +496,7 @@
             return
         part = active.job.find_shared_part()
         if part is not None:
-            self._holding.record_far(part)
+            self._holding.record_far(part, active.job.organisation.name)
 
     async def _clean_up(self, active: ActiveGeneration, last_part: StreamPart) -> None:
         """Release what a generation holds, by how its delivery ended: whole, broken or left.
@@ -521,7 +521,8 @@
                     self._record_loss(job, active.permit, last_part.failure, progress)
             await self._return_permit(active.permit, tokens, started=True, ok=whole)
         if job is not None and whole:
-            self._holding.record_success(_make_fingerprint(job), job.find_shared_part())
+            part = job.find_shared_part()
+            self._holding.record_success(_make_fingerprint(job), job.organisation.name, part)
         if job is not None and not job.route.repeatable and whole:
             answer = b"".join(active.answer)
             kept = answer.decode() if len(answer) <= MAX_CLAIM_ANSWER_BYTES else ""
--- a/src/daleroad/partrules.py
+++ b/src/daleroad/partrules.py
@@ -80,7 +80,7 @@
         """Record that an answer went on for a while, or was complete."""
         self._deliver(now)
         for part in parts:
-            report = self._suspects[gateway].record_part_success(part.fingerprint, now)
+            report = self._suspects[gateway].record_part_success(part.fingerprint, "caller", now)
             self._publish(gateway, report, now)
 
     def find_held(
--- a/src/daleroad/requestholds.py
+++ b/src/daleroad/requestholds.py
@@ -98,24 +98,29 @@
             self._env.spawn(self._broadcast, reports)
             self._env.spawn(self._check_alive, upstream)
 
-    def record_success(self, fingerprint: str, part: SharedPart | None = None) -> None:
+    def record_success(
+        self, fingerprint: str, caller: str = "", part: SharedPart | None = None
+    ) -> None:
         """Record that a request had a complete response.
 
         :param fingerprint: the request.
+        :param caller: the organisation that sent it.
         :param part: the part of its prompt that other requests may share, if there is one.
         """
         report = self._env.suspects.record_success(fingerprint, anyio.current_time())
         if report is not None:
             self._env.spawn(self._broadcast, [report])
         if part is not None:
-            self.record_far(part)
+            self.record_far(part, caller)
 
-    def record_far(self, part: SharedPart) -> None:
+    def record_far(self, part: SharedPart, caller: str) -> None:
         """Record that an upstream has got far with an answer.
 
         :param part: the part of its prompt that other requests may share.
+        :param caller: the organisation that sent the request.
         """
-        report = self._env.suspects.record_part_success(part.fingerprint, anyio.current_time())
+        now = anyio.current_time()
+        report = self._env.suspects.record_part_success(part.fingerprint, caller, now)
         if report is not None:
             self._env.spawn(self._broadcast, [report])
 
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -28,6 +28,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from daleroad.answeredparts import AnsweredParts
 from daleroad.blame import (
     MIN_CRASHES_HELD,
     MIN_CRASHES_LAST_TRY,
@@ -53,10 +54,6 @@
 """Time for which an answer on a part cancels crashes that are recorded later: those of upstreams
 that crash for other reasons."""
 
-MAX_SUCCEEDED_PARTS = 4096
-"""Parts remembered that had answers. Beyond that, the part is forgotten whose last answer is the
-oldest."""
-
 MAX_CALLERS_KEPT = 8
 """Organisations remembered for a part; with two of them it is held for all."""
 
@@ -243,7 +240,7 @@
         self._known: dict[str, _Suspect] = {}
         self._counts: Mapping[str, int] = {}
         self._credits: OrderedDict[str, _Credits] = OrderedDict()
-        self._succeeded_parts: OrderedDict[str, float] = OrderedDict()
+        self._answered = AnsweredParts()
 
     def record_crash(
         self, fingerprint: str, caller: str, route: str, instance: str, now: float
@@ -298,15 +295,15 @@
         if known and suspect is not None and suspect.has_recorded(instance, begun):
             return None
         crashes = (instance,)
-        succeeded_at = self._succeeded_parts.get(part.fingerprint, float("-inf"))
-        recent = now - succeeded_at <= PART_SUCCESS_SECONDS
+        answered_at = self._answered.get(part.fingerprint)
+        recent = answered_at is not None and now - answered_at <= PART_SUCCESS_SECONDS
         report = Suspicion(
             part.fingerprint,
             caller,
             route,
             crashes,
             crashes if recent else (),
-            whole=part.fingerprint in self._succeeded_parts,
+            whole=answered_at is not None,
             part=part.name,
             depth=part.depth,
             begun=crashes if begun else (),
@@ -314,25 +311,23 @@
         )
         return report if self.merge(report, now) else None
 
-    def record_part_success(self, fingerprint: str, now: float) -> Suspicion | None:
+    def record_part_success(self, fingerprint: str, caller: str, now: float) -> Suspicion | None:
         """Record that an engine got far with an answer on a part; return a report for others.
 
         :param fingerprint: the part.
+        :param caller: the organisation that sent the request, or empty.
         :param now: the time.
         """
-        self._succeeded_parts.pop(fingerprint, None)
-        self._succeeded_parts[fingerprint] = now
-        if len(self._succeeded_parts) > MAX_SUCCEEDED_PARTS:
-            self._succeeded_parts.popitem(last=False)
+        self._answered.add(fingerprint, caller, now)
         return self._clear_part(fingerprint, now)
 
     def _clear_part(self, fingerprint: str, now: float) -> Suspicion | None:
         """Cancel the crashes of a part that had an answer here; return a report for others."""
         suspect = self._known.get(fingerprint)
-        succeeded_at = self._succeeded_parts.get(fingerprint)
-        if suspect is None or succeeded_at is None:
+        answered_at = self._answered.get(fingerprint)
+        if suspect is None or answered_at is None:
             return None
-        recent = now - succeeded_at <= PART_SUCCESS_SECONDS
+        recent = now - answered_at <= PART_SUCCESS_SECONDS
         crashes = list(suspect.crashes) if recent else []
         if not crashes and suspect.succeeded:
             return None
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -3,6 +3,7 @@
 import unittest
 from dataclasses import replace
 
+from daleroad.answeredparts import MAX_ANSWERED_PARTS, AnsweredParts
 from daleroad.blame import HERD_SECONDS, CrashRecord, count_blamed_crashes
 from daleroad.onsets import ONSET_SECONDS, Onset, Progress
 from daleroad.partmodel import CASES, simulate_parts
@@ -116,13 +117,13 @@
 
     def test_an_answer_clears_all_crashes_and_those_soon_after(self) -> None:
         self.crash("i1", "i2", "i3", "i4")
-        self.assertIsNotNone(self.suspects.record_part_success("second", 1.0))
+        self.assertIsNotNone(self.suspects.record_part_success("second", "a", 1.0))
         self.assertIs(self.get(at=1.0), Standing.CLEAR)
         self.crash("i5", "i6", "i7", at=1.0 + PART_SUCCESS_SECONDS)
         self.assertIs(self.get(at=1.0 + PART_SUCCESS_SECONDS), Standing.CLEAR)
 
     def test_a_part_that_becomes_poison_is_held_for_a_short_time_first(self) -> None:
-        self.suspects.record_part_success("second", 0.0)
+        self.suspects.record_part_success("second", "a", 0.0)
         late = 2 * PART_SUCCESS_SECONDS
         self.crash("i1", "i2", "i3", "i4", at=late)
         self.assertIs(self.get(at=late), Standing.CLEAR)
@@ -132,7 +133,7 @@
 
     def test_answers_elsewhere_clear_crashes_that_are_told(self) -> None:
         other = Suspects()
-        other.record_part_success("second", 0.0)
+        other.record_part_success("second", "a", 0.0)
         self.crash("i1", "i2", "i3")
         for report in self.suspects.list_changed(1.0):
             other.merge(report, 1.0)
@@ -186,6 +187,19 @@
             self.assertEqual(set(known.callers), {"a", "b"})
 
 
+class AnsweredPartsTest(unittest.TestCase):
+    def test_an_organisation_with_thousands_of_parts_pushes_out_its_own(self) -> None:
+        answered = AnsweredParts()
+        answered.add("shared", "a", 0.0)
+        for number in range(2 * MAX_ANSWERED_PARTS):
+            answered.add(f"part {number}", "flood", 1.0)
+            if number == MAX_ANSWERED_PARTS:
+                answered.add("shared", "flood", 2.0)
+        self.assertEqual(answered.get("shared"), 2.0)
+        self.assertIsNone(answered.get("part 0"))
+        self.assertEqual(answered.get(f"part {2 * MAX_ANSWERED_PARTS - 1}"), 1.0)
+
+
 class OnsetTest(unittest.TestCase):
     def test_an_answer_gets_far_with_the_second_event_after_its_beginning(self) -> None:
         onset = Onset(10.0)
--- a/tests/test_requestholds.py
+++ b/tests/test_requestholds.py
@@ -107,7 +107,7 @@
             assert refusal is not None
             self.assertEqual((refusal.kind, refusal.ran), (FailureKind.HELD, Ran.NO))
             self.assertIsNone(entry.holding.find_refusal("request 4", caller, other))
-            entry.holding.record_far(part)
+            entry.holding.record_far(part, caller)
             self.assertIsNone(entry.holding.find_refusal("request 4", caller, part))
 
         self.run_entry(body)
