Keep the distance of crashes in time when news of them arrives late

Callers: with 200 gateways in one process, a part that crashed engines one after the other was not held at most of them while news was late.

Cause: a report of a crash carries the ages of the crashes that it names, but each gateway named only its own, with age 0, and who received several at once took them as crashes at once.

Test: test_crashes_that_are_told_late_and_at_once_keep_their_distance.

--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -24,12 +24,13 @@
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 from daleroad.answeredparts import AnsweredParts
 from daleroad.blame import (
+    HERD_SECONDS,
     MIN_CRASHES_HELD,
     MIN_CRASHES_LAST_TRY,
     MIN_UNBEGUN_CRASHES_HELD,
@@ -54,6 +55,9 @@
 """Time for which an answer on a part cancels crashes that are recorded later: those of upstreams
 that crash for other reasons."""
 
+MIN_CORRECTION_SECONDS = HERD_SECONDS / 2
+"""Least difference for which the time of a crash is corrected and told on."""
+
 MAX_CALLERS_KEPT = 8
 """Organisations remembered for a part; with two of them it is held for all."""
 
@@ -139,6 +143,14 @@
     callers: tuple[str, ...] = ()
     ages: tuple[float, ...] = ()
 
+    def list_times(self, now: float) -> Iterator[tuple[str, float]]:
+        """Yield the instances that crashed, and when.
+
+        :param now: the time.
+        """
+        ages = self.ages or (self.age,) * len(self.crashes)
+        return ((instance, now - age) for instance, age in zip(self.crashes, ages, strict=False))
+
 
 @dataclass
 class _Suspect:
@@ -166,15 +178,28 @@
 
     def add_crashes(self, report: Suspicion, now: float) -> bool:
         """Record unknown crashes, up to MAX_CRASHES_KEPT; return whether any were recorded."""
-        ages = report.ages or (report.age,) * len(report.crashes)
-        found = zip(report.crashes, ages, strict=False)
         fresh = [
-            (i, now - age) for i, age in found if i not in self.crashes and i not in self.retracted
+            (instance, at)
+            for instance, at in report.list_times(now)
+            if instance not in self.crashes and instance not in self.retracted
         ]
         kept = fresh[: MAX_CRASHES_KEPT - len(self.crashes)]
         self.crashes.update(kept)
         return bool(kept)
 
+    def correct_times(self, report: Suspicion, now: float) -> bool:
+        """Take earlier times of known crashes; return whether any is earlier by much.
+
+        News arrives late and several at once, so the earliest time that was told is the best.
+        """
+        earlier = [
+            (instance, at)
+            for instance, at in report.list_times(now)
+            if at < self.crashes.get(instance, at) - MIN_CORRECTION_SECONDS
+        ]
+        self.crashes.update(earlier)
+        return bool(earlier)
+
     def retract(self, instances: Iterable[str]) -> bool:
         """Retract crashes; return whether any of them was not retracted before."""
         fresh = [i for i in instances if i not in self.retracted]
@@ -308,8 +333,10 @@
             depth=part.depth,
             begun=crashes if begun else (),
             callers=(caller,),
+            ages=(0.0,),
         )
-        return report if self.merge(report, now) else None
+        # Others get all that is known here, as only this process knows how far apart crashes were.
+        return self.get(part.fingerprint, now) if self.merge(report, now) else None
 
     def record_part_success(self, fingerprint: str, caller: str, now: float) -> Suspicion | None:
         """Record that an engine got far with an answer on a part; return a report for others.
@@ -408,6 +435,7 @@
         retracted = suspect.retract(report.cleared)
         added = suspect.add_crashes(report, now)
         detailed = suspect.add_details(report)
+        detailed |= bool(report.ages) and suspect.correct_times(report, now)
         newly_succeeded = report.whole and not suspect.succeeded
         suspect.succeeded = suspect.succeeded or report.whole
         if added:
@@ -615,5 +643,5 @@
         suspect.depth,
         tuple(suspect.begun),
         tuple(suspect.callers),
-        tuple(round(now - at, 2) for at in suspect.crashes.values()) if suspect.part else (),
+        tuple(round(now - at, 3) for at in suspect.crashes.values()) if suspect.part else (),
     )
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -173,6 +173,18 @@
         self.assertIs(self.get("a"), Standing.HELD)
         self.assertEqual(len(self.suspects.list_changed(0.0)), MAX_SUSPECTS)
 
+    def test_crashes_that_are_told_late_and_at_once_keep_their_distance(self) -> None:
+        told = []
+        for number in range(3):
+            at = float(number)
+            told.append(self.suspects.record_part_crash(SECOND, "a", "h", f"i{number}", True, at))
+        for order in (told, told[::-1]):
+            other = Suspects()
+            for report in order:
+                assert report is not None
+                other.merge(report, 5.0)
+            self.assertIs(other.get_part_standing("second", "a", 5.0), Standing.HELD)
+
     def test_the_order_of_reports_does_not_matter(self) -> None:
         self.crash("i1", "i2", "i3", "i4")
         self.suspects.record_alive("i2", 0.0)
