Hold a part once its crashes lie at two times, half a second apart

Callers: since crashes within 0.1 s counted as one, a poison part crashed up to one engine more before it was held, and news that came 0.3 s apart let one joint crash look like two times.

Change: all crashes count again, but they must lie at two times at least, 0.5 s apart. That also covers the time that news takes.

--- a/src/daleroad/blame.py
+++ b/src/daleroad/blame.py
@@ -7,7 +7,7 @@
 - A request with MIN_CRASHES_HELD crashes and no complete response is always blamed.
 - A part needs MIN_CRASHES_HELD crashes at the beginning of an answer, or MIN_UNBEGUN_CRASHES_HELD
   of any kind. If an answer on it ever got far, it needs MIN_ANSWERED_CRASHES_HELD at the beginning
-  of an answer. Crashes within HERD_SECONDS of each other count as one.
+  of an answer. In each case the crashes are at MIN_TIMES_HELD times or more.
 - The more specific candidate is blamed first, and explains its crashes: a request before the parts
   that it brings, a later part before an earlier one. What it explains counts no more against
   requests that are not always blamed. Against a part, it counts only once the part has
@@ -36,9 +36,12 @@
 """Counted crashes at the beginning of an answer from which on a part is held although an answer on
 it once got far. Many requests may carry such a part, and it has turned poison at most lately."""
 
-HERD_SECONDS = 0.1
-"""Crashes within this time of each other count as one against a part. Several upstreams that end at
-once have a cause in common, such as a loss of power, and a common part is on most of them."""
+MIN_TIMES_HELD = 2
+"""Times at which upstreams crashed from which on a part is held. Several that crash at once have a
+cause in common, such as a loss of power, and a common part is on most of them."""
+
+HERD_SECONDS = 0.5
+"""Crashes within this time of each other are at one time."""
 
 MIN_UNEXPLAINED_CRASHES = 2
 """Crashes of a part which nothing more specific explains, for the part to be blamed as well."""
@@ -66,23 +69,34 @@
         """Return whether its crashes suffice to blame it."""
         if self.depth is None:
             return len(self.crashes) >= MIN_CRASHES_HELD and not self.succeeded
-        begun = self.count_apart(self.begun & self.crashes)
+        begun = self.begun & self.crashes
         if self.succeeded:
-            return begun >= MIN_ANSWERED_CRASHES_HELD
-        return begun >= MIN_CRASHES_HELD or self.count_apart(self.crashes) >= (
-            MIN_UNBEGUN_CRASHES_HELD
+            return self._are_enough(begun, MIN_ANSWERED_CRASHES_HELD)
+        return self._are_enough(begun, MIN_CRASHES_HELD) or self._are_enough(
+            self.crashes, MIN_UNBEGUN_CRASHES_HELD
         )
 
-    def count_apart(self, crashes: Iterable[str]) -> int:
-        """Return the number of crashes, with those within HERD_SECONDS of each other as one.
+    def _are_enough(self, crashes: frozenset[str], least: int) -> bool:
+        return len(crashes) >= least and self.count_times(crashes) >= MIN_TIMES_HELD
+
+    def count_times(self, crashes: Iterable[str]) -> int:
+        """Return at how many times some of the upstreams crashed.
 
-        :param crashes: some of the crashes.
+        :param crashes: ids of their instances.
         """
-        count, last = 0, float("-inf")
-        for time in sorted(self.times[instance] for instance in crashes):
-            if time - last >= HERD_SECONDS:
-                count, last = count + 1, time
-        return count
+        return count_times(self.times[instance] for instance in crashes)
+
+
+def count_times(times: Iterable[float]) -> int:
+    """Return how many of some times are left if those within HERD_SECONDS of each other are one.
+
+    :param times: in seconds.
+    """
+    count, last = 0, float("-inf")
+    for time in sorted(times):
+        if time - last >= HERD_SECONDS:
+            count, last = count + 1, time
+    return count
 
 
 def count_blamed_crashes(records: Iterable[CrashRecord]) -> Mapping[str, int]:
@@ -97,7 +111,7 @@
     explained: set[str] = set()
     for record in sorted((r for r in known if r.is_poison()), key=_rank):
         if record.depth is not None and explained & record.crashes:
-            unexplained = record.count_apart(record.crashes - explained)
+            unexplained = record.count_times(record.crashes - explained)
             if unexplained < MIN_UNEXPLAINED_CRASHES:
                 continue
         counts[record.fingerprint] = len(record.crashes)
