Record a crash later than the sixteen that are kept

Callers: a part that crashed sixteen engines at once was never held, as further crashes were not recorded and those known lie at one time.

Cause: of more than MAX_CRASHES_KEPT crashes the first were kept.

Change: one that is later than all kept ones by HERD_SECONDS takes the place of the second. The same news told again changes nothing.

Test: test_a_part_that_crashes_many_engines_at_once_is_held_after_the_next.

--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -27,15 +27,18 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
+from operator import itemgetter
 
 from daleroad.answeredparts import AnsweredParts
 from daleroad.blame import (
     HERD_SECONDS,
     MIN_CRASHES_HELD,
     MIN_CRASHES_LAST_TRY,
+    MIN_TIMES_HELD,
     MIN_UNBEGUN_CRASHES_HELD,
     CrashRecord,
     count_blamed_crashes,
+    count_times,
 )
 from daleroad.promptparts import SharedPart
 
@@ -78,7 +81,7 @@
 
 MAX_CRASHES_KEPT = 16
 """Crashes remembered for one request, and as many retracted ones; far more than it takes to hold
-it. Further crashes are not recorded, and the oldest retractions are forgotten."""
+it. Of more crashes the first and the latest are kept, of more retractions the latest."""
 
 MAX_CREDITED_REQUESTS = 4096
 """Requests remembered that have credits for recent complete responses. Beyond that, the request is
@@ -177,15 +180,28 @@
         return len(self.crashes)
 
     def add_crashes(self, report: Suspicion, now: float) -> bool:
-        """Record unknown crashes, up to MAX_CRASHES_KEPT; return whether any were recorded."""
-        fresh = [
-            (instance, at)
-            for instance, at in report.list_times(now)
-            if instance not in self.crashes and instance not in self.retracted
-        ]
-        kept = fresh[: MAX_CRASHES_KEPT - len(self.crashes)]
-        self.crashes.update(kept)
-        return bool(kept)
+        """Record unknown crashes; return whether any were recorded.
+
+        Once there are MAX_CRASHES_KEPT, only one that is later than all of them by HERD_SECONDS is
+        recorded, in place of the second: a crash of many upstreams at once must not hide what
+        crashes later, and the same crashes told again must not replace each other.
+        """
+        added = False
+        for instance, at in sorted(report.list_times(now), key=itemgetter(1)):
+            if instance in self.crashes or instance in self.retracted:
+                continue
+            if len(self.crashes) >= MAX_CRASHES_KEPT:
+                if at < max(self.crashes.values()) + HERD_SECONDS:
+                    continue
+                self._drop_second_crash()
+            self.crashes[instance] = at
+            added = True
+        return added
+
+    def _drop_second_crash(self) -> None:
+        second = sorted(self.crashes, key=self.crashes.__getitem__)[1]
+        del self.crashes[second]
+        self.begun.pop(second, None)
 
     def correct_times(self, report: Suspicion, now: float) -> bool:
         """Take earlier times of known crashes; return whether any is earlier by much.
@@ -621,8 +637,10 @@
 
 def _find_hold_seconds(suspect: _Suspect, count: int) -> float:
     """Return how long a hold lasts with a number of counted crashes."""
-    # Several requests with a part may be under way when it is held.
     further = max(0, count - (MIN_UNBEGUN_CRASHES_HELD if suspect.part else MIN_CRASHES_HELD))
+    if suspect.part:
+        # Several requests with a part may be under way when it is held, or crash upstreams at once.
+        further = min(further, max(0, count_times(suspect.crashes.values()) - MIN_TIMES_HELD))
     if suspect.succeeded:
         return min(HOLD_BACKOFF_SECONDS[0], SUCCEEDED_HOLD_SECONDS * 2**further)
     if suspect.part:
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -11,6 +11,7 @@
 from daleroad.promptparts import SharedPart
 from daleroad.suspects import (
     HOLD_BACKOFF_SECONDS,
+    MAX_CRASHES_KEPT,
     MAX_SUSPECTS,
     PART_SUCCESS_SECONDS,
     SUCCEEDED_HOLD_SECONDS,
@@ -173,6 +174,14 @@
         self.assertIs(self.get("a"), Standing.HELD)
         self.assertEqual(len(self.suspects.list_changed(0.0)), MAX_SUSPECTS)
 
+    def test_a_part_that_crashes_many_engines_at_once_is_held_after_the_next(self) -> None:
+        for number in range(2 * MAX_CRASHES_KEPT):
+            self.crash(f"i{number}")
+        self.assertIs(self.get(), Standing.CLEAR)
+        self.crash("later", at=5.0)
+        self.assertIs(self.get(at=5.0), Standing.HELD)
+        self.assertEqual(self.suspects.get_hold_remaining("second", 5.0), HOLD_BACKOFF_SECONDS[0])
+
     def test_crashes_that_are_told_late_and_at_once_keep_their_distance(self) -> None:
         told = []
         for number in range(3):
