Keep the digests of the parts of prompts that come again

Each answer that got far is noted for each shared part of its prompt, and each note made a digest anew.

--- a/src/daleroad/promptparts.py
+++ b/src/daleroad/promptparts.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import lru_cache
 from itertools import islice
 
 from daleroad.dispatch import ClientRequest
@@ -14,6 +15,9 @@
 MAX_PARTS = 64
 """Shared parts of a request that are looked at; a long conversation has one for each turn."""
 
+MAX_CACHED_PARTS = 1024
+"""Parts whose digests are kept; the same parts come again and again."""
+
 MAX_NAME_CHARS = 64
 """Length to which a part's name is cut for logs and operators."""
 
@@ -42,6 +46,7 @@
         yield make_shared_part(service, job.model, part, depth)
 
 
+@lru_cache(maxsize=MAX_CACHED_PARTS)
 def make_shared_part(service: str, model: str, part: str, depth: int) -> SharedPart:
     """Return a part of prompts as a candidate.
 
