Leave streams out of the check for torn ones that a crash cut between events

Change: a stream of this kind that looks whole within 0.25 s of a crash isn't counted. All others are, so that one that ends inside an event and looks whole still fails the test.

--- a/tools/parttrial.py
+++ b/tools/parttrial.py
@@ -53,6 +53,9 @@
 
 OWN_ENDS, OWN_END_GAP_SECONDS = 7, 1.0
 
+CUT_SECONDS = 0.25
+"""Time after a crash within which the streams that it cut have reached their callers."""
+
 
 class PartCase(StrEnum):
     """What ends upstreams."""
@@ -85,7 +88,8 @@
     :param crashed: when an upstream ended under a part, by part.
     :param reached: when a request with a part reached an upstream, by part.
     :param ends: when upstreams ended of themselves.
-    :param torn: whether each stream that ended inside an event looked whole.
+    :param torn: whether each stream that ended inside an event looked whole; without those that a
+        crash cut between two events, which can't be told from whole ones.
     :param sound: the streams that crash nothing, but for the torn ones.
     """
 
@@ -177,11 +181,18 @@
                 status = await self._ask(client, f"{sent} {number}".encode(), shared, framing)
                 whole = status == httpx.codes.OK
                 if framing is Framing.TORN:
-                    self.parts.torn.append(whole)
+                    if not whole or not self._has_just_crashed():
+                        self.parts.torn.append(whole)
                 elif status != NOT_CONNECTED:
                     self.parts.sound.append(SoundStream(sent, first == FIRST_PARTS[0], whole))
                 await anyio.sleep(random.uniform(*IDLE_SECONDS))
 
+    def _has_just_crashed(self) -> bool:
+        since = anyio.current_time() - CUT_SECONDS
+        return any(
+            at >= since for u in self.upstreams for times in u.crashed_at.values() for at in times
+        )
+
     async def _ask_with_part(self, random: Random) -> None:
         await anyio.sleep(QUIET_SECONDS)
         async with httpx.AsyncClient(timeout=REQUEST_SECONDS, trust_env=False) as client:
