Measure news of a part from upstreams that run fifty others

The crashes are seen by a gateway each, lie apart as the rule asks, and name fifty parts each, as those of busy engines do.

--- a/tools/measurespread.py
+++ b/tools/measurespread.py
@@ -1,4 +1,4 @@
-"""Measures how soon all gateways hold a part on which three of them have seen an upstream end.
+"""Measures how soon all gateways hold a part on which upstreams end that run fifty others.
 
     python tools/measurespread.py [GATEWAYS...]
 
@@ -8,6 +8,7 @@
 
 import logging
 import sys
+from collections.abc import Iterator
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
@@ -17,15 +18,19 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from daleroad.blame import HERD_SECONDS, MIN_CRASHES_HELD  # noqa: E402
 from daleroad.codec import encode  # noqa: E402
-from daleroad.dispatch import Attempt  # noqa: E402
+from daleroad.dispatch import Attempt, ClientRequest  # noqa: E402
 from daleroad.onsets import Progress  # noqa: E402
-from daleroad.suspects import MIN_CRASHES_HELD, Suspicion  # noqa: E402
+from daleroad.suspects import Suspicion  # noqa: E402
 from tests.fakes import make_instance, make_job  # noqa: E402
 from tests.test_coordinator import Site, make_document, run_site  # noqa: E402
 from tests.test_heldrequests import WatchedSite, all_hold  # noqa: E402
 
 ROUNDS = 10
+RUNS_BESIDE, PARTS_EACH = 8, 6
+"""Other requests on an upstream that crashes, each at a gateway of its own, and their parts."""
+
 LIMIT_SECONDS = 60.0
 TURN_SECONDS = 0.002
 
@@ -37,6 +42,18 @@
             await anyio.sleep(TURN_SECONDS)
 
 
+def make_beside(job: ClientRequest, number: int, crash: int) -> Iterator[ClientRequest]:
+    """Yield the requests that an upstream runs as it crashes: one with the part, others beside.
+
+    Together they have fifty parts.
+    """
+    yield replace(job, body=f"{number} {crash}".encode())
+    for run in range(RUNS_BESIDE):
+        name = f"{number} {crash} {run}"
+        parts = (*(f"{name} {part}" for part in range(PARTS_EACH)), "last")
+        yield replace(job, body=name.encode(), parts=parts)
+
+
 async def measure(count: int, site: Site, names: list[str]) -> None:
     """Print how long all of some gateways take."""
     await site.get(names[0]).log.save(make_document(1))
@@ -48,17 +65,21 @@
         await anyio.sleep(1.0)
         began = anyio.current_time()
         job = replace(make_job(began), parts=("first", f"part {number}", "last"))
-        for seen_by in range(MIN_CRASHES_HELD):
-            unlike = replace(job, body=f"{number} {seen_by}".encode())
-            attempt = Attempt(unlike, make_instance(100 * number + seen_by), "", 1.0)
-            gateways[seen_by].guard.evidence.record_lost(attempt, Progress.BEGUN)
+        for crash in range(MIN_CRASHES_HELD):
+            await anyio.sleep(HERD_SECONDS)
+            began = anyio.current_time()
+            instance = make_instance(100 * number + crash)
+            for seen_by, unlike in enumerate(make_beside(job, number, crash)):
+                caller = f"org{seen_by}" if seen_by else ""
+                attempt = Attempt(unlike, instance, caller, 1.0)
+                gateway = gateways[(crash + seen_by) % count]
+                gateway.guard.evidence.record_lost(attempt, Progress.BEGUN)
         await wait_until(partial(all_hold, gateways, job))
         taken.append(anyio.current_time() - began)
     ends = tuple(f"i-{number:010x}@1768712629029" for number in range(MIN_CRASHES_HELD))
     told = Suspicion("f" * 32, "organisation", "host.example/path/x", ends)
-    size = len(
-        encode(replace(told, part="service/model/part", begun=ends, callers=("organisation",)))
-    )
+    told = replace(told, part="service/model/part", begun=ends, callers=("organisation",))
+    size = len(encode(replace(told, ages=(1.25, 0.51, 0.0))))
     print(
         f"{count} gateways: all hold it after {median(taken):.3f} s in the median, "
         f"{max(taken):.3f} s at most of {ROUNDS}; {size} bytes a gateway before compression",
