Look for heartbeats of each crashed upstream from its own crash on

A report now names all crashes of a part with their times; the check whether an upstream is alive after all took the time of the last one for each.

--- a/src/daleroad/sharedsuspects.py
+++ b/src/daleroad/sharedsuspects.py
@@ -48,7 +48,7 @@
         before = self.suspects.flagged_revision
         for report in suspicions:
             if self.suspects.merge(report, now):
-                self._unconfirmed.update(dict.fromkeys(report.crashes, now - report.age))
+                self._unconfirmed.update(report.list_times(now))
         # A single crash adds every request that ran there; only flagged ones concern the gateways.
         if self.suspects.flagged_revision != before:
             self._wake()
