Split what is known of one suspect from the table of all

Suspicion (the report), Suspect (what a process has gathered), and how long one is held move to suspicions.py; no change of behaviour.

--- a/src/daleroad/crashevidence.py
+++ b/src/daleroad/crashevidence.py
@@ -18,7 +18,8 @@
 from daleroad.onsets import Progress
 from daleroad.promptparts import SharedPart, list_shared_parts
 from daleroad.sharedsuspects import ALIVE_AFTER_SECONDS, UNCONFIRMED_SECONDS
-from daleroad.suspects import Standing, Suspects, Suspicion
+from daleroad.suspects import Standing, Suspects
+from daleroad.suspicions import Suspicion
 
 CUT_TOGETHER_SECONDS = 0.2
 """Time within which the connections to an upstream that crashes end."""
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -32,7 +32,8 @@
 from daleroad.ratelimits import RateLimit
 from daleroad.retries import WindowBudget
 from daleroad.routing import RoutingConfig, RoutingTable, ServiceRule
-from daleroad.suspects import Suspects, Suspicion, Trials
+from daleroad.suspects import Suspects, Trials
+from daleroad.suspicions import Suspicion
 from daleroad.tunnelpeers import TunnelPeers
 
 TrialCallback = Callable[[str], Awaitable[bool | None]]
--- a/src/daleroad/messages.py
+++ b/src/daleroad/messages.py
@@ -4,7 +4,7 @@
 
 from daleroad.catalog import Change
 from daleroad.records import EntryMember
-from daleroad.suspects import Suspicion
+from daleroad.suspicions import Suspicion
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -7,7 +7,7 @@
 from daleroad.patches import Patch
 from daleroad.paths import Reach
 from daleroad.ratelimits import RateLimit
-from daleroad.suspects import Suspicion
+from daleroad.suspicions import Suspicion
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/partrules.py
+++ b/src/daleroad/partrules.py
@@ -10,7 +10,8 @@
 
 from daleroad.onsets import ONSET_SECONDS, Progress
 from daleroad.promptparts import SharedPart
-from daleroad.suspects import Standing, Suspects, Suspicion
+from daleroad.suspects import Standing, Suspects
+from daleroad.suspicions import Suspicion
 
 GATEWAYS = 12
 NEWS_SECONDS = 0.3
--- a/src/daleroad/requestholds.py
+++ b/src/daleroad/requestholds.py
@@ -20,7 +20,8 @@
 from daleroad.onsets import Progress
 from daleroad.promptparts import SharedPart
 from daleroad.records import Organisation, Route, State
-from daleroad.suspects import TRIAL_INTERVAL_SECONDS, Standing, Suspicion, Trials
+from daleroad.suspects import TRIAL_INTERVAL_SECONDS, Standing, Trials
+from daleroad.suspicions import Suspicion
 
 
 class RequestHolds:
--- a/src/daleroad/sharedsuspects.py
+++ b/src/daleroad/sharedsuspects.py
@@ -13,7 +13,8 @@
 from daleroad.events import Event, log_event
 from daleroad.fleet import Fleet
 from daleroad.notices import SuspectsAnswer
-from daleroad.suspects import Standing, Suspects, Suspicion, Trials
+from daleroad.suspects import Standing, Suspects, Trials
+from daleroad.suspicions import Suspicion
 
 ALIVE_AFTER_SECONDS = 1.0
 """A heartbeat that arrives so long after a cut proves that the instance did not crash. One sent
--- a/src/daleroad/suspectfile.py
+++ b/src/daleroad/suspectfile.py
@@ -13,7 +13,8 @@
 from daleroad.codec import decode, encode
 from daleroad.errors import Failure
 from daleroad.events import Event, log_event
-from daleroad.suspects import Suspects, Suspicion
+from daleroad.suspects import Suspects
+from daleroad.suspicions import Suspicion
 
 _NAME = "suspects.json"
 
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -9,15 +9,8 @@
 from daleroad.partmodel import CASES, simulate_parts
 from daleroad.partrules import CurrentPartRule
 from daleroad.promptparts import SharedPart
-from daleroad.suspects import (
-    HOLD_BACKOFF_SECONDS,
-    MAX_CRASHES_KEPT,
-    MAX_SUSPECTS,
-    PART_SUCCESS_SECONDS,
-    SUCCEEDED_HOLD_SECONDS,
-    Standing,
-    Suspects,
-)
+from daleroad.suspects import MAX_SUSPECTS, PART_SUCCESS_SECONDS, Standing, Suspects
+from daleroad.suspicions import HOLD_BACKOFF_SECONDS, MAX_CRASHES_KEPT, SUCCEEDED_HOLD_SECONDS
 
 FIRST, SECOND = SharedPart("first", "s/m/first", 0), SharedPart("second", "s/m/second", 1)
 
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -30,7 +30,7 @@
 from daleroad.messages import FollowAnswer
 from daleroad.notices import ShareRequest, WatchAnswer, WatchRequest
 from daleroad.routing import Repeat
-from daleroad.suspects import Suspicion
+from daleroad.suspicions import Suspicion
 from daleroad.watching import Watcher
 from tests.fakes import (
     FakeDispatcher,
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -33,12 +33,8 @@
 from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.onsets import ONSET_SECONDS, Progress
 from daleroad.routing import Repeat
-from daleroad.suspects import (
-    HOLD_BACKOFF_SECONDS,
-    MIN_CRASHES_HELD,
-    PART_SUCCESS_SECONDS,
-    Standing,
-)
+from daleroad.suspects import MIN_CRASHES_HELD, PART_SUCCESS_SECONDS, Standing
+from daleroad.suspicions import HOLD_BACKOFF_SECONDS
 from tests.fakes import (
     FakeDispatcher,
     FakeStream,
--- a/tests/test_guarding.py
+++ b/tests/test_guarding.py
@@ -15,7 +15,8 @@
 from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.onsets import Progress
 from daleroad.routing import Repeat
-from daleroad.suspects import HOLD_BACKOFF_SECONDS, TRIAL_INTERVAL_SECONDS, Standing
+from daleroad.suspects import TRIAL_INTERVAL_SECONDS, Standing
+from daleroad.suspicions import HOLD_BACKOFF_SECONDS
 from tests.fakes import (
     WHOLE,
     FakeDispatcher,
--- a/tests/test_heldrequests.py
+++ b/tests/test_heldrequests.py
@@ -33,7 +33,8 @@
 )
 from daleroad.onsets import Progress
 from daleroad.suspectcommands import SuspectCommands
-from daleroad.suspects import MIN_CRASHES_HELD, Standing, Suspicion
+from daleroad.suspects import MIN_CRASHES_HELD, Standing
+from daleroad.suspicions import Suspicion
 from daleroad.watching import Watcher
 from tests.fakes import FakeDispatcher, make_instance, make_job
 from tests.test_coordinator import Site, make_document, parse, run_site, wait_for
--- a/tests/test_requestholds.py
+++ b/tests/test_requestholds.py
@@ -22,7 +22,8 @@
 from daleroad.onsets import Progress
 from daleroad.promptparts import make_shared_part
 from daleroad.records import Organisation, Route, State, Upstream
-from daleroad.suspects import HOLD_BACKOFF_SECONDS, Standing
+from daleroad.suspects import Standing
+from daleroad.suspicions import HOLD_BACKOFF_SECONDS
 from tests.harness import SiteTest, generate, wait_for
 
 FINGERPRINT = "f" * 32
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -7,21 +7,23 @@
 from daleroad.suspects import (
     CREDIT_TTL_SECONDS,
     HELD_RETENTION_SECONDS,
-    HOLD_BACKOFF_SECONDS,
-    MAX_CRASHES_KEPT,
     MAX_CREDITED_REQUESTS,
     MAX_CREDITS,
     MAX_SUSPECTS,
     MIN_CRASHES_HELD,
     MIN_CRASHES_LAST_TRY,
-    SUCCEEDED_HOLD_SECONDS,
     SUSPECT_RETENTION_SECONDS,
     TRIAL_INTERVAL_SECONDS,
     Standing,
     Suspects,
-    Suspicion,
     Trials,
 )
+from daleroad.suspicions import (
+    HOLD_BACKOFF_SECONDS,
+    MAX_CRASHES_KEPT,
+    SUCCEEDED_HOLD_SECONDS,
+    Suspicion,
+)
 
 
 class SuspectsTest(unittest.TestCase):
--- a/tools/measurespread.py
+++ b/tools/measurespread.py
@@ -22,7 +22,7 @@
 from daleroad.codec import encode  # noqa: E402
 from daleroad.dispatch import Attempt, ClientRequest  # noqa: E402
 from daleroad.onsets import Progress  # noqa: E402
-from daleroad.suspects import Suspicion  # noqa: E402
+from daleroad.suspicions import Suspicion# noqa: E402
 from tests.fakes import make_instance, make_job  # noqa: E402
 from tests.test_coordinator import Site, make_document, run_site  # noqa: E402
 from tests.test_heldrequests import WatchedSite, all_hold  # noqa: E402
