--- a/src/daleroad/partmodel.py
+++ b/src/daleroad/partmodel.py
@@ -20,6 +20,7 @@
     ENGINES,
     GATEWAYS,
     STREAMS_PER_SECOND,
+    CutStream,
     PartRule,
     make_part_rules,
 )
@@ -273,7 +274,8 @@
 
     def _record_cut(self, engine: _Engine, stream: _Stream, now: float) -> None:
         progress = stream.get_progress(now)
-        self._rule.record_crash(stream.gateway, stream.parts, engine.name, progress, now)
+        cut = CutStream(stream.gateway, stream.parts, engine.name, progress)
+        self._rule.record_crash(cut, now)
 
     def _crash(self, engine: _Engine, now: float) -> None:
         cut, engine.running = engine.running, {}
--- a/src/daleroad/partrules.py
+++ b/src/daleroad/partrules.py
@@ -21,17 +21,26 @@
 STREAMS_PER_SECOND = 12.0
 
 
+@dataclass(frozen=True)
+class CutStream:
+    """A stream that an engine ran when it crashed.
+
+    :param gateway: the gateway that passed it on.
+    :param parts: the shared parts of its prompt.
+    :param engine: the engine.
+    :param progress: how far its answer had got.
+    """
+
+    gateway: int
+    parts: tuple[SharedPart, ...]
+    engine: str
+    progress: Progress
+
+
 class PartRule(Protocol):
     """A rule that decides which parts are held back at each gateway."""
 
-    def record_crash(
-        self,
-        gateway: int,
-        parts: tuple[SharedPart, ...],
-        engine: str,
-        progress: Progress,
-        now: float,
-    ) -> None:
+    def record_crash(self, cut: CutStream, now: float) -> None:
         """Record that an engine crashed while it ran a stream."""
 
     def record_success(self, gateway: int, parts: tuple[SharedPart, ...], now: float) -> None:
@@ -59,23 +68,16 @@
         self._suspects = [Suspects() for _ in range(GATEWAYS)]
         self._news.clear()
 
-    def record_crash(
-        self,
-        gateway: int,
-        parts: tuple[SharedPart, ...],
-        engine: str,
-        progress: Progress,
-        now: float,
-    ) -> None:
+    def record_crash(self, cut: CutStream, now: float) -> None:
         """Record that an engine crashed while it ran a stream."""
         self._deliver(now)
-        if progress is Progress.FAR:
+        if cut.progress is Progress.FAR:
             return
-        for part in parts:
-            begun = progress is Progress.BEGUN
-            suspects = self._suspects[gateway]
-            report = suspects.record_part_crash(part, "caller", "route", engine, begun, now)
-            self._publish(gateway, report, now)
+        for part in cut.parts:
+            begun = cut.progress is Progress.BEGUN
+            suspects = self._suspects[cut.gateway]
+            report = suspects.record_part_crash(part, "caller", "route", cut.engine, begun, now)
+            self._publish(cut.gateway, report, now)
 
     def record_success(self, gateway: int, parts: tuple[SharedPart, ...], now: float) -> None:
         """Record that an answer went on for a while, or was complete."""
@@ -131,17 +133,10 @@
         """Forget everything, as gateways do that start anew."""
         self._tallies.clear()
 
-    def record_crash(
-        self,
-        gateway: int,
-        parts: tuple[SharedPart, ...],
-        engine: str,
-        progress: Progress,
-        now: float,
-    ) -> None:
+    def record_crash(self, cut: CutStream, now: float) -> None:
         """Record that an engine crashed while it ran a stream."""
-        for part in parts:
-            self._tallies.setdefault(part.fingerprint, _Tally()).crashes.add(engine)
+        for part in cut.parts:
+            self._tallies.setdefault(part.fingerprint, _Tally()).crashes.add(cut.engine)
 
     def record_success(self, gateway: int, parts: tuple[SharedPart, ...], now: float) -> None:
         """Record that an answer went on for a while, or was complete."""
@@ -181,20 +176,13 @@
         self._begun.clear()
         self._streams = 0
 
-    def record_crash(
-        self,
-        gateway: int,
-        parts: tuple[SharedPart, ...],
-        engine: str,
-        progress: Progress,
-        now: float,
-    ) -> None:
+    def record_crash(self, cut: CutStream, now: float) -> None:
         """Record that an engine crashed while it ran a stream."""
-        for part in parts:
+        for part in cut.parts:
             tally = self._tallies.setdefault(part.fingerprint, _Tally())
-            if progress is Progress.FAR or engine in tally.crashes:
+            if cut.progress is Progress.FAR or cut.engine in tally.crashes:
                 continue
-            tally.crashes.add(engine)
+            tally.crashes.add(cut.engine)
             share = (self._begun[part.fingerprint] + 1) / (self._streams + 2)
             beside = 1 - (1 - share) ** (STREAMS_PER_SECOND * ONSET_SECONDS / ENGINES + 1)
             tally.score += math.log(self.POISON_CRASHES / min(0.9, beside))
