Take the end of an undelimited answer as the time of its crash

Callers: a sound part could be held after a single crash of several engines at once, if their answers had neither length nor chunks.

Cause: such an answer counts as a crash once its engine is known to have started again or to be silent, and that moment, which differs by engine, was taken as the time of the crash. So crashes at one time lay at several.

Change: the crash is as old as the end of the answer.

Test: test_crashes_at_once_that_become_known_apart_are_at_one_time, which failed before (held).

--- a/src/daleroad/crashevidence.py
+++ b/src/daleroad/crashevidence.py
@@ -115,7 +115,7 @@
         :param progress: how far its answer had got.
         """
         now = anyio.current_time()
-        self._record_crash(_describe_run(attempt), progress, now)
+        self._record_crash(_describe_run(attempt), progress, now, now)
         ended_beside = [
             answer
             for answer in self._unconfirmed
@@ -124,9 +124,9 @@
         ]
         for answer in ended_beside:
             self._unconfirmed.remove(answer)
-            self._record_crash(answer.run, answer.progress, now)
+            self._record_crash(answer.run, answer.progress, answer.ended_at, now)
 
-    def _record_crash(self, run: _Run, progress: Progress, now: float) -> None:
+    def _record_crash(self, run: _Run, progress: Progress, crashed_at: float, now: float) -> None:
         """Record a crash against a request, and against its parts unless its answer had got far."""
         if self._has_left(run.instance):
             return
@@ -134,10 +134,12 @@
         self._publish(
             self.suspects.record_crash(run.fingerprint, run.caller, run.route, instance, now)
         )
-        begun = progress is Progress.BEGUN
+        begun, age = progress is Progress.BEGUN, now - crashed_at
         for part in run.parts if progress is not Progress.FAR else ():
             self._publish(
-                self.suspects.record_part_crash(part, run.caller, run.route, instance, begun, now)
+                self.suspects.record_part_crash(
+                    part, run.caller, run.route, instance, begun, now, age
+                )
             )
 
     def _has_left(self, instance: Instance) -> bool:
@@ -189,7 +191,7 @@
             if heard_at >= answer.ended_at + ALIVE_AFTER_SECONDS:
                 self._record_whole(answer.run)
             elif self.fleet.is_replaced(instance) or self.fleet.is_late(instance.id):
-                self._record_crash(answer.run, answer.progress, now)
+                self._record_crash(answer.run, answer.progress, answer.ended_at, now)
             elif now - answer.ended_at <= UNCONFIRMED_SECONDS:
                 self._unconfirmed.append(answer)
 
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -149,7 +149,14 @@
         return self._retract(fingerprint, suspect, [first], now, succeeded=True)
 
     def record_part_crash(
-        self, part: SharedPart, caller: str, route: str, instance: str, begun: bool, now: float
+        self,
+        part: SharedPart,
+        caller: str,
+        route: str,
+        instance: str,
+        begun: bool,
+        now: float,
+        age: float = 0.0,
     ) -> Suspicion | None:
         """Record that an instance crashed which had not got far with an answer on a part.
 
@@ -161,6 +168,7 @@
         :param instance: the instance's id.
         :param begun: whether the answer had begun to arrive.
         :param now: the time.
+        :param age: seconds since the crash.
         """
         suspect = self._known.get(part.fingerprint)
         known = suspect is not None and caller in suspect.callers
@@ -168,19 +176,20 @@
             return None
         crashes = (instance,)
         answered_at = self._answered.get(part.fingerprint)
-        recent = answered_at is not None and now - answered_at <= PART_SUCCESS_SECONDS
+        recent = answered_at is not None and now - age - answered_at <= PART_SUCCESS_SECONDS
         report = Suspicion(
             part.fingerprint,
             caller,
             route,
             crashes,
             crashes if recent else (),
+            age,
             whole=answered_at is not None,
             part=part.name,
             depth=part.depth,
             begun=crashes if begun else (),
             callers=(caller,),
-            ages=(0.0,),
+            ages=(age,),
         )
         # Others get all that is known here, as only this process knows how far apart crashes were.
         return self.get(part.fingerprint, now) if self.merge(report, now) else None
--- a/tests/test_undelimited.py
+++ b/tests/test_undelimited.py
@@ -168,6 +168,27 @@
             trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0)), Standing.HELD
         )
 
+    def test_crashes_at_once_that_become_known_apart_are_at_one_time(self) -> None:
+        async def main() -> Standing:
+            dispatcher = FakeDispatcher(*[make_undelimited(1, 1) for _ in range(3)])
+            config = make_config(Repeat.STREAM, engine=True)
+            gateway = make_gateway(dispatcher, config, anyio.current_time())
+            for number in range(3):
+                job = make_part_job(number, "first", POISON, f"last {number}")
+                reply = await gateway.dispatcher.send(Attempt(job, make_instance(number), "", 5.0))
+                async for _ in reply.events():  # type: ignore[union-attr]
+                    pass
+            for number in range(3):
+                await anyio.sleep(HERD_SECONDS)
+                self.restart(gateway, make_instance(number))
+                gateway.guard.evidence.settle_undelimited(anyio.current_time())
+            job = make_part_job(9, "first", POISON, "last 9")
+            return gateway.guard.evidence.find_verdict(job, "", "s").standing
+
+        self.assertIs(
+            trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0)), Standing.CLEAR
+        )
+
     def test_it_is_forgotten_after_a_while(self) -> None:
         async def main() -> None:
             dispatcher = FakeDispatcher(Whole(200, (), b"answer", delimited=False))
