Let the stand-in engine tell which streams ended inside an event

The trial judged by the time since the last crash which streams a crash had cut before they came to the event in which they end; beside load that takes longer than the 0.25 s it allowed. The engine knows what it sent: only the streams whose torn event it sent are checked, all of them.

--- a/tools/crashtrial.py
+++ b/tools/crashtrial.py
@@ -127,6 +127,7 @@
         self.began = 0.0
         self._number = 0
         self.report = CrashReport()
+        self.whole: set[str] = set()
         entries = [f"{network}.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
         shape = Engine if kind is TrialKind.STREAMS else Upstream
         self.upstreams = [
@@ -231,10 +232,11 @@
         the parts of its prompt but the last, ``framing`` tells how a stream ends.
         """
         self._number += 1
+        request = f"a{self._number}"
         gateway = f"http://{self._network}.0.{self._random.randrange(GATEWAYS) + 1}:{CLIENT_PORT}"
         headers = {
             "host": "h",
-            "x-daleroad-attempt-id": f"a{self._number}",
+            "x-daleroad-attempt-id": request,
             "x-daleroad-token-usage": "60,40",
             "x-daleroad-prefix-hash": f"{shared},{self._number:x}:20",
             "x-daleroad-deadline-ms": str(int(REQUEST_SECONDS * 1000)),
@@ -249,6 +251,8 @@
         # A torn stream that ends cleanly looks whole, though its last event is missing.
         least = EVENTS - 1 if framing is Framing.TORN else EVENTS
         whole = self._kind is TrialKind.CALLS or answer.text.count("id: ") >= least
+        if whole and answer.is_success:
+            self.whole.add(request)
         return answer.status_code if whole or answer.is_error else None
 
 
--- a/tools/parttrial.py
+++ b/tools/parttrial.py
@@ -53,9 +53,6 @@
 
 OWN_ENDS, OWN_END_GAP_SECONDS = 7, 1.0
 
-CUT_SECONDS = 0.25
-"""Time after a crash within which the streams that it cut have reached their callers."""
-
 
 class PartCase(StrEnum):
     """What ends upstreams."""
@@ -88,9 +85,8 @@
     :param crashed: when an upstream ended under a part, by part.
     :param reached: when a request with a part reached an upstream, by part.
     :param ends: when upstreams ended of themselves.
-    :param torn: whether each stream that ended inside an event looked whole; without those that a
-        crash cut between two events, which can't be told from whole ones.
-    :param sound: the streams that crash nothing, but for the torn ones.
+    :param torn: whether each stream that ended inside an event looked whole.
+    :param sound: the streams that crash nothing, but for those that should end inside an event.
     """
 
     crashed: dict[str, list[float]] = field(default_factory=dict)
@@ -154,6 +150,7 @@
     async def play(self) -> PartReport:
         """Play the trial and return what was seen."""
         await self.run()
+        self.parts.torn = [request in self.whole for u in self.upstreams for request in u.torn]
         for part in CRASHING_PARTS:
             crashed = (at for u in self.upstreams for at in u.crashed_at[part])
             reached = (at for u in self.upstreams for at, _ in u.reached[part])
@@ -180,19 +177,10 @@
                 (framing,) = random.choices(list(FRAMINGS), FRAMINGS.values())
                 status = await self._ask(client, f"{sent} {number}".encode(), shared, framing)
                 whole = status == httpx.codes.OK
-                if framing is Framing.TORN:
-                    if not whole or not self._has_just_crashed():
-                        self.parts.torn.append(whole)
-                elif status != NOT_CONNECTED:
+                if framing is not Framing.TORN and status != NOT_CONNECTED:
                     self.parts.sound.append(SoundStream(sent, first == FIRST_PARTS[0], whole))
                 await anyio.sleep(random.uniform(*IDLE_SECONDS))
 
-    def _has_just_crashed(self) -> bool:
-        since = anyio.current_time() - CUT_SECONDS
-        return any(
-            at >= since for u in self.upstreams for times in u.crashed_at.values() for at in times
-        )
-
     async def _ask_with_part(self, random: Random) -> None:
         await anyio.sleep(QUIET_SECONDS)
         async with httpx.AsyncClient(timeout=REQUEST_SECONDS, trust_env=False) as client:
--- a/tools/soakupstreams.py
+++ b/tools/soakupstreams.py
@@ -102,6 +102,7 @@
         self.restarted_at = float("-inf")
         self.ran_at = float("-inf")
         self.crashed_at: dict[str, list[float]] = defaultdict(list)
+        self.torn: list[str] = []
         self.reached: dict[str, list[tuple[float, str]]] = defaultdict(list)
         drawn = Random(f"{random.random()} {self.id}")
         self.needs = Needs(self.id, self.link_name, drawn, ledger, self.go_down)
@@ -242,6 +243,8 @@
                 if framing is Framing.TORN and number == events:
                     event = event[:-3]
                 await stream.send(_frame(event.encode(), framing))
+                if framing is Framing.TORN and number == events:
+                    self.torn.append(request)
             if framing is Framing.CHUNKS:
                 await stream.send(b"0\r\n\r\n")
             else:
