--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -256,6 +256,25 @@
             clock = trio.testing.MockClock(autojump_threshold=0)
             self.assertEqual(trio.run(main, answered, clock=clock), int(answered))
 
+    def test_upstreams_that_announced_their_end_are_no_evidence_against_parts(self) -> None:
+        async def main(state: InstanceState) -> Standing:
+            gateway = make_gateway(FakeDispatcher(), make_config(Repeat.STREAM), 0.0)
+            for number in range(MIN_CRASHES_HELD):
+                await anyio.sleep(HERD_SECONDS)
+                seen = Sighting(make_instance(10 + number, state), 0.0)
+                gateway.fleet.note(seen, anyio.current_time())
+                crash_engine(gateway, number)
+            return gateway.guard.evidence.find_verdict(
+                make_part_job(9, POISON, "l"), "", "s"
+            ).standing
+
+        for state, standing in (
+            (InstanceState.LEAVING, Standing.CLEAR),
+            (InstanceState.READY, Standing.HELD),
+        ):
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            self.assertIs(trio.run(main, state, clock=clock), standing)
+
     def test_a_crash_late_in_an_answer_is_no_evidence_against_its_parts(self) -> None:
         async def main() -> None:
             gateway = make_gateway(FakeDispatcher(), make_config(Repeat.STREAM), 0.0)
