Wait in a test until the change is committed before its leader is stopped

Cause: the test took 0.5 s for the time that the change needs to be committed.

Change: it waits until the leader's status has a later revision, then stops the leader. What it asks of the answer is unchanged.

--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -493,8 +493,10 @@
         }
         headers = {"authorization": f"Bearer {OPERATOR_TOKENS[STOYANOV]}"}
         url = f"{leader.url}/daleroad.v1.Operators/Change"
+        status_url = f"{leader.url}/status"
+        revision = get_json(status_url)["revision"]
         future = self.pool.submit(ask, url, body, headers, self.body_started)
-        time.sleep(0.5)
+        wait_for(lambda: get_json(status_url)["revision"] > revision, "the change")
         self.terminate_then_kill(leader.name)
         outcome = future.result(30)
         self.assertEqual(
