Don't keep the digests of parts with long ids

Clients choose the ids of parts, which may be as long as a header: 1,024 of them could hold tens of megabytes of a gateway that has 128 MB.

Cause: the cache of digests bounded its entries, not their size. Change: ids and models of more than 256 characters together aren't kept. Test: test_long_ids_are_not_kept.

--- a/src/daleroad/promptparts.py
+++ b/src/daleroad/promptparts.py
@@ -18,6 +18,10 @@
 MAX_CACHED_PARTS = 1024
 """Parts whose digests are kept; the same parts come again and again."""
 
+MAX_CACHED_CHARS = 256
+"""Length of a part's id and model up to which its digest is kept. Clients choose both, and they may
+be as long as a header."""
+
 MAX_NAME_CHARS = 64
 """Length to which a part's name is cut for logs and operators."""
 
@@ -46,7 +50,6 @@
         yield make_shared_part(service, job.model, part, depth)
 
 
-@lru_cache(maxsize=MAX_CACHED_PARTS)
 def make_shared_part(service: str, model: str, part: str, depth: int) -> SharedPart:
     """Return a part of prompts as a candidate.
 
@@ -55,5 +58,14 @@
     :param part: the id that requests use.
     :param depth: its place in the prompt, from 0.
     """
+    if len(model) + len(part) > MAX_CACHED_CHARS:
+        return _make_part(service, model, part, depth)
+    return _make_cached_part(service, model, part, depth)
+
+
+def _make_part(service: str, model: str, part: str, depth: int) -> SharedPart:
     digest = make_digest(b"part", service.encode(), model.encode(), part.encode())
     return SharedPart(digest, f"{service}/{model}/{part}"[:MAX_NAME_CHARS], depth)
+
+
+_make_cached_part = lru_cache(maxsize=MAX_CACHED_PARTS)(_make_part)
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -8,7 +8,7 @@
 from daleroad.onsets import ONSET_SECONDS, Onset, Progress
 from daleroad.partmodel import CASES, simulate_parts
 from daleroad.partrules import CurrentPartRule
-from daleroad.promptparts import SharedPart
+from daleroad.promptparts import MAX_CACHED_CHARS, SharedPart, make_shared_part
 from daleroad.suspects import MAX_SUSPECTS, PART_SUCCESS_SECONDS, Standing, Suspects
 from daleroad.suspicions import HOLD_BACKOFF_SECONDS, MAX_CRASHES_KEPT, SUCCEEDED_HOLD_SECONDS
 
@@ -201,6 +201,15 @@
             self.assertEqual(set(known.callers), {"a", "b"})
 
 
+class PartCacheTest(unittest.TestCase):
+    def test_long_ids_are_not_kept(self) -> None:
+        long = "x" * (MAX_CACHED_CHARS + 1)
+        made = make_shared_part("s", "m", long, 1)
+        self.assertIsNot(make_shared_part("s", "m", long, 1), made)
+        self.assertEqual(make_shared_part("s", "m", long, 1), made)
+        self.assertIs(make_shared_part("s", "m", "x", 1), make_shared_part("s", "m", "x", 1))
+
+
 class AnsweredPartsTest(unittest.TestCase):
     def test_an_organisation_with_thousands_of_parts_pushes_out_its_own(self) -> None:
         answered = AnsweredParts()
