Cut the path of a suspected request to 256 characters

A crash of an upstream records up to 64 parts for each run, each with the host and path of the request, which its client chooses. 2,048 suspects with paths of 9,000 characters are 18 MB and go to all gateways. Found when the change was read once more; nobody saw it.

Test: test_a_long_path_is_cut_in_what_is_remembered_and_told.

--- a/src/daleroad/crashevidence.py
+++ b/src/daleroad/crashevidence.py
@@ -27,6 +27,9 @@
 MAX_UNCONFIRMED = 256
 """Answers that wait to be confirmed; beyond that the oldest is dropped."""
 
+MAX_ROUTE_CHARS = 256
+"""Length to which the host and path of a suspected request are cut; clients choose the path."""
+
 _SEVERITY = (Standing.CLEAR, Standing.LAST_TRY, Standing.TRIAL, Standing.HELD)
 
 
@@ -228,7 +231,7 @@
     return _Run(
         attempt.instance,
         caller,
-        f"{job.host}{job.path}",
+        f"{job.host}{job.path}"[:MAX_ROUTE_CHARS],
         fingerprint_job(job, caller),
         tuple(list_shared_parts(job, attempt.instance.service)),
     )
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -14,7 +14,7 @@
 
 from daleroad.blame import HERD_SECONDS, MIN_ANSWERED_CRASHES_HELD
 from daleroad.choosing import UpstreamQuery
-from daleroad.crashevidence import Verdict
+from daleroad.crashevidence import MAX_ROUTE_CHARS, Verdict
 from daleroad.dispatch import (
     Attempt,
     ClientRequest,
@@ -275,6 +275,17 @@
             clock = trio.testing.MockClock(autojump_threshold=0)
             self.assertIs(trio.run(main, state, clock=clock), standing)
 
+    def test_a_long_path_is_cut_in_what_is_remembered_and_told(self) -> None:
+        async def main() -> None:
+            gateway = make_gateway(FakeDispatcher(), make_config(Repeat.STREAM), 0.0)
+            job = replace(make_part_job(1, "first", "last"), path="/" + 9000 * "x")
+            attempt = Attempt(job, make_instance(1), "", 5.0)
+            gateway.guard.evidence.record_lost(attempt, Progress.BEGUN)
+            routes = {len(report.route) for report in gateway.suspects.list_changed(0.0)}
+            self.assertEqual(routes, {MAX_ROUTE_CHARS})
+
+        trio.run(main)
+
     def test_a_crash_late_in_an_answer_is_no_evidence_against_its_parts(self) -> None:
         async def main() -> None:
             gateway = make_gateway(FakeDispatcher(), make_config(Repeat.STREAM), 0.0)
