--- a/src/daleroad/blame.py
+++ b/src/daleroad/blame.py
@@ -7,7 +7,7 @@
 - A request with MIN_CRASHES_HELD crashes and no complete response is always blamed.
 - A part needs MIN_CRASHES_HELD crashes at the beginning of an answer, or MIN_UNBEGUN_CRASHES_HELD
   of any kind. If an answer on it ever got far, it needs MIN_ANSWERED_CRASHES_HELD at the beginning
-  of an answer. In each case the crashes are at MIN_TIMES_HELD times or more.
+  of an answer. In each case the crashes are at MIN_CRASH_TIMES_HELD times or more.
 - The more specific candidate is blamed first, and explains its crashes: a request before the parts
   that it brings, a later part before an earlier one. What it explains counts no more against
   requests that are not always blamed. Against a part, it counts only once the part has
@@ -36,11 +36,11 @@
 """Counted crashes at the beginning of an answer from which on a part is held although an answer on
 it once got far. Many requests may carry such a part, and it has turned poison at most lately."""
 
-MIN_TIMES_HELD = 2
+MIN_CRASH_TIMES_HELD = 2
 """Times at which upstreams crashed from which on a part is held. Several that crash at once have a
 cause in common, such as a loss of power, and a common part is on most of them."""
 
-HERD_SECONDS = 0.5
+JOINT_CRASH_SECONDS = 0.5
 """Crashes within this time of each other are at one time."""
 
 MIN_UNEXPLAINED_CRASHES = 2
@@ -77,7 +77,7 @@
         )
 
     def _are_enough(self, crashes: frozenset[str], least: int) -> bool:
-        return len(crashes) >= least and self.count_times(crashes) >= MIN_TIMES_HELD
+        return len(crashes) >= least and self.count_times(crashes) >= MIN_CRASH_TIMES_HELD
 
     def count_times(self, crashes: Iterable[str]) -> int:
         """Return at how many times some of the upstreams crashed.
@@ -88,13 +88,13 @@
 
 
 def count_times(times: Iterable[float]) -> int:
-    """Return how many of some times are left if those within HERD_SECONDS of each other are one.
+    """Return how many times there are, those within JOINT_CRASH_SECONDS of each other as one.
 
     :param times: in seconds.
     """
     count, last = 0, float("-inf")
     for time in sorted(times):
-        if time - last >= HERD_SECONDS:
+        if time - last >= JOINT_CRASH_SECONDS:
             count, last = count + 1, time
     return count
 
--- a/src/daleroad/suspicions.py
+++ b/src/daleroad/suspicions.py
@@ -11,10 +11,10 @@
 from operator import itemgetter
 
 from daleroad.blame import (
-    HERD_SECONDS,
+    JOINT_CRASH_SECONDS,
+    MIN_CRASH_TIMES_HELD,
     MIN_CRASHES_HELD,
     MIN_CRASHES_LAST_TRY,
-    MIN_TIMES_HELD,
     MIN_UNBEGUN_CRASHES_HELD,
     CrashRecord,
     count_times,
@@ -32,7 +32,7 @@
 doubled for each further one, up to the first of HOLD_BACKOFF_SECONDS. It is shorter since a request
 that crashes every upstream never has a complete response."""
 
-MIN_CORRECTION_SECONDS = HERD_SECONDS / 2
+MIN_CORRECTION_SECONDS = JOINT_CRASH_SECONDS / 2
 """Least difference for which the time of a crash is corrected and told on."""
 
 MAX_CALLERS_KEPT = 8
@@ -126,16 +126,17 @@
     def add_crashes(self, report: Suspicion, now: float) -> bool:
         """Record unknown crashes; return whether any were recorded.
 
-        Once there are MAX_CRASHES_KEPT, only one that is later than all of them by HERD_SECONDS is
-        recorded, in place of the second: a crash of many upstreams at once must not hide what
-        crashes later, and the same crashes told again must not replace each other.
+        Once there are MAX_CRASHES_KEPT, only one that is later than all of them by
+        JOINT_CRASH_SECONDS is recorded, in place of the second: a crash of many upstreams at once
+        must not hide what crashes later, and the same crashes told again must not replace each
+        other.
         """
         added = False
         for instance, at in sorted(report.list_times(now), key=itemgetter(1)):
             if instance in self.crashes or instance in self.retracted:
                 continue
             if len(self.crashes) >= MAX_CRASHES_KEPT:
-                if at < max(self.crashes.values()) + HERD_SECONDS:
+                if at < max(self.crashes.values()) + JOINT_CRASH_SECONDS:
                     continue
                 self._drop_second_crash()
             self.crashes[instance] = at
@@ -205,7 +206,9 @@
         further = max(0, count - (MIN_UNBEGUN_CRASHES_HELD if self.part else MIN_CRASHES_HELD))
         if self.part:
             # Several may be under way when it is held, or crash upstreams at once.
-            further = min(further, max(0, count_times(self.crashes.values()) - MIN_TIMES_HELD))
+            further = min(
+                further, max(0, count_times(self.crashes.values()) - MIN_CRASH_TIMES_HELD)
+            )
         if self.succeeded:
             return min(HOLD_BACKOFF_SECONDS[0], SUCCEEDED_HOLD_SECONDS * 2**further)
         if self.part:
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from daleroad.answeredparts import MAX_ANSWERED_PARTS, AnsweredParts
-from daleroad.blame import HERD_SECONDS, CrashRecord, count_blamed_crashes
+from daleroad.blame import JOINT_CRASH_SECONDS, CrashRecord, count_blamed_crashes
 from daleroad.onsets import ONSET_SECONDS, Onset, Progress
 from daleroad.partmodel import CASES, simulate_parts
 from daleroad.partrules import CurrentPartRule
@@ -68,7 +68,9 @@
 
     def test_crashes_at_one_time_are_not_enough(self) -> None:
         for gap, blamed in ((0.0, set()), (0.4, set()), (0.5, {"part"}), (1.0, {"part"})):
-            times = {crash: number * gap * HERD_SECONDS for number, crash in enumerate("abc")}
+            times = {
+                crash: number * gap * JOINT_CRASH_SECONDS for number, crash in enumerate("abc")
+            }
             record = replace(make_record("part", "abc", 1), times=times)
             self.assertEqual(self.blame(record), blamed)
 
@@ -95,7 +97,7 @@
     def crash(self, *instances: str, part: SharedPart = SECOND, caller: str = "a", at: float = 0.0):
         """Record crashes that are not at one time, the last of them at a given time."""
         for number, instance in enumerate(instances, 1 - len(instances)):
-            now = at + number * HERD_SECONDS
+            now = at + number * JOINT_CRASH_SECONDS
             self.suspects.record_part_crash(part, caller, "h/x", instance, True, now)
 
     def get(self, caller: str = "a", at: float = 0.0, part: SharedPart = SECOND) -> Standing:
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -12,7 +12,7 @@
 import trio
 import trio.testing
 
-from daleroad.blame import HERD_SECONDS, MIN_ANSWERED_CRASHES_HELD
+from daleroad.blame import JOINT_CRASH_SECONDS, MIN_ANSWERED_CRASHES_HELD
 from daleroad.choosing import UpstreamQuery
 from daleroad.crashevidence import MAX_ROUTE_CHARS, Verdict
 from daleroad.dispatch import (
@@ -98,7 +98,7 @@
 ) -> None:
     """Record the crashes of as many engines as it takes to hold the part, not all at once."""
     for number in range(count):
-        await anyio.sleep(HERD_SECONDS)
+        await anyio.sleep(JOINT_CRASH_SECONDS)
         crash_engine(gateway, number, progress)
 
 
@@ -214,7 +214,7 @@
             place = gateway.selector.place
 
             async def place_late(query: UpstreamQuery) -> object:
-                await anyio.sleep(HERD_SECONDS)
+                await anyio.sleep(JOINT_CRASH_SECONDS)
                 crash_engine(gateway, MIN_CRASHES_HELD)
                 return await place(query)
 
@@ -260,7 +260,7 @@
         async def main(state: InstanceState) -> Standing:
             gateway = make_gateway(FakeDispatcher(), make_config(Repeat.STREAM), 0.0)
             for number in range(MIN_CRASHES_HELD):
-                await anyio.sleep(HERD_SECONDS)
+                await anyio.sleep(JOINT_CRASH_SECONDS)
                 seen = Sighting(make_instance(10 + number, state), 0.0)
                 gateway.fleet.note(seen, anyio.current_time())
                 crash_engine(gateway, number)
@@ -338,7 +338,7 @@
             await wait_for(lambda: all(g.get_version() for g in gateways))
             for number in range(MIN_CRASHES_HELD):
                 crash_engine(gateways[number], number)
-                await anyio.sleep(HERD_SECONDS)
+                await anyio.sleep(JOINT_CRASH_SECONDS)
             await wait_for(lambda: self.find_verdicts(gateways) == {Standing.HELD})
             (new_gateway,) = sites.add(1)
             await new_gateway.configured.wait()
--- a/tests/test_requestholds.py
+++ b/tests/test_requestholds.py
@@ -13,7 +13,7 @@
 import trio
 import trio.testing
 
-from daleroad.blame import HERD_SECONDS
+from daleroad.blame import JOINT_CRASH_SECONDS
 from daleroad.defaults import LEASE_REMOVAL_DELAY_SECONDS
 from daleroad.entry import Entry
 from daleroad.errors import FailureKind, Ran
@@ -102,7 +102,7 @@
                 entry.holding.record_lost(
                     f"request {number}", ORGANISATION, ROUTE, f"u{number}", part, Progress.BEGUN
                 )
-                await anyio.sleep(HERD_SECONDS)
+                await anyio.sleep(JOINT_CRASH_SECONDS)
             caller = ORGANISATION.name
             refusal = entry.holding.find_refusal("request 4", caller, part)
             assert refusal is not None
@@ -120,7 +120,7 @@
                 entry.holding.record_lost(
                     f"request {number}", ORGANISATION, ROUTE, f"u{number}", part, Progress.BEGUN
                 )
-                await anyio.sleep(HERD_SECONDS)
+                await anyio.sleep(JOINT_CRASH_SECONDS)
             for _ in range(2):
                 await anyio.sleep(HOLD_BACKOFF_SECONDS[0])
                 tries = [
--- a/tests/test_undelimited.py
+++ b/tests/test_undelimited.py
@@ -11,7 +11,7 @@
 import trio
 import trio.testing
 
-from daleroad.blame import HERD_SECONDS
+from daleroad.blame import JOINT_CRASH_SECONDS
 from daleroad.dispatch import Attempt, Lost, Reply, StreamEvent, Whole
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance, InstanceState, Sighting
@@ -141,7 +141,7 @@
             now = anyio.current_time()
             for number in (21, 22, 23):
                 part = make_shared_part("s", "", POISON, 1)
-                crashed_at = now - HERD_SECONDS * (24 - number)
+                crashed_at = now - JOINT_CRASH_SECONDS * (24 - number)
                 gateway.suspects.record_part_crash(part, "", "h/x", f"i{number}", True, crashed_at)
             self.hear(gateway, instance)
 
@@ -161,7 +161,7 @@
                     pass
                 beside = make_part_job(number, "other", f"last {number}")
                 evidence.record_lost(Attempt(beside, instance, "", 5.0), Progress.FAR)
-                await anyio.sleep(HERD_SECONDS)
+                await anyio.sleep(JOINT_CRASH_SECONDS)
             return evidence.find_verdict(make_part_job(9, POISON, "last"), "", "s").standing
 
         self.assertIs(
@@ -179,7 +179,7 @@
                 async for _ in reply.events():  # type: ignore[union-attr]
                     pass
             for number in range(3):
-                await anyio.sleep(HERD_SECONDS)
+                await anyio.sleep(JOINT_CRASH_SECONDS)
                 self.restart(gateway, make_instance(number))
                 gateway.guard.evidence.settle_undelimited(anyio.current_time())
             job = make_part_job(9, "first", POISON, "last 9")
--- a/tools/measurespread.py
+++ b/tools/measurespread.py
@@ -18,7 +18,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from daleroad.blame import HERD_SECONDS, MIN_CRASHES_HELD  # noqa: E402
+from daleroad.blame import JOINT_CRASH_SECONDS, MIN_CRASHES_HELD  # noqa: E402
 from daleroad.codec import encode  # noqa: E402
 from daleroad.dispatch import Attempt, ClientRequest  # noqa: E402
 from daleroad.onsets import Progress  # noqa: E402
@@ -66,7 +66,7 @@
         began = anyio.current_time()
         job = replace(make_job(began), parts=("first", f"part {number}", "last"))
         for crash in range(MIN_CRASHES_HELD):
-            await anyio.sleep(HERD_SECONDS)
+            await anyio.sleep(JOINT_CRASH_SECONDS)
             began = anyio.current_time()
             instance = make_instance(100 * number + crash)
             for seen_by, unlike in enumerate(make_beside(job, number, crash)):
