Wait in tests for a leader instead of assuming one at that moment

Cause: the coordinators of these tests share one process. A pause of it that is longer than the lease of 0.55 s ends the lease, so for a moment there is no leader; the test asked for one at once.

Change: tests that need the leader wait for it, and this one also until the leader holds the request. What they assert of leaders is as before.

--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -105,8 +105,7 @@
 class CoordinatorTest(unittest.TestCase):
     def test_a_leader_that_was_suspended_reads_nothing_by_its_old_lease(self) -> None:
         async def main(clock: JumpingClock, site: Site) -> None:
-            leader = site.get_leader()
-            assert leader is not None
+            leader = await site.wait_for_leader()
             await leader.log.save(make_document(1))
             self.assertTrue(leader.get_leading_gauge())
             clock.suspend()
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -120,6 +120,13 @@
         leaders = [c for c, _, _ in self.running.values() if c.get_leading_gauge()]
         return leaders[0] if leaders else None
 
+    async def wait_for_leader(self) -> Coordinator:
+        """Return the leader; after a pause of this process there is none for a while."""
+        with anyio.fail_after(MAX_WAIT_SECONDS):
+            while (leader := self.get_leader()) is None:
+                await anyio.sleep(0.02)
+        return leader
+
 
 def run_site(body: Callable, count: int = 4, run: Callable = anyio.run) -> None:
     """Run a test with the three coordinators of a new site, once they have a leader.
@@ -219,7 +226,8 @@
     def test_replacement_becomes_voter_and_tolerates_another_loss(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
             await self.save(site.get(names[0]), 1, "one")
-            stopped = next(n for n in names[:3] if site.get(n) is not site.get_leader())
+            leading = await site.wait_for_leader()
+            stopped = next(n for n in names[:3] if site.get(n) is not leading)
             await site.kill(stopped)
             await site.start(names[3], founding=False)
 
@@ -233,8 +241,7 @@
                 )
 
             await wait_for(is_replaced)
-            leader = site.get_leader()
-            assert leader is not None
+            leader = await site.wait_for_leader()
             await site.kill(leader.options.name)
             await wait_for(site.get_leader)
             self.assertEqual(await self.read(site.get(names[3])), (1, "one"))
@@ -247,8 +254,7 @@
             await self.save(site.get(names[0]), 1, "one")
             await wait_for(lambda: diskless.get_version() == 1)
             self.assertEqual(await self.read(diskless), (1, "one"))
-            leader = site.get_leader()
-            assert leader is not None
+            leader = await site.wait_for_leader()
             self.assertNotIn(names[3], [m.name for m in leader.group.replica.members])
 
         run_site(body)
@@ -339,9 +345,7 @@
         async def body(site: Site, names: list[str]) -> None:
             calls = ChannelCalls("secret")
             await self.save(site.get(names[0]), 4)
-            await wait_for(lambda: site.get_leader())
-            leader = site.get_leader()
-            assert leader is not None
+            leader = await site.wait_for_leader()
             others = [name for name in names[:3] if name != leader.options.name]
             notice = GatewayNotice("10.0.0.1:80", "z", "r", True)
             leader.presence.fleet.note(Sighting(INSTANCE, 0.0), anyio.current_time())
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -144,8 +144,7 @@
         async def body(site: Site, names: list[str]) -> None:
             answers = [await self.order(site, name, "a", True) for name in (*names, *names)]
             self.assertEqual(len(set(answers)), 1)
-            leader = site.get_leader()
-            assert leader is not None
+            leader = await site.wait_for_leader()
             self.assertEqual(len(leader.record.evacuations.history), 1)
             taken_back = [await self.order(site, name, "a", False) for name in names]
             self.assertEqual({answer.zones for answer in taken_back}, {()})
@@ -193,8 +192,7 @@
 
     def test_an_order_whose_leader_ends_counts_whole_or_not_at_all(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
-            leader = site.get_leader()
-            assert leader is not None
+            leader = await site.wait_for_leader()
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(leader.log.set_zone_evacuated, "a", True)
                 await anyio.sleep(0)
--- a/tests/test_heldrequests.py
+++ b/tests/test_heldrequests.py
@@ -153,8 +153,7 @@
     def test_hold_survives_the_loss_of_the_leader(self) -> None:
         async def body(sites: WatchedSite, names: list[str]) -> None:
             await self.hold_request(sites, sites.add(3))
-            leader = sites.site.get_leader()
-            assert leader is not None
+            leader = await sites.site.wait_for_leader()
             await sites.site.kill(leader.options.name)
             await wait_for(sites.site.get_leader)
             (new_gateway,) = sites.add(1)
@@ -251,8 +250,8 @@
     def test_only_the_leader_grants_trials_and_one_for_each_request(self) -> None:
         async def body(sites: WatchedSite, names: list[str]) -> None:
             await self.hold_request(sites, sites.add(3))
-            leader = sites.site.get_leader()
-            assert leader is not None
+            leader = await sites.site.wait_for_leader()
+            await wait_for(lambda: leader.presence.shared_suspects.list_all().held)
             calls = ChannelCalls("secret")
             (name,) = leader.presence.shared_suspects.list_all().held
 
