Don't count streams of a killed gateway against held parts in the trial

Cause: the trial kills each of its four gateways once, two of them in the span that is checked, and counted the streams that such a kill cuts as if the part had cost them.

Change: the trial notes when it kills a gateway. A request that was under way there, and is cut, is counted apart; refusals, and cuts by anything else, count as before.

--- a/tools/crashtrial.py
+++ b/tools/crashtrial.py
@@ -56,6 +56,12 @@
 NOT_CONNECTED = 0
 """Stands for the status of a request that no gateway has read."""
 
+GATEWAY_KILLED = 1
+"""Stands for the status of a request that was cut when its gateway was killed."""
+
+KILLED_SECONDS = 0.3
+"""Time from the kill of a gateway until it is started again."""
+
 
 class TrialKind(StrEnum):
     """What is asked for: streams that run once, or calls that may run on two upstreams."""
@@ -126,6 +132,7 @@
         self._random = Random(seed)
         self.began = 0.0
         self._number = 0
+        self._killed_at: dict[int, float] = {}
         self.report = CrashReport()
         self.whole: set[str] = set()
         entries = [f"{network}.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
@@ -176,8 +183,9 @@
         gap = self._seconds / (GATEWAYS + 1)
         for number in range(GATEWAYS):
             await anyio.sleep(gap)
+            self._killed_at[number] = anyio.current_time()
             processes.send(f"gateway-{number}", signal.SIGKILL)
-            await anyio.sleep(0.3)
+            await anyio.sleep(KILLED_SECONDS)
             processes.restart_ended()
 
     async def _save(self, client: httpx.AsyncClient) -> None:
@@ -228,12 +236,15 @@
     ) -> int | None:
         """Send a request to any gateway; return its status, or nothing if it was cut.
 
-        A gateway that was killed can't be reached; the status is NOT_CONNECTED then. ``shared`` has
-        the parts of its prompt but the last, ``framing`` tells how a stream ends.
+        A gateway that was killed can't be reached; the status is NOT_CONNECTED then. If it was
+        killed meanwhile, the status is GATEWAY_KILLED. ``shared`` has the parts of its prompt but
+        the last, ``framing`` tells how a stream ends.
         """
         self._number += 1
         request = f"a{self._number}"
-        gateway = f"http://{self._network}.0.{self._random.randrange(GATEWAYS) + 1}:{CLIENT_PORT}"
+        number = self._random.randrange(GATEWAYS)
+        gateway = f"http://{self._network}.0.{number + 1}:{CLIENT_PORT}"
+        sent = anyio.current_time()
         headers = {
             "host": "h",
             "x-daleroad-attempt-id": request,
@@ -247,7 +258,7 @@
         except httpx.ConnectError:
             return NOT_CONNECTED
         except httpx.HTTPError:
-            return None
+            return GATEWAY_KILLED if self._was_killed(number, sent) else None
         # A torn stream that ends cleanly looks whole, though its last event is missing.
         least = EVENTS - 1 if framing is Framing.TORN else EVENTS
         whole = self._kind is TrialKind.CALLS or answer.text.count("id: ") >= least
@@ -255,6 +266,11 @@
             self.whole.add(request)
         return answer.status_code if whole or answer.is_error else None
 
+    def _was_killed(self, gateway: int, sent: float) -> bool:
+        """Return whether a gateway was killed, or being restarted, since a request was sent."""
+        killed_at = self._killed_at.get(gateway)
+        return killed_at is not None and sent < killed_at + KILLED_SECONDS
+
 
 def main() -> None:
     """Play the trial that the command line names, and print what was seen."""
--- a/tools/parttrial.py
+++ b/tools/parttrial.py
@@ -28,6 +28,7 @@
     AGAIN_SECONDS,
     CONTACT_SECONDS,
     CRASHERS,
+    GATEWAY_KILLED,
     IDLE_SECONDS,
     NOT_CONNECTED,
     REQUEST_SECONDS,
@@ -86,13 +87,16 @@
     :param reached: when a request with a part reached an upstream, by part.
     :param ends: when upstreams ended of themselves.
     :param torn: whether each stream that ended inside an event looked whole.
-    :param sound: the streams that crash nothing, but for those that should end inside an event.
+    :param killed: streams that were cut when their gateway was killed.
+    :param sound: the other streams that crash nothing, but for those that should end inside an
+        event.
     """
 
     crashed: dict[str, list[float]] = field(default_factory=dict)
     reached: dict[str, list[float]] = field(default_factory=dict)
     ends: list[float] = field(default_factory=list)
     torn: list[bool] = field(default_factory=list)
+    killed: int = 0
     sound: list[SoundStream] = field(default_factory=list)
 
     def count_late(self) -> int:
@@ -126,6 +130,7 @@
             f"later than {CONTACT_SECONDS:g} s after the fifth; sound streams whole before, amid "
             f"and after, same first part, then the other: "
             + ", ".join(f"{whole} of {sent}" for whole, sent in shares)
+            + f"; {self.killed} cut with their gateway"
             + f"; {sum(self.torn)} of {len(self.torn)} torn ones looked whole"
         )
 
@@ -177,7 +182,9 @@
                 (framing,) = random.choices(list(FRAMINGS), FRAMINGS.values())
                 status = await self._ask(client, f"{sent} {number}".encode(), shared, framing)
                 whole = status == httpx.codes.OK
-                if framing is not Framing.TORN and status != NOT_CONNECTED:
+                if status == GATEWAY_KILLED:
+                    self.parts.killed += 1
+                elif framing is not Framing.TORN and status != NOT_CONNECTED:
                     self.parts.sound.append(SoundStream(sent, first == FIRST_PARTS[0], whole))
                 await anyio.sleep(random.uniform(*IDLE_SECONDS))
 
