Let both models of crashing engines share their engines and draws

partmodel and suspectmodel each had the same engines: which are up, what they run, how one crashes and comes back under another name, and the same drawing of times. Both use modelengines now.

--- a/src/daleroad/partmodel.py
+++ b/src/daleroad/partmodel.py
@@ -15,6 +15,7 @@
 from itertools import count
 from random import Random
 
+from daleroad.modelengines import ModelEngine, ModelEngines, draw_times
 from daleroad.onsets import ONSET_SECONDS, Progress
 from daleroad.partrules import (
     ENGINES,
@@ -26,7 +27,6 @@
 )
 from daleroad.promptparts import SharedPart
 
-RESTART_SECONDS = 3.0
 READ_SECONDS = (0.1, 0.5)
 """Time from the arrival of a stream at its engine until the answer begins."""
 
@@ -131,11 +131,7 @@
         return Progress.FAR if now - self.begun_at >= ONSET_SECONDS else Progress.BEGUN
 
 
-@dataclass
-class _Engine:
-    name: str
-    up_at: float = 0.0
-    running: dict[int, _Stream] = field(default_factory=dict)
+_Engine = ModelEngine[_Stream]
 
 
 class _Simulation:
@@ -148,7 +144,7 @@
         self._rule = rule
         self._random = Random(f"{case.name} {seed}")
         self._numbers = count()
-        self._engines = [_Engine(f"e{next(self._numbers)}") for _ in range(ENGINES)]
+        self._engines: ModelEngines[_Stream] = ModelEngines(ENGINES, self._random)
         self._heap: list[tuple[float, int, _EventKind, int, _Stream | None, _Engine | None]] = []
         self.outcome = PartOutcome()
 
@@ -172,11 +168,13 @@
         return self.outcome
 
     def _generate_events(self) -> Iterator[tuple[float, _EventKind, _Stream | None]]:
-        for at in self._draw_times(STREAMS_PER_SECOND, 0.0):
+        for at in draw_times(self._random, STREAMS_PER_SECOND, self._case.seconds):
             self.outcome.sound += 1
             yield at, _EventKind.ARRIVE, self._draw_stream()
         if self._case.poison_depth is not None:
-            for at in self._draw_times(POISON_PER_SECOND, self.FIRST_CRASH_SECONDS):
+            for at in draw_times(
+                self._random, POISON_PER_SECOND, self._case.seconds, self.FIRST_CRASH_SECONDS
+            ):
                 yield at, _EventKind.ARRIVE, self._draw_poison(self._case.poison_depth)
         for number in range(self._case.crashes):
             at = self.FIRST_CRASH_SECONDS + number * self._case.gap
@@ -186,12 +184,6 @@
         for number in range(self._case.cuts):
             yield self.FIRST_CRASH_SECONDS + number * self._case.gap, _EventKind.CUT, None
 
-    def _draw_times(self, rate: float, since: float) -> Iterator[float]:
-        at = since + self._random.expovariate(rate)
-        while at < self._case.seconds:
-            yield at
-            at += self._random.expovariate(rate)
-
     def _draw_part(self, depth: int) -> SharedPart:
         weights = (FIRST_WEIGHTS, SECOND_WEIGHTS)[depth]
         (number,) = self._random.choices(range(len(weights)), weights)
@@ -227,9 +219,9 @@
             if not stream.poison:
                 self.outcome.held_parts.add(held.fingerprint)
             return
-        alive = [engine for engine in self._engines if engine.up_at <= now]
-        if alive:
-            engine, run = self._random.choice(alive), next(self._numbers)
+        engine = self._engines.pick(now)
+        if engine is not None:
+            run = next(self._numbers)
             engine.running[run] = stream
             self._push(
                 now + self._random.uniform(*READ_SECONDS), _EventKind.BEGIN, None, engine, run
@@ -253,8 +245,7 @@
                 self._rule.record_success(stream.gateway, stream.parts, now)
 
     def _crash_random(self, now: float) -> None:
-        alive = [engine for engine in self._engines if engine.up_at <= now]
-        for engine in self._random.sample(alive, min(self._case.group, len(alive))):
+        for engine in self._engines.pick_several(self._case.group, now):
             self._crash(engine, now)
 
     def _restart_gateways(self) -> None:
@@ -270,19 +261,17 @@
             }
             for run, stream in cut.items():
                 del engine.running[run]
-                self._record_cut(engine, stream, now)
+                self._record_cut(engine.name, stream, now)
 
-    def _record_cut(self, engine: _Engine, stream: _Stream, now: float) -> None:
+    def _record_cut(self, engine: str, stream: _Stream, now: float) -> None:
         progress = stream.get_progress(now)
-        cut = CutStream(stream.gateway, stream.parts, engine.name, progress)
+        cut = CutStream(stream.gateway, stream.parts, engine, progress)
         self._rule.record_crash(cut, now)
 
     def _crash(self, engine: _Engine, now: float) -> None:
-        cut, engine.running = engine.running, {}
-        for stream in cut.values():
-            self._record_cut(engine, stream, now)
-        engine.name = f"e{next(self._numbers)}"
-        engine.up_at = now + RESTART_SECONDS
+        name = engine.name
+        for stream in self._engines.crash(engine, now):
+            self._record_cut(name, stream, now)
 
 
 def simulate_parts(case: PartCase, rule: PartRule, seed: int) -> PartOutcome:
--- a/src/daleroad/suspectmodel.py
+++ b/src/daleroad/suspectmodel.py
@@ -11,19 +11,17 @@
 import heapq
 from collections import Counter
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from itertools import count
 from random import Random
 from typing import Protocol
 
 from daleroad.health import Evidence, Sequential
+from daleroad.modelengines import ModelEngine, ModelEngines, draw_times
 from daleroad.suspects import MIN_CRASHES_HELD, Standing, Suspects
 
 ENGINES = 7
-RESTART_SECONDS = 3.0
-"""Time from the crash of an engine until its replacement takes requests."""
-
 REQUESTS_PER_SECOND = 12.0
 MEAN_RUN_SECONDS = 1.5
 """Arrival rate of requests, and their mean run time."""
@@ -185,11 +183,7 @@
     retries: int
 
 
-@dataclass
-class _Engine:
-    name: str
-    up_at: float = 0.0
-    running: dict[int, _Request] = field(default_factory=dict)
+_Engine = ModelEngine[_Request]
 
 
 class _Simulation:
@@ -200,7 +194,7 @@
         self._rule = rule
         self._random = Random(f"{case.name} {seed}")
         self._numbers = count()
-        self._engines = [_Engine(f"e{next(self._numbers)}") for _ in range(ENGINES)]
+        self._engines: ModelEngines[_Request] = ModelEngines(ENGINES, self._random)
         self._heap: list[tuple[float, int, _EventKind, _Request | None, _Engine | None]] = []
         self.outcome = RuleOutcome()
 
@@ -241,10 +235,7 @@
                 )
 
     def _draw_times(self, mean_interval: float) -> Iterator[float]:
-        at = self._random.expovariate(1 / mean_interval)
-        while at < self._case.seconds:
-            yield at
-            at += self._random.expovariate(1 / mean_interval)
+        return draw_times(self._random, 1 / mean_interval, self._case.seconds)
 
     def _pick_request_name(self) -> str:
         if self._random.random() < POPULAR_SHARE:
@@ -264,10 +255,9 @@
         if self._rule.is_held(request.name, now):
             self.outcome.held += not poison
             return
-        alive = [engine for engine in self._engines if engine.up_at <= now]
-        if not alive:
+        engine = self._engines.pick(now)
+        if engine is None:
             return
-        engine = self._random.choice(alive)
         seconds = POISON_RUN_SECONDS if poison else self._random.expovariate(1 / MEAN_RUN_SECONDS)
         engine.running[self._push(now + seconds, _EventKind.FINISH, request, engine)] = request
 
@@ -283,21 +273,18 @@
         self._rule.record_success(request.name, now)
 
     def _crash_random(self, number: int, now: float) -> None:
-        alive = [engine for engine in self._engines if engine.up_at <= now]
-        for engine in self._random.sample(alive, min(number, len(alive))):
+        for engine in self._engines.pick_several(number, now):
             self._crash(engine, now)
 
     def _crash(self, engine: _Engine, now: float) -> None:
-        cut, engine.running = engine.running, {}
-        for request in cut.values():
-            self._rule.record_crash(request.name, engine.name, now)
+        name = engine.name
+        for request in self._engines.crash(engine, now):
+            self._rule.record_crash(request.name, name, now)
             if request.retries:
                 poison = request.name.startswith(_POISON)
                 delay = POISON_RETRY_SECONDS if poison else RETRY_SECONDS
                 at = now + delay * self._random.uniform(0.5, 1.5)
                 self._push(at, _EventKind.ARRIVE, _Request(request.name, request.retries - 1))
-        engine.name = f"e{next(self._numbers)}"
-        engine.up_at = now + RESTART_SECONDS
 
 
 def make_rules() -> dict[str, Rule]:
