Report why sound streams were refused in the trial of parts

One sound stream of 44 trials was refused at once with 503, and the trial kept no word of why, so it could not be traced. The report now counts the texts of refusals of streams without a crashing part; the failing test prints them.

--- a/tools/crashtrial.py
+++ b/tools/crashtrial.py
@@ -62,6 +62,9 @@
 KILLED_SECONDS = 0.3
 """Time from the kill of a gateway until it is started again."""
 
+REASON_CHARS = 120
+"""Length to which the texts of refusals are cut in reports."""
+
 
 class TrialKind(StrEnum):
     """What is asked for: streams that run once, or calls that may run on two upstreams."""
@@ -115,6 +118,7 @@
     :param seed: fixes what callers do.
     :param crashing: whether the crashing request comes.
     :param network: begins its addresses; trials beside each other need one each.
+    :ivar refusals: the shared parts of each refused request, and what its answer said.
     """
 
     def __init__(
@@ -133,6 +137,7 @@
         self.began = 0.0
         self._number = 0
         self._killed_at: dict[int, float] = {}
+        self.refusals: list[tuple[str, str]] = []
         self.report = CrashReport()
         self.whole: set[str] = set()
         entries = [f"{network}.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
@@ -264,6 +269,8 @@
         whole = self._kind is TrialKind.CALLS or answer.text.count("id: ") >= least
         if whole and answer.is_success:
             self.whole.add(request)
+        if answer.is_error:
+            self.refusals.append((shared, f"{answer.status_code} {answer.text[:REASON_CHARS]}"))
         return answer.status_code if whole or answer.is_error else None
 
     def _was_killed(self, gateway: int, sent: float) -> bool:
--- a/tools/parttrial.py
+++ b/tools/parttrial.py
@@ -11,6 +11,7 @@
 """
 
 import sys
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -88,6 +89,7 @@
     :param ends: when upstreams ended of themselves.
     :param torn: whether each stream that ended inside an event looked whole.
     :param killed: streams that were cut when their gateway was killed.
+    :param refused: why streams without a crashing part were refused, and how often.
     :param sound: the other streams that crash nothing, but for those that should end inside an
         event.
     """
@@ -97,6 +99,7 @@
     ends: list[float] = field(default_factory=list)
     torn: list[bool] = field(default_factory=list)
     killed: int = 0
+    refused: Counter[str] = field(default_factory=Counter)
     sound: list[SoundStream] = field(default_factory=list)
 
     def count_late(self) -> int:
@@ -132,6 +135,7 @@
             + ", ".join(f"{whole} of {sent}" for whole, sent in shares)
             + f"; {self.killed} cut with their gateway"
             + f"; {sum(self.torn)} of {len(self.torn)} torn ones looked whole"
+            + f"; sound ones refused: {dict(self.refused)}"
         )
 
 
@@ -156,6 +160,9 @@
         """Play the trial and return what was seen."""
         await self.run()
         self.parts.torn = [request in self.whole for u in self.upstreams for request in u.torn]
+        for shared, reason in self.refusals:
+            if not any(part in shared for part in CRASHING_PARTS):
+                self.parts.refused[reason] += 1
         for part in CRASHING_PARTS:
             crashed = (at for u in self.upstreams for at in u.crashed_at[part])
             reached = (at for u in self.upstreams for at, _ in u.reached[part])
