Take a stream with neither length nor chunks that ends without an event as lost

What callers saw: a stream whose engine crashed between the head of its answer and the first event, and whose connection was closed, not reset, came as a clean 200 with no event, as if it were whole.

Cause: such an answer was taken as complete until its engine was heard from, or was not. A heartbeat that arrives a second after the crash (delayed by a cut, or by a busy coordinator) even made it a success of the poison part: its crashes were cancelled, and later ones held it for ten seconds only, so it reached engines again.

Change: in GuardedDispatcher, which all sends pass, a stream that is to begin with its first event and ends without any is lost and a crash at once: every generation has events. One that goes on after an event may have none left. Evidence: the new test fails without the change (the stream ends with nothing); with it the client gets a broken stream, and three of them hold the part though a heartbeat came after each.

--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -19,6 +19,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+LAST_EVENT_HEADER = b"last-event-id"
+"""Names the event after which a stream of server-sent events is to go on."""
+
 
 @dataclass(frozen=True)
 class Prompt:
@@ -130,6 +133,11 @@
     last_event: str = ""
     repeatable: bool = False
 
+    def starts_stream(self) -> bool:
+        """Return whether a stream is to begin with its first event, not to go on after another."""
+        resumed = any(name.lower() == LAST_EVENT_HEADER for name, _ in self.job.headers)
+        return self.source is None and not self.last_event and not resumed
+
 
 @dataclass(frozen=True)
 class NotRun:
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -47,6 +47,7 @@
 GrantRequester = Callable[[Attempt], Awaitable[bool]]
 """Requests a grant to send to a rate-limited upstream; returns whether it was given."""
 
+_NO_EVENT = "the stream ended before its first event"
 _NOT_GRANTED = "the upstream is rate-limited and no grant was given"
 
 
@@ -202,7 +203,11 @@
             yield piece
             ready_at = anyio.current_time()
             stall.note_taken(ready_at - max(now, self._guard.resumed_at))
-        if not self.delimited:
+        if not self.delimited and not begun and self._attempt.starts_stream():
+            # Every generation has events, so its upstream crashed before the first.
+            evidence.record_lost(self._attempt, self._onset.get_progress())
+            yield Lost(_NO_EVENT)
+        elif not self.delimited:
             evidence.record_undelimited(self._attempt, self._onset.get_progress())
         elif begun:
             evidence.record_success(self._attempt)
--- a/tests/test_undelimited.py
+++ b/tests/test_undelimited.py
@@ -13,6 +13,8 @@
 
 from daleroad.blame import JOINT_CRASH_SECONDS
 from daleroad.dispatch import Attempt, Lost, Reply, StreamEvent, Whole
+from daleroad.errors import Failure, Ran
+from daleroad.forwarding import StreamResponse
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance, InstanceState, Sighting
 from daleroad.migration import EngineMigrator
@@ -23,7 +25,14 @@
 from daleroad.sharedsuspects import ALIVE_AFTER_SECONDS, UNCONFIRMED_SECONDS
 from daleroad.suspects import Standing
 from tests import test_moves, test_platform
-from tests.fakes import FakeDispatcher, FakeStream, make_config, make_gateway, make_instance
+from tests.fakes import (
+    FakeDispatcher,
+    FakeStream,
+    make_config,
+    make_forwarder,
+    make_gateway,
+    make_instance,
+)
 from tests.test_crashingparts import POISON, make_part_job
 from tests.test_moves import LinkedEngines, RunningStream
 from tests.test_platform import SIGNED, EventStream, Upstream
@@ -112,8 +121,8 @@
         gateway.fleet.note(Sighting(replace(instance, sequence=9), 0.0), anyio.current_time())
 
     def restart(self, gateway: Gateway, instance: Instance) -> None:
-        name = instance.id
-        younger = replace(instance, id=f"{name}@9", name=name, born=9, sequence=1)
+        name, born = instance.get_name(), instance.born + 9
+        younger = replace(instance, id=f"{name}@{born}", name=name, born=born, sequence=1)
         gateway.fleet.note(Sighting(younger, 0.0), anyio.current_time())
 
     def test_it_is_no_success_while_its_upstream_is_not_heard_from(self) -> None:
@@ -189,6 +198,44 @@
             trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0)), Standing.CLEAR
         )
 
+    def test_a_stream_without_an_event_is_a_crash_though_a_late_heartbeat_arrives(self) -> None:
+        async def main() -> None:
+            dispatcher = FakeDispatcher(*[make_undelimited(1, 0) for _ in range(3)])
+            config = make_config(Repeat.STREAM, engine=True)
+            gateway = make_gateway(dispatcher, config, anyio.current_time())
+            forwarder = make_forwarder(gateway)
+            for number in range(3):
+                outcome = await forwarder.serve(make_part_job(number, POISON, f"last {number}"))
+                assert isinstance(outcome, StreamResponse)
+                (piece,) = [piece async for piece in outcome.pieces]
+                assert isinstance(piece, Failure)
+                self.assertIs(piece.ran, Ran.PARTIAL)
+                await outcome.close()
+                await anyio.sleep(ALIVE_AFTER_SECONDS + 0.1)
+                self.hear(gateway, dispatcher.attempts[-1].instance)
+                gateway.guard.evidence.settle_undelimited(anyio.current_time())
+                self.restart(gateway, dispatcher.attempts[-1].instance)
+            job = make_part_job(9, POISON, "last 9")
+            verdict = gateway.guard.evidence.find_verdict(job, "", "s")
+            self.assertIs(verdict.standing, Standing.HELD)
+            self.assertFalse(gateway.suspects.has_succeeded(verdict.fingerprint))
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_a_stream_that_goes_on_after_its_last_event_is_whole_without_another(self) -> None:
+        async def main() -> None:
+            job = make_part_job(1, "first", "last")
+            by_client = replace(job, headers=((b"Last-Event-ID", b"7"),))
+            resumed = Attempt(job, make_instance(1), "", 5.0, last_event="7")
+            for attempt in (resumed, Attempt(by_client, make_instance(1), "", 5.0)):
+                dispatcher = FakeDispatcher(make_undelimited(1, 0))
+                gateway = make_gateway(dispatcher, make_config(Repeat.STREAM, engine=True), 0.0)
+                reply = await gateway.dispatcher.send(attempt)
+                pieces = [piece async for piece in reply.events()]  # type: ignore[union-attr]
+                self.assertEqual(pieces, [])
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
     def test_it_is_forgotten_after_a_while(self) -> None:
         async def main() -> None:
             dispatcher = FakeDispatcher(Whole(200, (), b"answer", delimited=False))
