--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -365,6 +365,7 @@
             self.assertGreaterEqual(whole, 0.9 * sent, summary)
             self.assertGreater(sent, 0, summary)
         self.assertEqual((sum(report.torn), bool(report.torn)), (0, True), summary)
+        self.assertEqual(report.empty, 0, summary)
 
     def test_sound_streams_are_served_beside_a_poison_part(self) -> None:
         self.check(anyio.run(PartTrial(PartCase.SECOND, self.SECONDS).play))
--- a/tools/crashtrial.py
+++ b/tools/crashtrial.py
@@ -119,6 +119,7 @@
     :param crashing: whether the crashing request comes.
     :param network: begins its addresses; trials beside each other need one each.
     :ivar refusals: the shared parts of each refused request, and what its answer said.
+    :ivar empty: successful answers that looked whole and had no event.
     """
 
     def __init__(
@@ -138,6 +139,7 @@
         self._number = 0
         self._killed_at: dict[int, float] = {}
         self.refusals: list[tuple[str, str]] = []
+        self.empty = 0
         self.report = CrashReport()
         self.whole: set[str] = set()
         entries = [f"{network}.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
@@ -269,6 +271,7 @@
         whole = self._kind is TrialKind.CALLS or answer.text.count("id: ") >= least
         if whole and answer.is_success:
             self.whole.add(request)
+        self.empty += answer.is_success and not answer.content
         if answer.is_error:
             self.refusals.append((shared, f"{answer.status_code} {answer.text[:REASON_CHARS]}"))
         return answer.status_code if whole or answer.is_error else None
--- a/tools/parttrial.py
+++ b/tools/parttrial.py
@@ -89,6 +89,7 @@
     :param ends: when upstreams ended of themselves.
     :param torn: whether each stream that ended inside an event looked whole.
     :param killed: streams that were cut when their gateway was killed.
+    :param empty: streams that looked whole without an event.
     :param refused: why streams without a crashing part were refused, and how often.
     :param sound: the other streams that crash nothing, but for those that should end inside an
         event.
@@ -99,6 +100,7 @@
     ends: list[float] = field(default_factory=list)
     torn: list[bool] = field(default_factory=list)
     killed: int = 0
+    empty: int = 0
     refused: Counter[str] = field(default_factory=Counter)
     sound: list[SoundStream] = field(default_factory=list)
 
@@ -135,6 +137,7 @@
             + ", ".join(f"{whole} of {sent}" for whole, sent in shares)
             + f"; {self.killed} cut with their gateway"
             + f"; {sum(self.torn)} of {len(self.torn)} torn ones looked whole"
+            + f"; {self.empty} without an event"
             + f"; sound ones refused: {dict(self.refused)}"
         )
 
@@ -160,6 +163,7 @@
         """Play the trial and return what was seen."""
         await self.run()
         self.parts.torn = [request in self.whole for u in self.upstreams for request in u.torn]
+        self.parts.empty = self.empty
         for shared, reason in self.refusals:
             if not any(part in shared for part in CRASHING_PARTS):
                 self.parts.refused[reason] += 1
