Ask for two heartbeats before a crash is taken back

What callers saw, or would: a held part or request free again, and another engine lost, for each heartbeat that arrived a second or more after the crash of its sender. Heartbeats may be late by seconds, the more beside a cut.

Cause: one heartbeat a second after the crash retracted it at the coordinators, for every suspect and for good, since a retracted crash is not counted again. At gateways it made an answer that had ended with its connection a success.

Change: both ask lifesigns, which wants two heartbeats, both a second or more after the crash and half an interval apart. A late one comes alone: an upstream sends the next when the last was answered or has failed. Evidence: the new tests fail without the change, three late heartbeats of three crashed upstreams free the request at once. What it costs: what was cut but alive is known as alive an interval later.

--- a/src/daleroad/crashevidence.py
+++ b/src/daleroad/crashevidence.py
@@ -15,9 +15,10 @@
 from daleroad.fingerprints import fingerprint_job
 from daleroad.fleet import Fleet
 from daleroad.instances import Instance, InstanceState
+from daleroad.lifesigns import LifeSigns
 from daleroad.onsets import Progress
 from daleroad.promptparts import SharedPart, list_shared_parts
-from daleroad.sharedsuspects import ALIVE_AFTER_SECONDS, UNCONFIRMED_SECONDS
+from daleroad.sharedsuspects import UNCONFIRMED_SECONDS
 from daleroad.suspects import Standing, Suspects
 from daleroad.suspicions import Suspicion
 
@@ -93,6 +94,9 @@
     tell: Callable[[Suspicion], None]
     _unconfirmed: deque[_Unconfirmed] = field(default_factory=lambda: deque(maxlen=MAX_UNCONFIRMED))
 
+    def __post_init__(self) -> None:
+        self._life_signs = LifeSigns(self.fleet)
+
     def find_verdict(self, job: ClientRequest, organisation: str, service: str) -> Verdict:
         """Return whether and how a request may run.
 
@@ -190,13 +194,13 @@
         waiting, self._unconfirmed = self._unconfirmed, deque(maxlen=MAX_UNCONFIRMED)
         for answer in waiting:
             instance = answer.run.instance
-            heard_at = now - self.fleet.get_age(instance.id, now)
-            if heard_at >= answer.ended_at + ALIVE_AFTER_SECONDS:
+            if self._life_signs.prove_alive(instance.id, answer.ended_at, now):
                 self._record_whole(answer.run)
             elif self.fleet.is_replaced(instance) or self.fleet.is_late(instance.id):
                 self._record_crash(answer.run, answer.progress, answer.ended_at, now)
             elif now - answer.ended_at <= UNCONFIRMED_SECONDS:
                 self._unconfirmed.append(answer)
+        self._life_signs.keep_only({answer.run.instance.id for answer in self._unconfirmed})
 
     def count_unconfirmed(self) -> int:
         """Return how many responses that ended with their connections still wait to be counted."""
--- a/src/daleroad/sharedsuspects.py
+++ b/src/daleroad/sharedsuspects.py
@@ -12,14 +12,11 @@
 from daleroad.errors import Failure, FailureKind
 from daleroad.events import Event, log_event
 from daleroad.fleet import Fleet
+from daleroad.lifesigns import LifeSigns
 from daleroad.notices import SuspectsAnswer
 from daleroad.suspects import Standing, Suspects, Trials
 from daleroad.suspicions import Suspicion
 
-ALIVE_AFTER_SECONDS = 1.0
-"""A heartbeat that arrives so long after a cut proves that the instance did not crash. One sent
-before a crash mostly arrives within a tenth of this; a later one wrongly retracts one crash."""
-
 UNCONFIRMED_SECONDS = 10.0
 """How long after a cut an instance is checked for heartbeats; many heartbeat intervals."""
 
@@ -33,7 +30,7 @@
 
     def __init__(self, fleet: Fleet, wake: Callable[[], None]) -> None:
         self.suspects = Suspects()
-        self._fleet = fleet
+        self._life_signs = LifeSigns(fleet)
         self._wake = wake
         self._trials = Trials()
         self._unconfirmed: dict[str, float] = {}
@@ -70,16 +67,16 @@
                     self._wake()
             elif now - cut_at > UNCONFIRMED_SECONDS:
                 del self._unconfirmed[instance]
+        self._life_signs.keep_only(self._unconfirmed)
 
     def _is_alive(self, instance: str, cut_at: float, now: float) -> bool:
-        """Return whether an instance was heard from well after its reported crash.
+        """Return whether an instance turned out to be alive after its reported crash.
 
         To the sender of a request, a cut, a reset and a lost response all look like a crash. After
         a stall of this process, only heartbeats well after it count, since those that were queued
         meanwhile look new.
         """
-        heard_at = now - self._fleet.get_age(instance, now)
-        return heard_at >= max(cut_at, self._stalled_at) + ALIVE_AFTER_SECONDS
+        return self._life_signs.prove_alive(instance, max(cut_at, self._stalled_at), now)
 
     def list_all(self) -> SuspectsAnswer:
         """Return all suspected requests and parts, and which of them are held."""
--- a/tests/test_undelimited.py
+++ b/tests/test_undelimited.py
@@ -17,12 +17,13 @@
 from daleroad.forwarding import StreamResponse
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance, InstanceState, Sighting
+from daleroad.lifesigns import ALIVE_AFTER_SECONDS
 from daleroad.migration import EngineMigrator
 from daleroad.onsets import Progress
 from daleroad.promptparts import make_shared_part
 from daleroad.routing import Repeat
 from daleroad.runs import StreamRegistry
-from daleroad.sharedsuspects import ALIVE_AFTER_SECONDS, UNCONFIRMED_SECONDS
+from daleroad.sharedsuspects import UNCONFIRMED_SECONDS
 from daleroad.suspects import Standing
 from tests import test_moves, test_platform
 from tests.fakes import (
@@ -89,7 +90,7 @@
     def find_standing(self, meanwhile: Callable[[Gateway, Instance], None]) -> Standing:
         """Return the standing of a part after such responses of three upstreams.
 
-        :param meanwhile: called a while after each response.
+        :param meanwhile: called a while after each response, and again after another while.
         """
 
         async def main() -> Standing:
@@ -103,9 +104,10 @@
                 assert not isinstance(reply, Whole)
                 pieces = [piece async for piece in reply.events()]  # type: ignore[union-attr]
                 self.assertEqual(len(pieces), 2)
-                await anyio.sleep(ALIVE_AFTER_SECONDS + 0.1)
-                meanwhile(gateway, instance)
-                gateway.guard.evidence.settle_undelimited(anyio.current_time())
+                for _ in range(2):
+                    await anyio.sleep(ALIVE_AFTER_SECONDS + 0.1)
+                    meanwhile(gateway, instance)
+                    gateway.guard.evidence.settle_undelimited(anyio.current_time())
             job = make_part_job(9, "first", POISON, "last 9")
             return gateway.guard.evidence.find_verdict(job, "", "s").standing
 
@@ -156,6 +158,27 @@
 
         self.assertIs(self.find_standing(hear), Standing.CLEAR)
 
+    def test_it_is_no_success_if_one_late_heartbeat_arrives(self) -> None:
+        async def main() -> Standing:
+            dispatcher = FakeDispatcher(make_undelimited(1, 2))
+            config = make_config(Repeat.STREAM, engine=True)
+            gateway = make_gateway(dispatcher, config, anyio.current_time())
+            job = make_part_job(1, "first", POISON, "last")
+            reply = await gateway.dispatcher.send(Attempt(job, make_instance(1), "", 5.0))
+            async for _ in reply.events():  # type: ignore[union-attr]
+                pass
+            await anyio.sleep(ALIVE_AFTER_SECONDS + 0.1)
+            self.hear(gateway, make_instance(1))
+            for number in range(3):
+                gateway.guard.evidence.settle_undelimited(anyio.current_time())
+                self.crash(gateway, 20 + number)
+                await anyio.sleep(JOINT_CRASH_SECONDS)
+            return gateway.guard.evidence.find_verdict(job, "", "s").standing
+
+        self.assertIs(
+            trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0)), Standing.HELD
+        )
+
     def test_it_is_a_crash_if_another_stream_is_cut_at_the_same_time(self) -> None:
         async def main() -> Standing:
             dispatcher = FakeDispatcher(*[make_undelimited(1, 1) for _ in range(3)])
