--- a/tests/test_undelimited.py
+++ b/tests/test_undelimited.py
@@ -113,6 +113,13 @@
 
         return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    async def read_answer(self, gateway: Gateway, number: int, instance: Instance) -> None:
+        """Send a request with the part to an upstream and read its answer to the end."""
+        job = make_part_job(number, "first", POISON, f"last {number}")
+        reply = await gateway.dispatcher.send(Attempt(job, instance, "", 5.0))
+        async for _ in reply.events():  # type: ignore[union-attr]
+            pass
+
     def crash(self, gateway: Gateway, number: int) -> None:
         """Record that an upstream crashed as it began to answer a request with the part."""
         job = make_part_job(number, "first", POISON, f"last {number}")
@@ -163,16 +170,14 @@
             dispatcher = FakeDispatcher(make_undelimited(1, 2))
             config = make_config(Repeat.STREAM, engine=True)
             gateway = make_gateway(dispatcher, config, anyio.current_time())
-            job = make_part_job(1, "first", POISON, "last")
-            reply = await gateway.dispatcher.send(Attempt(job, make_instance(1), "", 5.0))
-            async for _ in reply.events():  # type: ignore[union-attr]
-                pass
+            await self.read_answer(gateway, 1, make_instance(1))
             await anyio.sleep(ALIVE_AFTER_SECONDS + 0.1)
             self.hear(gateway, make_instance(1))
             for number in range(3):
                 gateway.guard.evidence.settle_undelimited(anyio.current_time())
                 self.crash(gateway, 20 + number)
                 await anyio.sleep(JOINT_CRASH_SECONDS)
+            job = make_part_job(9, "first", POISON, "last 9")
             return gateway.guard.evidence.find_verdict(job, "", "s").standing
 
         self.assertIs(
@@ -187,10 +192,7 @@
             evidence = gateway.guard.evidence
             for number in range(3):
                 instance = make_instance(1 + number)
-                job = make_part_job(number, "first", POISON, f"last {number}")
-                reply = await gateway.dispatcher.send(Attempt(job, instance, "", 5.0))
-                async for _ in reply.events():  # type: ignore[union-attr]
-                    pass
+                await self.read_answer(gateway, number, instance)
                 beside = make_part_job(number, "other", f"last {number}")
                 evidence.record_lost(Attempt(beside, instance, "", 5.0), Progress.FAR)
                 await anyio.sleep(JOINT_CRASH_SECONDS)
@@ -206,10 +208,7 @@
             config = make_config(Repeat.STREAM, engine=True)
             gateway = make_gateway(dispatcher, config, anyio.current_time())
             for number in range(3):
-                job = make_part_job(number, "first", POISON, f"last {number}")
-                reply = await gateway.dispatcher.send(Attempt(job, make_instance(number), "", 5.0))
-                async for _ in reply.events():  # type: ignore[union-attr]
-                    pass
+                await self.read_answer(gateway, number, make_instance(number))
             for number in range(3):
                 await anyio.sleep(JOINT_CRASH_SECONDS)
                 self.restart(gateway, make_instance(number))
