--- a/review/site_standins.py
+++ b/review/site_standins.py
@@ -132,6 +132,7 @@
         self.internal = first
         self.server_ips = [f"{net}.{100 + n}" for n in range(100)]
         self.processes: dict[tuple[str, str], subprocess.Popen] = {}
+        self.own_ends: dict[tuple[str, str], int] = {}
         self._first_start = True
 
     def list_coordinators(self) -> list[str]:
@@ -215,6 +216,7 @@
             for (role, ip), process in list(self.processes.items()):
                 if process.poll() is not None:
                     self.record.note("platform", f"{role} {ip} ended by itself: {process.poll()}")
+                    self.own_ends[role, ip] = self.own_ends.get((role, ip), 0) + 1
                     self.start(role, ip)
 
     def send_signal(self, role: str, ip: str, number: int) -> float:
