--- a/review/site_standins.py
+++ b/review/site_standins.py
@@ -107,6 +107,10 @@
     return found
 
 
+_DEPLOYMENTS: list["Deployment"] = []
+"""What was made, so that its processes end however the case ends."""
+
+
 class Deployment:
     """The processes of a small deployment: one machine is one loopback address.
 
@@ -132,6 +136,7 @@
         self.internal = first
         self.server_ips = [f"{net}.{100 + n}" for n in range(100)]
         self.processes: dict[tuple[str, str], subprocess.Popen] = {}
+        _DEPLOYMENTS.append(self)
         self.own_ends: dict[tuple[str, str], int] = {}
         self._first_start = True
 
@@ -437,6 +442,8 @@
     if not (ROOT / "target" / "deps").is_dir():
         print("target/deps is missing: run the build of the deploy file first", file=sys.stderr)
         return 2
+    # A case that is ended from outside ends its processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
@@ -445,6 +452,9 @@
         record.note("case", f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
+    finally:
+        for deployment in _DEPLOYMENTS:
+            deployment.end_all()
     for line in broken[:20]:
         record.note("case", f"BROKEN {line}")
     print(f"{len(broken)} breaks of the rule" + (f", the first: {broken[0]}" if broken else ""))
