Log who waited for a zone order, and how long it may have waited

D239 ZONE_ORDER_ANSWERED says how long the order may have waited before it was read, how long it was carried out and whether its caller was still connected; D234 says when an order was read, so that two copies of one order show.

The detection of stalls moves from Presence into a module of its own. No decision changes.

--- /dev/null
+++ b/src/daleroad/callers.py
@@ -0,0 +1,23 @@
+"""Callers of orders, who may have given up before their order is carried out.
+
+An order that a process reads late may have been sent again to another one in the meantime, and
+later orders may have followed it.
+
+Does no I/O; the caller passes in the time.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass
+class Caller:
+    """The caller of one order, as the process that read the order sees it.
+
+    :param read_at: when the order was read.
+    :param waited: longest time that it may have waited before that, in seconds.
+    :param connected: whether the caller's connection is open as far as is known.
+    """
+
+    read_at: float
+    waited: float = 0.0
+    connected: bool = True
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -73,6 +73,9 @@
         logging.INFO,
         "An operator's order about an availability zone is on a majority of disks.",
     )
+    ZONE_ORDER_ANSWERED = Kind(
+        239, logging.INFO, "A coordinator answered an operator's order about an availability zone."
+    )
     ZONE_ORDER_REFUSED = Kind(235, logging.WARNING, "An order about a zone was not accepted.")
     QUEUE_LONG = Kind(236, logging.WARNING, "Many prompts wait for room in a service's engines.")
     QUEUE_EMPTIED = Kind(237, logging.INFO, "No prompt waits any more where many did.")
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -19,7 +19,6 @@
     GATEWAY_TIMEOUT_SECONDS,
     LOOKUP_DRAIN_TTL_SECONDS,
     LOOKUP_TTL_SECONDS,
-    LOOP_STALL_SECONDS,
     MAX_DEPARTURE_SHARE_SECONDS,
     MIN_LOADS_KNOWN_RATIO,
     SHARE_SECONDS,
@@ -41,6 +40,7 @@
 from daleroad.paths import Reach
 from daleroad.peers import Peers
 from daleroad.sharedsuspects import SharedSuspects
+from daleroad.stalls import StallDetector
 from daleroad.tunneloffers import TunnelOffers, make_offers
 
 MAX_SNAPSHOT_AGE_SECONDS = 0.05
@@ -70,18 +70,6 @@
     suspects: int = -1
 
 
-@dataclass(frozen=True)
-class _Stall:
-    """A period in which this process didn't run.
-
-    :param seconds: its length.
-    :param until: time until which heartbeats may come from the backlog of that period.
-    """
-
-    seconds: float
-    until: float
-
-
 @dataclass(frozen=True)
 class _Snapshot:
     """The gateways at one moment.
@@ -106,6 +94,7 @@
     :param peers: the other coordinators.
     :param list_others: returns the names of the other coordinators that may be alive.
     :param wake: called on changes that watching gateways should receive.
+    :ivar stalls: detects stalls of this process.
     :ivar learns_paces: returns whether the engines' paces matter to a service, by its name.
     """
 
@@ -133,8 +122,7 @@
         self._revision = 0
         self._shared_at = float("-inf")
         self._acked: dict[str, _AckedRevisions] = {}
-        self._pruned_at = float("inf")
-        self._last_stall: _Stall | None = None
+        self.stalls = StallDetector()
 
     def merge_share(self, message: ShareRequest) -> bool:
         """Merge another coordinator's state; return whether all that it gives an age for is known.
@@ -205,14 +193,9 @@
     def prune(self, now: float) -> None:
         """Drop expired upstreams, loads, paces and suspicions; called periodically.
 
-        A call that comes late shows that this process was stalled.
-
         :param now: the current time.
         """
-        late_seconds = now - self._pruned_at
-        if late_seconds > LOOP_STALL_SECONDS:
-            self._last_stall = _Stall(late_seconds, now + LOOP_STALL_SECONDS)
-        self._pruned_at = now
+        self.stalls.note_turn(now)
         self.loads.remove_expired(now)
         self.paces.remove_expired(now, self._is_pace_wanted)
         self.shared_suspects.tick(now)
@@ -220,19 +203,6 @@
             log_event(Event.UPSTREAM_LEFT, id=instance.id, service=instance.service, why="age")
             self._wake()
 
-    def _find_stall_seconds(self, now: float) -> float:
-        """Return how long a heartbeat that is read now may have waited for this process.
-
-        After a stall the backlog is read at once. Without this age an upstream that ended during
-        the stall would count as alive until its heartbeats are overdue.
-        """
-        late_seconds = now - self._pruned_at
-        if late_seconds > LOOP_STALL_SECONDS:
-            return late_seconds
-        if self._last_stall is not None and now < self._last_stall.until:
-            return self._last_stall.seconds
-        return 0.0
-
     def count_gateways(self, now: float) -> int:
         """Return how many gateways were heard recently, whether they accept clients or not.
 
@@ -260,7 +230,9 @@
         :param sighting: the heartbeat.
         """
         now = anyio.current_time()
-        sighting = replace(sighting, age=self._find_stall_seconds(now))
+        # Without this age, an upstream that ended during a stall would count as alive until its
+        # heartbeats are overdue.
+        sighting = replace(sighting, age=self.stalls.get_backlog_seconds(now))
         with self.wake_on_fleet_change():
             changed = self.fleet.note(sighting, now)
         for instance in changed:
--- a/src/daleroad/sitestate.py
+++ b/src/daleroad/sitestate.py
@@ -72,6 +72,7 @@
             zone=order.zone,
             evacuated=order.evacuated,
             changed=changed,
+            at=order.at,
             by=order.by,
         )
         if changed:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -55,6 +55,7 @@
 from daleroad.fingerprints import fingerprint_job  # noqa: E402
 from daleroad.instances import Instance, InstanceState  # noqa: E402
 from daleroad.routing import Repeat, RoutingConfig, validate_config  # noqa: E402
+from daleroad.stalls import StallDetector  # noqa: E402
 
 CONFIG = {
     "version": 7,
@@ -387,7 +388,8 @@
         async def send(event: dict) -> None:
             sent.append(event)
 
-        app = ControlApp(SimpleNamespace(log=log))  # type: ignore[arg-type]
+        coordinator = SimpleNamespace(log=log, presence=SimpleNamespace(stalls=StallDetector()))
+        app = ControlApp(coordinator)  # type: ignore[arg-type]
         scope = {"type": "http", "method": method, "path": path}
         anyio.run(app.handle, scope, receive, send)
         return sent[0]["status"]
