Bind orders about zones to the version that they are based on

Cause: an order outlived its caller. It waited in the socket of a frozen coordinator, while its caller sent it again elsewhere and ordered the opposite afterwards; nothing in it said what it was meant to change, so it was committed as a new order 20 ms after the freeze.

Change: an order names the version of the zones that it is based on, and the log drops it once they have changed. A coordinator gives an order that version only while its caller waits: the connection is open, and the order is younger than the second for which callers wait, counting stalls of the process. It repeats a proper order with a newer version if its own replica lagged. The operators' commands name the version themselves.

Why it works: whatever an order waits for after it was read, a later order has changed the version by then.

--- a/src/daleroad/callers.py
+++ b/src/daleroad/callers.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass
 
+from daleroad.defaults import MAX_ORDER_AGE_SECONDS
+
 
 @dataclass
 class Caller:
@@ -21,3 +23,10 @@
     read_at: float
     waited: float = 0.0
     connected: bool = True
+
+    def is_waiting(self, now: float) -> bool:
+        """Return whether the caller surely still waits for the answer.
+
+        :param now: the current time.
+        """
+        return self.connected and self.waited + now - self.read_at < MAX_ORDER_AGE_SECONDS
--- a/src/daleroad/commandcalls.py
+++ b/src/daleroad/commandcalls.py
@@ -26,7 +26,19 @@
     :param body: the question as JSON.
     :param shape: the type of the answer.
     """
-    answer = anyio.run(_call, coordinator, name, body, shape)
+    return exit_on_failure(call_coordinator(coordinator, name, body, shape))
+
+
+def call_coordinator(coordinator: str, name: str, body: bytes, shape: type[T]) -> T | Failure:
+    """Return a coordinator's answer, or a failure; the parameters are those of ask_coordinator."""
+    return anyio.run(_call, coordinator, name, body, shape)
+
+
+def exit_on_failure(answer: T | Failure) -> T:
+    """Return an answer, or end with an error line if it is a failure.
+
+    :param answer: the answer.
+    """
     if isinstance(answer, Failure):
         print(f"{answer.kind}: {answer.reason}", file=sys.stderr)
         sys.exit(_FAILED)
--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -17,6 +17,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from daleroad.callers import Caller
 from daleroad.calls import Calls, make_url
 from daleroad.channelserver import ChannelServer
 from daleroad.codec import decode, encode
@@ -32,7 +33,7 @@
 )
 from daleroad.documents import DocumentHistory
 from daleroad.errors import Failure, FailureKind
-from daleroad.evacuations import ZoneOrder
+from daleroad.evacuations import ZoneOrder, ZoneOutcome
 from daleroad.events import Event, log_event
 from daleroad.fleetfile import FleetKeeper
 from daleroad.logtypes import Member
@@ -538,8 +539,17 @@
         message = self._decode_request(request, EvacuateRequest)
         if isinstance(message, Failure):
             return message
-        answer = await self.log.set_zone_evacuated(message.zone, message.evacuated)
-        return answer if isinstance(answer, Failure) else Response(200, encode(answer))
+        caller = Caller(anyio.current_time())
+        answer = await self.log.set_zone_evacuated(
+            message.zone, message.evacuated, caller, message.base
+        )
+        match answer:
+            case ZoneOutcome(current, superseded=True):
+                reason = f"based on version {message.base} of the zones, now {current.version}"
+                return Failure(FailureKind.CONFLICT, reason)
+            case ZoneOutcome(current):
+                return Response(200, encode(current))
+        return answer
 
     async def _serve_evacuations(self, request: Request) -> Answer:
         refusal = check_peer(request.headers, self.calls.token)
--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -194,6 +194,10 @@
 LEADER_WAIT_SECONDS = 0.85
 """How long a coordinator looks for a leader; callers wait for one second."""
 
+MAX_ORDER_AGE_SECONDS = 0.9
+"""Age up to which the caller of an order on an open connection surely waits for its answer; callers
+wait for one second."""
+
 LOOKUP_TTL_SECONDS = 2
 """How long a client may keep the addresses it was told; below what a heartbeat's loss takes."""
 
--- a/src/daleroad/evacuationcommands.py
+++ b/src/daleroad/evacuationcommands.py
@@ -1,14 +1,20 @@
 """Operator commands that list, begin and end evacuations of availability zones."""
 
 import json
+import time
 
 from fire.decorators import SetParseFn
 
 from daleroad.codec import encode
-from daleroad.commandcalls import ask_coordinator
+from daleroad.commandcalls import ask_coordinator, call_coordinator, exit_on_failure
+from daleroad.defaults import COORDINATOR_TURN_SECONDS
+from daleroad.errors import Failure, FailureKind
 from daleroad.evacuations import EvacuatedZones, Evacuations
 from daleroad.notices import EvacuateRequest
 
+_MAX_TRIES = 10
+"""Tries of an order; a coordinator may lag behind the newest change of the zones for a moment."""
+
 
 class EvacuationCommands:
     """Evacuated availability zones. Set DALEROAD_SECRET to the processes' secret."""
@@ -56,6 +62,13 @@
 
 
 def _send_order(coordinator: str, zone: str, evacuated: bool) -> None:
-    request = encode(EvacuateRequest(zone, evacuated))
-    answer = ask_coordinator(coordinator, "evacuate", request, EvacuatedZones)
-    print(json.dumps({"zones": answer.zones, "version": answer.version}))
+    """Order what the operator wants, based on the newest version of the zones that is known."""
+    for _ in range(_MAX_TRIES):
+        state = ask_coordinator(coordinator, "evacuations", b"{}", Evacuations)
+        request = encode(EvacuateRequest(zone, evacuated, state.current.version))
+        answer = call_coordinator(coordinator, "evacuate", request, EvacuatedZones)
+        if not isinstance(answer, Failure) or answer.kind is not FailureKind.CONFLICT:
+            break
+        time.sleep(COORDINATOR_TURN_SECONDS)
+    zones = exit_on_failure(answer)
+    print(json.dumps({"zones": zones.zones, "version": zones.version}))
--- a/src/daleroad/evacuations.py
+++ b/src/daleroad/evacuations.py
@@ -4,6 +4,9 @@
 replicated log, which gives their sequence and their durability. Processes use the newest state that
 they know; states are compared by the log index of the order that produced them.
 
+An order names the version of the state that it is based on, and changes nothing once there is a
+newer one. An order that outlives its caller, wherever it waits, can't undo those that followed it.
+
 Does no I/O.
 """
 
@@ -20,12 +23,17 @@
     :param evacuated: True to evacuate the zone, False to end its evacuation.
     :param at: when a coordinator received the order, in seconds since the epoch by its clock.
     :param by: name of that coordinator.
+    :param id: identifies the order when it is sent again.
+    :param base: version of the evacuated zones that it is based on; None in orders of earlier
+        versions of the program, which apply to any.
     """
 
     zone: str
     evacuated: bool
     at: float = 0.0
     by: str = ""
+    id: str = ""
+    base: int | None = None
 
 
 @dataclass(frozen=True)
@@ -41,6 +49,18 @@
     at: float = 0.0
 
 
+@dataclass(frozen=True)
+class ZoneOutcome:
+    """The result of an order.
+
+    :param current: the evacuated zones afterwards.
+    :param superseded: whether the order was dropped because the zones have changed since its base.
+    """
+
+    current: EvacuatedZones
+    superseded: bool = False
+
+
 @dataclass(frozen=True)
 class ZoneChange:
     """An order that changed the evacuated zones.
@@ -62,17 +82,34 @@
     current: EvacuatedZones = EvacuatedZones()
     history: tuple[ZoneChange, ...] = ()
 
+    def changes(self, order: ZoneOrder) -> bool:
+        """Return whether an order has yet to be carried out: it is new, and would change a zone.
+
+        :param order: the order.
+        """
+        if (order.zone in self.current.zones) == order.evacuated:
+            return False
+        return not order.id or all(change.order.id != order.id for change in self.history)
+
+    def is_superseded(self, order: ZoneOrder) -> bool:
+        """Return whether an order must be dropped because the zones have changed since its base.
+
+        :param order: the order.
+        """
+        outdated = order.base is not None and order.base < self.current.version
+        return outdated and self.changes(order)
+
     def apply(self, index: int, order: ZoneOrder) -> "Evacuations":
         """Return the state after a committed order.
 
-        An order that changes nothing is not recorded.
+        An order that changes nothing or is superseded is not recorded.
 
         :param index: its index in the log. Indexes up to the current version are ignored, since a
             member that restarts from its disk applies entries again.
         :param order: the order.
         """
         known = self.current
-        if index <= known.version or (order.zone in known.zones) == order.evacuated:
+        if index <= known.version or not self.changes(order) or self.is_superseded(order):
             return self
         other_zones = tuple(zone for zone in known.zones if zone != order.zone)
         zones = tuple(sorted((*other_zones, order.zone))) if order.evacuated else other_zones
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -460,10 +460,13 @@
 
     :param zone: the availability zone.
     :param evacuated: whether the zone's upstreams should get no requests.
+    :param base: version of the evacuated zones that the request is based on; it is refused if they
+        have changed since.
     """
 
     zone: str
     evacuated: bool
+    base: int
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/siteclient.py
+++ b/src/daleroad/siteclient.py
@@ -6,10 +6,13 @@
 
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import TypeVar
+from uuid import uuid4
 
 import anyio
 
+from daleroad.callers import Caller
 from daleroad.calls import Calls
 from daleroad.codec import encode
 from daleroad.defaults import (
@@ -19,7 +22,7 @@
     LEADER_WAIT_SECONDS,
 )
 from daleroad.errors import Failure, FailureKind, Ran
-from daleroad.evacuations import EvacuatedZones, ZoneOrder
+from daleroad.evacuations import ZoneOrder, ZoneOutcome
 from daleroad.notices import ReadAnswer, SaveAnswer, SaveRequest
 from daleroad.raftnode import RaftNode
 from daleroad.routing import RoutingConfig, validate_config
@@ -92,33 +95,55 @@
             return ReadAnswer(document.version, document.text)
         return await self._call_leader("read", b"{}", ReadAnswer)
 
-    async def set_zone_evacuated(self, zone: str, evacuated: bool) -> EvacuatedZones | Failure:
+    async def set_zone_evacuated(
+        self, zone: str, evacuated: bool, caller: Caller, base: int | None = None
+    ) -> ZoneOutcome | Failure:
         """Commit an operator's order to evacuate a zone or to end its evacuation.
 
         The order is idempotent on all coordinators: if the zone already is in the ordered state,
-        nothing changes.
+        nothing changes. An order that names no base gets the newest version of the zones as its
+        base, but only while its caller waits: the caller has sent no other order until then.
 
         :param zone: the availability zone.
         :param evacuated: whether the zone's upstreams are to get no requests.
+        :param caller: the caller of the order.
+        :param base: version of the evacuated zones that the caller based the order on, if any.
         """
         if self._zones and zone not in self._zones:
             return Failure(FailureKind.INVALID, f"unknown availability zone {zone!r}")
-        order = ZoneOrder(zone, evacuated, time.time(), self._name)
-        return await _retry_until_answered(lambda: self.set_zone_evacuated_once(order), Ran.UNKNOWN)
-
-    async def set_zone_evacuated_once(self, order: ZoneOrder) -> EvacuatedZones | Failure:
+        known = self._record.zones
+        if base is None and not caller.is_waiting(anyio.current_time()):
+            return ZoneOutcome(known, superseded=True)
+        order_base = known.version if base is None else base
+        order = ZoneOrder(zone, evacuated, time.time(), self._name, uuid4().hex, order_base)
+        with anyio.move_on_after(LEADER_WAIT_SECONDS):
+            while True:
+                outcome = await self.set_zone_evacuated_once(order)
+                if isinstance(outcome, Failure):
+                    await anyio.sleep(COORDINATOR_TURN_SECONDS)
+                elif (
+                    outcome.superseded and base is None and caller.is_waiting(anyio.current_time())
+                ):
+                    # The order was based on what this coordinator knew, which lags a little behind.
+                    order = replace(order, base=outcome.current.version)
+                else:
+                    return outcome
+        return _make_no_leader(Ran.UNKNOWN)
+
+    async def set_zone_evacuated_once(self, order: ZoneOrder) -> ZoneOutcome | Failure:
         """Commit a zone order, or forward it to the leader; one attempt.
 
         :param order: the order.
         """
         if not self._group.is_leading():
-            return await self._call_leader("order-zone", encode(order), EvacuatedZones)
-        known = self._record.zones
-        if self._group.can_serve_reads() and (order.zone in known.zones) == order.evacuated:
+            return await self._call_leader("order-zone", encode(order), ZoneOutcome)
+        known = self._record.evacuations
+        superseded = known.is_superseded(order)
+        if self._group.can_serve_reads() and (superseded or not known.changes(order)):
             # The state is committed, and the lease excludes another leader, so nothing is appended.
-            return known
+            return ZoneOutcome(known.current, superseded)
         outcome = await self._group.propose(encode(order).decode())
-        assert isinstance(outcome, Failure | EvacuatedZones)
+        assert isinstance(outcome, Failure | ZoneOutcome)
         return outcome
 
     async def _call_leader(self, call: str, body: bytes, answer_type: type[T]) -> T | Failure:
@@ -146,4 +171,8 @@
             if not isinstance(answer, Failure) or answer.kind is FailureKind.INVALID:
                 return answer
             await anyio.sleep(COORDINATOR_TURN_SECONDS)
+    return _make_no_leader(ran)
+
+
+def _make_no_leader(ran: Ran) -> Failure:
     return Failure(FailureKind.NO_MAJORITY, "no leader answered in time", ran, JOIN_SECONDS)
--- a/src/daleroad/sitestate.py
+++ b/src/daleroad/sitestate.py
@@ -8,7 +8,7 @@
 
 from daleroad.codec import decode, encode
 from daleroad.errors import Failure
-from daleroad.evacuations import EvacuatedZones, Evacuations, ZoneOrder
+from daleroad.evacuations import EvacuatedZones, Evacuations, ZoneOrder, ZoneOutcome
 from daleroad.events import Event, log_event
 
 
@@ -51,8 +51,8 @@
         """The evacuated zones, whose upstreams get no requests."""
         return self.evacuations.current
 
-    def apply_payload(self, index: int, payload: str) -> Document | EvacuatedZones:
-        """Apply a committed document or zone order; return the resulting document or zones.
+    def apply_payload(self, index: int, payload: str) -> Document | ZoneOutcome:
+        """Apply a committed document or zone order; return the resulting document or its outcome.
 
         :param index: index of the log entry.
         :param payload: the serialised document or order.
@@ -62,8 +62,9 @@
             return self._apply_order(index, order)
         return self._apply_document(index, payload)
 
-    def _apply_order(self, index: int, order: ZoneOrder) -> EvacuatedZones:
+    def _apply_order(self, index: int, order: ZoneOrder) -> ZoneOutcome:
         before = self.zones
+        superseded = self.evacuations.is_superseded(order)
         self.evacuations = self.evacuations.apply(index, order)
         changed = self.zones != before
         log_event(
@@ -72,12 +73,14 @@
             zone=order.zone,
             evacuated=order.evacuated,
             changed=changed,
+            superseded=superseded,
             at=order.at,
             by=order.by,
+            id=order.id,
         )
         if changed:
             self.on_zones_change()
-        return self.zones
+        return ZoneOutcome(self.zones, superseded)
 
     def _apply_document(self, index: int, payload: str) -> Document:
         document = decode(Document, payload)
--- a/src/daleroad/stalls.py
+++ b/src/daleroad/stalls.py
@@ -15,7 +15,7 @@
 class _Stall:
     """A stall that is over.
 
-    :param seconds: its length.
+    :param seconds: its length, with that of a stall shortly before it.
     :param until: time until which input that arrived during the stall may be read.
     """
 
@@ -35,9 +35,8 @@
 
         :param now: the current time.
         """
-        late_seconds = now - self._last_turn_at
-        if late_seconds > LOOP_STALL_SECONDS:
-            self._last_stall = _Stall(late_seconds, now + LOOP_STALL_SECONDS)
+        if now - self._last_turn_at > LOOP_STALL_SECONDS:
+            self._last_stall = _Stall(self.get_backlog_seconds(now), now + LOOP_STALL_SECONDS)
         self._last_turn_at = now
 
     def get_backlog_seconds(self, now: float) -> float:
@@ -46,8 +45,9 @@
         :param now: the current time.
         """
         late_seconds = now - self._last_turn_at
-        if late_seconds > LOOP_STALL_SECONDS:
-            return late_seconds
-        if self._last_stall is not None and now < self._last_stall.until:
-            return self._last_stall.seconds
-        return 0.0
+        stalled_seconds = late_seconds if late_seconds > LOOP_STALL_SECONDS else 0.0
+        # Input of a stall that ended shortly before another one may still be unread.
+        last = self._last_stall
+        if last is not None and now - stalled_seconds < last.until:
+            stalled_seconds += last.seconds
+        return stalled_seconds
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -18,6 +18,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from daleroad.callers import Caller
 from daleroad.codec import encode
 from daleroad.commandcalls import SECRET_VARIABLE
 from daleroad.coordinator import Coordinator
@@ -25,7 +26,13 @@
 from daleroad.dispatch import Attempt, CopyFault, CopySource, NotCopied, NotRun, Whole
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.evacuationcommands import EvacuationCommands
-from daleroad.evacuations import MAX_HISTORY, EvacuatedZones, Evacuations, ZoneOrder
+from daleroad.evacuations import (
+    MAX_HISTORY,
+    EvacuatedZones,
+    Evacuations,
+    ZoneOrder,
+    ZoneOutcome,
+)
 from daleroad.fleet import Fleet
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance, Sighting
@@ -123,9 +130,10 @@
         run_site(main, count)
 
     async def order(self, site: Site, name: str, zone: str, evacuated: bool) -> EvacuatedZones:
-        answer = await site.get(name).log.set_zone_evacuated(zone, evacuated)
-        assert isinstance(answer, EvacuatedZones), answer
-        return answer
+        caller = Caller(anyio.current_time())
+        answer = await site.get(name).log.set_zone_evacuated(zone, evacuated, caller)
+        assert isinstance(answer, ZoneOutcome) and not answer.superseded, answer
+        return answer.current
 
     async def order_with_retries(self, site: Site, name: str, zone: str) -> float:
         """Evacuate a zone, retrying while there is no leader; return when it was last sent.
@@ -134,8 +142,9 @@
         """
         while True:
             sent = anyio.current_time()
-            answer = await site.get(name).log.set_zone_evacuated(zone, True)
-            if isinstance(answer, EvacuatedZones):
+            answer = await site.get(name).log.set_zone_evacuated(zone, True, Caller(sent))
+            if isinstance(answer, ZoneOutcome):
+                self.assertFalse(answer.superseded)
                 return sent
             self.assertIs(answer.kind, FailureKind.NO_MAJORITY)
             await anyio.sleep(answer.retry_after or 0.0)
@@ -160,7 +169,8 @@
     def test_a_zone_that_no_settings_know_is_refused(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
             for zone in ("z", "", "a" * 10_000):
-                answer = await site.get(names[0]).log.set_zone_evacuated(zone, True)
+                caller = Caller(anyio.current_time())
+                answer = await site.get(names[0]).log.set_zone_evacuated(zone, True, caller)
                 assert isinstance(answer, Failure)
                 self.assertIs(answer.kind, FailureKind.INVALID)
 
@@ -170,7 +180,8 @@
         async def body(site: Site, names: list[str]) -> None:
             await site.kill(names[1])
             await site.kill(names[2])
-            answer = await site.get(names[0]).log.set_zone_evacuated("a", True)
+            caller = Caller(anyio.current_time())
+            answer = await site.get(names[0]).log.set_zone_evacuated("a", True, caller)
             self.assertIsInstance(answer, Failure)
 
         self.run_on_site(body)
@@ -194,7 +205,8 @@
         async def body(site: Site, names: list[str]) -> None:
             leader = await site.wait_for_leader()
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(leader.log.set_zone_evacuated, "a", True)
+                caller = Caller(anyio.current_time())
+                tasks.start_soon(leader.log.set_zone_evacuated, "a", True, caller)
                 await anyio.sleep(0)
                 tasks.cancel_scope.cancel()
             await site.kill(leader.options.name)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -35,6 +35,7 @@
 from nodefile import read_node  # noqa: E402
 from ports import prepare_gateway  # noqa: E402
 
+from daleroad.callers import Caller  # noqa: E402
 from daleroad.copyschedule import RunSize  # noqa: E402
 from daleroad.defaults import FIRST_CONFIG_SECONDS  # noqa: E402
 from daleroad.dispatch import (  # noqa: E402
@@ -51,7 +52,7 @@
     Whole,
 )
 from daleroad.errors import Failure, FailureKind, Ran  # noqa: E402
-from daleroad.evacuations import EvacuatedZones  # noqa: E402
+from daleroad.evacuations import EvacuatedZones, ZoneOutcome  # noqa: E402
 from daleroad.fingerprints import fingerprint_job  # noqa: E402
 from daleroad.instances import Instance, InstanceState  # noqa: E402
 from daleroad.routing import Repeat, RoutingConfig, validate_config  # noqa: E402
@@ -373,9 +374,11 @@
         self.orders: list[tuple[str, bool]] = []
         self.refusal = refusal
 
-    async def set_zone_evacuated(self, zone: str, evacuated: bool) -> EvacuatedZones | Failure:
+    async def set_zone_evacuated(
+        self, zone: str, evacuated: bool, caller: Caller, base: int | None
+    ) -> ZoneOutcome | Failure:
         self.orders.append((zone, evacuated))
-        return self.refusal or EvacuatedZones(1, (zone,) if evacuated else ())
+        return self.refusal or ZoneOutcome(EvacuatedZones(1, (zone,) if evacuated else ()))
 
 
 class EvacuationCallTest(unittest.TestCase):
