Count what waited for a stalled coordinator as old as the stall

What callers would see: after a freeze, a coordinator names a gateway that has left or ended, and tells the others so; an upstream's departure that waited there removes the upstream's next start for a minute.

Cause: only heartbeats were aged by the stall.

Change: gateways, their ages and the ages of upstreams count from the earliest time at which their message may have been sent.

--- a/src/daleroad/fleet.py
+++ b/src/daleroad/fleet.py
@@ -270,6 +270,17 @@
             instance = replace(known.instance, state=InstanceState.GONE)
         return self.note(Sighting(instance, 0.0), now)
 
+    def has_restarted_since(self, name: str, since: float) -> bool:
+        """Return whether the latest start of an upstream was first heard of after a given time.
+
+        False for upstreams whose heartbeats don't report their start: their names are not reused.
+
+        :param name: the upstream's name.
+        :param since: the time.
+        """
+        latest = self._find_latest_start(name)
+        return latest is not None and latest.instance.born > 0 and latest.first_heartbeat_at > since
+
     def is_replaced(self, instance: Instance) -> bool:
         """Return whether the latest known start of the same upstream is another instance.
 
--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -130,23 +130,28 @@
         :param message: the share.
         """
         now = anyio.current_time()
+        sent_at = self._find_sending_time(now)
         self._peers.note_alive(message.sender, now)
         with self.wake_on_fleet_change():
             changed = self.fleet.note_all(message.sightings, now)
         for instance in changed:
             self._log_change(instance)
-        all_known = self.fleet.note_ages(message.ages, now)
+        all_known = self.fleet.note_ages(message.ages, sent_at)
         for notice in message.gateways:
-            self._record_gateway(notice, now)
+            self._record_gateway(notice, sent_at)
         for address, age in message.gateway_ages.items():
             known = self._gateways.get(address)
             if known is None:
                 all_known = False
             else:
-                known.heard_at = max(known.heard_at, now - age)
+                known.heard_at = max(known.heard_at, sent_at - age)
         self.shared_suspects.merge_reports(message.suspicions, now)
         return all_known
 
+    def _find_sending_time(self, now: float) -> float:
+        """Return the earliest time at which a message that is read now may have been sent."""
+        return now - self.stalls.get_backlog_seconds(now)
+
     @contextmanager
     def wake_on_fleet_change(self) -> Iterator[None]:
         """Wake pending watches if the fleet changed within the context."""
@@ -161,7 +166,7 @@
         :param message: the watch request.
         """
         now = anyio.current_time()
-        self._record_gateway(message.gateway, now)
+        self._record_gateway(message.gateway, self._find_sending_time(now))
         self.loads.set_report(message.gateway.address, message.loads, now)
         paces = (pace for pace in message.paces if self._is_pace_wanted(pace.instance))
         self.paces.set_report(message.gateway.address, paces, now)
@@ -244,10 +249,17 @@
     async def handle_departure(self, name: str, born: int = 0) -> Failure | None:
         """Mark an upstream as gone; return a failure if that could not be shared.
 
+        A departure that names no start and may have waited here since before the latest start is
+        not applied: it may be that of an earlier one. The upstream tells another coordinator.
+
         :param name: the upstream's name.
         :param born: identifies the start of its process; 0 for the latest known.
         """
-        for instance in self.fleet.leave(name, anyio.current_time(), born):
+        now = anyio.current_time()
+        if not born and self.fleet.has_restarted_since(name, self._find_sending_time(now)):
+            reason = f"{name} may have started again since it sent this"
+            return Failure(FailureKind.CONFLICT, reason)
+        for instance in self.fleet.leave(name, now, born):
             self._log_change(instance)
             self._wake()
         known = self.fleet.find(name, born)
@@ -341,8 +353,8 @@
             if now - gateway.heard_at < seconds and (gateway.notice.serving or not serving)
         ]
 
-    def _record_gateway(self, notice: GatewayNotice, now: float) -> None:
-        heard_at = now - notice.age
+    def _record_gateway(self, notice: GatewayNotice, sent_at: float) -> None:
+        heard_at = sent_at - notice.age
         known = self._gateways.get(notice.address)
         if known is None:
             self._revision += 1
