Name the crashes that a release of a suspected request retracts

What operators would see: a release that waited at a coordinator frees a request that has crashed other engines since. Found among the orders that change state without a version; by reading, then by a test: six crashes, three of them known when the release was sent, and the request was clear.

Cause: a release retracted whatever was known when it was read.

Change: the order carries the crashes that the operator was shown. The command reads them first; its use is unchanged.

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -582,7 +582,7 @@
         message = self._decode_request(request, ReleaseRequest)
         if isinstance(message, Failure):
             return message
-        failure = self.presence.shared_suspects.release(message.fingerprint)
+        failure = self.presence.shared_suspects.release(message.fingerprint, message.crashes)
         return failure if failure is not None else Response(204)
 
     async def _serve_trial(self, request: Request) -> Answer:
--- a/src/daleroad/notices.py
+++ b/src/daleroad/notices.py
@@ -429,12 +429,15 @@
 
 @dataclass(frozen=True)
 class ReleaseRequest:
-    """An operator's order to clear the suspicion of a request.
+    """An operator's order to retract crashes that are blamed on a request.
 
     :param fingerprint: identifies the request.
+    :param crashes: ids of the instances whose crashes are retracted; an order that is read late
+        retracts none that the operator has not seen.
     """
 
     fingerprint: str
+    crashes: tuple[str, ...]
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/sharedsuspects.py
+++ b/src/daleroad/sharedsuspects.py
@@ -86,14 +86,16 @@
         held = tuple(f for f, standing in standings if standing is Standing.HELD)
         return SuspectsAnswer(known, held)
 
-    def release(self, fingerprint: str) -> Failure | None:
-        """Retract all crashes of a request; return a failure if there are none.
+    def release(self, fingerprint: str, instances: Iterable[str]) -> Failure | None:
+        """Retract crashes of a request; return a failure if none of them is recorded.
 
         :param fingerprint: the request.
+        :param instances: the instances that crashed, as the operator was told.
         """
-        released = self.suspects.release(fingerprint, anyio.current_time())
+        released = self.suspects.release(fingerprint, instances, anyio.current_time())
         if released is None:
-            return Failure(FailureKind.NOT_FOUND, f"no crashes are recorded for {fingerprint}")
+            reason = f"none of these crashes is recorded for {fingerprint}"
+            return Failure(FailureKind.NOT_FOUND, reason)
         ended = list(released.cleared)
         log_event(Event.REQUEST_RELEASED, fingerprint=fingerprint, ended=ended)
         self._wake()
--- a/src/daleroad/suspectcommands.py
+++ b/src/daleroad/suspectcommands.py
@@ -43,13 +43,17 @@
 
     @SetParseFn(str, "fingerprint")
     def release(self, coordinator: str, fingerprint: str) -> None:
-        """Retract all crashes recorded for a request or a part, at all gateways.
+        """Retract the crashes recorded until now for a request or a part, at all gateways.
 
         Args:
             coordinator: IP:PORT of its internal API.
             fingerprint: the fingerprint that ``list`` prints.
         """
-        ask_coordinator(coordinator, "release", encode(ReleaseRequest(fingerprint)), type(None))
+        answer = ask_coordinator(coordinator, "suspects", b"{}", SuspectsAnswer)
+        known = (known for known in answer.suspicions if known.fingerprint == fingerprint)
+        crashes = tuple(instance for suspicion in known for instance in suspicion.crashes)
+        request = encode(ReleaseRequest(fingerprint, crashes))
+        ask_coordinator(coordinator, "release", request, type(None))
         print("released")
 
     def weigh(self, seeds: int = 10) -> None:
--- a/src/daleroad/suspects.py
+++ b/src/daleroad/suspects.py
@@ -24,7 +24,7 @@
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -235,16 +235,18 @@
         crashes = list(suspect.crashes)[:used]
         return self._retract(fingerprint, suspect, crashes, now, succeeded=True)
 
-    def release(self, fingerprint: str, now: float) -> Suspicion | None:
-        """Retract all crashes of a suspect at an operator's order; return a report for others.
+    def release(self, fingerprint: str, instances: Iterable[str], now: float) -> Suspicion | None:
+        """Retract crashes of a suspect at an operator's order; return a report for others, if any.
 
         :param fingerprint: the request or part.
+        :param instances: the instances whose crashes are retracted; others are left as they are.
         :param now: the time.
         """
         suspect = self._known.get(fingerprint)
-        if suspect is None or not suspect.crashes:
+        crashes = [] if suspect is None else [i for i in instances if i in suspect.crashes]
+        if suspect is None or not crashes:
             return None
-        return self._retract(fingerprint, suspect, list(suspect.crashes), now)
+        return self._retract(fingerprint, suspect, crashes, now)
 
     def record_alive(self, instance: str, now: float) -> list[Suspicion]:
         """Retract the crash of an instance that turned out to be alive; return reports for others.
--- a/tests/test_heldrequests.py
+++ b/tests/test_heldrequests.py
@@ -220,12 +220,14 @@
             (suspicion,) = listed.suspicions
             self.assertEqual((suspicion.fingerprint, suspicion.route), (name, "h/x"))
             self.assertEqual(set(suspicion.crashes), {"i1", "i2", "i3"})
-            unknown = encode(ReleaseRequest("0" * 32))
+            unknown = encode(ReleaseRequest("0" * 32, ("i1",)))
             refused = await calls.call(f"{base_url}/site/release", unknown, type(None))
             assert isinstance(refused, Failure)
             self.assertIs(refused.kind, FailureKind.NOT_FOUND)
             released = await calls.call(
-                f"{base_url}/site/release", encode(ReleaseRequest(name)), type(None)
+                f"{base_url}/site/release",
+                encode(ReleaseRequest(name, suspicion.crashes)),
+                type(None),
             )
             self.assertIsNone(released)
             await wait_for(lambda: all(get_standing(g) is Standing.CLEAR for g in gateways))
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -130,12 +130,20 @@
 
     def test_a_released_request_is_held_again_after_new_crashes(self) -> None:
         self.crash("bad", "i1", "i2", "i3")
-        self.assertIsNotNone(self.suspects.release("bad", 0.0))
+        seen = ("i1", "i2", "i3")
+        self.assertIsNotNone(self.suspects.release("bad", seen, 0.0))
         self.assertIs(self.get("bad"), Standing.CLEAR)
-        self.assertIsNone(self.suspects.release("bad", 0.0))
+        self.assertIsNone(self.suspects.release("bad", seen, 0.0))
         self.crash("bad", "i1", "i4", "i5", "i6")
         self.assertIs(self.get("bad"), Standing.HELD)
 
+    def test_a_release_that_is_read_late_retracts_no_crash_that_followed_it(self) -> None:
+        """Guards against a waiting release that frees a request which has crashed others since."""
+        self.crash("bad", "i1", "i2", "i3", "i4", "i5", "i6")
+        self.assertIsNotNone(self.suspects.release("bad", ("i1", "i2", "i3"), 0.0))
+        self.assertIs(self.get("bad"), Standing.HELD)
+        self.assertIsNone(self.suspects.release("bad", (), 0.0))
+
     def test_a_hold_expires_to_a_trial_and_grows_with_each_crash(self) -> None:
         self.crash("bad", "i1", "i2", at=0.0)
         at = 0.0
