--- a/tools/soakzones.py
+++ b/tools/soakzones.py
@@ -1,7 +1,8 @@
 """Evacuates availability zones during a soak, and checks that nothing reaches them.
 
 One zone at a time, held long enough for the bound; orders go to any coordinator and are sent again
-until one acknowledges them, also right behind each other.
+until one acknowledges them, also right behind each other. Often a zone is evacuated again as soon
+as that was taken back, while a copy of the last order may still wait at a paused coordinator.
 """
 
 from dataclasses import dataclass
@@ -21,6 +22,13 @@
 PAUSE_SECONDS = (0.0, 2.0)
 """How long a zone stays evacuated, and the time until the next."""
 
+AGAIN_RATIO = 0.5
+AGAIN_PAUSE_SECONDS = (0.0, 0.5)
+"""How often the same zone is evacuated again soon, and after how long."""
+
+ANSWER_SECONDS = 1.0
+"""How long the operator waits for one coordinator."""
+
 _AGAIN_SECONDS = 0.1
 _DONE = range(200, 300)
 _UNCLEAR = 500
@@ -57,9 +65,13 @@
 
     async def run(self, client: httpx.AsyncClient) -> None:
         """Order until cancelled."""
+        zone = self._random.choice(self._zones)
         while True:
-            await anyio.sleep(self._random.uniform(*PAUSE_SECONDS))
-            zone = self._random.choice(self._zones)
+            if self.spans and self._random.random() < AGAIN_RATIO:
+                await anyio.sleep(self._random.uniform(*AGAIN_PAUSE_SECONDS))
+            else:
+                await anyio.sleep(self._random.uniform(*PAUSE_SECONDS))
+                zone = self._random.choice(self._zones)
             await self._order(client, "POST", zone)
             span = Span(zone, anyio.current_time())
             self.spans.append(span)
@@ -72,7 +84,12 @@
         while True:
             place = self._random.choice(self._entries)
             try:
-                answer = await client.request(method, f"http://{place}/-/evacuations/{zone}")
+                answer = await client.request(
+                    method,
+                    f"http://{place}/-/evacuations/{zone}",
+                    timeout=ANSWER_SECONDS,
+                    follow_redirects=True,
+                )
             except httpx.HTTPError:
                 await anyio.sleep(_AGAIN_SECONDS)
                 continue
