--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,6 +15,7 @@
 from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
+from typing import Any
 
 import anyio
 import orjson
@@ -57,6 +58,7 @@
 from daleroad.instances import Instance, InstanceState  # noqa: E402
 from daleroad.routing import Repeat, RoutingConfig, validate_config  # noqa: E402
 from daleroad.stalls import StallDetector  # noqa: E402
+from tests.fakes import FakeDispatcher, make_gateway  # noqa: E402
 
 CONFIG = {
     "version": 7,
@@ -128,6 +130,20 @@
 }
 
 
+def list_places(value: Any) -> Iterator[tuple[Any, Any]]:
+    """Yield each place in a JSON document, as its container and its key there."""
+    match value:
+        case dict():
+            items = list(value.items())
+        case list():
+            items = list(enumerate(value))
+        case _:
+            return
+    for key, inner in items:
+        yield value, key
+        yield from list_places(inner)
+
+
 def decode(**changes: object) -> RoutingConfig | Failure:
     return wire.decode_config(orjson.dumps({**CONFIG, **changes}))
 
@@ -166,6 +182,41 @@
             with self.subTest(changes):
                 self.assertIsInstance(decode(**changes), Failure)
 
+    def test_route_whose_host_is_no_text_is_refused(self) -> None:
+        """Guards against review/3: such a route was acknowledged and ended all gateways."""
+        for field in ("host", "path_prefix", "name"):
+            for value in (None, 5, ["h.example"], {}):
+                with self.subTest(f"{field} {value!r}"):
+                    route = {**CONFIG["routes"][1], field: value}
+                    self.assertIsInstance(decode(routes=[route]), Failure)
+
+    def test_keys_that_are_no_list_of_texts_are_refused(self) -> None:
+        for keys in ("k1", [1], None, {"k1": 1}):
+            organisation = {"name": "t", "api_keys": keys}
+            self.assertIsInstance(decode(tenants=[organisation]), Failure, keys)
+
+    def test_only_a_boolean_makes_a_route_public(self) -> None:
+        for value in ("false", 1, []):
+            route = {**CONFIG["routes"][1], "public": value}
+            self.assertIsInstance(decode(routes=[route]), Failure, value)
+
+    @settings(max_examples=300, deadline=None)
+    @given(st.data())
+    def test_config_with_an_arbitrary_value_is_refused_or_can_be_applied(
+        self, data: st.DataObject
+    ) -> None:
+        changed = orjson.loads(orjson.dumps(CONFIG))
+        places = list(list_places(changed))
+        holder, key = data.draw(st.sampled_from(places))
+        holder[key] = data.draw(json_values)
+        config = wire.decode_config(dump(changed))
+        if isinstance(config, Failure) or validate_config(config) is not None:
+            return
+        gateway = make_gateway(FakeDispatcher(), config, 0.0)
+        assert gateway.table is not None
+        gateway.table.match("h.example", "/a/b")
+        gateway.table.find_organisation("k1")
+
     def test_unknown_fields_are_ignored(self) -> None:
         self.assertIsInstance(decode(something_new={"a": 1}), RoutingConfig)
 
