Log whether a copy that failed had stopped its generation

A final copy stops the generation first, an earlier one leaves it running; the log could not tell which had failed.

--- a/src/daleroad/migration.py
+++ b/src/daleroad/migration.py
@@ -389,6 +389,7 @@
         job = run.attempt.job
         origin = run.attempt.instance
         started_at = anyio.current_time()
+        run.stop_ordered = run.stop_ordered or final
         result = await self._gateway.dispatcher.copy(job, origin, destination, final)
         if isinstance(result, Copied):
             log_event(
@@ -437,4 +438,10 @@
         return found.instance
 
     def _log_copy_failure(self, run: StreamRun, to: str, reason: str) -> None:
-        log_event(Event.MOVE_FAILED, request=run.attempt.job.id, to=to, reason=reason)
+        log_event(
+            Event.MOVE_FAILED,
+            request=run.attempt.job.id,
+            to=to,
+            reason=reason,
+            stopped=run.stop_ordered,
+        )
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -75,6 +75,7 @@
     :param last_event: id of the last event that had one.
     :param migrating: whether a migration off its engine was started.
     :param recovering: whether a copy is under way because its stream hangs.
+    :param stop_ordered: whether its engine was ordered to stop it, for a final copy.
     :param resume_point: set once the generation was stopped and its memory copied elsewhere.
     :param migration_done: set when the migration has ended, successfully or not, or the stream is
         closed.
@@ -105,6 +106,7 @@
     last_event: str = ""
     migrating: bool = False
     recovering: bool = False
+    stop_ordered: bool = False
     resume_point: ResumePoint | None = None
     migration_done: anyio.Event = field(default_factory=anyio.Event)
     ended: bool = False
@@ -383,6 +385,7 @@
         run.stream = stream
         run.backup = backup
         run.migrating = False
+        run.stop_ordered = False
         run.resume_point = None
         run.ready_at = float("inf")
         run.answering_since = anyio.current_time()
