Remember that a stream was ordered to stop, also if its copy fails

Cause: the end of such a stream counted as a move only if the final copy succeeded. The order to stop, which ends the stream, was forgotten when the copy was refused or its answer lost, and while a stream that hangs was copied the end did not wait for the answer at all.

Change: a stream keeps the order to stop until it goes on elsewhere. Its end is whole only if no order was sent, or the engine says that the generation was over or that another copy is under way.

The new tests fail before the change (a refused copy, a lost answer, a cut link, 404) and pass now.

--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -251,10 +251,18 @@
 
 @dataclass(frozen=True)
 class NotCopied:
-    """No copy is known to have been made."""
+    """No copy is known to have been made.
+
+    :param sent: whether the source may have been asked for it.
+    """
 
     reason: str
     fault: CopyFault
+    sent: bool = True
+
+    def may_have_stopped(self) -> bool:
+        """Return whether the generation may have been stopped, if it was to be the final copy."""
+        return self.sent and self.fault in (CopyFault.NO_ROOM, CopyFault.UNREACHABLE)
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -264,7 +264,8 @@
         closed = self._guard.find_unavailable_reason(destination)
         if closed:
             # This fault is also that of a destination that can't be reached.
-            return NotCopied(f"cannot copy to the destination: {closed}", CopyFault.NO_ROOM)
+            reason = f"cannot copy to the destination: {closed}"
+            return NotCopied(reason, CopyFault.NO_ROOM, sent=False)
         return await self._inner.copy(job, source, destination, final)
 
     async def report(self, instance: Instance) -> EngineReport | Failure:
--- a/src/daleroad/migration.py
+++ b/src/daleroad/migration.py
@@ -25,7 +25,7 @@
 from daleroad.picking import MIGRATION_ZONE_BONUS, pick_upstream
 from daleroad.plans import MigrationPlan
 from daleroad.routing import ServiceRule
-from daleroad.runs import ResumePoint, StreamRun
+from daleroad.runs import ResumePoint, StopOrder, StreamRun
 
 SHARED_NOTICE_SECONDS = 0.03
 """Time to wait for the notices of other engines that shut down together, before destinations are
@@ -64,13 +64,10 @@
 
         :param run: the run.
         """
-        return await self.find_migrated(run) or await self._recover_cut_run(run)
+        return await self._find_migrated(run) or await self._recover_cut_run(run)
 
-    async def find_migrated(self, run: StreamRun) -> ResumePoint | None:
-        """Return the engine that a run was migrated to, if it was; wait for a migration under way.
-
-        :param run: the run.
-        """
+    async def _find_migrated(self, run: StreamRun) -> ResumePoint | None:
+        """Return the engine that a run was migrated to, if any; wait for a migration under way."""
         if run.migrating:
             await run.migration_done.wait()
         return run.resume_point
@@ -389,8 +386,10 @@
         job = run.attempt.job
         origin = run.attempt.instance
         started_at = anyio.current_time()
-        run.stop_ordered = run.stop_ordered or final
-        result = await self._gateway.dispatcher.copy(job, origin, destination, final)
+        if final:
+            result = await self._stop_and_copy(run, destination)
+        else:
+            result = await self._gateway.dispatcher.copy(job, origin, destination, final)
         if isinstance(result, Copied):
             log_event(
                 Event.STREAM_COPIED,
@@ -406,6 +405,19 @@
             )
         return result
 
+    async def _stop_and_copy(self, run: StreamRun, destination: Instance) -> Copied | NotCopied:
+        """Make a final copy, and record the order to stop that goes with it."""
+        job, origin = run.attempt.job, run.attempt.instance
+        is_first = run.stop_order is None
+        order = run.stop_order = run.stop_order or StopOrder()
+        try:
+            result = await self._gateway.dispatcher.copy(job, origin, destination, True)
+        finally:
+            order.answered.set()
+        if is_first and isinstance(result, NotCopied) and not result.may_have_stopped():
+            run.stop_order = None
+        return result
+
     def _make_continuation(self, run: StreamRun, to: Instance, copied: Copied) -> ResumePoint:
         source = CopySource(run.attempt.instance.address, copied.handle, run.last_event)
         return ResumePoint(to, source)
@@ -443,5 +455,5 @@
             request=run.attempt.job.id,
             to=to,
             reason=reason,
-            stopped=run.stop_ordered,
+            stopped=run.stop_order is not None,
         )
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -44,6 +44,16 @@
     source: CopySource
 
 
+@dataclass
+class StopOrder:
+    """An order to an engine to stop a generation, whose stream then ends, copied or not.
+
+    :ivar answered: set once the engine has answered, or the answer was given up.
+    """
+
+    answered: anyio.Event = field(default_factory=anyio.Event)
+
+
 @dataclass
 class RetryState:
     """The attempts of one request, and the limit on restarting its stream.
@@ -75,7 +85,7 @@
     :param last_event: id of the last event that had one.
     :param migrating: whether a migration off its engine was started.
     :param recovering: whether a copy is under way because its stream hangs.
-    :param stop_ordered: whether its engine was ordered to stop it, for a final copy.
+    :param stop_order: the order to its engine to stop it for a final copy, if there was one.
     :param resume_point: set once the generation was stopped and its memory copied elsewhere.
     :param migration_done: set when the migration has ended, successfully or not, or the stream is
         closed.
@@ -106,7 +116,7 @@
     last_event: str = ""
     migrating: bool = False
     recovering: bool = False
-    stop_ordered: bool = False
+    stop_order: StopOrder | None = None
     resume_point: ResumePoint | None = None
     migration_done: anyio.Event = field(default_factory=anyio.Event)
     ended: bool = False
@@ -141,9 +151,6 @@
     async def find_resume_point(self, run: StreamRun) -> ResumePoint | None:
         """Return the engine that can resume a run whose stream was cut, if there is one."""
 
-    async def find_migrated(self, run: StreamRun) -> ResumePoint | None:
-        """Return the engine that a run was migrated to, if it was, once that is known."""
-
     async def copy_cut_off(self, run: StreamRun) -> ResumePoint | None:
         """Stop a run whose stream hangs, and return the engine that can resume it, if any."""
 
@@ -219,10 +226,10 @@
                     self._note_gap(run)
                     yield piece.data
                     run.ready_at = anyio.current_time()
-            if cut is None and not await self._has_been_moved(run):
+            if cut is None and not await self._has_been_stopped(run):
                 run.outcome = StreamEnd.WHOLE
                 return
-            cut = cut or Lost("the stream ended as its generation was moved")
+            cut = cut or Lost("the stream ended as its generation was stopped")
             run.answered = anyio.current_time() - run.answering_since
             failure = await self._resume(run, cut)
             if failure is not None:
@@ -231,11 +238,15 @@
                 yield failure
                 return
 
-    async def _has_been_moved(self, run: StreamRun) -> bool:
-        """Return whether the connection that ended a stream was closed by the generation's move."""
-        if run.stream.delimited:
+    async def _has_been_stopped(self, run: StreamRun) -> bool:
+        """Return whether a stream may have ended because its engine was ordered to stop it.
+
+        Without a length or chunks, that looks like the end of the whole stream.
+        """
+        if run.stream.delimited or run.stop_order is None:
             return False
-        return await self._mover.find_migrated(run) is not None
+        await run.stop_order.answered.wait()
+        return run.stop_order is not None
 
     def _note_gap(self, run: StreamRun) -> None:
         """Record the gap before an event if the gateway waited for both events at one engine."""
@@ -385,7 +396,7 @@
         run.stream = stream
         run.backup = backup
         run.migrating = False
-        run.stop_ordered = False
+        run.stop_order = None
         run.resume_point = None
         run.ready_at = float("inf")
         run.answering_since = anyio.current_time()
--- a/tests/test_undelimited.py
+++ b/tests/test_undelimited.py
@@ -4,15 +4,26 @@
 """
 
 import unittest
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
+from functools import partial
 
 import anyio
 import trio
 import trio.testing
 
 from daleroad.blame import JOINT_CRASH_SECONDS
-from daleroad.dispatch import Attempt, Lost, Reply, StreamEvent, Whole
+from daleroad.dispatch import (
+    Attempt,
+    ClientRequest,
+    Copied,
+    CopyFault,
+    Lost,
+    NotCopied,
+    Reply,
+    StreamEvent,
+    Whole,
+)
 from daleroad.errors import Failure, Ran
 from daleroad.forwarding import StreamResponse
 from daleroad.gateway import Gateway
@@ -22,7 +33,7 @@
 from daleroad.onsets import Progress
 from daleroad.promptparts import make_shared_part
 from daleroad.routing import Repeat
-from daleroad.runs import StreamRegistry
+from daleroad.runs import StreamRegistry, StreamRun
 from daleroad.sharedsuspects import UNCONFIRMED_SECONDS
 from daleroad.suspects import Standing
 from tests import test_moves, test_platform
@@ -38,6 +49,10 @@
 from tests.test_moves import LinkedEngines, RunningStream
 from tests.test_platform import SIGNED, EventStream, Upstream
 
+Copy = Callable[
+    [anyio.Event, ClientRequest, Instance, Instance, bool], Awaitable[Copied | NotCopied]
+]
+
 STREAM_HEAD = ("HTTP/1.1 200 OK", *SIGNED, "Content-Type: text/event-stream", "X: close-after")
 PLAIN_HEAD = ("HTTP/1.1 200 OK", *SIGNED, "X: close-after")
 
@@ -286,10 +301,21 @@
 
 class MoveTest(unittest.TestCase):
     make_run = test_moves.MovesTest.make_run
-    read = test_moves.MovesTest.read
 
-    def test_a_stream_goes_on_where_its_generation_was_moved(self) -> None:
-        async def main() -> None:
+    def move(self, copy: Copy | None = None) -> tuple[StreamRun, list[Failure]]:
+        """Move an undelimited stream off its engine; return it, and the failures in it.
+
+        :param copy: answers copies in place of the engines.
+        """
+        failures: list[Failure] = []
+
+        async def read(registry: StreamRegistry, run: StreamRun) -> None:
+            registry.open(run)
+            async for piece in registry.deliver(run):
+                failures.extend([piece] if isinstance(piece, Failure) else [])
+            await registry.close(run)
+
+        async def main() -> StreamRun:
             self.engine = LinkedEngines(3000)
             gateway = make_gateway(self.engine, make_config(Repeat.STREAM, engine=True), 0.0)
             registry = StreamRegistry(gateway, EngineMigrator(gateway))
@@ -298,7 +324,10 @@
                 gateway.start(tasks)
                 run = self.make_run(1, 1)
                 run.stream = UndelimitedRunningStream(self.engine, run.attempt.job.id)
-                tasks.start_soon(self.read, registry, run)
+                if copy is not None:
+                    stopped = self.engine.stopped[run.attempt.job.id]
+                    self.engine.copy = partial(copy, stopped)  # type: ignore[method-assign]
+                tasks.start_soon(read, registry, run)
                 await anyio.sleep(0.5)
                 leaving = make_instance(1, InstanceState.LEAVING)
                 leaving = replace(leaving, sequence=2)
@@ -308,7 +337,90 @@
                     await run.migration_done.wait()
                     await anyio.sleep(2.0)
                 tasks.cancel_scope.cancel()
-            self.assertEqual(run.last_event, "1001")
-            self.assertEqual(run.outcome, "whole")
+            return run
 
-        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        run = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return run, failures
+
+    def test_a_stream_goes_on_where_its_generation_was_moved(self) -> None:
+        run, _ = self.move()
+        self.assertEqual(run.last_event, "1001")
+        self.assertEqual(run.outcome, "whole")
+
+    def test_a_stream_that_was_stopped_for_a_refused_copy_is_not_whole(self) -> None:
+        """Guards against review/2: it ended as complete in the middle."""
+
+        async def refuse(
+            stopped: anyio.Event, job: ClientRequest, _: Instance, to: Instance, final: bool
+        ) -> Copied | NotCopied:
+            if not final:
+                return Copied("handle", 1)
+            stopped.set()
+            await anyio.sleep(0.01)
+            return NotCopied("status 503", CopyFault.NO_ROOM)
+
+        run, failures = self.move(refuse)
+        self.assertEqual(run.outcome, "broken off upstream")
+        self.assertEqual([failure.ran for failure in failures], [Ran.PARTIAL])
+
+    def test_a_stream_whose_copy_got_no_answer_is_not_whole(self) -> None:
+        async def lose(
+            stopped: anyio.Event, job: ClientRequest, _: Instance, to: Instance, final: bool
+        ) -> Copied | NotCopied:
+            if not final:
+                return Copied("handle", 1)
+            stopped.set()
+            await anyio.sleep(1.0)
+            return NotCopied("no answer", CopyFault.UNREACHABLE)
+
+        run, failures = self.move(lose)
+        self.assertEqual([failure.ran for failure in failures], [Ran.PARTIAL])
+
+    def test_a_stream_that_was_over_before_it_could_be_stopped_is_whole(self) -> None:
+        async def miss(
+            stopped: anyio.Event, job: ClientRequest, _: Instance, to: Instance, final: bool
+        ) -> Copied | NotCopied:
+            if not final:
+                return Copied("handle", 1)
+            stopped.set()
+            await anyio.sleep(0.01)
+            return NotCopied("status 404", CopyFault.ABSENT)
+
+        run, failures = self.move(miss)
+        self.assertEqual((run.outcome, failures), ("whole", []))
+
+    def test_a_stream_that_no_order_reached_is_whole_when_it_ends(self) -> None:
+        async def hold_back(
+            stopped: anyio.Event, job: ClientRequest, _: Instance, to: Instance, final: bool
+        ) -> Copied | NotCopied:
+            if not final:
+                return Copied("handle", 1)
+            await anyio.sleep(0.01)
+            stopped.set()
+            return NotCopied("destination evacuated", CopyFault.NO_ROOM, sent=False)
+
+        run, failures = self.move(hold_back)
+        self.assertEqual((run.outcome, failures), ("whole", []))
+
+    def test_a_stream_behind_a_cut_link_that_was_stopped_in_vain_is_not_whole(self) -> None:
+        async def main() -> list[Failure]:
+            engine = LinkedEngines(3000)
+            engine.refuse = lambda to, final: True
+            self.engine = engine
+            gateway = make_gateway(engine, make_config(Repeat.STREAM, engine=True), 0.0)
+            registry = StreamRegistry(gateway, EngineMigrator(gateway))
+            failures: list[Failure] = []
+            async with anyio.create_task_group() as tasks:
+                gateway.start(tasks)
+                run = self.make_run(1, 1)
+                run.stream = UndelimitedRunningStream(engine, run.attempt.job.id)
+                registry.open(run)
+                registry.recover_cut_off(run.attempt.job.id, lambda: None)
+                async for piece in registry.deliver(run):
+                    failures.extend([piece] if isinstance(piece, Failure) else [])
+                await registry.close(run)
+                tasks.cancel_scope.cancel()
+            return failures
+
+        failures = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual([failure.ran for failure in failures], [Ran.PARTIAL])
