Wait for a copy under way before a stream that it ended is copied again

What callers would see: a stream that hangs behind a cut link is broken off although its memory was copied to another engine. Suspected by the review; a stand-in shows it: the second final copy is refused with 409 while the first is made.

Cause: the end of a stream waited for a migration off an engine that leaves, but not for the copy of a stream that hangs. A copy that came after the stream had gone on elsewhere was kept as its resume point.

Result: the new test fails before the change (two copies, stream broken off) and passes now; tests.test_runs, test_moves and test_undelimited pass.

The soak's operator takes an evacuation back through a coordinator that has just been paused, and evacuates the zone again soon.

--- a/src/daleroad/migration.py
+++ b/src/daleroad/migration.py
@@ -67,9 +67,11 @@
         return await self._find_migrated(run) or await self._recover_cut_run(run)
 
     async def _find_migrated(self, run: StreamRun) -> ResumePoint | None:
-        """Return the engine that a run was migrated to, if any; wait for a migration under way."""
+        """Return the engine that a run was migrated to, if any; wait for a copy under way."""
         if run.migrating:
             await run.migration_done.wait()
+        elif run.stop_order is not None:
+            await run.stop_order.answered.wait()
         return run.resume_point
 
     async def copy_cut_off(self, run: StreamRun) -> ResumePoint | None:
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -203,12 +203,14 @@
 
     async def _recover_cut_off(self, run: StreamRun, abandon: Callable[[], None]) -> None:
         """Copy a run and end its stream; without a copy, its rest may still come after the cut."""
+        stream = run.stream
         try:
-            if run.resume_point is None:
-                run.resume_point = await self._mover.copy_cut_off(run)
+            found = run.resume_point or await self._mover.copy_cut_off(run)
         finally:
             run.recovering = False
-        if run.resume_point is not None:
+        # A copy that comes too late is none of the stream that replaced this one.
+        if found is not None and run.stream is stream:
+            run.resume_point = found
             abandon()
 
     async def deliver(self, run: StreamRun) -> AsyncGenerator[bytes | Failure, None]:
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -114,6 +114,38 @@
         self.assertIsNotNone(run.resume_point)
         self.assertTrue(abandoned)
 
+    def test_stream_that_ends_while_it_is_copied_goes_on_from_that_copy(self) -> None:
+        """Guards against a second final copy, which the engine refuses while the first is made."""
+
+        async def copy(*_: object, **__: object) -> Copied | NotCopied:
+            self.dispatcher.copies.append(("", "", True))
+            if len(self.dispatcher.copies) > 1:
+                return NotCopied("another is under way", CopyFault.BUSY)
+            await anyio.sleep(2.0)
+            return Copied("handle", 4)
+
+        async def main() -> StreamRun:
+            now = anyio.current_time()
+            gateway = make_gateway(self.dispatcher, make_config(Repeat.STREAM, engine=True), now)
+            runs = StreamRegistry(gateway, EngineMigrator(gateway))
+            async with anyio.create_task_group() as tasks:
+                gateway.start(tasks)
+                run = self.make_run(gateway, FakeStream(1, 4, cut=True), now)
+                runs.open(run)
+                runs.recover_cut_off(run.attempt.job.id, lambda: None)
+                await anyio.sleep(0.1)
+                await self.read(runs, run)
+                await runs.close(run)
+                tasks.cancel_scope.cancel()
+            return run
+
+        self.dispatcher.replies = [FakeStream(5, 6)]
+        with patch.object(self.dispatcher, "copy", copy):
+            run = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(len(self.dispatcher.copies), 1)
+        self.assertEqual(self.event_ids, ["1", "2", "3", "4", "5", "6"])
+        self.assertEqual(run.outcome, StreamEnd.WHOLE)
+
     def test_complete_stream_is_passed_on(self) -> None:
         run = self.deliver(FakeStream(1, 4))
         self.assertEqual(self.event_ids, ["1", "2", "3", "4"])
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -84,6 +84,9 @@
 LINK_SHARE = 0.35
 """Parts of the faults that hurt a coordinator and the link to an upstream; the rest, a gateway."""
 
+COORDINATOR_PAUSE_SECONDS = 1.2
+"""Shortest pause of a coordinator; operators wait for one second."""
+
 NETWORK = "127.0"
 """Begins the addresses of a site; sites that run beside each other need one each."""
 
@@ -161,6 +164,7 @@
         chance = random.random()
         if chance < COORDINATOR_SHARE and at >= coordinator_free:
             kind = random.choice([*PROCESS_FAULTS, "wipe"])
+            hold += COORDINATOR_PAUSE_SECONDS if kind == "pause" else 0.0
             name = f"coordinator-{random.randrange(COORDINATORS)}"
             coordinator_free = at + hold + 5.0
         elif chance > 1 - LINK_SHARE:
@@ -341,6 +345,7 @@
         self.ledger = Ledger()
         self.idempotent: set[str] = set()
         entries = [f"{network}.0.{n + 1}:{CONTROL_PORT}" for n in range(COORDINATORS)]
+        self._coordinators = {f"coordinator-{n}": entry for n, entry in enumerate(entries)}
         self.upstreams = [
             kind(number, self.ledger, self.random, entries, network)
             for kind in (Upstream, Engine)
@@ -454,6 +459,8 @@
                     processes.send(step.target, signal.SIGKILL)
             case "pause":
                 processes.send(step.target, signal.SIGSTOP)
+                if step.target in self._coordinators:
+                    self.zones.note_paused(self._coordinators[step.target])
                 await anyio.sleep(step.hold)
                 processes.send(step.target, signal.SIGCONT)
             case "stop":
--- a/tools/soakzones.py
+++ b/tools/soakzones.py
@@ -1,8 +1,9 @@
 """Evacuates availability zones during a soak, and checks that nothing reaches them.
 
 One zone at a time, held long enough for the bound; orders go to any coordinator and are sent again
-until one acknowledges them, also right behind each other. Often a zone is evacuated again as soon
-as that was taken back, while a copy of the last order may still wait at a paused coordinator.
+until one acknowledges them, also right behind each other. When a coordinator is paused, the operator
+takes an evacuation back through it first, and often evacuates the zone again at once: a copy of the
+last order then still waits there.
 """
 
 from dataclasses import dataclass
@@ -57,12 +58,22 @@
     """
 
     def __init__(self, seed: str, ledger: Ledger, entries: list[str], zones: list[str]) -> None:
+        self._paused = ""
+        self._pause_begun = anyio.Event()
         self._random = Random(seed)
         self._ledger = ledger
         self._entries = entries
         self._zones = zones
         self.spans: list[Span] = []
 
+    def note_paused(self, entry: str) -> None:
+        """Take the evacuation back, first through a coordinator that is paused now.
+
+        :param entry: IP:PORT of the coordinator for operators.
+        """
+        self._paused = entry
+        self._pause_begun.set()
+
     async def run(self, client: httpx.AsyncClient) -> None:
         """Order until cancelled."""
         zone = self._random.choice(self._zones)
@@ -75,14 +86,17 @@
             await self._order(client, "POST", zone)
             span = Span(zone, anyio.current_time())
             self.spans.append(span)
-            await anyio.sleep(self._random.uniform(*HELD_SECONDS))
+            self._pause_begun = anyio.Event()
+            with anyio.move_on_after(self._random.uniform(*HELD_SECONDS)):
+                await self._pause_begun.wait()
             span.taken_back = anyio.current_time()
             await self._order(client, "DELETE", zone)
 
     async def _order(self, client: httpx.AsyncClient, method: str, zone: str) -> None:
         """Send an order until it is acknowledged; none may be refused."""
         while True:
-            place = self._random.choice(self._entries)
+            place = self._paused or self._random.choice(self._entries)
+            self._paused = ""
             try:
                 answer = await client.request(
                     method,
