--- a/src/daleroad/evacuations.py
+++ b/src/daleroad/evacuations.py
@@ -82,8 +82,8 @@
     current: EvacuatedZones = EvacuatedZones()
     history: tuple[ZoneChange, ...] = ()
 
-    def changes(self, order: ZoneOrder) -> bool:
-        """Return whether an order has yet to be carried out: it is new, and would change a zone.
+    def would_change(self, order: ZoneOrder) -> bool:
+        """Return whether an order would change a zone and was not carried out before.
 
         :param order: the order.
         """
@@ -97,7 +97,7 @@
         :param order: the order.
         """
         outdated = order.base is not None and order.base < self.current.version
-        return outdated and self.changes(order)
+        return outdated and self.would_change(order)
 
     def apply(self, index: int, order: ZoneOrder) -> "Evacuations":
         """Return the state after a committed order.
@@ -109,7 +109,7 @@
         :param order: the order.
         """
         known = self.current
-        if index <= known.version or not self.changes(order) or self.is_superseded(order):
+        if index <= known.version or not self.would_change(order) or self.is_superseded(order):
             return self
         other_zones = tuple(zone for zone in known.zones if zone != order.zone)
         zones = tuple(sorted((*other_zones, order.zone))) if order.evacuated else other_zones
--- a/src/daleroad/siteclient.py
+++ b/src/daleroad/siteclient.py
@@ -119,15 +119,16 @@
         with anyio.move_on_after(LEADER_WAIT_SECONDS):
             while True:
                 outcome = await self.set_zone_evacuated_once(order)
-                if isinstance(outcome, Failure):
-                    await anyio.sleep(COORDINATOR_TURN_SECONDS)
-                elif (
-                    outcome.superseded and base is None and caller.is_waiting(anyio.current_time())
-                ):
-                    # The order was based on what this coordinator knew, which lags a little behind.
-                    order = replace(order, base=outcome.current.version)
-                else:
-                    return outcome
+                match outcome:
+                    case Failure():
+                        await anyio.sleep(COORDINATOR_TURN_SECONDS)
+                    case ZoneOutcome(current, superseded=True) if (
+                        base is None and caller.is_waiting(anyio.current_time())
+                    ):
+                        # What this coordinator knew lags a little behind the leader's state.
+                        order = replace(order, base=current.version)
+                    case _:
+                        return outcome
         return _make_no_leader(Ran.UNKNOWN)
 
     async def set_zone_evacuated_once(self, order: ZoneOrder) -> ZoneOutcome | Failure:
@@ -139,7 +140,7 @@
             return await self._call_leader("order-zone", encode(order), ZoneOutcome)
         known = self._record.evacuations
         superseded = known.is_superseded(order)
-        if self._group.can_serve_reads() and (superseded or not known.changes(order)):
+        if self._group.can_serve_reads() and (superseded or not known.would_change(order)):
             # The state is committed, and the lease excludes another leader, so nothing is appended.
             return ZoneOutcome(known.current, superseded)
         outcome = await self._group.propose(encode(order).decode())
