--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -84,16 +84,17 @@
             else:
                 self.event_ids.append(piece.decode().split()[1])
 
+    async def copy_slowly(self, *_: object, **__: object) -> Copied | NotCopied:
+        """Make one copy, and refuse any other meanwhile."""
+        self.dispatcher.copies.append(("", "", True))
+        if len(self.dispatcher.copies) > 1:
+            return NotCopied("another is under way", CopyFault.BUSY)
+        await anyio.sleep(2.0)
+        return Copied("handle", 4)
+
     def test_hanging_stream_is_copied_once_however_often_it_is_found_silent(self) -> None:
         abandoned: list[bool] = []
 
-        async def copy(*_: object, **__: object) -> Copied | NotCopied:
-            self.dispatcher.copies.append(("", "", True))
-            if len(self.dispatcher.copies) > 1:
-                return NotCopied("another is under way", CopyFault.BUSY)
-            await anyio.sleep(2.0)
-            return Copied("handle", 4)
-
         async def main() -> StreamRun:
             now = anyio.current_time()
             gateway = make_gateway(self.dispatcher, make_config(Repeat.STREAM, engine=True), now)
@@ -108,7 +109,7 @@
                 await runs.close(run)
             return run
 
-        with patch.object(self.dispatcher, "copy", copy):
+        with patch.object(self.dispatcher, "copy", self.copy_slowly):
             run = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
         self.assertEqual(len(self.dispatcher.copies), 1)
         self.assertIsNotNone(run.resume_point)
@@ -117,13 +118,6 @@
     def test_stream_that_ends_while_it_is_copied_goes_on_from_that_copy(self) -> None:
         """Guards against a second final copy, which the engine refuses while the first is made."""
 
-        async def copy(*_: object, **__: object) -> Copied | NotCopied:
-            self.dispatcher.copies.append(("", "", True))
-            if len(self.dispatcher.copies) > 1:
-                return NotCopied("another is under way", CopyFault.BUSY)
-            await anyio.sleep(2.0)
-            return Copied("handle", 4)
-
         async def main() -> StreamRun:
             now = anyio.current_time()
             gateway = make_gateway(self.dispatcher, make_config(Repeat.STREAM, engine=True), now)
@@ -140,7 +134,7 @@
             return run
 
         self.dispatcher.replies = [FakeStream(5, 6)]
-        with patch.object(self.dispatcher, "copy", copy):
+        with patch.object(self.dispatcher, "copy", self.copy_slowly):
             run = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
         self.assertEqual(len(self.dispatcher.copies), 1)
         self.assertEqual(self.event_ids, ["1", "2", "3", "4", "5", "6"])
--- a/tests/test_undelimited.py
+++ b/tests/test_undelimited.py
@@ -299,6 +299,25 @@
                 yield piece
 
 
+def make_copy(result: NotCopied, seconds: float = 0.01) -> Copy:
+    """Return a stand-in for copies of a stream that ends while its final copy is under way.
+
+    :param result: how the final copy ends; earlier ones succeed.
+    :param seconds: how long it takes.
+    """
+
+    async def copy(
+        stopped: anyio.Event, job: ClientRequest, source: Instance, to: Instance, final: bool
+    ) -> Copied | NotCopied:
+        if not final:
+            return Copied("handle", 1)
+        stopped.set()
+        await anyio.sleep(seconds)
+        return result
+
+    return copy
+
+
 class MoveTest(unittest.TestCase):
     make_run = test_moves.MovesTest.make_run
 
@@ -349,57 +368,21 @@
 
     def test_a_stream_that_was_stopped_for_a_refused_copy_is_not_whole(self) -> None:
         """Guards against review/2: it ended as complete in the middle."""
-
-        async def refuse(
-            stopped: anyio.Event, job: ClientRequest, _: Instance, to: Instance, final: bool
-        ) -> Copied | NotCopied:
-            if not final:
-                return Copied("handle", 1)
-            stopped.set()
-            await anyio.sleep(0.01)
-            return NotCopied("status 503", CopyFault.NO_ROOM)
-
-        run, failures = self.move(refuse)
+        run, failures = self.move(make_copy(NotCopied("status 503", CopyFault.NO_ROOM)))
         self.assertEqual(run.outcome, "broken off upstream")
         self.assertEqual([failure.ran for failure in failures], [Ran.PARTIAL])
 
     def test_a_stream_whose_copy_got_no_answer_is_not_whole(self) -> None:
-        async def lose(
-            stopped: anyio.Event, job: ClientRequest, _: Instance, to: Instance, final: bool
-        ) -> Copied | NotCopied:
-            if not final:
-                return Copied("handle", 1)
-            stopped.set()
-            await anyio.sleep(1.0)
-            return NotCopied("no answer", CopyFault.UNREACHABLE)
-
-        run, failures = self.move(lose)
+        _, failures = self.move(make_copy(NotCopied("no answer", CopyFault.UNREACHABLE), 1.0))
         self.assertEqual([failure.ran for failure in failures], [Ran.PARTIAL])
 
     def test_a_stream_that_was_over_before_it_could_be_stopped_is_whole(self) -> None:
-        async def miss(
-            stopped: anyio.Event, job: ClientRequest, _: Instance, to: Instance, final: bool
-        ) -> Copied | NotCopied:
-            if not final:
-                return Copied("handle", 1)
-            stopped.set()
-            await anyio.sleep(0.01)
-            return NotCopied("status 404", CopyFault.ABSENT)
-
-        run, failures = self.move(miss)
+        run, failures = self.move(make_copy(NotCopied("status 404", CopyFault.ABSENT)))
         self.assertEqual((run.outcome, failures), ("whole", []))
 
     def test_a_stream_that_no_order_reached_is_whole_when_it_ends(self) -> None:
-        async def hold_back(
-            stopped: anyio.Event, job: ClientRequest, _: Instance, to: Instance, final: bool
-        ) -> Copied | NotCopied:
-            if not final:
-                return Copied("handle", 1)
-            await anyio.sleep(0.01)
-            stopped.set()
-            return NotCopied("destination evacuated", CopyFault.NO_ROOM, sent=False)
-
-        run, failures = self.move(hold_back)
+        held_back = NotCopied("destination evacuated", CopyFault.NO_ROOM, sent=False)
+        run, failures = self.move(make_copy(held_back))
         self.assertEqual((run.outcome, failures), ("whole", []))
 
     def test_a_stream_behind_a_cut_link_that_was_stopped_in_vain_is_not_whole(self) -> None:
