Keep gateways counted that a stalled coordinator hears again

Found by reading the change once more: with all watches as old as the stall, a coordinator that ran again after a freeze counted hardly any gateway for up to 1.5 s. A gateway that heard so divided the retry budget and the allowance of cold engines by one instead of by the number of gateways.

Change: liveness counts from when a watch or share is read, as before. Only a notice that a gateway accepts clients, and that may be older than its withdrawal, is ignored.

--- a/src/daleroad/presence.py
+++ b/src/daleroad/presence.py
@@ -130,21 +130,20 @@
         :param message: the share.
         """
         now = anyio.current_time()
-        sent_at = self._find_sending_time(now)
         self._peers.note_alive(message.sender, now)
         with self.wake_on_fleet_change():
             changed = self.fleet.note_all(message.sightings, now)
         for instance in changed:
             self._log_change(instance)
-        all_known = self.fleet.note_ages(message.ages, sent_at)
+        all_known = self.fleet.note_ages(message.ages, now)
         for notice in message.gateways:
-            self._record_gateway(notice, sent_at)
+            self._record_gateway(notice, now)
         for address, age in message.gateway_ages.items():
             known = self._gateways.get(address)
             if known is None:
                 all_known = False
             else:
-                known.heard_at = max(known.heard_at, sent_at - age)
+                known.heard_at = max(known.heard_at, now - age)
         self.shared_suspects.merge_reports(message.suspicions, now)
         return all_known
 
@@ -166,7 +165,7 @@
         :param message: the watch request.
         """
         now = anyio.current_time()
-        self._record_gateway(message.gateway, self._find_sending_time(now))
+        self._record_gateway(message.gateway, now)
         self.loads.set_report(message.gateway.address, message.loads, now)
         paces = (pace for pace in message.paces if self._is_pace_wanted(pace.instance))
         self.paces.set_report(message.gateway.address, paces, now)
@@ -353,15 +352,15 @@
             if now - gateway.heard_at < seconds and (gateway.notice.serving or not serving)
         ]
 
-    def _record_gateway(self, notice: GatewayNotice, sent_at: float) -> None:
-        heard_at = sent_at - notice.age
+    def _record_gateway(self, notice: GatewayNotice, now: float) -> None:
+        heard_at = now - notice.age
         known = self._gateways.get(notice.address)
         if known is None:
             self._revision += 1
             self._gateways[notice.address] = _Gateway(notice, heard_at, self._revision)
             self._snapshot = None
             _log_gateway(notice)
-        elif heard_at >= known.heard_at:
+        elif heard_at >= known.heard_at and not self._precedes_withdrawal(notice, known, now):
             if _differs(known.notice, notice):
                 self._revision += 1
                 known.revision = self._revision
@@ -370,6 +369,15 @@
             known.notice = notice
             known.heard_at = heard_at
 
+    def _precedes_withdrawal(self, notice: GatewayNotice, known: _Gateway, now: float) -> bool:
+        """Return whether a notice may have been sent before its gateway stopped accepting clients.
+
+        Otherwise it counts from when it is read, also after a stall: if gateways seemed silent, the
+        others would take their shares of the budgets.
+        """
+        made_at = self._find_sending_time(now) - notice.age
+        return notice.serving and not known.notice.serving and made_at < known.heard_at
+
     async def share_loop(self) -> None:
         """Send changes and ages to the other coordinators periodically, until cancelled.
 
