--- a/review/engines2.py
+++ b/review/engines2.py
@@ -18,7 +18,7 @@
 """Time to copy the whole memory of a request; what is new since then takes less."""
 
 FINAL_COPY_SECONDS = 0.01
-LINGER_SECONDS = 1.5
+CAPACITY_TOKENS = 34322
 
 NOT_EXECUTED = {"X-Daleroad-Not-Executed": "1"}
 
@@ -45,6 +45,7 @@
 
     owner: str
     made: int
+    tokens: int = 0
     used: bool = False
 
 
@@ -54,8 +55,17 @@
     :param engines: all engines by address, as copies go from one to another.
     """
 
-    def __init__(self, engines: dict[str, "Engine"]) -> None:
+    def __init__(
+        self,
+        engines: dict[str, "Engine"],
+        copy_seconds: float = COPY_SECONDS,
+        pause_seconds: float = PAUSE_SECONDS,
+    ) -> None:
         self._engines = engines
+        self._copy_seconds = copy_seconds
+        self._pause_seconds = pause_seconds
+        self.draining_since: float | None = None
+        self.late: list[tuple[str, float]] = []
         self.runs: dict[str, Run] = {}
         self.copies: dict[str, Copy] = {}
         self.foreign: list[tuple[str, str]] = []
@@ -81,7 +91,9 @@
         self.leaves_at = asyncio.get_running_loop().time() + seconds
         self.server.state = "draining"
         self.server.record.note(f"{self.server.id} says that it leaves in {seconds} s")
-        await self.server.beat_once()
+        if await self.server.beat_once():
+            self.draining_since = self.server.record.now()
+            self.server.record.note(f"{self.server.id} got the acknowledgement of that")
         await asyncio.sleep(seconds)
         self.server.record.note(f"{self.server.id} ends")
         for run in self.runs.values():
@@ -115,7 +127,7 @@
             "queued": 0,
             "running": len(self.runs),
             "kv_used": sum(run.tokens for run in self.runs.values()),
-            "kv_total": 34322,
+            "kv_total": CAPACITY_TOKENS,
             "handles": len(self.copies),
             "state": self.server.state if self.server else "ready",
             "runs": [[run.id, run.tokens, run.made, 5] for run in self.runs.values()],
@@ -126,6 +138,15 @@
             )
         return json.dumps(report).encode()
 
+    def count_tokens(self) -> int:
+        """Return the memory of what runs."""
+        return sum(run.tokens for run in self.runs.values() if not run.stopped.is_set())
+
+    def has_room(self, tokens: int, handle: str) -> bool:
+        """Return whether the memory of a request fits, with what runs and is kept here."""
+        kept = (c.tokens for name, c in self.copies.items() if name != handle and not c.used)
+        return self.count_tokens() + sum(kept) + tokens <= CAPACITY_TOKENS
+
     async def _move(self, server: Server, channel: Channel, request: Request) -> None:
         asked = json.loads(request.body)
         run_id, final = asked["id"], asked["final"]
@@ -144,7 +165,10 @@
         if run.moving:
             await self._send(channel, make_answer("409 Conflict", {}), run_id)
             return
-        if destination is None:
+        if destination is None or not destination.has_room(run.tokens, f"h-{run_id}"):
+            record.note(f"{server.id} answers for {run_id}: no room at the destination")
+            if final:
+                run.stopped.set()
             await self._send(channel, make_answer("503 Service Unavailable", {}), run_id)
             return
         run.moving = True
@@ -152,10 +176,10 @@
             run.stopped.set()
         handle = f"h-{run_id}"
         known = handle in destination.copies
-        await asyncio.sleep(FINAL_COPY_SECONDS if known else COPY_SECONDS)
+        await asyncio.sleep(FINAL_COPY_SECONDS if known else self._copy_seconds)
         run.moving = False
         copy = destination.copies.setdefault(handle, Copy(run.owner, run.made))
-        copy.made = run.made
+        copy.made, copy.tokens = run.made, run.tokens
         run.copied.add(asked["destination"])
         body = json.dumps({"handle": handle, "made": run.made}).encode()
         record.note(f"{server.id} answers for {run_id}: handle {handle}, {run.made} events made")
@@ -170,6 +194,10 @@
 
     async def _generate(self, server: Server, channel: Channel, request: Request) -> None:
         record = server.record
+        if self.draining_since is not None:
+            after = record.now() - self.draining_since
+            record.note(f"{request.id} reaches {server.id} {after:.3f} s after its acknowledgement")
+            self.late.append((request.id, after))
         owner, made = request.id, 0
         source = request.headers.get("kv-from", "")
         if source:
@@ -202,7 +230,7 @@
         try:
             await channel.send("\r\n".join(head).encode() + b"\r\n\r\n")
             while run.made < events:
-                await asyncio.sleep(PAUSE_SECONDS)
+                await asyncio.sleep(self._pause_seconds)
                 if run.stopped.is_set():
                     # The stream of a stopped run is closed without its end.
                     channel.writer.close()
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -150,7 +150,7 @@
             "ip": ip,
             "zone": zones[number % 3],
             "region": "sofia",
-            "zones": dict.fromkeys(zones, "sofia"),
+            "zones": dict.fromkeys((*zones, "hall-d", "hall-e"), "sofia"),
             "listen": listen,
             "internal_ports": [7200, 7215],
             "seeds": [f"{host}:{port}" for host, port in self.controls()],
