--- a/review/engines2.py
+++ b/review/engines2.py
@@ -165,9 +165,13 @@
             return
         if destination is None or not destination.has_room(run.tokens, f"h-{run_id}"):
             record.note(f"{server.id} answers for {run_id}: no room at the destination")
+            kept = {}
             if final:
+                # The run stops first, and the source keeps its memory.
                 run.stopped.set()
-            await self._send(channel, make_answer("503 Service Unavailable", {}), run_id)
+                kept = {"handle": f"h-{run_id}", "made": run.made}
+            body = json.dumps(kept).encode()
+            await self._send(channel, make_answer("503 Service Unavailable", {}, body), run_id)
             return
         run.moving = True
         if final:
