Log on which connection a response came, and the bytes behind it

The logs could not tell a foreign response from a request's own: neither D324 nor D326 said whether the connection had carried a response before, and nothing was logged when bytes followed a complete response.

The exchanges with upstreams are now made on h11 itself instead of the HTTP library's pool, which keeps both to itself; what is reused and when stays the same. D324 names the last upstream, D324 and D326 the responses that the connection carried before, and D345 SURPLUS_RECEIVED tells of bytes behind a complete response. The tests that gave the client a response of the library give one of the new type. Bodies up to 16 KB go out in one write with their heads.

--- a/src/daleroad/connections.py
+++ b/src/daleroad/connections.py
@@ -1,7 +1,7 @@
-"""The connections of a gateway to its upstreams, for the HTTP client's pools."""
+"""The connections of a gateway to its upstreams."""
 
 import errno
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -18,10 +18,6 @@
 PEER_INFO = "peer"
 """Name of a connection's extra information: the gateway's tunnels that it goes through, or ""."""
 
-SocketOption = (
-    tuple[int, int, int] | tuple[int, int, bytes | bytearray] | tuple[int, int, None, int]
-)
-
 
 class NoPathError(httpcore.ConnectError):
     """No connection was tried, as none just worked."""
@@ -104,34 +100,6 @@
         return None
 
 
-class _Backend(httpcore.AsyncNetworkBackend):
-    """Makes the connections of one pool.
-
-    :param dialer: connects to upstreams.
-    :param silence: seconds for which an upstream's TCP may acknowledge nothing.
-    """
-
-    def __init__(self, dialer: Dialer[httpcore.AsyncNetworkStream], silence: float) -> None:
-        self._dialer = dialer
-        self._silence = silence
-
-    async def connect_tcp(
-        self,
-        host: str,
-        port: int,
-        timeout: float | None = None,
-        local_address: str | None = None,
-        socket_options: Iterable[SocketOption] | None = None,
-    ) -> httpcore.AsyncNetworkStream:
-        target = Target(f"{host}:{port}", self._silence)
-        try:
-            dialed = await self._dialer.dial(target, timeout or CONNECT_SECONDS)
-        except DialError as error:
-            kind = httpcore.ConnectError if error.tried else NoPathError
-            raise kind(error.failure.reason) from error
-        return dialed.connection
-
-
 class UpstreamConnector:
     """Connects a gateway to its upstreams, directly or through other gateways.
 
@@ -158,19 +126,19 @@
             lambda change: self.on_change(change),
         )
 
-    def make_pool(self, silence: float, kept: int | None, expiry: float | None = None) -> Any:
-        """Return a pool of connections.
+    async def connect(self, address: str, silence: float) -> httpcore.AsyncNetworkStream:
+        """Return a new connection to an upstream.
 
-        :param silence: seconds for which an upstream's TCP may acknowledge nothing.
-        :param kept: most idle connections to keep, or None for any number.
-        :param expiry: seconds after which an idle connection is closed.
+        :param address: its IP:PORT.
+        :param silence: seconds for which its TCP may acknowledge nothing.
+        :raises httpcore.ConnectError: if there is none.
         """
-        return httpcore.AsyncConnectionPool(
-            max_connections=None,
-            max_keepalive_connections=kept,
-            keepalive_expiry=expiry,
-            network_backend=_Backend(self._dialer, silence),
-        )
+        try:
+            dialed = await self._dialer.dial(Target(address, silence), CONNECT_SECONDS)
+        except DialError as error:
+            kind = httpcore.ConnectError if error.tried else NoPathError
+            raise kind(error.failure.reason) from error
+        return dialed.connection
 
     async def run(self) -> None:
         """Check silent paths and probe those that are not direct until cancelled."""
--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -146,12 +146,14 @@
     :param address_reused: whether the address now belongs to another instance.
     :param sent: whether any byte may have reached the upstream.
     :param held: whether the gateway itself refused to send it.
+    :param earlier: responses that its connection carried before this one.
     """
 
     reason: str
     address_reused: bool = False
     sent: bool = True
     held: bool = False
+    earlier: int = 0
 
 
 @dataclass(frozen=True)
@@ -162,12 +164,14 @@
         client did not read or the gateway had no room for a whole one.
     :param cut_off: whether only this gateway's link to the upstream, or a tunnel, is cut.
     :param begun: whether the response had begun to arrive.
+    :param earlier: as for :class:`NotRun`.
     """
 
     reason: str
     unread: bool = False
     cut_off: bool = False
     begun: bool = False
+    earlier: int = 0
 
     def blames_upstream(self) -> bool:
         """Return whether the upstream may be the cause."""
@@ -180,12 +184,14 @@
 
     :param delimited: whether it had a length or chunks. Without, it ended with its connection, and
         looks complete even if its upstream crashed.
+    :param earlier: as for :class:`NotRun`.
     """
 
     status: int
     headers: Headers
     body: bytes
     delimited: bool = True
+    earlier: int = 0
 
     def is_success(self) -> bool:
         """Return whether the status is a success (2xx)."""
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -139,6 +139,9 @@
     LINK_SILENT = Kind(
         344, logging.WARNING, "A request was given up on an open connection that is cut."
     )
+    SURPLUS_RECEIVED = Kind(
+        345, logging.WARNING, "An upstream sent bytes that belong to no response."
+    )
     MEMORY_BOUND_REACHED = Kind(
         350, logging.WARNING, "A gateway holds as many bytes as its memory allows."
     )
--- /dev/null
+++ b/src/daleroad/exchanges.py
@@ -0,0 +1,263 @@
+"""HTTP/1.1 exchanges with upstreams, on new connections or on idle ones that are reused."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import h11
+import httpcore
+
+from daleroad.events import Event, log_event
+
+READ_BYTES = 262_144
+"""Most bytes of one read. The event loop takes as many from a socket; the rest of a smaller read would
+wait where no poll of the socket sees it."""
+
+MAX_HEAD_BYTES = 102_400
+"""Largest head of a response."""
+
+_COALESCED_BYTES = 16_384
+"""Bodies up to this size are written together with their heads."""
+
+Headers = tuple[tuple[bytes, bytes], ...]
+Connect = Callable[[float], Awaitable[httpcore.AsyncNetworkStream]]
+"""Connects to an upstream whose TCP may acknowledge nothing for some seconds."""
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """A request to an upstream; a body needs a content length among the headers."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+
+class HttpConnection:
+    """A connection that carries one exchange after the other.
+
+    :param stream: the connection itself.
+    :param kept: whether it may be reused.
+    :ivar responses: responses that it carried before the current one.
+    """
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream, kept: bool) -> None:
+        self.stream = stream
+        self.kept = kept
+        self.responses = 0
+        self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self._request_sent = False
+
+    async def exchange(self, request: HttpRequest, read_seconds: float | None) -> h11.Response:
+        """Send a request and return the head of its response.
+
+        :param request: the request.
+        :param read_seconds: longest wait for more of the response; None for no limit.
+        """
+        # An upstream may respond and close before it has read the whole request.
+        with suppress(httpcore.WriteError):
+            await self._send(request)
+        while True:
+            event = await self._read_event(read_seconds)
+            if isinstance(event, h11.Response):
+                return event
+
+    async def _send(self, request: HttpRequest) -> None:
+        self._request_sent = False
+        head = h11.Request(
+            method=request.method, target=request.target, headers=list(request.headers)
+        )
+        try:
+            data = self._http.send(head) or b""
+            body = self._http.send(h11.Data(data=request.body)) or b""
+            self._http.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise httpcore.LocalProtocolError(str(error)) from error
+        if len(body) <= _COALESCED_BYTES:
+            data, body = data + body, b""
+        await self.stream.write(data)
+        if body:
+            await self.stream.write(body)
+        self._request_sent = True
+
+    async def read_body(self, read_seconds: float | None) -> AsyncIterator[bytes]:
+        """Yield the body of the response in pieces.
+
+        :param read_seconds: as for :meth:`exchange`.
+        """
+        while isinstance(event := await self._read_event(read_seconds), h11.Data):
+            yield bytes(event.data)
+
+    async def _read_event(self, seconds: float | None) -> Any:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise httpcore.RemoteProtocolError(repr(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self.stream.read(READ_BYTES, seconds)
+            if not data and self._http.their_state is h11.SEND_RESPONSE:
+                raise httpcore.RemoteProtocolError("disconnected without a complete head")
+            self._http.receive_data(data)
+
+    def count_surplus(self) -> int:
+        """Return how many bytes were received behind a response that was read to its end."""
+        if self._http.their_state is not h11.DONE:
+            return 0
+        return len(self._http.trailing_data[0])
+
+    def recycle(self) -> bool:
+        """Prepare for the next exchange; return False if there can be none."""
+        done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        if not done or not self._request_sent:
+            return False
+        self._http.start_next_cycle()
+        self.responses += 1
+        return True
+
+    async def close(self) -> None:
+        """Close the connection."""
+        with anyio.CancelScope(shield=True):
+            await self.stream.aclose()
+
+
+class HttpResponse:
+    """A response of which the head has been read.
+
+    :param connection: carries it.
+    :param head: status and headers.
+    :param read_seconds: longest wait for more of it; None for no limit.
+    :param release: takes the connection back at the end.
+    """
+
+    def __init__(
+        self,
+        connection: HttpConnection,
+        head: h11.Response,
+        read_seconds: float | None,
+        release: Callable[[HttpConnection], Awaitable[None]],
+    ) -> None:
+        self.status = head.status_code
+        self.headers: Headers = tuple(head.headers.raw_items())
+        self._connection = connection
+        self._read_seconds = read_seconds
+        self._release: Callable[[HttpConnection], Awaitable[None]] | None = release
+
+    def get_info(self, name: str) -> Any:
+        """Return extra information of the connection.
+
+        :param name: as for the network streams of httpcore.
+        """
+        return self._connection.stream.get_extra_info(name)
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body in pieces."""
+        return self._connection.read_body(self._read_seconds)
+
+    async def read(self) -> bytes:
+        """Return the whole body."""
+        return b"".join([chunk async for chunk in self.chunks()])
+
+    async def close(self) -> None:
+        """Give the connection back; one whose response was not read to its end is closed."""
+        release, self._release = self._release, None
+        if release is not None:
+            with anyio.CancelScope(shield=True):
+                await release(self._connection)
+
+
+class ConnectionPool:
+    """The connections to one upstream.
+
+    :param connect: makes a new one.
+    :param address: IP:PORT of the upstream.
+    :param silence: seconds for which the upstream's TCP may acknowledge nothing.
+    :param idle_seconds: how long an idle connection is kept.
+    """
+
+    def __init__(self, connect: Connect, address: str, silence: float, idle_seconds: float) -> None:
+        self.address = address
+        self._connect = connect
+        self._silence = silence
+        self._idle_seconds = idle_seconds
+        self._open: set[HttpConnection] = set()
+        self._idle: dict[HttpConnection, float] = {}
+        self._retired = False
+
+    async def connect(self, own_silence: float | None = None) -> HttpConnection:
+        """Return a connection for one request.
+
+        :param own_silence: allowed silence on a connection of the request's own; None to reuse an
+            idle connection if there is one.
+        :raises httpcore.ConnectError: if no connection was made, so that nothing was sent.
+        """
+        connection = await self._take_idle() if own_silence is None else None
+        if connection is None:
+            silence = self._silence if own_silence is None else own_silence
+            stream = await self._connect(silence)
+            connection = HttpConnection(stream, kept=own_silence is None)
+            self._open.add(connection)
+        return connection
+
+    async def send(
+        self, connection: HttpConnection, request: HttpRequest, read_seconds: float | None = None
+    ) -> HttpResponse:
+        """Send a request and return its response once its head has been read.
+
+        :param connection: one that :meth:`connect` returned.
+        :param request: the request.
+        :param read_seconds: longest wait for more of the response; None for no limit.
+        :raises httpcore.NetworkError: if the connection was lost or its bytes are no response.
+        """
+        try:
+            head = await connection.exchange(request, read_seconds)
+        except BaseException:
+            await self._close(connection)
+            raise
+        return HttpResponse(connection, head, read_seconds, self._release)
+
+    async def _take_idle(self) -> HttpConnection | None:
+        """Return the idle connection that was used last, if any can be used."""
+        await self._close_expired()
+        while self._idle:
+            connection, _ = self._idle.popitem()
+            if not connection.stream.get_extra_info("is_readable"):
+                return connection
+            await self._close(connection)
+        return None
+
+    async def _release(self, connection: HttpConnection) -> None:
+        surplus = connection.count_surplus()
+        if surplus:
+            log_event(Event.SURPLUS_RECEIVED, address=self.address, bytes=surplus)
+        if self._retired or not connection.kept or not connection.recycle():
+            await self._close(connection)
+            return
+        self._idle[connection] = anyio.current_time()
+        await self._close_expired()
+
+    async def _close_expired(self) -> None:
+        oldest = anyio.current_time() - self._idle_seconds
+        for connection in [c for c, since in self._idle.items() if since < oldest]:
+            await self._close(connection)
+
+    async def _close(self, connection: HttpConnection) -> None:
+        self._open.discard(connection)
+        self._idle.pop(connection, None)
+        await connection.close()
+
+    def retire(self) -> None:
+        """Keep no connection from now on; those in use are closed after their responses."""
+        self._retired = True
+        self._open -= set(self._idle)
+        # The garbage collector closes them.
+        self._idle.clear()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for connection in list(self._open):
+            await self._close(connection)
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -400,7 +400,7 @@
     ) -> Outcome | None:
         match reply:
             case NotRun(reason, gone, sent, held):
-                self._log_failed_attempt(state, instance, "not run", reason)
+                self._log_failed_attempt(state, instance, reply, "not run", reason)
                 state.reached_upstream = sent
                 if gone:
                     self._gateway.mark_replaced(instance)
@@ -410,7 +410,7 @@
             case Lost(reason):
                 state.possible_runs += 1
                 evidence = describe_evidence(state.job, state.organisation)
-                self._log_failed_attempt(state, instance, "lost", reason, evidence)
+                self._log_failed_attempt(state, instance, reply, "lost", reason, evidence)
                 if reply.blames_upstream():
                     self._gateway.selector.record_result(instance, False)
                 if state.route.is_repeatable():
@@ -421,7 +421,7 @@
                 self._gateway.selector.record_result(instance, not reply.is_failed())
                 if not reply.is_failed() or not state.route.is_repeatable():
                     return reply
-                self._log_failed_attempt(state, instance, "failed", str(status))
+                self._log_failed_attempt(state, instance, reply, "failed", str(status))
                 state.failed_response = reply
                 return None
         return None
@@ -485,6 +485,7 @@
         self,
         state: _RequestState,
         instance: Instance,
+        reply: NotRun | Lost | Whole,
         outcome: str,
         reason: str,
         evidence: Mapping[str, object] = MappingProxyType({}),
@@ -497,6 +498,7 @@
             upstream=instance.id,
             outcome=outcome,
             reason=reason,
+            earlier=reply.earlier,
             **evidence,
             config=state.table.config.version,
             fleet=gateway.fleet.revision,
@@ -522,6 +524,7 @@
         if not self._gateway.serving:
             left = self._gateway.exits_at - job.received_at
             fields["left_at_arrival"] = round(left, 3)
+        upstream = next(reversed(state.tried_ids), "") if state else ""
         result = outcome.kind.value if isinstance(outcome, Failure) else str(outcome.status)
         sends = state.sends if state else 0
         self._metrics.note_end(retry_policy, result, sends, job.received_at)
@@ -531,9 +534,14 @@
                 heard_age = round(anyio.current_time() - self._gateway.last_heard_at, 3)
                 log_event(Event.REQUEST_REFUSED, **fields, heard_age=heard_age)
             case Whole(status):
-                log_event(Event.REQUEST_ANSWERED, **fields, status=status)
+                log_event(
+                    Event.REQUEST_ANSWERED,
+                    **fields,
+                    status=status,
+                    last_upstream=upstream,
+                    earlier=outcome.earlier,
+                )
             case StreamResponse(status):
-                upstream = list(state.tried_ids)[-1] if state else ""
                 log_event(Event.STREAM_BEGUN, **fields, status=status, upstream=upstream)
 
 
--- a/tests/test_heldbytes.py
+++ b/tests/test_heldbytes.py
@@ -25,6 +25,7 @@
 from daleroad.defaults import SILENCE_SECONDS  # noqa: E402
 from daleroad.dispatch import Attempt, ClientRequest, Lost, StreamEvent, Whole  # noqa: E402
 from daleroad.errors import Failure, FailureKind, Ran  # noqa: E402
+from daleroad.exchanges import HttpResponse  # noqa: E402
 from daleroad.forwarding import Forwarder, Outcome, StreamResponse  # noqa: E402
 from daleroad.heldbytes import (  # noqa: E402
     FREE_ANSWER_BYTES,
@@ -209,9 +210,7 @@
                 request.reserve(5)
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(release, other)
-                    found = await _read_complete(
-                        httpcore.Response(200, headers=head, content=cut()), request
-                    )
+                    found = await _read_complete(FakeResponse(cut(), *head), request)
                 self.assertEqual(request.held, 5)
                 assert isinstance(found, Lost), found
                 return found.unread
@@ -275,7 +274,7 @@
                 tasks.start_soon(listener.serve, serve)
                 stream = await EngineClient().send(Attempt(job, instance, "", 5.0))
                 assert isinstance(stream, EventStream), stream
-                sock = stream._response.extensions["network_stream"].get_extra_info("socket")
+                sock = stream._response.get_info("socket")
                 found = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
                 tasks.cancel_scope.cancel()
             return int(found)
@@ -287,16 +286,28 @@
             yield b"id: 1\n\n" + b"x" * 1_000_001
 
         async def main() -> list[StreamEvent | Lost]:
-            return [
-                piece
-                async for piece in EventStream(httpcore.Response(200, content=give())).events()
-            ]
+            return [piece async for piece in EventStream(FakeResponse(give())).events()]
 
         first, last = run_virtual(main)
         self.assertEqual(first, StreamEvent(b"id: 1\n\n", "1"))
         self.assertIsInstance(last, Lost)
 
 
+class FakeResponse(HttpResponse):
+    """A response with the given headers whose body is what a generator gives."""
+
+    def __init__(self, body: AsyncGenerator[bytes, None], *headers: tuple[bytes, bytes]) -> None:
+        self.status = 200
+        self.headers = headers
+        self._body = body
+
+    def chunks(self) -> AsyncGenerator[bytes, None]:
+        return self._body
+
+    async def close(self) -> None:
+        await self._body.aclose()
+
+
 class FakeForwarder:
     """Serves what a test says, and notes the jobs and refusals."""
 
