--- a/src/daleroad/exchanges.py
+++ b/src/daleroad/exchanges.py
@@ -12,8 +12,8 @@
 from daleroad.events import Event, log_event
 
 READ_BYTES = 262_144
-"""Most bytes of one read. The event loop takes as many from a socket; the rest of a smaller read would
-wait where no poll of the socket sees it."""
+"""Most bytes of one read, as many as the event loop takes from a socket: the rest of a smaller one
+would wait where no poll of the socket sees it."""
 
 MAX_HEAD_BYTES = 102_400
 """Largest head of a response."""
