Don't let bytes behind a response become the start of the next one

Cause: an upstream sent a response again, late and only in part. Where the copy stopped in the reason phrase or in a header's value, the head of the next response continued that line: the merged head had the status of the copy, and the id, signature and body of the next response, as of two headers of a name the last one counts. Nothing looked at what followed a complete response: its connection was reused with the bytes in the parser's buffer.

A connection is closed if bytes follow its last response, in the parser or on the idle socket, and D345 says how many. What comes only after the next request was sent can't be seen before: a head with a second status line inside is rejected, as every merged head has one.

--- a/src/daleroad/exchanges.py
+++ b/src/daleroad/exchanges.py
@@ -1,5 +1,11 @@
-"""HTTP/1.1 exchanges with upstreams, on new connections or on idle ones that are reused."""
+"""HTTP/1.1 exchanges with upstreams, on new connections or on idle ones that are reused.
 
+An upstream may send bytes that belong to no response: a second copy of one, also late, or a part of
+it. So a connection is reused only while nothing follows its last response, and a head that was
+merged from two is rejected.
+"""
+
+import re
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -18,6 +24,11 @@
 MAX_HEAD_BYTES = 102_400
 """Largest head of a response."""
 
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
+_SURPLUS_SECONDS = 0.01
+"""Longest wait for the bytes of an idle connection that is readable."""
+
 _COALESCED_BYTES = 16_384
 """Bodies up to this size are written together with their heads."""
 
@@ -61,9 +72,11 @@
         with suppress(httpcore.WriteError):
             await self._send(request)
         while True:
-            event = await self._read_event(read_seconds)
-            if isinstance(event, h11.Response):
-                return event
+            head = await self._read_event(read_seconds)
+            if _is_merged(head):
+                raise httpcore.RemoteProtocolError("the head holds a second status line")
+            if isinstance(head, h11.Response):
+                return head
 
     async def _send(self, request: HttpRequest) -> None:
         self._request_sent = False
@@ -110,10 +123,17 @@
             return 0
         return len(self._http.trailing_data[0])
 
+    async def read_surplus(self) -> int:
+        """Return how many bytes have come on an idle connection; 0 at its end."""
+        try:
+            return len(await self.stream.read(READ_BYTES, _SURPLUS_SECONDS))
+        except (httpcore.NetworkError, httpcore.TimeoutException):
+            return 0
+
     def recycle(self) -> bool:
         """Prepare for the next exchange; return False if there can be none."""
         done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        if not done or not self._request_sent:
+        if not done or not self._request_sent or self.count_surplus():
             return False
         self._http.start_next_cycle()
         self.responses += 1
@@ -227,13 +247,18 @@
             connection, _ = self._idle.popitem()
             if not connection.stream.get_extra_info("is_readable"):
                 return connection
-            await self._close(connection)
+            try:
+                self._note_surplus(await connection.read_surplus())
+            finally:
+                await self._close(connection)
         return None
 
+    def _note_surplus(self, count: int) -> None:
+        if count:
+            log_event(Event.SURPLUS_RECEIVED, address=self.address, bytes=count)
+
     async def _release(self, connection: HttpConnection) -> None:
-        surplus = connection.count_surplus()
-        if surplus:
-            log_event(Event.SURPLUS_RECEIVED, address=self.address, bytes=surplus)
+        self._note_surplus(connection.count_surplus())
         if self._retired or not connection.kept or not connection.recycle():
             await self._close(connection)
             return
@@ -261,3 +286,9 @@
         """Close all connections."""
         for connection in list(self._open):
             await self._close(connection)
+
+
+def _is_merged(head: h11.Response | h11.InformationalResponse) -> bool:
+    """Return whether a head that was cut goes on with the next one, whose status line is inside."""
+    texts = (head.reason, *(value for _, value in head.headers))
+    return any(_STATUS_LINE.search(text) for text in texts)
--- a/tests/test_foreignresponses.py
+++ b/tests/test_foreignresponses.py
@@ -3,6 +3,9 @@
 import unittest
 from collections import Counter
 
+import anyio
+from anyio.abc import SocketStream
+
 from daleroad.dispatch import Reply, Whole
 from tests import test_platform
 from tests.test_platform import Upstream, answer
@@ -23,6 +26,31 @@
 FAILURE = make_response("def", "500 Internal Server Error", b"what went wrong")
 
 
+def read(reply: Reply) -> tuple[int, bytes]:
+    assert isinstance(reply, Whole), reply
+    return reply.status, reply.body
+
+
+class LateUpstream(Upstream):
+    """Sends its first response again a moment later."""
+
+    def __init__(self, *answers: bytes) -> None:
+        super().__init__(*answers)
+        self.copied = anyio.Event()
+
+    async def handle(self, stream: SocketStream) -> None:
+        async with anyio.create_task_group() as tasks:
+            if not self.connections:
+                tasks.start_soon(self._send_again, stream, self.answers[0])
+            await super().handle(stream)
+
+    async def _send_again(self, stream: SocketStream, response: bytes) -> None:
+        await anyio.sleep(0.1)
+        await stream.send(response)
+        await anyio.sleep(0.05)
+        self.copied.set()
+
+
 class ClientTest(unittest.TestCase):
     exchange = test_platform.EngineClientTest.send_requests
 
@@ -33,6 +61,35 @@
         return first, second
 
 
+class SurplusTest(ClientTest):
+    def test_bytes_behind_a_response_are_not_the_start_of_the_next(self) -> None:
+        for surplus in (FIRST, FIRST[:20], b"\r\n", b"junk"):
+            with self.subTest(surplus), self.assertLogs() as logs:
+                first, second = self.exchange_two(FIRST + surplus, SECOND)
+                self.assertEqual(read(first), (200, b"the first body"))
+                self.assertEqual(read(second), (200, b"the second body"))
+                self.assertEqual(self.upstream.connections, 2)
+                self.assertIn("D345 SURPLUS_RECEIVED", logs.output[0])
+
+    def test_bytes_on_an_idle_connection_are_not_the_start_of_the_next_response(self) -> None:
+        upstream = LateUpstream(FIRST, SECOND)
+
+        async def wait(reply: Reply) -> None:
+            await upstream.copied.wait()
+
+        with self.assertLogs() as logs:
+            replies = self.exchange(upstream, 2, wait, ids=("abc", "def"))
+        self.assertEqual(read(replies[1]), (200, b"the second body"))
+        self.assertEqual(upstream.connections, 2)
+        self.assertIn(f'"bytes":{len(FIRST)}', logs.output[0])
+
+    def test_a_sound_connection_is_reused(self) -> None:
+        via = FIRST.replace(TYPE.encode(), b"Via: HTTP/1.1 cache")
+        first, second = self.exchange_two(via, SECOND)
+        self.assertEqual((read(first)[0], read(second)[0]), (200, 200))
+        self.assertEqual(self.upstream.connections, 1)
+
+
 class MergedHeadTest(ClientTest):
     def test_a_copy_cut_in_its_head_does_not_give_its_status_to_the_next_response(self) -> None:
         found: Counter[int] = Counter()
