Don't take a response without an id on a reused connection for a request's own

Rejections and failures needed no attempt id, so nothing tied them to the request.

On a connection that has carried a response before, any response needs the id; one without is ambiguous: the request may have run, and the upstream isn't blamed for a crash. On a new connection the first response can be no other's, and counts as before; that connection is then not reused, as a copy of such a response could come late.

Three tests fail before.

--- a/src/daleroad/dispatch.py
+++ b/src/daleroad/dispatch.py
@@ -164,6 +164,7 @@
         client did not read or the gateway had no room for a whole one.
     :param cut_off: whether only this gateway's link to the upstream, or a tunnel, is cut.
     :param begun: whether the response had begun to arrive.
+    :param ambiguous: whether a response came that may be another request's.
     :param earlier: as for :class:`NotRun`.
     """
 
@@ -171,11 +172,12 @@
     unread: bool = False
     cut_off: bool = False
     begun: bool = False
+    ambiguous: bool = False
     earlier: int = 0
 
     def blames_upstream(self) -> bool:
         """Return whether the upstream may be the cause."""
-        return not self.unread and not self.cut_off
+        return not (self.unread or self.cut_off or self.ambiguous)
 
 
 @dataclass(frozen=True)
--- a/src/daleroad/exchanges.py
+++ b/src/daleroad/exchanges.py
@@ -174,6 +174,10 @@
         """
         return self._connection.stream.get_extra_info(name)
 
+    def forbid_reuse(self) -> None:
+        """Let the connection carry no further request."""
+        self._connection.kept = False
+
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body in pieces."""
         return self._connection.read_body(self._read_seconds)
--- a/tests/test_foreignresponses.py
+++ b/tests/test_foreignresponses.py
@@ -6,7 +6,7 @@
 import anyio
 from anyio.abc import SocketStream
 
-from daleroad.dispatch import Reply, Whole
+from daleroad.dispatch import Lost, NotRun, Reply, Whole
 from tests import test_platform
 from tests.test_platform import Upstream, answer
 
@@ -21,6 +21,9 @@
     )
 
 
+NOT_EXECUTED = "X-Daleroad-Not-Executed: 1"
+FULL = answer("503 Full", NOT_EXECUTED)
+MISDIRECTED = answer("421 Other", "X-Daleroad-Instance-Id: i-9")
 FIRST = make_response("abc", "200 OK", b"the first body")
 SECOND = make_response("def", "200 OK", b"the second body")
 FAILURE = make_response("def", "500 Internal Server Error", b"what went wrong")
@@ -90,6 +93,35 @@
         self.assertEqual(self.upstream.connections, 1)
 
 
+class UnattributedTest(ClientTest):
+    """Responses without an attempt id."""
+
+    def test_a_rejection_of_another_request_is_not_taken_for_not_run(self) -> None:
+        first, second = self.exchange_two(FIRST, FULL + SECOND)
+        self.assertEqual(read(first)[0], 200)
+        assert isinstance(second, Lost), second
+        self.assertTrue(second.ambiguous)
+        self.assertFalse(second.blames_upstream())
+
+    def test_a_late_copy_of_a_rejection_is_not_taken_for_the_next_response(self) -> None:
+        for rejection in (FULL, MISDIRECTED):
+            first, second = self.exchange_two(rejection, rejection + SECOND)
+            assert isinstance(first, NotRun), first
+            assert isinstance(second, NotRun), second
+            self.assertEqual((first.earlier, second.earlier), (0, 0))
+            self.assertEqual(self.upstream.connections, 2)
+
+    def test_a_failure_of_another_request_is_not_passed_on(self) -> None:
+        _, second = self.exchange_two(FIRST, answer("500 Oops") + SECOND)
+        self.assertIsInstance(second, Lost)
+
+    def test_a_rejection_with_the_id_counts_and_its_connection_is_reused(self) -> None:
+        full = answer("503 Full", "X-Daleroad-Attempt-Id: def", NOT_EXECUTED)
+        _, second = self.exchange_two(FIRST, full)
+        self.assertEqual(second, NotRun("status 503", earlier=1))
+        self.assertEqual(self.upstream.connections, 1)
+
+
 class MergedHeadTest(ClientTest):
     def test_a_copy_cut_in_its_head_does_not_give_its_status_to_the_next_response(self) -> None:
         found: Counter[int] = Counter()
