--- a/tests/test_foreignresponses.py
+++ b/tests/test_foreignresponses.py
@@ -2,13 +2,29 @@
 
 import unittest
 from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import Any
 
 import anyio
 from anyio.abc import SocketStream
 
-from daleroad.dispatch import Lost, NotRun, Reply, Whole
+from daleroad.dispatch import (
+    Attempt,
+    Copied,
+    CopyFault,
+    EngineReport,
+    Lost,
+    NotCopied,
+    NotRun,
+    Reply,
+    Whole,
+)
+from daleroad.errors import Failure
+from daleroad.instances import Instance
 from tests import test_platform
-from tests.test_platform import Upstream, answer
+from tests.fakes import make_instance, make_job
+from tests.test_platform import EngineClient, Upstream, answer
 
 SIGNATURE = "X-Daleroad-Engine-Signature: s"
 KEEP_ALIVE = "Keep-Alive: timeout=10"
@@ -21,6 +37,8 @@
     )
 
 
+COPIES = (b'{"handle":"1","made":4}', b'{"handle":"2","made":5}')
+REPORTS = (b'{"leaves_ms":2000,"runs":[]}', b'{"leaves_ms":1000,"runs":[]}')
 NOT_EXECUTED = "X-Daleroad-Not-Executed: 1"
 FULL = answer("503 Full", NOT_EXECUTED)
 MISDIRECTED = answer("421 Other", "X-Daleroad-Instance-Id: i-9")
@@ -54,6 +72,42 @@
         self.copied.set()
 
 
+class StutteringUpstream(Upstream):
+    """Sends each response on a connection again before the next one."""
+
+    async def handle(self, stream: SocketStream) -> None:
+        await super().handle(_RepeatingStream(stream))
+
+
+class _RepeatingStream:
+    def __init__(self, stream: SocketStream) -> None:
+        self._stream = stream
+        self._last = b""
+        self.receive = stream.receive
+
+    async def __aenter__(self) -> "_RepeatingStream":
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._stream.aclose()
+
+    async def send(self, response: bytes) -> None:
+        await self._stream.send(self._last + response)
+        self._last = response
+
+
+async def send(client: EngineClient, engine: Instance) -> Reply:
+    return await client.send(Attempt(make_job(0.0), engine, "", 5.0))
+
+
+async def ask_copy(client: EngineClient, engine: Instance) -> Copied | NotCopied:
+    return await client.copy(make_job(0.0), engine, engine, False)
+
+
+async def ask_report(client: EngineClient, engine: Instance) -> EngineReport | Failure:
+    return await client.report(engine)
+
+
 class ClientTest(unittest.TestCase):
     exchange = test_platform.EngineClientTest.send_requests
 
@@ -122,6 +176,44 @@
         self.assertEqual(self.upstream.connections, 1)
 
 
+class EngineCallTest(unittest.TestCase):
+    """Responses to calls for copies and reports, which carry no attempt id."""
+
+    def call(
+        self, upstream: Upstream, *calls: Callable[[EngineClient, Instance], Awaitable[Any]]
+    ) -> list[Any]:
+        """Return the results of calls to an upstream, one after the other."""
+
+        async def main() -> list[Any]:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            engine = replace(make_instance(1), address=f"127.0.0.1:{port}")
+            client = EngineClient()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, upstream.handle)
+                found = [await call(client, engine) for call in calls]
+                await client.close()
+                tasks.cancel_scope.cancel()
+            return found
+
+        return anyio.run(main)
+
+    def test_a_late_copy_of_an_answer_does_not_name_the_memory_for_another_stream(self) -> None:
+        upstream = StutteringUpstream(*(answer("200 OK", body=body) for body in COPIES))
+        self.assertEqual(self.call(upstream, ask_copy, ask_copy), [Copied("1", 4), Copied("2", 5)])
+
+    def test_a_late_copy_of_a_report_is_not_the_next_report(self) -> None:
+        upstream = StutteringUpstream(*(answer("200 OK", body=body) for body in REPORTS))
+        reports = self.call(upstream, ask_report, ask_report)
+        self.assertEqual([report.stops_in_seconds for report in reports], [2.0, 1.0])
+
+    def test_a_response_to_a_request_is_not_the_answer_to_a_call(self) -> None:
+        upstream = StutteringUpstream(make_response("id1", "200 OK", b""), answer("404 No"))
+        reply, copied = self.call(upstream, send, ask_copy)
+        self.assertEqual(read(reply), (200, b""))
+        self.assertEqual(copied, NotCopied("status 404", CopyFault.ABSENT))
+
+
 class MergedHeadTest(ClientTest):
     def test_a_copy_cut_in_its_head_does_not_give_its_status_to_the_next_response(self) -> None:
         found: Counter[int] = Counter()
