Bound what is read of an upstream's response on every path

A gateway read on without bound, until its memory or its time was over, where an upstream sent bytes without end: interim responses before a head, the body of a rejection that is dropped, an answer about a copy or a report, and, in time quadratic in its length, a large event of a stream. A rejection with a slow body also delayed the request's next try until its end.

--- a/src/daleroad/exchanges.py
+++ b/src/daleroad/exchanges.py
@@ -21,8 +21,17 @@
 """Most bytes of one read, as many as the event loop takes from a socket: the rest of a smaller one
 would wait where no poll of the socket sees it."""
 
-MAX_HEAD_BYTES = 102_400
-"""Largest head of a response."""
+MAX_HEAD_BYTES = 32_768
+"""Largest head or trailer of a response; the last read may go beyond it."""
+
+MAX_INTERIM_RESPONSES = 16
+"""Most informational (1xx) responses before a response."""
+
+DISCARDED_BYTES = 65_536
+"""Largest body that is read only so that its connection can be reused."""
+
+DISCARD_SECONDS = 0.25
+"""Longest wait for the end of such a body."""
 
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
@@ -62,21 +71,21 @@
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._request_sent = False
 
-    async def exchange(self, request: HttpRequest, read_seconds: float | None) -> h11.Response:
+    async def exchange(self, request: HttpRequest) -> h11.Response:
         """Send a request and return the head of its response.
 
         :param request: the request.
-        :param read_seconds: longest wait for more of the response; None for no limit.
         """
         # An upstream may respond and close before it has read the whole request.
         with suppress(httpcore.WriteError):
             await self._send(request)
-        while True:
-            head = await self._read_event(read_seconds)
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            head = await self._read_event()
             if _is_merged(head):
                 raise httpcore.RemoteProtocolError("the head holds a second status line")
             if isinstance(head, h11.Response):
                 return head
+        raise httpcore.RemoteProtocolError(f"more than {MAX_INTERIM_RESPONSES} interim responses")
 
     async def _send(self, request: HttpRequest) -> None:
         self._request_sent = False
@@ -96,15 +105,12 @@
             await self.stream.write(body)
         self._request_sent = True
 
-    async def read_body(self, read_seconds: float | None) -> AsyncIterator[bytes]:
-        """Yield the body of the response in pieces.
-
-        :param read_seconds: as for :meth:`exchange`.
-        """
-        while isinstance(event := await self._read_event(read_seconds), h11.Data):
+    async def read_body(self) -> AsyncIterator[bytes]:
+        """Yield the body of the response in pieces."""
+        while isinstance(event := await self._read_event(), h11.Data):
             yield bytes(event.data)
 
-    async def _read_event(self, seconds: float | None) -> Any:
+    async def _read_event(self) -> Any:
         while True:
             try:
                 event = self._http.next_event()
@@ -112,7 +118,7 @@
                 raise httpcore.RemoteProtocolError(repr(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            data = await self.stream.read(READ_BYTES, seconds)
+            data = await self.stream.read(READ_BYTES)
             if not data and self._http.their_state is h11.SEND_RESPONSE:
                 raise httpcore.RemoteProtocolError("disconnected without a complete head")
             self._http.receive_data(data)
@@ -150,7 +156,6 @@
 
     :param connection: carries it.
     :param head: status and headers.
-    :param read_seconds: longest wait for more of it; None for no limit.
     :param release: takes the connection back at the end.
     """
 
@@ -158,13 +163,11 @@
         self,
         connection: HttpConnection,
         head: h11.Response,
-        read_seconds: float | None,
         release: Callable[[HttpConnection], Awaitable[None]],
     ) -> None:
         self.status = head.status_code
         self.headers: Headers = tuple(head.headers.raw_items())
         self._connection = connection
-        self._read_seconds = read_seconds
         self._release: Callable[[HttpConnection], Awaitable[None]] | None = release
 
     def get_info(self, name: str) -> Any:
@@ -180,11 +183,28 @@
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body in pieces."""
-        return self._connection.read_body(self._read_seconds)
+        return self._connection.read_body()
 
-    async def read(self) -> bytes:
-        """Return the whole body."""
-        return b"".join([chunk async for chunk in self.chunks()])
+    async def read(self, max_bytes: int) -> bytes:
+        """Return the whole body.
+
+        :param max_bytes: largest body.
+        :raises httpcore.RemoteProtocolError: if it is larger.
+        """
+        body = bytearray()
+        async for chunk in self.chunks():
+            body += chunk
+            if len(body) > max_bytes:
+                raise httpcore.RemoteProtocolError(f"the body exceeds {max_bytes} bytes")
+        return bytes(body)
+
+    async def discard(self) -> None:
+        """Drop the body; the connection is reused only if its end comes soon."""
+        # Errors are ignored: what is left of the response is not used.
+        with suppress(httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+            with anyio.move_on_after(DISCARD_SECONDS):
+                await self.read(DISCARDED_BYTES)
+        await self.close()
 
     async def close(self) -> None:
         """Give the connection back; one whose response was not read to its end is closed."""
@@ -227,22 +247,19 @@
             self._open.add(connection)
         return connection
 
-    async def send(
-        self, connection: HttpConnection, request: HttpRequest, read_seconds: float | None = None
-    ) -> HttpResponse:
+    async def send(self, connection: HttpConnection, request: HttpRequest) -> HttpResponse:
         """Send a request and return its response once its head has been read.
 
         :param connection: one that :meth:`connect` returned.
         :param request: the request.
-        :param read_seconds: longest wait for more of the response; None for no limit.
         :raises httpcore.NetworkError: if the connection was lost or its bytes are no response.
         """
         try:
-            head = await connection.exchange(request, read_seconds)
+            head = await connection.exchange(request)
         except BaseException:
             await self._close(connection)
             raise
-        return HttpResponse(connection, head, read_seconds, self._release)
+        return HttpResponse(connection, head, self._release)
 
     async def _take_idle(self) -> HttpConnection | None:
         """Return the idle connection that was used last, if any can be used."""
--- a/tests/test_foreignresponses.py
+++ b/tests/test_foreignresponses.py
@@ -1,8 +1,10 @@
 """Tests of bytes from an upstream that belong to no request, or to another one."""
 
+import time
 import unittest
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import replace
 from typing import Any
 
@@ -18,13 +20,14 @@
     NotCopied,
     NotRun,
     Reply,
+    StreamEvent,
     Whole,
 )
 from daleroad.errors import Failure
 from daleroad.instances import Instance
 from tests import test_platform
 from tests.fakes import make_instance, make_job
-from tests.test_platform import EngineClient, Upstream, answer
+from tests.test_platform import ID, SIGNED, EngineClient, EventStream, Upstream, answer
 
 SIGNATURE = "X-Daleroad-Engine-Signature: s"
 KEEP_ALIVE = "Keep-Alive: timeout=10"
@@ -72,6 +75,26 @@
         self.copied.set()
 
 
+class EndlessUpstream(Upstream):
+    """Sends a response that has a start and no end."""
+
+    def __init__(self, start: bytes, more: bytes) -> None:
+        super().__init__()
+        self._start = start
+        self._more = more
+        self.closed = anyio.Event()
+
+    async def handle(self, stream: SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            with suppress(anyio.BrokenResourceError):
+                await stream.send(self._start)
+                while True:
+                    await stream.send(self._more)
+                    await anyio.sleep(0)
+        self.closed.set()
+
+
 class StutteringUpstream(Upstream):
     """Sends each response on a connection again before the next one."""
 
@@ -207,6 +230,14 @@
         reports = self.call(upstream, ask_report, ask_report)
         self.assertEqual([report.stops_in_seconds for report in reports], [2.0, 1.0])
 
+    def test_an_answer_without_end_is_given_up(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\n"
+        for start in (head, head + b"\r\n", head + b"Content-Length: 900000000\r\n\r\n"):
+            upstream = EndlessUpstream(start, b"a" * 1000)
+            copied, report = self.call(upstream, ask_copy, ask_report)
+            self.assertEqual(copied.fault, CopyFault.UNREACHABLE)
+            self.assertIsInstance(report, Failure)
+
     def test_a_response_to_a_request_is_not_the_answer_to_a_call(self) -> None:
         upstream = StutteringUpstream(make_response("id1", "200 OK", b""), answer("404 No"))
         reply, copied = self.call(upstream, send, ask_copy)
@@ -214,6 +245,59 @@
         self.assertEqual(copied, NotCopied("status 404", CopyFault.ABSENT))
 
 
+class EndlessBytesTest(ClientTest):
+    """Upstreams that send until their connection is closed."""
+
+    def receive_endless(self, start: bytes, more: bytes) -> Reply:
+        """Return the reply to a request; the upstream's connection must be closed by the client."""
+        upstream = EndlessUpstream(start, more)
+
+        async def wait(reply: Reply) -> None:
+            with anyio.fail_after(1.0):
+                await upstream.closed.wait()
+
+        (reply,) = self.exchange(upstream, 1, wait)
+        return reply
+
+    def test_a_head_without_end_is_given_up(self) -> None:
+        for start, more in (
+            (b"HTTP/1.1 200 OK\r\nX-A: ", b"a" * 1000),
+            (b"HTTP/1.1 200 OK\r\n", b"X-A: a\r\n" * 100),
+            (b"", b"\x00" * 1000),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        ):
+            with self.subTest(start, more=more):
+                self.assertIsInstance(self.receive_endless(start, more), Lost)
+
+    def test_a_body_without_end_is_given_up(self) -> None:
+        head = "\r\n".join(["HTTP/1.1 200 OK", *SIGNED, "Transfer-Encoding: chunked", "", ""])
+        for more in (b"a" * 1000, b"1000\r\n" + b"a" * 0x1000 + b"\r\n", b"0\r\nX-A: " * 100):
+            with self.subTest(more):
+                self.assertIsInstance(self.receive_endless(head.encode(), more), Lost)
+
+    def test_the_body_of_a_rejection_delays_no_retry(self) -> None:
+        for framing in ("Transfer-Encoding: chunked", "Content-Length: 900000000", "X: y"):
+            head = "\r\n".join(["HTTP/1.1 503 Full", ID, NOT_EXECUTED, framing, "", ""])
+            with self.subTest(framing):
+                begun = time.monotonic()
+                reply = self.receive_endless(head.encode(), b"1\r\na\r\n")
+                self.assertEqual(reply, NotRun("status 503"))
+                self.assertLess(time.monotonic() - begun, 1.0)
+
+    def test_an_event_without_end_is_given_up(self) -> None:
+        head = "\r\n".join(["HTTP/1.1 200 OK", *SIGNED, "Content-Type: text/event-stream", "", ""])
+        upstream = EndlessUpstream(head.encode() + b"id: 1\n\n", b"data")
+        pieces: list[StreamEvent | Lost] = []
+
+        async def on_reply(reply: Reply) -> None:
+            assert isinstance(reply, EventStream), reply
+            pieces.extend([piece async for piece in reply.events()])
+            await reply.close()
+
+        self.exchange(upstream, 1, on_reply)
+        self.assertEqual([type(piece) for piece in pieces], [StreamEvent, Lost])
+
+
 class MergedHeadTest(ClientTest):
     def test_a_copy_cut_in_its_head_does_not_give_its_status_to_the_next_response(self) -> None:
         found: Counter[int] = Counter()
