Tests of responses that are cut short, have no body, or come after interim ones

Another operator reported clients that got a 200 with an empty or short body where an engine had stopped in its head.

--- a/tests/test_foreignresponses.py
+++ b/tests/test_foreignresponses.py
@@ -3,16 +3,18 @@
 import time
 import unittest
 from collections import Counter
-from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager, suppress
 from dataclasses import replace
 from typing import Any
+from unittest.mock import patch
 
 import anyio
 from anyio.abc import SocketStream
 
 from daleroad.dispatch import (
     Attempt,
+    ClientRequest,
     Copied,
     CopyFault,
     EngineReport,
@@ -75,6 +77,15 @@
         self.copied.set()
 
 
+class CuttingUpstream(Upstream):
+    """Sends a part of a response and closes its connection."""
+
+    async def handle(self, stream: SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(self.answers[0])
+
+
 class EndlessUpstream(Upstream):
     """Sends a response that has a start and no end."""
 
@@ -245,6 +256,52 @@
         self.assertEqual(copied, NotCopied("status 404", CopyFault.ABSENT))
 
 
+class CutShortTest(ClientTest):
+    """Upstreams that stop within a response and close."""
+
+    def test_a_response_cut_anywhere_is_not_whole(self) -> None:
+        chunked = "\r\n".join(["HTTP/1.1 200 OK", *SIGNED, "Transfer-Encoding: chunked", "", ""])
+        for whole in (FIRST, chunked.encode() + b"5\r\nwhole\r\n0\r\n\r\n"):
+            for cut in range(len(whole)):
+                (reply,) = self.exchange(CuttingUpstream(whole[:cut]))
+                self.assertIsInstance(reply, Lost, whole[:cut])
+
+    def test_a_head_cut_short_is_no_undelimited_response(self) -> None:
+        whole = "\r\n".join(["HTTP/1.1 200 OK", *SIGNED, TYPE, "", ""]).encode()
+        for cut in range(len(whole)):
+            (reply,) = self.exchange(CuttingUpstream(whole[:cut]))
+            self.assertIsInstance(reply, Lost, whole[:cut])
+
+
+class BodilessTest(ClientTest):
+    """Responses that have no body, whatever they announce."""
+
+    def test_what_follows_a_response_without_a_body_is_not_the_next_response(self) -> None:
+        for method, status in (("HEAD", "200 OK"), ("GET", "204 No"), ("GET", "304 Same")):
+            with self.subTest(status, method=method), self.use_method(method):
+                upstream = Upstream(make_response("abc", status, FAILURE), SECOND)
+                first, second = self.exchange(upstream, 2, ids=("abc", "def"))
+                self.assertEqual(read(first), (int(status[:3]), b""))
+                self.assertEqual(read(second)[0], 200)
+                self.assertEqual(upstream.connections, 2)
+
+    def test_interim_responses_are_not_passed_on(self) -> None:
+        interim = b"HTTP/1.1 103 Early Hints\r\nX-Daleroad-Attempt-Id: abc\r\n\r\n"
+        first, second = self.exchange_two(interim + FIRST, interim + SECOND)
+        self.assertEqual((read(first)[0], read(second)[0]), (200, 200))
+        switch = make_response("abc", "101 Switching Protocols", b"")
+        (reply,) = self.exchange(Upstream(switch))
+        self.assertIsInstance(reply, Lost)
+
+    @contextmanager
+    def use_method(self, method: str) -> Iterator[None]:
+        def make(request: str, _: str, *rest: Any) -> ClientRequest:
+            return ClientRequest(request, method, *rest)
+
+        with patch.object(test_platform, "ClientRequest", make):
+            yield
+
+
 class EndlessBytesTest(ClientTest):
     """Upstreams that send until their connection is closed."""
 
