--- a/tests/test_foreignresponses.py
+++ b/tests/test_foreignresponses.py
@@ -249,6 +249,14 @@
             self.assertEqual(copied.fault, CopyFault.UNREACHABLE)
             self.assertIsInstance(report, Failure)
 
+    def test_wrong_bytes_in_an_answer_end_no_gateway(self) -> None:
+        for body in (b"", b"7", b"[]", b"{}", b'{"handle":', b'{"handle":"1","made":"x"}', b"\xff"):
+            with self.subTest(body):
+                upstream = Upstream(*[answer("200 OK", body=body)] * 2)
+                copied, report = self.call(upstream, ask_copy, ask_report)
+                assert isinstance(copied, NotCopied), copied
+                self.assertTrue(copied.may_have_stopped())
+
     def test_a_response_to_a_request_is_not_the_answer_to_a_call(self) -> None:
         upstream = StutteringUpstream(make_response("id1", "200 OK", b""), answer("404 No"))
         reply, copied = self.call(upstream, send, ask_copy)
