Send no id twice on a connection

The gateway's own retries go to other upstreams; a client that sends an id again could get the earlier response, a success where its request had failed.

A connection remembers its last 32 ids and carries none of them again. The regression test fails before: status 200 in place of 500.

--- a/src/daleroad/exchanges.py
+++ b/src/daleroad/exchanges.py
@@ -6,6 +6,7 @@
 """
 
 import re
+from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -38,6 +39,9 @@
 _SURPLUS_SECONDS = 0.01
 """Longest wait for the bytes of an idle connection that is readable."""
 
+_REMEMBERED_IDS = 32
+"""Requests of a connection whose ids it remembers; late copies are of its last responses."""
+
 _COALESCED_BYTES = 16_384
 """Bodies up to this size are written together with their heads."""
 
@@ -62,12 +66,14 @@
     :param stream: the connection itself.
     :param kept: whether it may be reused.
     :ivar responses: responses that it carried before the current one.
+    :ivar request_ids: ids of the last requests that it carried.
     """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream, kept: bool) -> None:
         self.stream = stream
         self.kept = kept
         self.responses = 0
+        self.request_ids: deque[str] = deque(maxlen=_REMEMBERED_IDS)
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._request_sent = False
 
@@ -232,19 +238,24 @@
         self._idle: dict[HttpConnection, float] = {}
         self._retired = False
 
-    async def connect(self, own_silence: float | None = None) -> HttpConnection:
-        """Return a connection for one request.
+    async def connect(
+        self, request_id: str = "", own_silence: float | None = None
+    ) -> HttpConnection:
+        """Return a connection for one request; no idle one that has carried its id.
 
+        :param request_id: what ties the response to the request; empty if nothing does.
         :param own_silence: allowed silence on a connection of the request's own; None to reuse an
             idle connection if there is one.
         :raises httpcore.ConnectError: if no connection was made, so that nothing was sent.
         """
-        connection = await self._take_idle() if own_silence is None else None
+        reuses = request_id and own_silence is None
+        connection = await self._take_idle(request_id) if reuses else None
         if connection is None:
             silence = self._silence if own_silence is None else own_silence
             stream = await self._connect(silence)
-            connection = HttpConnection(stream, kept=own_silence is None)
+            connection = HttpConnection(stream, kept=bool(reuses))
             self._open.add(connection)
+        connection.request_ids.append(request_id)
         return connection
 
     async def send(self, connection: HttpConnection, request: HttpRequest) -> HttpResponse:
@@ -261,11 +272,12 @@
             raise
         return HttpResponse(connection, head, self._release)
 
-    async def _take_idle(self) -> HttpConnection | None:
+    async def _take_idle(self, request_id: str) -> HttpConnection | None:
         """Return the idle connection that was used last, if any can be used."""
         await self._close_expired()
-        while self._idle:
-            connection, _ = self._idle.popitem()
+        while usable := [c for c in self._idle if request_id not in c.request_ids]:
+            connection = usable[-1]
+            del self._idle[connection]
             if not connection.stream.get_extra_info("is_readable"):
                 return connection
             try:
--- a/tests/test_foreignresponses.py
+++ b/tests/test_foreignresponses.py
@@ -181,6 +181,15 @@
         self.assertEqual(self.upstream.connections, 1)
 
 
+class SentAgainTest(ClientTest):
+    def test_a_late_copy_is_not_the_response_to_a_resend_of_its_id(self) -> None:
+        failure = make_response("abc", "500 Internal Server Error", b"what went wrong")
+        upstream = StutteringUpstream(FIRST, failure)
+        first, second = self.exchange(upstream, 2, ids=("abc", "abc"))
+        self.assertEqual(read(first), (200, b"the first body"))
+        self.assertEqual(read(second), (500, b"what went wrong"))
+
+
 class UnattributedTest(ClientTest):
     """Responses without an attempt id."""
 
