--- a/tests/test_foreignresponses.py
+++ b/tests/test_foreignresponses.py
@@ -208,6 +208,11 @@
             self.assertEqual((first.earlier, second.earlier), (0, 0))
             self.assertEqual(self.upstream.connections, 2)
 
+    def test_rejections_without_an_id_are_ambiguous_only_once(self) -> None:
+        upstream = Upstream(FIRST, FULL, make_response("ghi", "200 OK", b""), FULL)
+        replies = self.exchange(upstream, 4, ids=("abc", "def", "ghi", "jkl"))
+        self.assertEqual([type(reply) for reply in replies], [Whole, Lost, Whole, NotRun])
+
     def test_a_failure_of_another_request_is_not_passed_on(self) -> None:
         _, second = self.exchange_two(FIRST, answer("500 Oops") + SECOND)
         self.assertIsInstance(second, Lost)
