Do not reuse a tunnel behind whose answer more bytes wait

Callers could get an answer that belongs to no request of theirs: the second copy of an earlier answer, or bytes behind it, where that answer had come through a tunnel.

Cause: before an idle connection is reused, the tunnel is asked whether anything came that was not asked for. It looked at the bytes that it had decoded and at the socket. Bytes that were read from the socket along with the answer wait undecoded in the protocol state, and were seen by neither.

Evidence: on the code before, tests.test_tunnelbytes.ReuseTest failed with a second answer in a chunk of its own, cut at each of its 46 bytes, and with one in the rest of the answer's chunk (2 of 3 cuts; the third has no surplus).

Change: an idle tunnel counts as readable unless nothing is received behind its last chunk but the line end of that chunk, or if that chunk is unfinished. The reader keeps what the chunk still lacks.

Result: all cuts are seen; an answer without surplus is reused as before. The tests of cut tunnels, endless heads and trailers, informational answers and endless upstreams passed on the code before.

--- a/src/daleroad/tunnels.py
+++ b/src/daleroad/tunnels.py
@@ -55,6 +55,7 @@
 )
 
 _TUNNEL_ERRORS = (anyio.EndOfStream, anyio.BrokenResourceError, h11.ProtocolError)
+_LINE_END = b"\r\n"
 _OK = 200
 
 
@@ -77,6 +78,8 @@
         self._http = http
         self._on_close: Callable[[], None] | None = on_close
         self._unread = b""
+        # What the last chunk that was read still lacks; None if that is more than its line end.
+        self._chunk_rest: bytes | None = b""
 
     async def receive(self, max_bytes: int = 65_536) -> bytes:
         """Return the next bytes from the upstream.
@@ -101,7 +104,8 @@
             except _TUNNEL_ERRORS as error:
                 raise TunnelLostError from error
             match event:
-                case h11.Data(data=data):
+                case h11.Data(data=data, chunk_end=ended):
+                    self._chunk_rest = _LINE_END if ended else None
                     return bytes(data)
                 case h11.EndOfMessage(headers=headers):
                     lost = any(name.decode() == LOST_TRAILER for name, _ in headers)
@@ -112,12 +116,17 @@
     def is_readable(self) -> bool:
         """Return whether something came that was not asked for, or the connection ended."""
         number = self._stream.extra(SocketAttribute.raw_socket).fileno()
-        if self._unread or number < 0:
+        if self._unread or number < 0 or self._has_begun_chunk():
             return True
         polled = poll()
         polled.register(number, POLLIN)
         return bool(polled.poll(0))
 
+    def _has_begun_chunk(self) -> bool:
+        """Return whether a chunk was received in part, or bytes behind the last one."""
+        received, _ = self._http.trailing_data
+        return self._chunk_rest is None or not self._chunk_rest.startswith(received)
+
     async def send(self, item: bytes) -> None:
         """Send bytes to the upstream.
 
