Read all that the event loop holds of a tunnel

Cause: the event loop reads up to 256 KiB of a socket at once, and the tunnel took 64 KiB of that. The rest waited in the socket's stream; a poll of the socket doesn't show it.

Change: a tunnel takes all that was read.

Direct connections read through the same kind of stream, in parts of 64 KiB; they are not changed here.

--- a/src/daleroad/tunnels.py
+++ b/src/daleroad/tunnels.py
@@ -55,6 +55,10 @@
 )
 
 _TUNNEL_ERRORS = (anyio.EndOfStream, anyio.BrokenResourceError, h11.ProtocolError)
+_READ_BYTES = 1_048_576
+"""More than the event loop reads at once. What one read leaves over waits in the socket's stream,
+where neither the tunnel nor a poll of the socket sees it."""
+
 _LINE_END = b"\r\n"
 _OK = 200
 
@@ -99,7 +103,7 @@
             try:
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
-                    self._http.receive_data(await self._stream.receive())
+                    self._http.receive_data(await self._stream.receive(_READ_BYTES))
                     continue
             except _TUNNEL_ERRORS as error:
                 raise TunnelLostError from error
@@ -281,7 +285,7 @@
     while True:
         match http.next_event():
             case h11.NEED_DATA:
-                http.receive_data(await stream.receive())
+                http.receive_data(await stream.receive(_READ_BYTES))
             case h11.Response(status_code=status):
                 if status == _OK:
                     return None
--- a/tests/test_tunnelbytes.py
+++ b/tests/test_tunnelbytes.py
@@ -122,6 +122,11 @@
                 sent = chunk[: len(chunk) - 2 - len(ANSWER) + length]
                 self.check(sent, ANSWER + ANSWER[:length], length < len(ANSWER))
 
+    def test_surplus_that_the_event_loop_read_along_with_a_long_answer_is_seen(self) -> None:
+        answer = b"z" * (READ_BYTES - len(make_chunk(b"")) - 3)
+        self.assertEqual(len(make_chunk(answer)), READ_BYTES)
+        self.check(make_chunk(answer) + make_chunk(b"y"), answer, True)
+
 
 class EndTest(PeerCase):
     """The end of an upstream's connection is told, all other ends are cuts."""
