Bound the refusal of a tunnel that is read

A gateway that opened a tunnel read the refusal without bound, and copied all of it for each part that came. What answers at the other gateway's address may be broken or something else.

Evidence: a peer that refuses with a body without end (with a length, in chunks, or until the connection ends) sent all of the 20 MB at which it gives up; the test allows 4 MB, most of it for the sockets' buffers.

Change: a refusal of more than 16 KiB fails the attempt, and its connection is closed.

Result: tests.test_tunnelbytes.OpeningTest passes.

--- a/src/daleroad/tunnels.py
+++ b/src/daleroad/tunnels.py
@@ -43,6 +43,9 @@
 CHECK_SECONDS = 0.3
 """How long a gateway that carries tunnels may take to refuse one."""
 
+MAX_REFUSAL_BYTES = 16_384
+"""Longest body of a refusal that is read; it names a failure and its reason."""
+
 _NO_UPSTREAM = Target("none:0", 1.0)
 """A target that every gateway refuses."""
 
@@ -291,6 +294,9 @@
                     return None
             case h11.Data(data=data):
                 body += bytes(data)
+                if len(body) > MAX_REFUSAL_BYTES:
+                    reason = f"a refusal of more than {MAX_REFUSAL_BYTES} bytes"
+                    return Failure(FailureKind.UNREACHABLE, reason)
             case h11.EndOfMessage():
                 return parse_problem(body)
             case _:
--- a/tests/test_tunnelbytes.py
+++ b/tests/test_tunnelbytes.py
@@ -183,6 +183,17 @@
         self.assertIsInstance(found[0], Failure)
         return sent
 
+    def test_refusal_without_end_is_not_read_without_end(self) -> None:
+        head = b"HTTP/1.1 503 Unavailable\r\n"
+        framed = (
+            (b"Content-Length: 999999999\r\n\r\n", b"x" * 60_000),
+            (b"Transfer-Encoding: chunked\r\n\r\n", make_chunk(b"x" * 60_000)),
+            (b"\r\n", b"x" * 60_000),
+        )
+        for framing, part in framed:
+            with self.subTest(framing):
+                self.assertLess(self.refuse(head + framing, part), MOST_BYTES)
+
     def test_head_without_end_is_not_read_without_end(self) -> None:
         self.assertLess(self.refuse(b"HTTP/1.1 200 OK\r\n", b"x: y\r\n" * 9000), MOST_BYTES)
         self.assertLess(self.refuse(b"HTTP/1.1 200 ", b"z" * 60_000), MOST_BYTES)
