Open no tunnel whose cut would look like the upstream's end

An answer without length that comes through a tunnel ends with the upstream's connection. A cut tunnel must not look like that, or callers take a part of such an answer as the whole.

Cause: any answer 200 opened a tunnel. Only one in chunks tells a cut from the end; one without framing ends with the tunnel's own connection, and one with a length ends by itself. Gateways send chunks, but something else may answer at an address.

Evidence: the test's two acceptances, without framing and with a length, opened a tunnel on the code before.

Change: an acceptance that isn't chunked is a failure.

Result: tests.test_tunnelbytes and test_tunnels.TunnelTest pass.

--- a/src/daleroad/tunnels.py
+++ b/src/daleroad/tunnels.py
@@ -289,9 +289,9 @@
         match http.next_event():
             case h11.NEED_DATA:
                 http.receive_data(await stream.receive(_READ_BYTES))
-            case h11.Response(status_code=status):
+            case h11.Response(status_code=status, headers=headers):
                 if status == _OK:
-                    return None
+                    return _check_framing(headers)
             case h11.Data(data=data):
                 body += bytes(data)
                 if len(body) > MAX_REFUSAL_BYTES:
@@ -301,3 +301,13 @@
                 return parse_problem(body)
             case _:
                 raise anyio.EndOfStream
+
+
+def _check_framing(headers: Iterable[tuple[bytes, bytes]]) -> Failure | None:
+    """Return why a body with these headers carries no tunnel; nothing if it comes in chunks.
+
+    Without chunks a cut would look like the end of the upstream's connection.
+    """
+    if (b"transfer-encoding", b"chunked") in headers:
+        return None
+    return Failure(FailureKind.UNREACHABLE, "accepted by what is no gateway's tunnels")
--- a/tests/test_tunnelbytes.py
+++ b/tests/test_tunnelbytes.py
@@ -203,6 +203,11 @@
         self.assertLess(self.refuse(early, early * 2000), MOST_BYTES)
         self.refuse(b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n")
 
+    def test_acceptance_whose_cut_would_look_like_an_end_opens_no_tunnel(self) -> None:
+        for framing in (b"", b"Content-Length: 5\r\n"):
+            with self.subTest(framing):
+                self.refuse(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\nhello")
+
 
 class ServerTest(unittest.TestCase):
     """The far end of tunnels."""
