Count a tunnel before its upstream is dialed

A gateway carries 200 tunnels at most, so that they stay within its memory. When more were opened at once the bound didn't hold: a tunnel was counted only once its upstream was connected, and until then all that came passed the check.

Evidence: 400 tunnels opened at once were 202 open ones on the code before, on loopback, where a dial takes well below a millisecond; a slower dial admits more.

Change: a tunnel counts from when it is admitted.

Result: at most 200, and none left once all are closed.

--- a/src/daleroad/tunnelserver.py
+++ b/src/daleroad/tunnelserver.py
@@ -90,23 +90,16 @@
         if request is None:
             return
         target = self._check(request)
-        upstream = target if isinstance(target, Failure) else await _dial(target)
-        if isinstance(upstream, Failure):
-            await stream.send(_make_refusal(http, upstream))
+        if isinstance(target, Failure):
+            await stream.send(_make_refusal(http, target))
             return
-        assert isinstance(target, Target)
-        _limit_silence(stream, target.silence)
-        begun = anyio.current_time()
         tunnel = _Carried()
+        # Before its upstream is dialed, or tunnels that are opened at once would exceed the bound.
         self._open.add(tunnel)
         try:
-            async with upstream:
-                await stream.send(_make_acceptance(http))
-                await _carry(stream, http, upstream, tunnel)
+            await _connect_and_carry(stream, http, target, tunnel)
         finally:
             self._open.discard(tunnel)
-            seconds = round(anyio.current_time() - begun, 3)
-            log_event(Event.TUNNEL_ENDED, address=target.address, seconds=seconds)
 
     def _check(self, request: h11.Request) -> Target | Failure:
         """Return the upstream that a request names, or why it is refused."""
@@ -141,6 +134,25 @@
                 raise anyio.EndOfStream
 
 
+async def _connect_and_carry(
+    stream: SocketStream, http: h11.Connection, target: Target, tunnel: _Carried
+) -> None:
+    """Connect to the upstream and carry what both ends send, or refuse the tunnel."""
+    upstream = await _dial(target)
+    if isinstance(upstream, Failure):
+        await stream.send(_make_refusal(http, upstream))
+        return
+    _limit_silence(stream, target.silence)
+    begun = anyio.current_time()
+    try:
+        async with upstream:
+            await stream.send(_make_acceptance(http))
+            await _carry(stream, http, upstream, tunnel)
+    finally:
+        seconds = round(anyio.current_time() - begun, 3)
+        log_event(Event.TUNNEL_ENDED, address=target.address, seconds=seconds)
+
+
 async def _dial(target: Target) -> SocketStream | Failure:
     host, _, port = target.address.partition(":")
     with anyio.move_on_after(DIAL_SECONDS):
--- a/tests/test_tunnelbytes.py
+++ b/tests/test_tunnelbytes.py
@@ -12,7 +12,7 @@
 from daleroad.errors import Failure
 from daleroad.tunnelpeers import TunnelPeers
 from daleroad.tunnels import TunnelClient, TunnelLostError, TunnelStream
-from daleroad.tunnelserver import HEAD_SECONDS, TunnelServer
+from daleroad.tunnelserver import HEAD_SECONDS, MAX_TUNNELS, TunnelServer
 
 OPEN = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 END = b"0\r\n\r\n"
@@ -228,6 +228,41 @@
 
         anyio.run(main)
 
+    def test_tunnels_that_are_opened_at_once_are_bounded(self) -> None:
+        most = 0
+        accepted = 0
+        left: list[int] = []
+
+        async def handle(stream: SocketStream) -> None:
+            nonlocal accepted
+            accepted += 1
+            await anyio.sleep_forever()
+
+        async def body(peer: str, address: str) -> None:
+            client = TunnelClient(TunnelPeers((peer,)), "secret")
+            found: list[Tunnel[TunnelStream]] = []
+
+            async def open_one() -> None:
+                nonlocal most
+                opened = await client.open(Target(address, 3.0))
+                most = max(most, self.server.count())
+                if isinstance(opened, Tunnel):
+                    found.append(opened)
+
+            async with anyio.create_task_group() as tasks:
+                for _ in range(2 * MAX_TUNNELS):
+                    tasks.start_soon(open_one)
+            for opened in found:
+                await opened.connection.aclose()
+            await anyio.sleep(0.1)
+            left.append(self.server.count())
+
+        self.play(handle, body)
+        self.assertLessEqual(most, MAX_TUNNELS)
+        self.assertLessEqual(accepted, MAX_TUNNELS)
+        self.assertGreater(accepted, 0)
+        self.assertEqual(left, [0])
+
     def test_request_for_a_tunnel_is_bounded_in_size_and_time(self) -> None:
         async def handle(stream: SocketStream) -> None:
             self.fail("the upstream was connected to")
