End a response whose request's body was left unread

Callers that sent a body of more than ten chunks to a path that doesn't read one (readiness, metrics, an unknown path of an entry) got their answer and then a connection that hung: the next request on it got none, and the connection was kept for good. A client whose body was refused as too large and that sent on without end kept its request open, and a drain waited for it.

Cause: the server queues ten events of a request, and ends a response by putting another one into that queue. When the application had answered without reading on, the queue was full and nobody read it.

Evidence: tests.test_clientconnections failed at the readiness check and at an unknown path of the router, each with 200 chunks of a byte (the second request waited for all of the two seconds that the test allows), and with a refused body in chunks of a byte: after five seconds the request was still open.

Change: the rest of a request is dropped while the last event of its response is sent. RequestState, which watched this for the platform's applications, moves to its own module, and the router uses it too.

Result: the first two get their second answer or the connection's end, the third is cut off after the refusal. The other tests of the new file passed on the code before: pipelined requests, bodies that read like requests, refused bodies, Expect, broken-off streams, answers cut at their deadline, half-closed clients, bounds of heads, 300 connections at once.

--- a/src/daleroad/serving.py
+++ b/src/daleroad/serving.py
@@ -16,6 +16,7 @@
 from daleroad.compression import ENCODING, pack, unpack
 from daleroad.ending import ShutdownScopes, make_shutdown_failure
 from daleroad.errors import DaleroadError, Failure, FailureKind, Ran
+from daleroad.requeststate import Receive, RequestState, SendEvent
 from daleroad.settings import Tls
 
 _STATUS: dict[FailureKind, int] = {
@@ -48,8 +49,6 @@
 _GRACE_SECONDS = 3600.0
 
 Headers = list[tuple[bytes, bytes]]
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-SendEvent = Callable[[dict[str, Any]], Awaitable[None]]
 AsgiApp = Callable[[dict[str, Any], Receive, SendEvent], Awaitable[None]]
 T = TypeVar("T")
 
@@ -132,6 +131,10 @@
             return
         if scope["type"] != "http":
             return
+        state = RequestState(receive, send)
+        await self._serve(scope, state.receive, state.send)
+
+    async def _serve(self, scope: dict[str, Any], receive: Receive, send: SendEvent) -> None:
         for path, app in self.mounts.items():
             if scope["path"].startswith(path):
                 await app(scope, receive, send)
