Wait for a request's body no longer than its deadline

A client that announced a body and never sent it, or sent it without ever ending it, held its connection and the room for the whole announced body until the connection ended. With a memory bound in force others were refused for it; a drain waited for the request. A client whose VM is gone without a word never ends its connection.

Cause: reading a body had no limit in time.

Evidence: a client with a deadline of 0.3 s that had sent 4 of 90000 bytes had neither an answer nor released anything after 4 s on the code before.

--- a/tests/test_clientconnections.py
+++ b/tests/test_clientconnections.py
@@ -470,6 +470,28 @@
 class SlowClientTest(ConnectionCase):
     """What a client may hold, and for how long."""
 
+    def test_client_that_never_sends_its_body_holds_nothing_beyond_its_deadline(self) -> None:
+        found: list[Answer | None] = []
+        begun = 0.0
+        self.held.bound = 10_000_000
+
+        async def body(client: Client) -> None:
+            nonlocal begun
+            begun = anyio.current_time()
+            head = make_request(
+                "/x", "Content-Length: 90000", "X-Daleroad-Deadline-Ms: 300", method="POST"
+            )
+            await client.stream.send(head + b"part")
+            await anyio.sleep(0.1)
+            self.assertGreater(self.held.held, 0)
+            with anyio.move_on_after(4.0):
+                found.append(await client.read())
+
+        self.talk(serve_path, body)
+        assert found and found[0], "still held"
+        self.assertEqual((found[0].status, found[0].headers["connection"]), (504, "close"))
+        self.assertEqual((self.jobs, self.held.held), ([], 0))
+
     def test_head_is_bounded_in_size_and_time(self) -> None:
         found: list[Answer | None] = []
 
