State no length in answers that have no body

Clients that asked with HEAD were told that the resource is empty (Content-Length: 0), whatever its length; so were those that got 304, whose length is that of the resource that they hold, and answers 204 had a length though they must have none (RFC 9110, 8.6). A cache takes the 0 as the new length. No bytes were taken for the next answer by it.

Cause: the length of the body that came was stated for every whole answer.

Evidence: tests.test_clientconnections.FramingTest failed for HEAD, for 204 and 304 with GET, POST and HEAD, and for the router's responses on the code before.

Change: these have no Content-Length, at clients' connections and in the router.

Result: FramingTest passes; the next answer on the connection is right before and after.

--- a/src/daleroad/serving.py
+++ b/src/daleroad/serving.py
@@ -4,6 +4,7 @@
 from contextlib import aclosing
 from dataclasses import dataclass, field, replace
 from functools import partial
+from http import HTTPStatus
 from importlib import import_module
 from typing import Any, TypeAlias, TypeVar
 
@@ -146,7 +147,7 @@
         answer = await self._answer(scope, headers, receive)
         if self.compress and ENCODING in headers.get("accept-encoding", ""):
             answer = _compress(answer)
-        await _send_answer(answer, receive, send, self.shutdown_scopes)
+        await _send_answer(answer, scope["method"], receive, send, self.shutdown_scopes)
 
     async def _answer(
         self, scope: dict[str, Any], headers: Mapping[str, str], receive: Receive
@@ -294,27 +295,47 @@
     return replace(answer, body=packed, headers=headers)
 
 
+def has_length(method: str, status: int) -> bool:
+    """Return whether a whole response states the length of its body.
+
+    One to HEAD doesn't know it, and those without a body must not name any (RFC 9110, 8.6).
+
+    :param method: the request's method.
+    :param status: the response's status.
+    """
+    return method != "HEAD" and status not in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+
+
 async def _send_answer(
-    answer: Answer, receive: Receive, send: SendEvent, ending: ShutdownScopes | None
+    answer: Answer,
+    method: str,
+    receive: Receive,
+    send: SendEvent,
+    ending: ShutdownScopes | None,
 ) -> None:
     match answer:
         case Failure():
-            await _send_response(make_response(answer), send)
+            await _send_response(make_response(answer), method, send)
         case Response():
-            await _send_response(answer, send)
+            await _send_response(answer, method, send)
         case Stream():
-            await _send_while_connected(answer, receive, send, ending)
+            await _send_while_connected(answer, method, receive, send, ending)
 
 
-async def _send_response(response: Response, send: SendEvent) -> None:
+async def _send_response(response: Response, method: str, send: SendEvent) -> None:
     headers = _make_headers(response.content_type, response.headers)
-    headers.append((b"content-length", str(len(response.body)).encode()))
+    if has_length(method, response.status):
+        headers.append((b"content-length", str(len(response.body)).encode()))
     await send({"type": "http.response.start", "status": response.status, "headers": headers})
     await send({"type": "http.response.body", "body": response.body})
 
 
 async def _send_while_connected(
-    stream: Stream, receive: Receive, send: SendEvent, ending: ShutdownScopes | None
+    stream: Stream,
+    method: str,
+    receive: Receive,
+    send: SendEvent,
+    ending: ShutdownScopes | None,
 ) -> None:
     """Send a stream, but stop when the caller goes away."""
 
@@ -326,14 +347,16 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch)
         async with aclosing(stream.pieces):
-            await _send_stream(stream, send, ending)
+            await _send_stream(stream, method, send, ending)
         tasks.cancel_scope.cancel()
 
 
-async def _send_stream(stream: Stream, send: SendEvent, ending: ShutdownScopes | None) -> None:
+async def _send_stream(
+    stream: Stream, method: str, send: SendEvent, ending: ShutdownScopes | None
+) -> None:
     piece = await _take_piece(stream.pieces, ending)
     if isinstance(piece, Failure):
-        await _send_response(make_response(piece), send)
+        await _send_response(make_response(piece), method, send)
         return
     headers = _make_headers(stream.content_type, stream.headers)
     await send({"type": "http.response.start", "status": 200, "headers": headers})
--- a/tests/test_clientconnections.py
+++ b/tests/test_clientconnections.py
@@ -307,6 +307,41 @@
         self.assertTrue(first.whole)
         return first, following
 
+    def test_answer_to_head_has_no_body_and_no_length_of_an_empty_one(self) -> None:
+        for body in (b"", b"never sent"):
+            first, _ = self.ask_twice(Whole(200, (), body), "HEAD")
+            self.assertEqual(first.body, b"")
+            self.assertNotIn("content-length", first.headers)
+
+    def test_no_content_and_not_modified_have_no_length(self) -> None:
+        for status in (204, 304):
+            for method in ("GET", "POST", "HEAD"):
+                with self.subTest(f"{method} {status}"):
+                    first, _ = self.ask_twice(Whole(status, (), b""), method)
+                    self.assertEqual((first.status, first.body), (status, b""))
+                    self.assertNotIn("content-length", first.headers)
+                    self.assertNotIn("transfer-encoding", first.headers)
+
+    def test_router_names_no_length_where_there_is_no_body(self) -> None:
+        found: list[Answer | None] = []
+        router = Router(BODY_LIMIT)
+
+        async def serve(request: Request) -> Response:
+            return Response(int(request.tail))
+
+        async def body(port: int) -> None:
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                for method, status in (("GET", 204), ("POST", 304), ("HEAD", 200)):
+                    request = make_request(f"/x/{status}", "Content-Length: 0", method=method)
+                    found.append(await Client(stream).ask(request))
+
+        router.add("*", "/x/", serve)
+        self.play(router, body)
+        for answer in found:
+            assert answer is not None
+            self.assertTrue(answer.whole)
+            self.assertNotIn("content-length", answer.headers)
+
     def test_empty_answer_of_another_status_has_the_length_zero(self) -> None:
         for status in (200, 205, 404, 500):
             first, _ = self.ask_twice(Whole(status, (), b""), "GET")
