Refuse clients of HTTP/1.0, which can't tell an interrupted stream

A client of HTTP/1.0 took a stream that was broken off for a whole answer: status 200, and a body that ends with the connection.

Cause: such clients know no chunks, so the server sends a body of unknown length up to the connection's end, the same for a whole and an interrupted one. It can't reset the connection instead.

Change: a request before HTTP/1.1 is answered 400 before anything runs; whether its answer would be a stream isn't known then. The documented clients speak HTTP/1.1.

Result: the request isn't run.

--- a/tests/test_clientconnections.py
+++ b/tests/test_clientconnections.py
@@ -419,6 +419,19 @@
         assert answer is not None
         self.assertFalse(answer.whole)
 
+    def test_interrupted_stream_does_not_look_complete_to_an_old_client(self) -> None:
+        """A client of HTTP/1.0 reads a body without length to the connection's end."""
+
+        async def serve(job: ClientRequest) -> Outcome:
+            return make_stream(b"a", LOST)
+
+        for version, sent in ((b"HTTP/1.0", b""), (b"HTTP/1.0", b"x" * 10), (b"HTTP/0.9", b"")):
+            request = make_request("/x", f"Content-Length: {len(sent)}", method="POST", body=sent)
+            answer = self.read_one(serve, request.replace(b"HTTP/1.1", version))
+            assert answer is not None
+            self.assertEqual((answer.status, answer.whole), (400, True))
+        self.assertEqual(self.jobs, [])
+
     def test_request_that_raises_is_no_success(self) -> None:
         async def serve(job: ClientRequest) -> Outcome:
             raise ValueError("unexpected")
