Read a request's body into one buffer

A client could make a gateway run out of memory with one body that was within the limit: in chunks of two bytes, a body took 62 times its size, of which the account of held bytes knew one.

Cause: the parts were kept in a list until the end and then joined; each part takes an object, a place in the list and, while they are joined, a buffer's description.

--- a/src/daleroad/serving.py
+++ b/src/daleroad/serving.py
@@ -200,20 +200,18 @@
         return handler, path[len(best) :]
 
     async def _read_body(self, receive: Receive) -> bytes | Failure:
-        parts: list[bytes] = []
-        size = 0
+        # One buffer: a list of its parts takes many times their size if they are small.
+        body = bytearray()
         while True:
             event = await receive()
             if event["type"] == "http.disconnect":
                 return Failure(FailureKind.BAD_REQUEST, "the caller went away")
-            part = event.get("body", b"")
-            size += len(part)
-            if size > self.body_bytes:
+            body += event.get("body", b"")
+            if len(body) > self.body_bytes:
                 reason = f"the body is larger than {self.body_bytes} bytes"
                 return Failure(FailureKind.TOO_LARGE, reason)
-            parts.append(part)
             if not event.get("more_body", False):
-                return b"".join(parts)
+                return bytes(body)
 
 
 async def _handle_until(ending: ShutdownScopes, handler: Handler, request: Request) -> Answer:
--- a/tests/test_clientconnections.py
+++ b/tests/test_clientconnections.py
@@ -2,30 +2,36 @@
 
 import socket
 import sys
+import tracemalloc
 import unittest
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import partial
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
 import anyio
 import h11
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
 from clientface import ClientApp, ReadinessApp  # noqa: E402
-from faces import PortRouter  # noqa: E402
+from engines import EngineClient  # noqa: E402
+from faces import PortRouter, read_body  # noqa: E402
 
-from daleroad.dispatch import ClientRequest, Whole  # noqa: E402
+from daleroad.dispatch import Attempt, ClientRequest, Lost, Reply, Whole  # noqa: E402
 from daleroad.errors import Failure, FailureKind, Ran  # noqa: E402
 from daleroad.forwarding import Outcome, StreamResponse  # noqa: E402
 from daleroad.heldbytes import HeldBytes  # noqa: E402
 from daleroad.serving import Request, Response, Router, serve_config  # noqa: E402
 from daleroad.serving import make_config as make_server_config  # noqa: E402
 from daleroad.settings import Tls  # noqa: E402
+from tests.fakes import make_instance, make_job  # noqa: E402
+from tests.test_platform import SIGNED  # noqa: E402
+from tests.test_platform import answer as make_answer  # noqa: E402
 
 LOST = Failure(FailureKind.UPSTREAM_LOST, "cut", Ran.UNKNOWN)
 BODY_LIMIT = 100_000
@@ -337,10 +343,10 @@
 
         router.add("*", "/x/", serve)
         self.play(router, body)
-        for answer in found:
-            assert answer is not None
-            self.assertTrue(answer.whole)
-            self.assertNotIn("content-length", answer.headers)
+        for got in found:
+            assert got is not None
+            self.assertTrue(got.whole)
+            self.assertNotIn("content-length", got.headers)
 
     def test_empty_answer_of_another_status_has_the_length_zero(self) -> None:
         for status in (200, 205, 404, 500):
@@ -515,6 +521,45 @@
         self.ask_with_unread_body(router, "/x")
 
 
+class UpstreamStatusTest(unittest.TestCase):
+    """No status below 200 of an upstream becomes an answer."""
+
+    def send(self, sent: bytes) -> Reply:
+        async def main() -> Reply:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(SocketAttribute.local_port)
+            instance = replace(make_instance(1), address=f"127.0.0.1:{port}")
+
+            async def handle(stream: SocketStream) -> None:
+                async with stream:
+                    await stream.receive()
+                    await stream.send(sent)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, handle)
+                attempt = Attempt(replace(make_job(0.0), id="abc"), instance, "", 5.0)
+                with anyio.fail_after(10):
+                    reply = await EngineClient().send(attempt)
+                tasks.cancel_scope.cancel()
+            return reply
+
+        return anyio.run(main)
+
+    def test_informational_responses_are_neither_answers_nor_in_their_way(self) -> None:
+        statuses = ("100 Continue", "103 Early Hints", "199 Odd")
+        early = b"".join(make_answer(status, *SIGNED, body=b"") for status in statuses)
+        reply = self.send(early + make_answer("200 OK", *SIGNED))
+        assert isinstance(reply, Whole), reply
+        self.assertEqual((reply.status, reply.body), (200, b"ok"))
+
+    def test_informational_response_that_is_the_last_is_no_answer(self) -> None:
+        for status in ("100 Continue", "101 Switching Protocols", "199 Odd", "099 Odd"):
+            with self.subTest(status):
+                upgrade = ("Upgrade: x", "Connection: upgrade")
+                reply = self.send(make_answer(status, *SIGNED, *upgrade, body=b""))
+                self.assertIsInstance(reply, Lost)
+
+
 class SlowClientTest(ConnectionCase):
     """What a client may hold, and for how long."""
 
@@ -562,6 +607,29 @@
         self.assertIsNone(found[1])
         self.assertEqual(self.jobs, [])
 
+    def test_body_in_many_small_chunks_takes_no_more_room_than_in_one(self) -> None:
+        size = 1_000_000
+        part = bytearray(b"xy")
+
+        async def main(read: Callable[..., Awaitable[Any]]) -> int:
+            left = size
+
+            async def receive() -> dict[str, Any]:
+                nonlocal left
+                left -= len(part)
+                return {"type": "http.request", "body": bytes(part), "more_body": left > 0}
+
+            tracemalloc.start()
+            try:
+                found = await read(receive)
+                self.assertEqual(len(found), size)
+                return tracemalloc.get_traced_memory()[1]
+            finally:
+                tracemalloc.stop()
+
+        for read in (partial(read_body, limit=size), Router(size)._read_body):
+            self.assertLess(anyio.run(main, read), 4 * size)
+
     def test_many_connections_at_once_are_all_served(self) -> None:
         found: list[Answer | None] = []
 
