--- a/tests/test_clientconnections.py
+++ b/tests/test_clientconnections.py
@@ -13,6 +13,8 @@
 from typing import Any
 
 import anyio
+import h2.connection
+import h2.events
 import h11
 from anyio.abc import SocketAttribute, SocketStream
 
@@ -438,6 +440,29 @@
             self.assertEqual((answer.status, answer.whole), (400, True))
         self.assertEqual(self.jobs, [])
 
+    def test_interrupted_stream_does_not_hang_a_client_of_http2(self) -> None:
+        """The server takes HTTP/2 on any port."""
+        events: list[h2.events.Event] = []
+
+        async def serve(job: ClientRequest) -> Outcome:
+            return make_stream(b"a", LOST)
+
+        async def body(client: Client) -> None:
+            state = h2.connection.H2Connection()
+            state.initiate_connection()
+            head = [(":method", "GET"), (":path", "/x"), (":scheme", "http"), (":authority", "h")]
+            state.send_headers(1, [*head, ("x-daleroad-attempt-id", "x")], end_stream=True)
+            await client.stream.send(state.data_to_send())
+            with anyio.move_on_after(2.0), suppress(*_BROKEN):
+                while not any(isinstance(event, h2.events.StreamEnded) for event in events):
+                    events.extend(state.receive_data(await client.stream.receive()))
+
+        self.talk(serve, body)
+        heads = [event for event in events if isinstance(event, h2.events.ResponseReceived)]
+        statuses = [dict(head.headers or [])[b":status"] for head in heads]
+        self.assertEqual((statuses, self.jobs), ([b"400"], []))
+        self.assertIsInstance(events[-1], h2.events.StreamEnded)
+
     def test_request_that_raises_is_no_success(self) -> None:
         async def serve(job: ClientRequest) -> Outcome:
             raise ValueError("unexpected")
