--- a/tests/test_tunnelbytes.py
+++ b/tests/test_tunnelbytes.py
@@ -10,6 +10,7 @@
 
 from daleroad.dialing import Target, Tunnel
 from daleroad.errors import Failure
+from daleroad.loopback import find_ports
 from daleroad.tunnelpeers import TunnelPeers
 from daleroad.tunnels import TunnelClient, TunnelLostError, TunnelStream
 from daleroad.tunnelserver import HEAD_SECONDS, MAX_TUNNELS, TunnelServer
@@ -217,7 +218,7 @@
             upstream = await anyio.create_tcp_listener(local_host="127.0.0.1", backlog=512)
             port = upstream.extra(SocketAttribute.local_port)
             self.server = TunnelServer("secret", lambda address: "")
-            peer = "127.0.0.1:29998"
+            peer = f"127.0.0.1:{find_ports(1)[0]}"
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(upstream.serve, handle)
                 tasks.start_soon(self.server.run, peer)
