--- a/src/daleroad/serving.py
+++ b/src/daleroad/serving.py
@@ -4,6 +4,7 @@
 from contextlib import aclosing
 from dataclasses import dataclass, field, replace
 from functools import partial
+from http import HTTPStatus
 from importlib import import_module
 from typing import Any, TypeAlias, TypeVar
 
@@ -16,6 +17,7 @@
 from daleroad.compression import ENCODING, pack, unpack
 from daleroad.ending import ShutdownScopes, make_shutdown_failure
 from daleroad.errors import DaleroadError, Failure, FailureKind, Ran
+from daleroad.requeststate import Receive, RequestState, SendEvent
 from daleroad.settings import Tls
 
 _STATUS: dict[FailureKind, int] = {
@@ -48,8 +50,6 @@
 _GRACE_SECONDS = 3600.0
 
 Headers = list[tuple[bytes, bytes]]
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-SendEvent = Callable[[dict[str, Any]], Awaitable[None]]
 AsgiApp = Callable[[dict[str, Any], Receive, SendEvent], Awaitable[None]]
 T = TypeVar("T")
 
@@ -132,6 +132,10 @@
             return
         if scope["type"] != "http":
             return
+        state = RequestState(receive, send)
+        await self._serve(scope, state.receive, state.send)
+
+    async def _serve(self, scope: dict[str, Any], receive: Receive, send: SendEvent) -> None:
         for path, app in self.mounts.items():
             if scope["path"].startswith(path):
                 await app(scope, receive, send)
@@ -143,7 +147,7 @@
         answer = await self._answer(scope, headers, receive)
         if self.compress and ENCODING in headers.get("accept-encoding", ""):
             answer = _compress(answer)
-        await _send_answer(answer, receive, send, self.shutdown_scopes)
+        await _send_answer(answer, scope["method"], receive, send, self.shutdown_scopes)
 
     async def _answer(
         self, scope: dict[str, Any], headers: Mapping[str, str], receive: Receive
@@ -196,20 +200,18 @@
         return handler, path[len(best) :]
 
     async def _read_body(self, receive: Receive) -> bytes | Failure:
-        parts: list[bytes] = []
-        size = 0
+        # One buffer: a list of its parts takes many times their size if they are small.
+        body = bytearray()
         while True:
             event = await receive()
             if event["type"] == "http.disconnect":
                 return Failure(FailureKind.BAD_REQUEST, "the caller went away")
-            part = event.get("body", b"")
-            size += len(part)
-            if size > self.body_bytes:
+            body += event.get("body", b"")
+            if len(body) > self.body_bytes:
                 reason = f"the body is larger than {self.body_bytes} bytes"
                 return Failure(FailureKind.TOO_LARGE, reason)
-            parts.append(part)
             if not event.get("more_body", False):
-                return b"".join(parts)
+                return bytes(body)
 
 
 async def _handle_until(ending: ShutdownScopes, handler: Handler, request: Request) -> Answer:
@@ -291,27 +293,47 @@
     return replace(answer, body=packed, headers=headers)
 
 
+def has_length(method: str, status: int) -> bool:
+    """Return whether a whole response states the length of its body.
+
+    One to HEAD doesn't know it, and those without a body must not name any (RFC 9110, 8.6).
+
+    :param method: the request's method.
+    :param status: the response's status.
+    """
+    return method != "HEAD" and status not in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+
+
 async def _send_answer(
-    answer: Answer, receive: Receive, send: SendEvent, ending: ShutdownScopes | None
+    answer: Answer,
+    method: str,
+    receive: Receive,
+    send: SendEvent,
+    ending: ShutdownScopes | None,
 ) -> None:
     match answer:
         case Failure():
-            await _send_response(make_response(answer), send)
+            await _send_response(make_response(answer), method, send)
         case Response():
-            await _send_response(answer, send)
+            await _send_response(answer, method, send)
         case Stream():
-            await _send_while_connected(answer, receive, send, ending)
+            await _send_while_connected(answer, method, receive, send, ending)
 
 
-async def _send_response(response: Response, send: SendEvent) -> None:
+async def _send_response(response: Response, method: str, send: SendEvent) -> None:
     headers = _make_headers(response.content_type, response.headers)
-    headers.append((b"content-length", str(len(response.body)).encode()))
+    if has_length(method, response.status):
+        headers.append((b"content-length", str(len(response.body)).encode()))
     await send({"type": "http.response.start", "status": response.status, "headers": headers})
     await send({"type": "http.response.body", "body": response.body})
 
 
 async def _send_while_connected(
-    stream: Stream, receive: Receive, send: SendEvent, ending: ShutdownScopes | None
+    stream: Stream,
+    method: str,
+    receive: Receive,
+    send: SendEvent,
+    ending: ShutdownScopes | None,
 ) -> None:
     """Send a stream, but stop when the caller goes away."""
 
@@ -323,14 +345,16 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch)
         async with aclosing(stream.pieces):
-            await _send_stream(stream, send, ending)
+            await _send_stream(stream, method, send, ending)
         tasks.cancel_scope.cancel()
 
 
-async def _send_stream(stream: Stream, send: SendEvent, ending: ShutdownScopes | None) -> None:
+async def _send_stream(
+    stream: Stream, method: str, send: SendEvent, ending: ShutdownScopes | None
+) -> None:
     piece = await _take_piece(stream.pieces, ending)
     if isinstance(piece, Failure):
-        await _send_response(make_response(piece), send)
+        await _send_response(make_response(piece), method, send)
         return
     headers = _make_headers(stream.content_type, stream.headers)
     await send({"type": "http.response.start", "status": 200, "headers": headers})
--- a/src/daleroad/tunnels.py
+++ b/src/daleroad/tunnels.py
@@ -43,6 +43,9 @@
 CHECK_SECONDS = 0.3
 """How long a gateway that carries tunnels may take to refuse one."""
 
+MAX_REFUSAL_BYTES = 16_384
+"""Longest body of a refusal that is read; it names a failure and its reason."""
+
 _NO_UPSTREAM = Target("none:0", 1.0)
 """A target that every gateway refuses."""
 
@@ -55,6 +58,11 @@
 )
 
 _TUNNEL_ERRORS = (anyio.EndOfStream, anyio.BrokenResourceError, h11.ProtocolError)
+_READ_BYTES = 1_048_576
+"""More than the event loop reads at once. What one read leaves over waits in the socket's stream,
+where neither the tunnel nor a poll of the socket sees it."""
+
+_LINE_END = b"\r\n"
 _OK = 200
 
 
@@ -77,6 +85,8 @@
         self._http = http
         self._on_close: Callable[[], None] | None = on_close
         self._unread = b""
+        # What the last chunk that was read still lacks; None if that is more than its line end.
+        self._chunk_rest: bytes | None = b""
 
     async def receive(self, max_bytes: int = 65_536) -> bytes:
         """Return the next bytes from the upstream.
@@ -96,12 +106,13 @@
             try:
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
-                    self._http.receive_data(await self._stream.receive())
+                    self._http.receive_data(await self._stream.receive(_READ_BYTES))
                     continue
             except _TUNNEL_ERRORS as error:
                 raise TunnelLostError from error
             match event:
-                case h11.Data(data=data):
+                case h11.Data(data=data, chunk_end=ended):
+                    self._chunk_rest = _LINE_END if ended else None
                     return bytes(data)
                 case h11.EndOfMessage(headers=headers):
                     lost = any(name.decode() == LOST_TRAILER for name, _ in headers)
@@ -112,12 +123,17 @@
     def is_readable(self) -> bool:
         """Return whether something came that was not asked for, or the connection ended."""
         number = self._stream.extra(SocketAttribute.raw_socket).fileno()
-        if self._unread or number < 0:
+        if self._unread or number < 0 or self._has_begun_chunk():
             return True
         polled = poll()
         polled.register(number, POLLIN)
         return bool(polled.poll(0))
 
+    def _has_begun_chunk(self) -> bool:
+        """Return whether a chunk was received in part, or bytes behind the last one."""
+        received, _ = self._http.trailing_data
+        return self._chunk_rest is None or not self._chunk_rest.startswith(received)
+
     async def send(self, item: bytes) -> None:
         """Send bytes to the upstream.
 
@@ -272,13 +288,26 @@
     while True:
         match http.next_event():
             case h11.NEED_DATA:
-                http.receive_data(await stream.receive())
-            case h11.Response(status_code=status):
+                http.receive_data(await stream.receive(_READ_BYTES))
+            case h11.Response(status_code=status, headers=headers):
                 if status == _OK:
-                    return None
+                    return _check_framing(headers)
             case h11.Data(data=data):
                 body += bytes(data)
+                if len(body) > MAX_REFUSAL_BYTES:
+                    reason = f"a refusal of more than {MAX_REFUSAL_BYTES} bytes"
+                    return Failure(FailureKind.UNREACHABLE, reason)
             case h11.EndOfMessage():
                 return parse_problem(body)
             case _:
                 raise anyio.EndOfStream
+
+
+def _check_framing(headers: Iterable[tuple[bytes, bytes]]) -> Failure | None:
+    """Return why a body with these headers carries no tunnel; nothing if it comes in chunks.
+
+    Without chunks a cut would look like the end of the upstream's connection.
+    """
+    if (b"transfer-encoding", b"chunked") in headers:
+        return None
+    return Failure(FailureKind.UNREACHABLE, "accepted by what is no gateway's tunnels")
