Soak: upstreams stutter

In drawn windows of time some responses of plain services and engines are sent twice, at once or when the next request has come, whole or cut inside the head; others have junk behind them, break off, or go on without end for a while. Some requests fail there after they ran, and some are rejected without their attempt id, often twice.

Each answer of an upstream has a signature and a body of its own, so the ledger finds a client's answer that its upstream did not give: a success in place of a failure, another status, another request's body, a success without a signature. That a request which may run once does so at most once, and not after a promise, is checked as before. A stream whose upstream broke it off does not count as lost to a SIGTERM.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,8 +3,11 @@
 import subprocess
 import sys
 import unittest
+from collections.abc import Set
+from contextlib import suppress
 from pathlib import Path
 from random import Random
+from unittest.mock import AsyncMock
 
 import anyio
 from anyio.abc import SocketStream
@@ -20,6 +23,7 @@
 )
 from tools.soakledger import GRACE_SECONDS, Asked, Ending, Hurt, Kind, Ledger
 from tools.soakstreams import MIDDLE_SECONDS, PROMPT_TOKENS, draw_size
+from tools.soakstutter import Stutter, StutteringStream, Stutters, plan_windows
 
 ROOT = Path(__file__).resolve().parent.parent
 SEED = "4"
@@ -89,6 +93,54 @@
         self.assertGreaterEqual(min(size.prompt for size in sizes), PROMPT_TOKENS[0])
 
 
+class StuttersTest(unittest.TestCase):
+    HEADS = (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", b"HTTP/1.1 500 Failed\r\n\r\n")
+
+    def test_a_seed_fixes_the_windows_and_all_are_over_before_the_end(self) -> None:
+        plans = [list(plan_windows(Random(seed), 2.0, 34.0)) for seed in (5, 5, 6)]
+        self.assertEqual(plans[0], plans[1])
+        self.assertNotEqual(plans[0], plans[2])
+        windows = [w for seed in range(50) for w in plan_windows(Random(seed), 2.0, 34.0)]
+        self.assertEqual({window.stutter for window in windows}, set(Stutter))
+        self.assertEqual({window.rejects for window in windows}, {True, False})
+        self.assertTrue(all(2.0 <= window.begin < window.end <= 34.0 for window in windows))
+
+    def answer_two(self, stutter: Stutter) -> bytes:
+        """Return what is sent on a connection whose first response stutters."""
+        connection = AsyncMock()
+
+        async def main() -> None:
+            stream = StutteringStream(connection, Stutters())
+            for head in self.HEADS:
+                await stream.begin_response()
+                stream.stutter = stutter if head is self.HEADS[0] else None
+                await stream.send(head)
+                await stream.send(b"abc")
+                await stream.end_response()
+
+        with suppress(anyio.ClosedResourceError):
+            anyio.run(main)
+        return b"".join(call.args[0] for call in connection.send.await_args_list)
+
+    def test_a_response_that_is_sent_again_comes_at_once_or_before_the_next(self) -> None:
+        first, second = (head + b"abc" for head in self.HEADS)
+        for stutter in (Stutter.TWICE, Stutter.LATE):
+            self.assertEqual(self.answer_two(stutter), first + first + second)
+        cut = self.answer_two(Stutter.CUT_LATE).removeprefix(first).removesuffix(second)
+        self.assertTrue(cut)
+        self.assertTrue(self.HEADS[0].startswith(cut), cut)
+
+    def test_a_response_that_is_broken_off_is_never_complete(self) -> None:
+        first = self.HEADS[0] + b"abc"
+        for stutter in (Stutter.HEAD_CUT, Stutter.BODY_CUT):
+            self.assertTrue(first.startswith(self.answer_two(stutter)), stutter)
+            self.assertNotEqual(self.answer_two(stutter), first)
+        self.assertNotIn(b"\r\n\r\n", self.answer_two(Stutter.ENDLESS_HEAD))
+        endless = self.answer_two(Stutter.ENDLESS_BODY)
+        self.assertIn(b"Transfer-Encoding: chunked\r\n\r\n3e80\r\nxxx", endless)
+        self.assertNotIn(b"\r\n0\r\n", endless)
+
+
 class FaultyLinkTest(unittest.TestCase):
     def ask(self, fault: LinkFault, hurt_first: bool = True) -> bytes | str:
         """Send a line over a link that is hurt; return what came back, or how it ended."""
@@ -184,6 +236,29 @@
         ledger.check_runs(idempotent={"c"})
         self.assertEqual(ledger.broken, ["b ran 2 times", "d ran though it was refused as not run"])
 
+    def test_an_answer_that_no_upstream_gave_to_its_request_is_found(self) -> None:
+        ledger = Ledger()
+        whole, failed = ledger.give("a", "s-0", 200), ledger.give("b", "s-1", 500)
+        for given in (whole, failed):
+            ledger.check_answer(given.request, given.status, given.signature, given.body)
+        ledger.check_answer("a", 200, whole.signature)
+        ledger.check_answer("b", 502, None, "the gateway's")
+        self.assertEqual(ledger.broken, [])
+        for request, status, signature, body in (
+            ("b", 200, failed.signature, failed.body),
+            ("b", 200, whole.signature, whole.body),
+            ("a", 200, None, whole.body),
+            ("a", 200, f"s-9, {whole.signature}", whole.body),
+            ("a", 200, whole.signature, whole.body[:-1]),
+            ("a", 200, whole.signature, ""),
+            ("a", 500, whole.signature, whole.body),
+            ("a", 503, whole.signature, None),
+            ("b", 500, None, failed.body),
+        ):
+            ledger.broken.clear()
+            ledger.check_answer(request, status, signature, body)
+            self.assertEqual(len(ledger.broken), 1, (request, status, signature, body))
+
 
 class StopLedgerTest(unittest.TestCase):
     """One gateway gets SIGTERM at 10 s and is gone at 16 s."""
@@ -195,8 +270,9 @@
         kind: Kind = Kind.STREAM,
         *hurts: Hurt,
         ended: float = 15.7,
+        broken_off: Set[str] = frozenset(),
     ) -> Ledger:
-        ledger = Ledger(reached={"a": {"link-1"}})
+        ledger = Ledger(reached={"a": {"link-1"}}, broken_off=set(broken_off))
         ledger.history.note_stop("gateway-0", 10.0)
         ledger.history.note_gone("gateway-0", 16.0)
         ledger.history.hurts.extend(hurts)
@@ -210,6 +286,9 @@
         self.assertEqual(lost, [expected])
         self.assertEqual(len(self.judge(13.1, None).broken), 1)
 
+    def test_a_stream_that_its_upstream_broke_off_is_not_lost(self) -> None:
+        self.assertEqual(self.judge(13.1, Ending.CUT, broken_off={"a"}).broken, [])
+
     def test_other_endings_and_earlier_streams_are_no_breaks(self) -> None:
         for ending in (Ending.WHOLE, Ending.REFUSED, Ending.FAILED):
             self.assertEqual(self.judge(13.1, ending).broken, [])
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,8 +9,8 @@
 stopped and started, disks are lost, and the links to upstreams delay, reset, cut and silence
 connections, in series that overlap. Beside these faults gateways are stopped in turn, as at an
 update, while clients ask for streams that last up to longer than a gateway may drain, and operators
-evacuate one zone after the other. Upstreams name limits, ask for rest, and say that they leave. A
-seed fixes the plan. Ends only what it started.
+evacuate one zone after the other. Upstreams name limits, ask for rest, say that they leave, and
+stutter. A seed fixes the plan. Ends only what it started.
 
 Two requests end each upstream that begins them and come again all the time; from the third end on
 they must reach none. The others' requests are the same to the letter, and must not be held for it.
@@ -53,6 +53,7 @@
 )
 from tools.soakneeds import GATEWAY_HEADER  # noqa: E402
 from tools.soakstreams import SHARED_PART, StreamClient  # noqa: E402
+from tools.soakstutter import Stutters, plan_windows  # noqa: E402
 from tools.soakupstreams import (  # noqa: E402
     BODY,
     CRASHING_BODY,
@@ -351,6 +352,10 @@
             for kind in (Upstream, Engine)
             for number in range(UPSTREAMS)
         ]
+        for upstream in self.upstreams:
+            drawn = Random(f"{seed} stutters {upstream.id}")
+            windows = plan_windows(drawn, FIRST_SECONDS, seconds - QUIET_SECONDS)
+            upstream.stutters = Stutters(drawn, tuple(windows))
         zones = sorted({upstream.zone for upstream in self.upstreams})
         self.zones = ZoneOperator(f"{seed} zones", self.ledger, entries, zones)
         gateways = {f"gateway-{n}": f"{network}.0.{n + 1}:{CLIENT_PORT}" for n in range(GATEWAYS)}
@@ -413,6 +418,8 @@
                     tasks.start_soon(self._let_need, upstream)
                 await self._save(client, 1, 30.0)
                 began = anyio.current_time()
+                for upstream in self.upstreams:
+                    upstream.stutters.began = began
                 tasks.start_soon(self._operate, client)
                 tasks.start_soon(self._write_aliens, client)
                 tasks.start_soon(self.zones.run, client)
@@ -650,19 +657,18 @@
         self.ledger.asked.append(Asked(request, Kind.PLAIN, gateway, sent, now, ending))
 
     def _judge(self, request: str, answer: httpx.Response) -> Ending:
+        signature = answer.headers.get("x-daleroad-engine-signature")
+        self.ledger.check_answer(request, answer.status_code, signature, answer.text)
         match answer.status_code:
             case 200:
                 self.ledger.whole += 1
-                signed = "x-daleroad-engine-signature" in answer.headers
-                if answer.text != request or not signed:
-                    self.ledger.broken.append(f"{request} got {answer.text!r}")
                 return Ending.WHOLE
             case 429 | 503 | 408 | 421:
                 self.ledger.refused += 1
                 self.ledger.held += HELD_BACK in answer.text
                 self.ledger.promised_not_run.add(request)
                 return Ending.REFUSED
-            case 502 | 504:
+            case 500 | 502 | 504:
                 self.ledger.failed += 1
             case status:
                 self.ledger.broken.append(f"{request} got {status}")
@@ -690,6 +696,7 @@
             f"{found.part_held} for a part, "
             f"{len(soak.zones.spans)} evacuations, "
             f"{sum(len(upstream.needs.episodes) for upstream in soak.upstreams)} times in need, "
+            f"{sum(upstream.stutters.count for upstream in soak.upstreams)} stutters, "
             f"version {found.acknowledged}, {len(found.broken)} broken\n{found.render_streams()}",
             flush=True,
         )
--- a/tools/soakledger.py
+++ b/tools/soakledger.py
@@ -20,6 +20,9 @@
 HELD_BACK = "held-back"
 """Stands in the refusal of a request under which upstreams have ended."""
 
+GATEWAY_STATUSES = (408, 421, 429, 502, 503, 504)
+"""Failures with which a gateway may answer a request by itself."""
+
 NOT_STOPPED = "no SIGTERM"
 BEFORE = "before"
 AFTER = "after"
@@ -135,10 +138,26 @@
         )
 
 
+@dataclass(frozen=True)
+class Given:
+    """An upstream's answer to a request that it ran; streams have another body."""
+
+    request: str
+    status: int
+    signature: str
+
+    @property
+    def body(self) -> str:
+        """The whole body, in which no two answers are the same."""
+        return f"{self.request} {self.status} {self.signature}"
+
+
 @dataclass
 class Ledger:
     """What upstreams ran and what clients were told.
 
+    :param given: the upstreams' answers by signature; each has its own.
+    :param broken_off: requests whose answer an upstream did not send to its end.
     :param reached: names of the links over which each request reached upstreams.
     :param crashing: gateways of the requests that end each upstream which begins them.
     :param held: other requests that were refused as if they did.
@@ -159,6 +178,31 @@
     crashing: dict[str, str] = field(default_factory=dict)
     held: int = 0
     part_held: int = 0
+    given: dict[str, Given] = field(default_factory=dict)
+    broken_off: set[str] = field(default_factory=set)
+
+    def give(self, request: str, upstream: str, status: int) -> Given:
+        """Return an upstream's answer to a request, which it is about to send."""
+        given = Given(request, status, f"{upstream}.{len(self.given)}")
+        self.given[given.signature] = given
+        return given
+
+    def check_answer(
+        self, request: str, status: int, signature: str | None, body: str | None = None
+    ) -> None:
+        """Note an answer to a client that neither an upstream nor a gateway may have given.
+
+        :param signature: that of an upstream; a gateway's own failures have none.
+        :param body: the whole body, unless it is a stream's.
+        """
+        if signature is None and status in GATEWAY_STATUSES:
+            return
+        given = self.given.get(signature or "")
+        if given is None or (given.request, given.status) != (request, status):
+            gave = [g.body for g in self.given.values() if g.request == request]
+            self.broken.append(f"{request} got {status} {signature}; its upstreams gave {gave}")
+        elif body not in (None, given.body):
+            self.broken.append(f"{request} got the body {body!r} for {given.body!r}")
 
     def check_runs(self, idempotent: set[str]) -> None:
         """Note requests that ran twice, or ran though a client was told that they did not."""
@@ -219,7 +263,7 @@
         """Return whether a request should not have ended as it did."""
         early = asked.sent <= stop.at + LATE_SECONDS
         used = asked.ended >= stop.at + GRACE_SECONDS - LAST_SECONDS
-        if asked.kind is Kind.STREAM and early and used:
+        if asked.kind is Kind.STREAM and (early and used or asked.request in self.broken_off):
             return False
         targets = {asked.gateway} | self.reached.get(asked.request, set())
         since = min(asked.sent, stop.at) - CONTACT_SECONDS
--- a/tools/soakstreams.py
+++ b/tools/soakstreams.py
@@ -152,11 +152,15 @@
                     text = await answer.aread()
                     self._ledger.held += HELD_BACK.encode() in text
                     self._ledger.part_held += PART_HELD.encode() in text
-                    return self._judge_status(request, answer.status_code)
+                    return self._judge_failure(request, answer)
                 begun = True
+                signature = answer.headers.get("x-daleroad-engine-signature")
+                self._ledger.check_answer(request, answer.status_code, signature)
                 async for line in answer.aiter_lines():
                     if line.startswith("id:"):
                         ids.append(int(line.removeprefix("id:")))
+                    elif line and line != f"data: {request}":
+                        self._ledger.broken.append(f"{request} got the line {line[:80]!r}")
         except (httpx.ReadTimeout, httpx.WriteTimeout):
             return Ending.FAILED
         except httpx.HTTPError:
@@ -167,14 +171,16 @@
             self._ledger.broken.append(f"{request} ended as whole after {len(ids)} of {events}")
         return Ending.WHOLE
 
-    def _judge_status(self, request: str, status: int) -> Ending:
-        match status:
+    def _judge_failure(self, request: str, answer: httpx.Response) -> Ending:
+        signature = answer.headers.get("x-daleroad-engine-signature")
+        self._ledger.check_answer(request, answer.status_code, signature, answer.text)
+        match answer.status_code:
             case 429 | 503 | 408 | 421:
                 self._ledger.promised_not_run.add(request)
                 return Ending.REFUSED
-            case 502 | 504:
+            case 500 | 502 | 504:
                 return Ending.FAILED
-        self._ledger.broken.append(f"{request} got {status}")
+        self._ledger.broken.append(f"{request} got {answer.status_code}")
         return Ending.FAILED
 
     def _check_order(self, request: str, ids: list[int]) -> None:
--- a/tools/soakupstreams.py
+++ b/tools/soakupstreams.py
@@ -3,6 +3,7 @@
 import time
 from collections import defaultdict
 from collections.abc import AsyncIterator
+from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
@@ -12,8 +13,9 @@
 from anyio.abc import SocketStream
 
 from tools.faultylink import FaultyLink
-from tools.soakledger import Hurt, Ledger
+from tools.soakledger import Given, Hurt, Ledger
 from tools.soakneeds import GATEWAY_HEADER, Needs
+from tools.soakstutter import BROKEN_OFF, REJECTED, StutteringStream, Stutters
 
 PLAIN_SERVICE, ENGINE_SERVICE = "s", "e"
 
@@ -29,6 +31,8 @@
 CRASHING_PARTS = ("bad0bad0", "bad1bad1")
 """A request with one of these among its prompt's parts, but for the last, does so too."""
 
+REASONS = {200: "OK", 429: "Too Many", 500: "Failed", 503: "Full"}
+
 CRASHED_SECONDS = 2.0
 """Time from a crash until the upstream is back, under its id."""
 
@@ -60,7 +64,7 @@
 
 
 class Upstream:
-    """A stand-in plain service that answers each request with its id and a signature.
+    """A stand-in plain service that answers each request with its id and a signature of its own.
 
     A request with CRASHING_BODY or one of CRASHING_PARTS ends it: its connections end, nothing
     listens, no heartbeat comes, and CRASHED_SECONDS later it starts again.
@@ -104,6 +108,7 @@
         self.crashed_at: dict[str, list[float]] = defaultdict(list)
         self.torn: list[str] = []
         self.reached: dict[str, list[tuple[float, str]]] = defaultdict(list)
+        self.stutters = Stutters()
         drawn = Random(f"{random.random()} {self.id}")
         self.needs = Needs(self.id, self.link_name, drawn, ledger, self.go_down)
 
@@ -128,9 +133,16 @@
             await found.serve(self._handle)
 
     async def _handle(self, stream: SocketStream) -> None:
+        found = StutteringStream(stream, self.stutters)
         async with stream:
             async for request in read_requests(stream):
-                await self._answer(stream, request)
+                # The generation stops if the caller is gone.
+                with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+                    # A request that ends upstreams is found by how its connection ends.
+                    if not request.find_culprit():
+                        await found.begin_response()
+                    await self._answer(found, request)
+                    await found.end_response()
 
     def _crash(self, culprit: str) -> None:
         self.crashed_at[culprit].append(anyio.current_time())
@@ -143,18 +155,22 @@
         if self._life is not None:
             self._life.cancel()
 
-    async def _answer(self, stream: SocketStream, asked: UpstreamRequest) -> None:
+    async def _answer(self, stream: StutteringStream, asked: UpstreamRequest) -> None:
         head = asked.headers
         request = head.get("x-daleroad-attempt-id", "")
         if head.get("x-daleroad-expect-instance") != self.id:
             await stream.send(b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
             return
-        gateway = head.get(GATEWAY_HEADER, "")
-        self.needs.take(gateway)
+        self.needs.take(head.get(GATEWAY_HEADER, ""))
         if self.needs.turns_away():
             words = self.needs.list_words()
-            await _turn_away(stream, request, *words)
-            self.needs.note_told(gateway, words)
+            await _turn_away(stream, 503, f"X-Daleroad-Attempt-Id: {request}", *words)
+            self._note_told(stream, head, words)
+            return
+        status = self.stutters.draw_status()
+        if status in (429, 503):
+            stream.stutter = self._random.choice(REJECTED)
+            await _turn_away(stream, status)
             return
         self.ran_at = anyio.current_time()
         self.arrivals.append((self.ran_at, request))
@@ -163,24 +179,38 @@
             self.reached[culprit].append((self.ran_at, request))
         self._ledger.runs[request] = self._ledger.runs.get(request, 0) + 1
         self._ledger.reached.setdefault(request, set()).add(self.link_name)
+        if stream.stutter in BROKEN_OFF:
+            self._ledger.broken_off.add(request)
         if culprit:
             await self._begin_and_crash(stream, request, culprit, head)
-        else:
+        elif status == 200:
             await self._run(stream, request, head)
+        else:
+            await self._send_whole(stream, request, head, status)
 
     async def _begin_and_crash(
-        self, stream: SocketStream, request: str, culprit: str, head: dict[str, str]
+        self, stream: StutteringStream, request: str, culprit: str, head: dict[str, str]
     ) -> None:
         await anyio.sleep(self._random.uniform(0.02, 0.1))
         self._crash(culprit)
         await anyio.sleep_forever()
 
-    async def _run(self, stream: SocketStream, request: str, head: dict[str, str]) -> None:
+    def _note_told(self, stream: StutteringStream, head: dict[str, str], words: list[str]) -> None:
+        if stream.intact:
+            self.needs.note_told(head.get(GATEWAY_HEADER, ""), words)
+
+    async def _run(self, stream: StutteringStream, request: str, head: dict[str, str]) -> None:
+        await self._send_whole(stream, request, head, 200)
+
+    async def _send_whole(
+        self, stream: StutteringStream, request: str, head: dict[str, str], status: int
+    ) -> None:
         await anyio.sleep(self._random.uniform(0.005, 0.08))
         words = self.needs.list_words()
-        await _send_head(stream, request, f"Content-Length: {len(request)}", *words)
-        await stream.send(request.encode())
-        self.needs.note_told(head.get(GATEWAY_HEADER, ""), words)
+        given = self._ledger.give(request, self.id, status)
+        await _send_head(stream, given, f"Content-Length: {len(given.body)}", *words)
+        await stream.send(given.body.encode())
+        self._note_told(stream, head, words)
 
     async def beat(self, client: httpx.AsyncClient) -> None:
         """Send heartbeats to any coordinator until cancelled."""
@@ -219,39 +249,35 @@
     slots = 24
 
     async def _begin_and_crash(
-        self, stream: SocketStream, request: str, culprit: str, head: dict[str, str]
+        self, stream: StutteringStream, request: str, culprit: str, head: dict[str, str]
     ) -> None:
         await self._send_stream_head(stream, request, read_size(head)[2])
         await super()._begin_and_crash(stream, request, culprit, head)
 
     async def _send_stream_head(
-        self, stream: SocketStream, request: str, framing: Framing, *words: str
+        self, stream: StutteringStream, request: str, framing: Framing, *words: str
     ) -> None:
         kind = ["Content-Type: text/event-stream"]
         kind += ["Transfer-Encoding: chunked"] if framing is Framing.CHUNKS else []
-        await _send_head(stream, request, *kind, *words)
+        await _send_head(stream, self._ledger.give(request, self.id, 200), *kind, *words)
 
-    async def _run(self, stream: SocketStream, request: str, head: dict[str, str]) -> None:
+    async def _run(self, stream: StutteringStream, request: str, head: dict[str, str]) -> None:
         events, pause, framing = read_size(head)
         words = self.needs.list_words()
-        try:
-            await self._send_stream_head(stream, request, framing, *words)
-            self.needs.note_told(head.get(GATEWAY_HEADER, ""), words)
-            for number in range(1, events + 1):
-                await anyio.sleep(pause)
-                event = f"id: {number}\ndata: {request}\n\n"
-                if framing is Framing.TORN and number == events:
-                    event = event[:-3]
-                await stream.send(_frame(event.encode(), framing))
-                if framing is Framing.TORN and number == events:
-                    self.torn.append(request)
-            if framing is Framing.CHUNKS:
-                await stream.send(b"0\r\n\r\n")
-            else:
-                await stream.aclose()
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            # The caller is gone, so the generation stops.
-            return
+        await self._send_stream_head(stream, request, framing, *words)
+        self._note_told(stream, head, words)
+        for number in range(1, events + 1):
+            await anyio.sleep(pause)
+            event = f"id: {number}\ndata: {request}\n\n"
+            if framing is Framing.TORN and number == events:
+                event = event[:-3]
+            await stream.send(_frame(event.encode(), framing))
+            if framing is Framing.TORN and number == events:
+                self.torn.append(request)
+        if framing is Framing.CHUNKS:
+            await stream.send(b"0\r\n\r\n")
+        else:
+            await stream.aclose()
 
 
 def read_size(head: dict[str, str]) -> tuple[int, float, Framing]:
@@ -272,10 +298,9 @@
     return int(time.time() * 1000)
 
 
-async def _turn_away(stream: SocketStream, request: str, *words: str) -> None:
+async def _turn_away(stream: StutteringStream, status: int, *words: str) -> None:
     lines = [
-        "HTTP/1.1 503 Full",
-        f"X-Daleroad-Attempt-Id: {request}",
+        f"HTTP/1.1 {status} {REASONS[status]}",
         "X-Daleroad-Not-Executed: 1",
         "Content-Length: 0",
         *words,
@@ -283,11 +308,11 @@
     await stream.send(("\r\n".join(lines) + "\r\n\r\n").encode())
 
 
-async def _send_head(stream: SocketStream, request: str, *more: str) -> None:
+async def _send_head(stream: StutteringStream, given: Given, *more: str) -> None:
     lines = [
-        "HTTP/1.1 200 OK",
-        f"X-Daleroad-Attempt-Id: {request}",
-        "X-Daleroad-Engine-Signature: signed",
+        f"HTTP/1.1 {given.status} {REASONS[given.status]}",
+        f"X-Daleroad-Attempt-Id: {given.request}",
+        f"X-Daleroad-Engine-Signature: {given.signature}",
         *more,
     ]
     await stream.send(("\r\n".join(lines) + "\r\n\r\n").encode())
