Call upstreams from entries on connections that serve once

What callers saw: the answer of one call as the answer of the next. A generation that ran was refused as not run, a running one counted as unseen, and an order was confirmed by an older state.

Cause: entries reused connections to plain services and engines, whose responses do not name the request that they answer. A second copy of a response, whole or cut in its head, or other bytes behind it, came first when the next response was read. Found by reading, then by a test.

Evidence: tests/test_owncalls.py plays copies that are whole, cut in the head, or foreign, with the response or late.

Change: connections to upstreams are closed after one request. Cancellations and orders no longer use the pool for our own processes.

--- a/src/daleroad/links.py
+++ b/src/daleroad/links.py
@@ -1,4 +1,8 @@
-"""HTTP connections to other processes: one pool for short calls, one for streams."""
+"""HTTP connections to other processes: reused ones to our own, single ones to upstreams.
+
+Nothing in an upstream's response says which request it answers, so a second copy of a response, or
+bytes behind it, would answer the next request on its connection.
+"""
 
 import ssl
 from typing import Any
@@ -12,14 +16,18 @@
 from daleroad.settings import Tls
 
 _CONNECT_SECONDS = 2.0
-_UNLIMITED = httpx.Limits(max_connections=None, max_keepalive_connections=64, keepalive_expiry=30)
+_REUSED = httpx.Limits(max_connections=None, max_keepalive_connections=64, keepalive_expiry=30)
+_SINGLE_USE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
 
 
-def make_client(tls: Tls, read_seconds: float | None) -> httpx.AsyncClient:
+def make_client(
+    tls: Tls, read_seconds: float | None, limits: httpx.Limits = _REUSED
+) -> httpx.AsyncClient:
     """Return a client without the library's default limits.
 
     :param tls: key files; with an authority, servers are checked against it.
     :param read_seconds: longest silence of a response, or no limit.
+    :param limits: which connections are kept.
     """
     timeout = httpx.Timeout(
         connect=_CONNECT_SECONDS, read=read_seconds, write=_CONNECT_SECONDS, pool=None
@@ -27,7 +35,7 @@
     verify: ssl.SSLContext | bool = False
     if tls.authority:
         verify = ssl.create_default_context(cafile=tls.authority)
-    return httpx.AsyncClient(verify=verify, limits=_UNLIMITED, timeout=timeout, trust_env=False)
+    return httpx.AsyncClient(verify=verify, limits=limits, timeout=timeout, trust_env=False)
 
 
 class Links:
@@ -36,12 +44,15 @@
     :param tls: key files.
     :param token: shown to our own processes.
     :param compress: whether the others read compressed bodies.
+    :ivar short: calls to our own processes, on reused connections.
+    :ivar urgent: short and urgent requests to upstreams, each on a connection of its own.
+    :ivar long: other requests to upstreams, each on a connection of its own.
     """
 
     def __init__(self, tls: Tls, token: str, compress: bool = False) -> None:
         self.short = make_client(tls, CALL_TIMEOUT_SECONDS)
-        self.urgent = make_client(tls, None)
-        self.long = make_client(tls, None)
+        self.urgent = make_client(tls, None, _SINGLE_USE)
+        self.long = make_client(tls, None, _SINGLE_USE)
         self.token = token
         self._compress = compress
         self._headers = {"authorization": f"Bearer {token}"}
--- a/src/daleroad/orderdelivery.py
+++ b/src/daleroad/orderdelivery.py
@@ -7,6 +7,7 @@
 
 from daleroad.catalog import Catalog
 from daleroad.codec import decode, encode
+from daleroad.defaults import CALL_TIMEOUT_SECONDS
 from daleroad.errors import Failure
 from daleroad.events import Event, log_event
 from daleroad.links import Links
@@ -60,8 +61,9 @@
         body = encode(EngineOrder(desired.fencing, desired.models))
         state: EngineState | None = None
         try:
-            await self._links.short.post(f"{upstream.address}/v1/orders", content=body)
-            answer = await self._links.short.get(f"{upstream.address}/v1/state")
+            client, address = self._links.urgent, upstream.address
+            await client.post(f"{address}/v1/orders", content=body, timeout=CALL_TIMEOUT_SECONDS)
+            answer = await client.get(f"{address}/v1/state", timeout=CALL_TIMEOUT_SECONDS)
             found = decode(EngineState, answer.content)
             state = None if isinstance(found, Failure) else found
         except httpx.HTTPError as error:
--- a/src/daleroad/relay.py
+++ b/src/daleroad/relay.py
@@ -234,7 +234,7 @@
     :param generation: id of the generation.
     """
     try:
-        response = await links.short.post(
+        response = await links.urgent.post(
             f"{address}/v1/forbid/{generation}", timeout=CALL_TIMEOUT_SECONDS
         )
     except httpx.HTTPError as error:
--- /dev/null
+++ b/tests/test_owncalls.py
@@ -0,0 +1,298 @@
+"""Tests of our own HTTP calls before upstreams that send what belongs to no request.
+
+An upstream may send a response twice, cut or whole, send without end, or end early.
+"""
+
+import unittest
+from collections.abc import Awaitable, Callable, Iterable
+from contextlib import aclosing
+from random import Random
+from unittest import mock
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from daleroad import records
+from daleroad.catalog import Catalog
+from daleroad.codec import encode
+from daleroad.delivery import TokenSequence
+from daleroad.environment import Environment
+from daleroad.errors import Failure, FailureKind, Ran
+from daleroad.links import Links
+from daleroad.loopback import make_site
+from daleroad.messages import EngineCompletion, EngineState, Forbidden
+from daleroad.orderdelivery import OrderSender
+from daleroad.orders import DesiredModels
+from daleroad.relay import EngineStream, StreamEnded, StreamFailed, StreamPart, cancel_generation
+from daleroad.requestholds import RequestHolds
+from daleroad.security import hash_token
+from daleroad.services import PlainCalls
+from daleroad.serving import Answer, Request, make_response
+from daleroad.settings import Tls
+
+LIMIT_SECONDS = 20.0
+STALL_SECONDS = 0.5
+SOCKET_BYTES = 20_000_000
+"""More than the buffers of two sockets; an upstream that has sent as much was read without end."""
+
+
+def make_answer(
+    body: bytes, *headers: str, status: str = "200 OK", length: int | None = None
+) -> bytes:
+    size = len(body) if length is None else length
+    lines = [f"HTTP/1.1 {status}", f"Content-Length: {size}", *headers, "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+def make_refusal(ran: Ran) -> bytes:
+    response = make_response(Failure(FailureKind.DRAINING, "leaving", ran))
+    return make_answer(response.body, status=f"{response.status} No")
+
+
+def make_events(generation: str, count: int) -> bytes:
+    tokens = [f'id: {generation}:{i}\ndata: {{"text":"t"}}\n\n' for i in range(count)]
+    return "".join([*tokens, f"event: end\nid: {generation}:{count}\ndata: {{}}\n\n"]).encode()
+
+
+class Upstream:
+    """Fake upstream that answers each request with prepared bytes.
+
+    :param answers: one for each request, over all connections.
+    :param surplus: returns what is sent behind an answer, as part of the same write.
+    :param late: whether the surplus comes only once the next request on the connection is read.
+    :param endless: sent behind the last answer until the caller closes, or SOCKET_BYTES are sent.
+    :param hangs: whether the connection stays open, rather than ends, behind the last answer.
+    """
+
+    def __init__(
+        self,
+        *answers: bytes,
+        surplus: Callable[[bytes], bytes] = lambda answer: b"",
+        late: bool = False,
+        endless: bytes = b"",
+        hangs: bool = True,
+    ) -> None:
+        self.answers = list(answers)
+        self.heads: list[bytes] = []
+        self.connections = 0
+        self.sent = 0
+        self._surplus = surplus
+        self._late = late
+        self._endless = endless
+        self._hangs = hangs
+
+    async def handle(self, stream: SocketStream) -> None:
+        """Serve one connection."""
+        self.connections += 1
+        left = b""
+        try:
+            async with stream:
+                while await self._read_request(stream):
+                    answer = self.answers.pop(0) if self.answers else b""
+                    surplus = self._surplus(answer)
+                    await stream.send(left + answer + (b"" if self._late else surplus))
+                    left = surplus if self._late else b""
+                    if not self.answers:
+                        await self._send_endlessly(stream)
+                        if not self._hangs:
+                            return
+        except (anyio.BrokenResourceError, anyio.EndOfStream):
+            return
+
+    async def _read_request(self, stream: SocketStream) -> bool:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            try:
+                data += await stream.receive()
+            except anyio.EndOfStream:
+                return False
+        head, _, body = data.partition(b"\r\n\r\n")
+        fields = [line.partition(b":") for line in head.lower().split(b"\r\n")]
+        length = sum(int(value) for name, _, value in fields if name == b"content-length")
+        while len(body) < length:
+            body += await stream.receive()
+        self.heads.append(head)
+        return True
+
+    async def _send_endlessly(self, stream: SocketStream) -> None:
+        while self._endless and self.sent < SOCKET_BYTES:
+            await stream.send(self._endless)
+            self.sent += len(self._endless)
+
+
+class OwnCallsTest(unittest.TestCase):
+    """Plays an upstream and our side of the calls to it."""
+
+    def play(self, upstream: Upstream, body: Callable[[str], Awaitable[None]]) -> None:
+        async def main() -> None:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            url = f"http://127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+            with anyio.fail_after(LIMIT_SECONDS):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(listener.serve, upstream.handle)
+                    self.links = Links(Tls(), "secret")
+                    await body(url)
+                    await self.links.close()
+                    tasks.cancel_scope.cancel()
+            await listener.aclose()
+
+        anyio.run(main)
+
+    def call_service(
+        self, upstream: Upstream, count: int = 1, method: str = "GET", **headers: str
+    ) -> list[Answer]:
+        """Return the answers of an upstream of a plain service to one call after the other."""
+        found: list[Answer] = []
+
+        async def body(url: str) -> None:
+            env = Environment(make_site("data").entries[0], self.links, Random(1))
+            organisation = records.Organisation("o", "p", hash_token("token"))
+            env.catalog.store(1, "Organisation", "o", organisation)
+            env.catalog.store(2, "Route", "r", records.Route("r", "p", "s", repeatable=True))
+            env.budget.try_acquire = lambda: False
+            calls = PlainCalls(env, RequestHolds(env))
+            known = records.Upstream("u", url, "s", "z", 1, 1, ())
+            with mock.patch.object(env.directory, "list_upstreams", return_value=[known]):
+                for number in range(count):
+                    path, given = f"r/{number}", {"authorization": "Bearer token", **headers}
+                    request = Request(method, f"/services/{path}", path, "", given, b"")
+                    found.append(await calls.serve(request))
+
+        self.play(upstream, body)
+        return found
+
+    def generate(self, upstream: Upstream, count: int = 1, urgent: bool = True) -> list[StreamPart]:
+        """Return the last parts of generations g0, g1, ..."""
+        found: list[StreamPart] = []
+
+        async def body(url: str) -> None:
+            for number in range(count):
+                name = f"g{number}"
+                stream = EngineStream(
+                    self.links, url, TokenSequence(name), STALL_SECONDS, urgent, Random(1)
+                )
+                async with aclosing(stream.start(EngineCompletion(name, "m", "p", 8, 1))) as parts:
+                    found.append([part async for part in parts][-1])
+
+        self.play(upstream, body)
+        return found
+
+    def cancel(self, upstream: Upstream, count: int = 1) -> list[Forbidden | Failure]:
+        """Return the answers to cancellations."""
+        found: list[Forbidden | Failure] = []
+
+        async def body(url: str) -> None:
+            for number in range(count):
+                found.append(await cancel_generation(self.links, url, f"g{number}"))
+
+        self.play(upstream, body)
+        return found
+
+    def send_orders(self, upstream: Upstream, count: int = 1) -> list[EngineState | None]:
+        """Return the states that were read back after orders."""
+        found: list[EngineState | None] = []
+
+        async def body(url: str) -> None:
+            known = records.Upstream("u", url, "s", "z", 1, 1, ())
+            sender = OrderSender(make_site("data").control[0], self.links, Catalog(), 0.0)
+            sender._scheduler.confirm = lambda order, state: found.append(state)  # type: ignore
+            for number in range(count):
+                await sender._send(DesiredModels("u", ("m",), number), known)
+
+        self.play(upstream, body)
+        return found
+
+
+def repeat(answer: bytes) -> bytes:
+    return answer
+
+
+def cut_in_head(answer: bytes) -> bytes:
+    return answer[: answer.index(b"\r\n\r\n") - 3]
+
+
+def follow_with_bytes(answer: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign"
+
+
+class SurplusTest(OwnCallsTest):
+    """What comes behind a response must not answer the next call."""
+
+    def check_each(self, answers: Iterable[bytes], check: Callable[[Upstream], None]) -> None:
+        """Check with each kind of surplus behind each answer, in its write or late."""
+        for surplus in (repeat, cut_in_head, follow_with_bytes):
+            for late in (False, True):
+                with self.subTest(surplus=surplus.__name__, late=late):
+                    check(Upstream(*answers, surplus=surplus, late=late))
+
+    def test_a_service_call_is_not_answered_by_an_earlier_response(self) -> None:
+        for method in ("GET", "POST"):
+
+            def check(upstream: Upstream, method: str = method) -> None:
+                found = self.call_service(upstream, 2, method)
+                bodies = [getattr(answer, "body", b"") for answer in found]
+                self.assertEqual(bodies, [b"answer 0", b"answer 1"], found)
+
+            self.check_each([make_answer(b"answer 0"), make_answer(b"answer 1")], check)
+
+    def test_a_head_request_is_not_answered_by_an_earlier_response(self) -> None:
+        def check(upstream: Upstream) -> None:
+            found = self.call_service(upstream, 2, "HEAD")
+            types = [getattr(answer, "content_type", "") for answer in found]
+            self.assertEqual(types, ["x/0", "x/1"], found)
+
+        answers = [make_answer(b"", f"Content-Type: x/{number}", length=5) for number in range(2)]
+        self.check_each(answers, check)
+
+    def test_a_call_is_not_answered_by_what_follows_a_response_without_a_body(self) -> None:
+        def check(upstream: Upstream) -> None:
+            found = self.call_service(upstream, 2)
+            self.assertEqual(getattr(found[1], "body", b""), b"answer 1", found)
+
+        for status in ("204 No Content", "304 Not Modified"):
+            self.check_each(
+                [f"HTTP/1.1 {status}\r\n\r\n".encode(), make_answer(b"answer 1")], check
+            )
+
+    def test_a_generation_that_runs_is_not_refused_as_not_run_by_an_earlier_refusal(self) -> None:
+        for urgent in (False, True):
+
+            def check(upstream: Upstream, urgent: bool = urgent) -> None:
+                found = self.generate(upstream, 2, urgent)
+                self.assertIsInstance(found[0], StreamFailed)
+                self.assertIsInstance(found[1], StreamEnded, found)
+
+            self.check_each([make_refusal(Ran.NO), make_answer(make_events("g1", 3))], check)
+
+    def test_a_running_generation_is_not_taken_for_unseen_by_an_earlier_cancellation(self) -> None:
+        def check(upstream: Upstream) -> None:
+            found = self.cancel(upstream, 2)
+            self.assertEqual(found, [Forbidden("unseen"), Forbidden("running")])
+
+        states = ("unseen", "running")
+        self.check_each([make_answer(encode(Forbidden(state))) for state in states], check)
+
+    def test_an_order_is_not_confirmed_by_an_earlier_state(self) -> None:
+        states = [EngineState(1, ("old",)), EngineState(2, ("new",))]
+
+        def check(upstream: Upstream) -> None:
+            self.assertEqual(self.send_orders(upstream), [states[1]])
+
+        self.check_each([make_answer(encode(state)) for state in states], check)
+
+    def test_calls_at_a_time_get_their_own_answers_and_connections(self) -> None:
+        rounds, count = 3, 20
+        upstream = Upstream(*[make_answer(b"{}")] * rounds * count, surplus=repeat)
+
+        async def body(url: str) -> None:
+            for _ in range(rounds):
+                async with anyio.create_task_group() as tasks:
+                    for _ in range(count):
+                        tasks.start_soon(self.links.urgent.get, url)
+
+        self.play(upstream, body)
+        self.assertEqual(upstream.connections, rounds * count)
+
+
+if __name__ == "__main__":
+    unittest.main()
