Bound the responses of upstreams that entries read whole

What callers would see: an entry whose memory runs out. A response without end was read until the caller's deadline, and an error's body for ever.

Cause: the bodies of plain services, of an engine's refusals, and of the answers to cancellations and orders were read whole whatever their size, and unpacked whatever they unpack to. Cancellations had a limit for each read only, so an upstream that sends byte by byte, or one 1xx response after the other, held them for ever.

Evidence: of upstreams that send 60 MB, all was read with a length, with chunks, and with neither; heads and trailers end at 100 KiB in the library.

Change: every body is read up to a bound: 8 MB of a plain service, also in its plain form, and 1 MB of the others. Over it the call fails typed, and the request may have run. Cancellations and orders have a limit for the whole exchange, the body of a refusal has the stall timeout. Our clients ask for bodies as they are; what comes packed all the same is unpacked up to the bound.

--- a/src/daleroad/compression.py
+++ b/src/daleroad/compression.py
@@ -14,6 +14,9 @@
 WORTH_BYTES = 512
 """Smaller bodies are sent as they are; headers are most of them."""
 
+_WINDOW_BITS = {ENCODING: zlib.MAX_WBITS, "gzip": zlib.MAX_WBITS | 16}
+"""What the library calls the encodings that can be read."""
+
 _LEVEL = 1
 """The fastest: a body of 3 KB takes about 40 us, and higher levels save little on such bodies."""
 
@@ -29,13 +32,16 @@
     return packed if len(packed) < len(body) else None
 
 
-def unpack(body: bytes, limit: int) -> bytes | Failure:
+def unpack(body: bytes, limit: int, encoding: str = ENCODING) -> bytes | Failure:
     """Return a compressed body in its plain form.
 
     :param body: the compressed body.
     :param limit: bytes that the plain form may have.
+    :param encoding: how it is compressed, as in HTTP headers.
     """
-    reader = zlib.decompressobj()
+    if encoding not in _WINDOW_BITS:
+        return Failure(FailureKind.BAD_REQUEST, f"a body in the unknown encoding {encoding}")
+    reader = zlib.decompressobj(_WINDOW_BITS[encoding])
     try:
         plain = reader.decompress(body, limit)
     except zlib.error as error:
--- a/src/daleroad/links.py
+++ b/src/daleroad/links.py
@@ -5,8 +5,10 @@
 """
 
 import ssl
+from dataclasses import dataclass
 from typing import Any
 
+import anyio
 import httpx
 
 from daleroad.calls import read_answer
@@ -15,11 +17,72 @@
 from daleroad.errors import Failure, FailureKind
 from daleroad.settings import Tls
 
+SHORT_ANSWER_BYTES = 1_000_000
+"""Largest answer to a call about a single upstream or request, and largest body of an error."""
+
 _CONNECT_SECONDS = 2.0
 _REUSED = httpx.Limits(max_connections=None, max_keepalive_connections=64, keepalive_expiry=30)
 _SINGLE_USE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
 
 
+class BodyTooLargeError(httpx.HTTPError):
+    """A response's body is larger than its bound; its connection is closed."""
+
+    def __init__(self, most: int) -> None:
+        super().__init__(f"the body is larger than {most} bytes")
+
+
+@dataclass(frozen=True)
+class Fetched:
+    """A response whose body is whole, as it was sent.
+
+    :param status: the HTTP status.
+    :param headers: its headers.
+    :param body: its body, still encoded where ``content-encoding`` says so.
+    """
+
+    status: int
+    headers: httpx.Headers
+    body: bytes
+
+
+async def read_body(response: httpx.Response, most: int) -> bytes:
+    """Return the rest of a response's body as it was sent.
+
+    :param response: the response.
+    :param most: bytes that it may have.
+    :raises BodyTooLargeError: when it has more.
+    :raises httpx.HTTPError: when it is cut.
+    """
+    body = bytearray()
+    async for chunk in response.aiter_raw():
+        body += chunk
+        if len(body) > most:
+            raise BodyTooLargeError(most)
+    return bytes(body)
+
+
+async def fetch(
+    client: httpx.AsyncClient, method: str, url: str, most: int, seconds: float, **request: Any
+) -> Fetched:
+    """Make a request and return its whole response.
+
+    :param client: the client.
+    :param method: the HTTP method.
+    :param url: the whole URL.
+    :param most: bytes that the response's body may have.
+    :param seconds: limit of the whole exchange.
+    :param request: its ``content`` and ``headers``.
+    :raises BodyTooLargeError: when the body has more.
+    :raises httpx.HTTPError: when there is no whole response.
+    :raises TimeoutError: when the limit is over.
+    """
+    with anyio.fail_after(seconds):
+        async with client.stream(method, url, **request) as response:
+            body = await read_body(response, most)
+            return Fetched(response.status_code, response.headers, body)
+
+
 def make_client(
     tls: Tls, read_seconds: float | None, limits: httpx.Limits = _REUSED
 ) -> httpx.AsyncClient:
@@ -35,7 +98,13 @@
     verify: ssl.SSLContext | bool = False
     if tls.authority:
         verify = ssl.create_default_context(cafile=tls.authority)
-    return httpx.AsyncClient(verify=verify, limits=limits, timeout=timeout, trust_env=False)
+    return httpx.AsyncClient(
+        verify=verify,
+        limits=limits,
+        timeout=timeout,
+        trust_env=False,
+        headers={"accept-encoding": "identity"},
+    )
 
 
 class Links:
--- a/src/daleroad/orderdelivery.py
+++ b/src/daleroad/orderdelivery.py
@@ -10,7 +10,7 @@
 from daleroad.defaults import CALL_TIMEOUT_SECONDS
 from daleroad.errors import Failure
 from daleroad.events import Event, log_event
-from daleroad.links import Links
+from daleroad.links import SHORT_ANSWER_BYTES, Links, fetch
 from daleroad.messages import EngineOrder, EngineState
 from daleroad.orders import DesiredModels, LoadBucket, OrderScheduler
 from daleroad.records import ModelVersion, Order, Upstream
@@ -61,12 +61,15 @@
         body = encode(EngineOrder(desired.fencing, desired.models))
         state: EngineState | None = None
         try:
-            client, address = self._links.urgent, upstream.address
-            await client.post(f"{address}/v1/orders", content=body, timeout=CALL_TIMEOUT_SECONDS)
-            answer = await client.get(f"{address}/v1/state", timeout=CALL_TIMEOUT_SECONDS)
-            found = decode(EngineState, answer.content)
+            await self._fetch("POST", f"{upstream.address}/v1/orders", body)
+            found = decode(EngineState, await self._fetch("GET", f"{upstream.address}/v1/state"))
             state = None if isinstance(found, Failure) else found
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, TimeoutError) as error:
             log_event(Event.ORDER_FAILED, upstream=desired.upstream, error=repr(error))
         if self._scheduler.confirm(desired, state):
             log_event(Event.ORDER_SETTLED, upstream=desired.upstream, fencing=desired.fencing)
+
+    async def _fetch(self, method: str, url: str, body: bytes = b"") -> bytes:
+        client, seconds = self._links.urgent, CALL_TIMEOUT_SECONDS
+        answer = await fetch(client, method, url, SHORT_ANSWER_BYTES, seconds, content=body)
+        return answer.body
--- a/src/daleroad/relay.py
+++ b/src/daleroad/relay.py
@@ -19,7 +19,7 @@
 from daleroad.delivery import FrameAction, TokenSequence, parse_frames, split_events
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
-from daleroad.links import Links
+from daleroad.links import SHORT_ANSWER_BYTES, Links, fetch, read_body
 from daleroad.messages import EngineCompletion, Forbidden
 from daleroad.retries import get_backoff
 
@@ -194,8 +194,9 @@
 
     async def _parse_error_response(self, response: httpx.Response, method: str) -> _Interruption:
         try:
-            problem = parse_problem(await response.aread())
-        except httpx.HTTPError as error:
+            with anyio.fail_after(self.stall_seconds):
+                problem = parse_problem(await read_body(response, SHORT_ANSWER_BYTES))
+        except (httpx.HTTPError, TimeoutError) as error:
             failure = Failure(FailureKind.UPSTREAM_LOST, f"{error!r}", Ran.UNKNOWN)
             return _Interruption(failure)
         ran = problem.ran if method == "POST" else Ran.UNKNOWN
@@ -234,11 +235,10 @@
     :param generation: id of the generation.
     """
     try:
-        response = await links.urgent.post(
-            f"{address}/v1/forbid/{generation}", timeout=CALL_TIMEOUT_SECONDS
-        )
-    except httpx.HTTPError as error:
+        url = f"{address}/v1/forbid/{generation}"
+        answer = await fetch(links.urgent, "POST", url, SHORT_ANSWER_BYTES, CALL_TIMEOUT_SECONDS)
+    except (httpx.HTTPError, TimeoutError) as error:
         return Failure(FailureKind.UNREACHABLE, f"{error!r}", Ran.UNKNOWN)
-    if response.status_code != 200:
-        return Failure(FailureKind.UNREACHABLE, f"HTTP status {response.status_code}", Ran.UNKNOWN)
-    return decode(Forbidden, response.content)
+    if answer.status != 200:
+        return Failure(FailureKind.UNREACHABLE, f"HTTP status {answer.status}", Ran.UNKNOWN)
+    return decode(Forbidden, answer.body)
--- a/src/daleroad/services.py
+++ b/src/daleroad/services.py
@@ -6,6 +6,7 @@
 
 import base64
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import anyio
 import httpx
@@ -14,11 +15,13 @@
 
 from daleroad.claimclient import ClaimClient, make_unclaimed_failure
 from daleroad.claimjournal import Claim, ClaimState
+from daleroad.compression import unpack
 from daleroad.defaults import LAST_ANSWER_SECONDS, MAX_CLAIM_ANSWER_BYTES
 from daleroad.ending import make_shutdown_failure
 from daleroad.environment import Environment
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.jobs import authenticate, get_idempotency_key, parse_deadline
+from daleroad.links import BodyTooLargeError, Fetched, fetch
 from daleroad.ranking import rank_upstreams
 from daleroad.records import Organisation, Route, Upstream
 from daleroad.requestholds import RequestHolds, fingerprint_call, is_success_status
@@ -28,7 +31,18 @@
 
 _IDEMPOTENT = ("GET", "HEAD", "OPTIONS")
 _MAX_ATTEMPTS = 4
-_DROPPED_HEADERS = ("host", "authorization", "content-length", "connection", "transfer-encoding")
+_DROPPED_HEADERS = (
+    "host",
+    "authorization",
+    "accept-encoding",
+    "content-length",
+    "connection",
+    "transfer-encoding",
+)
+_PLAIN = "identity"
+
+ANSWER_BYTES = 8_000_000
+"""Largest body of a plain service's response, as sent and in its plain form."""
 
 
 @dataclass(frozen=True)
@@ -204,13 +218,21 @@
         failure: Failure
         env.ejector.take_trial(upstream.name, anyio.current_time())
         try:
-            with anyio.fail_after(timeout):
-                response = await env.links.urgent.request(
-                    request.method, url, content=request.body, headers=headers
-                )
-            self._record_result(upstream, response.status_code < 500)
-            content_type = response.headers.get("content-type", "application/octet-stream")
-            return Response(response.status_code, response.content, content_type)
+            fetched = await fetch(
+                env.links.urgent,
+                request.method,
+                url,
+                ANSWER_BYTES,
+                timeout,
+                content=request.body,
+                headers=headers,
+            )
+            self._record_result(upstream, fetched.status < HTTPStatus.INTERNAL_SERVER_ERROR)
+            return _make_response(fetched)
+        except BodyTooLargeError as error:
+            # The upstream works; that it sends so much is a matter of this call.
+            self._record_result(upstream, True)
+            return Failure(FailureKind.UPSTREAM_REFUSED, str(error), Ran.UNKNOWN)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             failure = Failure(FailureKind.UPSTREAM_LOST, f"{error!r}", Ran.NO, 1.0)
         except TimeoutError:
@@ -243,6 +265,19 @@
     return xxh3_128_hexdigest(text.encode() + request.body)
 
 
+def _make_response(fetched: Fetched) -> Response | Failure:
+    """Return a response for the caller, who gets the body in its plain form."""
+    body = fetched.body
+    encoding = fetched.headers.get("content-encoding", _PLAIN).lower()
+    if body and encoding != _PLAIN:
+        plain = unpack(body, ANSWER_BYTES, encoding)
+        if isinstance(plain, Failure):
+            return Failure(FailureKind.UPSTREAM_REFUSED, plain.reason, Ran.UNKNOWN)
+        body = plain
+    content_type = fetched.headers.get("content-type", "application/octet-stream")
+    return Response(fetched.status, body, content_type)
+
+
 def _make_no_upstream_failure(route: Route) -> Failure:
     reason = f"no upstream of {route.service} is available"
     return Failure(FailureKind.NO_UPSTREAM, reason, retry_after=2.0)
--- a/tests/test_owncalls.py
+++ b/tests/test_owncalls.py
@@ -3,6 +3,7 @@
 An upstream may send a response twice, cut or whole, send without end, or end early.
 """
 
+import gzip
 import unittest
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import aclosing
@@ -26,14 +27,16 @@
 from daleroad.relay import EngineStream, StreamEnded, StreamFailed, StreamPart, cancel_generation
 from daleroad.requestholds import RequestHolds
 from daleroad.security import hash_token
-from daleroad.services import PlainCalls
+from daleroad.services import ANSWER_BYTES, PlainCalls
 from daleroad.serving import Answer, Request, make_response
 from daleroad.settings import Tls
 
 LIMIT_SECONDS = 20.0
+ROUTE = records.Route("r", "p", "s", repeatable=True, deadline=4.0)
 STALL_SECONDS = 0.5
-SOCKET_BYTES = 20_000_000
-"""More than the buffers of two sockets; an upstream that has sent as much was read without end."""
+CALL_SECONDS = 0.5
+ENDLESS_BYTES = 60_000_000
+"""More than all bounds and the buffers of two sockets; who has sent as much was read on and on."""
 
 
 def make_answer(
@@ -44,6 +47,22 @@
     return "\r\n".join(lines).encode() + body
 
 
+def make_open_answers(status: str = "200 OK") -> dict[str, tuple[bytes, bytes]]:
+    """Return heads of responses without end, and what follows them again and again."""
+    data = b"x" * 60_000
+    head = f"HTTP/1.1 {status}\r\n"
+    return {
+        "long": (f"{head}Content-Length: {10**12}\r\n\r\n".encode(), data),
+        "chunked": (
+            f"{head}Transfer-Encoding: chunked\r\n\r\n".encode(),
+            f"{len(data):x}\r\n".encode() + data + b"\r\n",
+        ),
+        "undelimited": (f"{head}\r\n".encode(), data),
+        "head": (f"{head}X: ".encode(), data),
+        "trailers": (f"{head}Transfer-Encoding: chunked\r\n\r\n0\r\nX: ".encode(), data),
+    }
+
+
 def make_refusal(ran: Ran) -> bytes:
     response = make_response(Failure(FailureKind.DRAINING, "leaving", ran))
     return make_answer(response.body, status=f"{response.status} No")
@@ -60,7 +79,8 @@
     :param answers: one for each request, over all connections.
     :param surplus: returns what is sent behind an answer, as part of the same write.
     :param late: whether the surplus comes only once the next request on the connection is read.
-    :param endless: sent behind the last answer until the caller closes, or SOCKET_BYTES are sent.
+    :param endless: sent behind the last answer until the caller closes, or ENDLESS_BYTES are sent.
+    :param pause: seconds between two of these.
     :param hangs: whether the connection stays open, rather than ends, behind the last answer.
     """
 
@@ -70,6 +90,7 @@
         surplus: Callable[[bytes], bytes] = lambda answer: b"",
         late: bool = False,
         endless: bytes = b"",
+        pause: float = 0.0,
         hangs: bool = True,
     ) -> None:
         self.answers = list(answers)
@@ -79,6 +100,7 @@
         self._surplus = surplus
         self._late = late
         self._endless = endless
+        self._pause = pause
         self._hangs = hangs
 
     async def handle(self, stream: SocketStream) -> None:
@@ -115,7 +137,8 @@
         return True
 
     async def _send_endlessly(self, stream: SocketStream) -> None:
-        while self._endless and self.sent < SOCKET_BYTES:
+        while self._endless and self.sent < ENDLESS_BYTES:
+            await anyio.sleep(self._pause)
             await stream.send(self._endless)
             self.sent += len(self._endless)
 
@@ -148,7 +171,7 @@
             env = Environment(make_site("data").entries[0], self.links, Random(1))
             organisation = records.Organisation("o", "p", hash_token("token"))
             env.catalog.store(1, "Organisation", "o", organisation)
-            env.catalog.store(2, "Route", "r", records.Route("r", "p", "s", repeatable=True))
+            env.catalog.store(2, "Route", "r", ROUTE)
             env.budget.try_acquire = lambda: False
             calls = PlainCalls(env, RequestHolds(env))
             known = records.Upstream("u", url, "s", "z", 1, 1, ())
@@ -174,7 +197,8 @@
                 async with aclosing(stream.start(EngineCompletion(name, "m", "p", 8, 1))) as parts:
                     found.append([part async for part in parts][-1])
 
-        self.play(upstream, body)
+        with mock.patch("daleroad.relay.MAX_RESUME_TRIES", 0):
+            self.play(upstream, body)
         return found
 
     def cancel(self, upstream: Upstream, count: int = 1) -> list[Forbidden | Failure]:
@@ -294,5 +318,97 @@
         self.assertEqual(upstream.connections, rounds * count)
 
 
+class BoundTest(OwnCallsTest):
+    """Responses without end, or that take for ever, end in a failure."""
+
+    def check_each(self, check: Callable[[Upstream], None], status: str = "200 OK") -> None:
+        for name, (head, endless) in make_open_answers(status).items():
+            with self.subTest(name):
+                upstream = Upstream(head, endless=endless)
+                check(upstream)
+                self.assertLess(upstream.sent, ENDLESS_BYTES)
+
+    def check_service(self, upstream: Upstream, reason: str) -> None:
+        found = self.call_service(upstream)[0]
+        self.assertIsInstance(found, Failure)
+        self.assertIs(found.ran, Ran.UNKNOWN)
+        self.assertIn(reason, found.reason)
+
+    def test_a_service_that_answers_without_end_is_not_read_on(self) -> None:
+        def check(upstream: Upstream) -> None:
+            self.check_service(upstream, "")
+
+        self.check_each(check)
+
+    def test_a_service_that_answers_too_much_may_have_run(self) -> None:
+        upstream = Upstream(make_answer(b"x" * (ANSWER_BYTES + 1)))
+        self.check_service(upstream, f"larger than {ANSWER_BYTES} bytes")
+        found = self.call_service(Upstream(make_answer(b"x" * ANSWER_BYTES)))[0]
+        self.assertEqual(getattr(found, "status", 0), 200, found)
+
+    def test_an_answer_that_unpacks_without_end_is_not_unpacked(self) -> None:
+        packed = gzip.compress(bytes(ENDLESS_BYTES))
+        upstream = Upstream(make_answer(packed, "Content-Encoding: gzip"))
+        self.check_service(upstream, f"larger than {ANSWER_BYTES} bytes")
+
+    def test_an_answer_comes_plain_though_its_caller_reads_packed_ones(self) -> None:
+        given = {"accept-encoding": "gzip, br"}
+        for encoding, body in (("gzip", gzip.compress(b"plain")), ("identity", b"plain")):
+            upstream = Upstream(make_answer(body, f"Content-Encoding: {encoding}"))
+            found = self.call_service(upstream, **given)[0]
+            self.assertEqual(getattr(found, "body", b""), b"plain", found)
+            self.assertIn(b"accept-encoding: identity", upstream.heads[0].lower())
+        self.check_service(
+            Upstream(make_answer(b"?", "Content-Encoding: br")), "unknown encoding br"
+        )
+
+    def test_a_cancellation_ends_though_its_answer_does_not(self) -> None:
+        def check(upstream: Upstream) -> None:
+            found = self.cancel(upstream)[0]
+            self.assertIsInstance(found, Failure)
+            self.assertIs(found.ran, Ran.UNKNOWN)
+
+        self.check_each(check)
+        self.check_each(check, "503 No")
+
+    def test_a_cancellation_ends_though_its_answer_comes_byte_by_byte(self) -> None:
+        starts = {
+            b"HTTP/1.1 200 OK\r\nX: ": b"x",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n": b"x",
+            b"HTTP/1.1 100 Continue\r\n\r\n": b"HTTP/1.1 100 Continue\r\n\r\n",
+        }
+        for start, endless in starts.items():
+            upstream = Upstream(start, endless=endless, pause=CALL_SECONDS / 5)
+            with (
+                self.subTest(start),
+                mock.patch("daleroad.relay.CALL_TIMEOUT_SECONDS", CALL_SECONDS),
+            ):
+                found = self.cancel(upstream)[0]
+                self.assertIsInstance(found, Failure)
+                self.assertIs(found.ran, Ran.UNKNOWN)
+
+    def test_an_order_is_not_confirmed_by_a_state_without_end(self) -> None:
+        def check(upstream: Upstream) -> None:
+            upstream.answers.insert(0, make_answer(b"{}"))
+            self.assertEqual(self.send_orders(upstream), [None])
+
+        self.check_each(check)
+
+    def test_a_generation_refused_without_end_may_have_run(self) -> None:
+        def check(upstream: Upstream) -> None:
+            found = self.generate(upstream)[0]
+            self.assertIsInstance(found, StreamFailed)
+            self.assertIs(found.failure.ran, Ran.UNKNOWN)
+
+        self.check_each(check, "503 No")
+
+    def test_a_generation_whose_refusal_is_silent_may_have_run(self) -> None:
+        for start in (b"HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\n{", b"HTTP/1.1 503 No\r\n"):
+            with self.subTest(start):
+                found = self.generate(Upstream(start))[0]
+                self.assertIsInstance(found, StreamFailed)
+                self.assertIs(found.failure.ran, Ran.UNKNOWN)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -243,7 +243,7 @@
             async def count_bytes(response: httpx.Response) -> None:
                 nonlocal bytes_in
                 request = response.request
-                size = len(await response.aread()) + len(request.content)
+                size = int(response.headers.get("content-length", 0)) + len(request.content)
                 size += sum(len(k) + len(v) + 4 for k, v in response.headers.raw)
                 bytes_in += size + sum(len(k) + len(v) + 4 for k, v in request.headers.raw)
 
