Don't take an error without a problem document for a request not run

What callers would see: a request that runs twice. A 502 page of a proxy, an empty error, or a problem document that was cut in a response without length counted as "not run", so that the generation was neither cancelled nor its claim kept.

Cause: the failure for an error without a problem document left the default. A pause in it that is no number went into arithmetic, too.

--- a/src/daleroad/calls.py
+++ b/src/daleroad/calls.py
@@ -8,6 +8,9 @@
 
 _FIRST_ERROR_STATUS = 400
 
+_RETRY_MOST_SECONDS = 86_400.0
+"""A problem document that names a longer pause than a day names none."""
+
 
 class Calls(Protocol):
     """Calls other processes of ours.
@@ -42,19 +45,22 @@
 
 
 def parse_problem(body: bytes) -> Failure:
-    """Return the failure in a problem document.
+    """Return the failure in a problem document; without one it is unknown whether anything ran.
 
     :param body: the document.
     """
     found = decode(Mapping[str, Any], body)
     if isinstance(found, Failure):
-        return Failure(FailureKind.UNREACHABLE, "an error without a problem document")
+        return Failure(FailureKind.UNREACHABLE, "an error without a problem document", Ran.UNKNOWN)
     try:
         kind = FailureKind(str(found.get("title")))
         ran = Ran(str(found.get("ran", "unknown")))
     except ValueError:
         return Failure(FailureKind.UNREACHABLE, "an unknown problem document", Ran.UNKNOWN)
-    return Failure(kind, str(found.get("detail", "")), ran, found.get("retry_after"))
+    retry_after = found.get("retry_after")
+    if type(retry_after) not in (int, float) or not 0 <= retry_after <= _RETRY_MOST_SECONDS:
+        retry_after = None
+    return Failure(kind, str(found.get("detail", "")), ran, retry_after)
 
 
 def make_url(name: str) -> str:
--- a/tests/test_owncalls.py
+++ b/tests/test_owncalls.py
@@ -409,6 +409,33 @@
                 self.assertIsInstance(found, StreamFailed)
                 self.assertIs(found.failure.ran, Ran.UNKNOWN)
 
+    def test_a_refusal_that_is_no_whole_problem_document_may_have_run(self) -> None:
+        whole = make_refusal(Ran.NO).partition(b"\r\n\r\n")[2]
+        head = b"HTTP/1.1 503 No\r\n"
+        cases = {
+            "page": make_answer(b"<html>Bad Gateway</html>", status="502 Bad Gateway"),
+            "empty": make_answer(b"", status="503 No"),
+            "other": make_answer(b"{}", status="503 No"),
+            "list": make_answer(b"[]", status="503 No"),
+            "cut": make_answer(whole[:-4], status="503 No", length=len(whole)),
+            "cut without length": head + b"\r\n" + whole[:-4],
+            "cut in head": head + b"Content-Le",
+        }
+        for name, answer in cases.items():
+            with self.subTest(name):
+                found = self.generate(Upstream(answer, hangs=False))[0]
+                self.assertIsInstance(found, StreamFailed)
+                self.assertIs(found.failure.ran, Ran.UNKNOWN)
+        found = self.generate(Upstream(head + b"\r\n" + whole, hangs=False))[0]
+        self.assertIs(found.failure.ran, Ran.NO)
+
+    def test_a_pause_that_is_no_number_of_seconds_is_ignored(self) -> None:
+        for value in ('"soon"', "-1", "1e300", "[]", "true"):
+            body = b'{"title":"draining","ran":"no","retry_after":%s}' % value.encode()
+            with self.subTest(value):
+                found = self.generate(Upstream(make_answer(body, status="503 No")))[0]
+                self.assertEqual(found.failure, Failure(FailureKind.UPSTREAM_REFUSED, "draining: "))
+
 
 if __name__ == "__main__":
     unittest.main()
