Give up a response of an engine that brings no token for 1 MB

What callers would see: a stream that never goes on, and an entry whose memory runs out. An event without end was kept and searched anew with every chunk; events of other generations, or tokens that came before, were read on and on, and the stall timeout began anew with each.

Change: 1 MB between two tokens to deliver interrupts the response, as a gap does; the stream is resumed as often as after other interruptions. The request may have run.

A stream of 60 tokens with 6 MB of comments is read to its end.

--- a/src/daleroad/relay.py
+++ b/src/daleroad/relay.py
@@ -23,6 +23,9 @@
 from daleroad.messages import EngineCompletion, Forbidden
 from daleroad.retries import get_backoff
 
+UNDELIVERED_BYTES = 1_000_000
+"""A response in which so much comes between two tokens to deliver is given up."""
+
 
 @dataclass(frozen=True)
 class TokenChunk:
@@ -139,11 +142,13 @@
     ) -> AsyncGenerator[TokenChunk | StreamEnded | _Interruption, None]:
         """Turn response chunks into parts for the caller, up to the end or the first gap."""
         buffer = bytearray()
+        undelivered = 0
         async with aclosing(source) as chunks:
             async for chunk in chunks:
                 if isinstance(chunk, _Interruption):
                     yield chunk
                     return
+                undelivered += len(chunk)
                 delivered: list[bytes] = []
                 verdict: FrameAction | None = None
                 end_event = b""
@@ -155,6 +160,7 @@
                         end_event = frame.raw
                         break
                 if delivered:
+                    undelivered = 0
                     yield TokenChunk(b"\n\n".join(delivered) + b"\n\n", len(delivered))
                 if verdict is FrameAction.END:
                     yield StreamEnded(end_event + b"\n\n", self.delivery.next_index)
@@ -164,6 +170,10 @@
                         Failure(FailureKind.UPSTREAM_LOST, "gap in the token indexes", Ran.UNKNOWN)
                     )
                     return
+                if undelivered > UNDELIVERED_BYTES:
+                    reason = f"no token in {undelivered} bytes"
+                    yield _Interruption(Failure(FailureKind.UPSTREAM_LOST, reason, Ran.UNKNOWN))
+                    return
 
     async def _stream_response(
         self, method: str, path: str, body: bytes | None
--- a/tests/test_owncalls.py
+++ b/tests/test_owncalls.py
@@ -24,7 +24,14 @@
 from daleroad.messages import EngineCompletion, EngineState, Forbidden
 from daleroad.orderdelivery import OrderSender
 from daleroad.orders import DesiredModels
-from daleroad.relay import EngineStream, StreamEnded, StreamFailed, StreamPart, cancel_generation
+from daleroad.relay import (
+    UNDELIVERED_BYTES,
+    EngineStream,
+    StreamEnded,
+    StreamFailed,
+    StreamPart,
+    cancel_generation,
+)
 from daleroad.requestholds import RequestHolds
 from daleroad.security import hash_token
 from daleroad.services import ANSWER_BYTES, PlainCalls
@@ -437,5 +444,42 @@
                 self.assertEqual(found.failure, Failure(FailureKind.UPSTREAM_REFUSED, "draining: "))
 
 
+class StreamTest(OwnCallsTest):
+    """A stream is read on only while it brings tokens."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+
+    def check_stream(self, upstream: Upstream) -> None:
+        found = self.generate(upstream)[0]
+        self.assertIsInstance(found, StreamFailed)
+        self.assertIs(found.failure.ran, Ran.UNKNOWN)
+        self.assertLess(upstream.sent, ENDLESS_BYTES)
+
+    def test_an_event_without_end_is_not_kept(self) -> None:
+        self.check_stream(Upstream(self.HEAD + b"id: g0:0\ndata: ", endless=b"x" * 60_000))
+
+    def test_events_of_other_generations_without_end_are_not_read_on(self) -> None:
+        events = make_events("g7", 1000)
+        self.check_stream(Upstream(self.HEAD, endless=events))
+
+    def test_tokens_that_came_before_are_not_read_on(self) -> None:
+        first = make_events("g0", 1).partition(b"\n\n")[0] + b"\n\n"
+        self.check_stream(Upstream(self.HEAD, endless=first * 1000))
+
+    def test_a_long_stream_is_read_to_its_end_past_comments_and_copies(self) -> None:
+        comment = b": " + b"x" * (UNDELIVERED_BYTES // 10) + b"\n\n"
+        events = make_events("g0", 60).split(b"\n\n")
+        body = b"\n\n".join(part for event in events for part in (event, comment + event))
+        found = self.generate(Upstream(self.HEAD + body))[0]
+        self.assertEqual(getattr(found, "tokens", None), 60, found)
+
+    def test_a_stream_cut_in_its_head_or_body_may_have_run(self) -> None:
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nff\r\nid: g0:0\nda"
+        cases = (b"HTTP/1.1 200 O", self.HEAD[:-2], self.HEAD + b"id: g0:0\ndata: {", chunked)
+        for start in (*cases, b"HTTP/1.1 204 No Content\r\n\r\n", b"\x00\x01\r\n\r\n"):
+            with self.subTest(start):
+                self.check_stream(Upstream(start, hangs=False))
+
+
 if __name__ == "__main__":
     unittest.main()
