Bound and check what our own clients read

What users would see: a caller, an operator's command or an upstream's announcer that ends with an untyped error or by SIGSEGV, or whose memory runs out, when what answers is not our process or answers without end.

Cause: bodies were read whole whatever their size, and parsed unchecked; an event without end, or without a token, was read on and on.

Evidence: before the change all 5 tests of OwnProcessTest fail.

Change: answers of our processes are read up to 64 MB, as on channels, those that are short and errors up to 1 MB; answers that are no message are typed failures. Calls to locate and to announce have a limit for the whole exchange. Connections between our processes are still reused.

Result: the 5 tests pass.

--- a/src/daleroad/caller.py
+++ b/src/daleroad/caller.py
@@ -1,10 +1,11 @@
 """A caller: asks where to connect, streams, and resumes elsewhere when an entry dies."""
 
-from collections.abc import AsyncGenerator, Sequence
+from collections.abc import AsyncGenerator, Mapping, Sequence
 from contextlib import aclosing
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from random import Random
-from typing import TypeAlias
+from typing import Any, TypeAlias
 from uuid import uuid4
 
 import anyio
@@ -12,14 +13,24 @@
 import orjson
 
 from daleroad.calls import parse_problem
+from daleroad.codec import decode
 from daleroad.daleroad_pb import LocateAnswer, LocateRequest
-from daleroad.delivery import FrameAction, TokenSequence, parse_frames, split_events
+from daleroad.delivery import (
+    UNDELIVERED_BYTES,
+    Frame,
+    FrameAction,
+    TokenSequence,
+    parse_frames,
+    split_events,
+)
 from daleroad.errors import Failure, FailureKind, Ran
-from daleroad.links import make_client
+from daleroad.links import SHORT_ANSWER_BYTES, fetch, make_client, read_body
+from daleroad.publicmessages import read_message
 from daleroad.retries import get_backoff
 from daleroad.settings import Tls
 
 _LOCATE = "/daleroad.v1.Locator/Locate"
+_LOCATE_SECONDS = 2.0
 _TRIES = 12
 _SILENCE_SECONDS = 30.0
 
@@ -85,20 +96,22 @@
         headers = {"content-type": "application/json"}
         for seed in [*self._addresses, *self.random.sample(list(self.seeds), len(self.seeds))]:
             try:
-                response = await self._client.post(
-                    seed + _LOCATE, content=body, headers=headers, timeout=2.0
-                )
-            except httpx.HTTPError:
+                answer = await self._ask(seed, body, headers)
+            except (httpx.HTTPError, TimeoutError):
                 continue
-            if response.status_code != 200:
-                continue
-            answer = LocateAnswer.from_json(response.content)
-            if answer.addresses:
+            if isinstance(answer, LocateAnswer) and answer.addresses:
                 self._addresses = list(answer.addresses)
                 self._keep_until = anyio.current_time() + answer.keep_seconds
                 return self._addresses
         return Failure(FailureKind.UNREACHABLE, "no entry answers locate", Ran.NO, 1.0)
 
+    async def _ask(
+        self, seed: str, body: str, headers: dict[str, str]
+    ) -> LocateAnswer | Failure | None:
+        url, most, seconds = seed + _LOCATE, SHORT_ANSWER_BYTES, _LOCATE_SECONDS
+        found = await fetch(self._client, "POST", url, most, seconds, content=body, headers=headers)
+        return read_message(LocateAnswer, found.body) if found.status == HTTPStatus.OK else None
+
     async def generate(
         self, route: str, prompt: str, key: str = "", max_tokens: int = 0
     ) -> AsyncGenerator[CallerPart, None]:
@@ -151,7 +164,7 @@
                 "POST", f"{address}/v1/completions", content=body, headers=headers
             ) as response:
                 if response.status_code != 200:
-                    yield parse_problem(await response.aread())
+                    yield parse_problem(await read_body(response, SHORT_ANSWER_BYTES))
                     return
                 generation = response.headers.get("x-generation", "")
                 if progress.delivery is None or not progress.delivery.next_index:
@@ -180,15 +193,17 @@
 ) -> AsyncGenerator[CallerPart, None]:
     """Yield the parts of one response; each token once and in order."""
     buffer = bytearray()
+    undelivered = 0
     async for chunk in response.aiter_raw():
+        undelivered += len(chunk)
         for frame in parse_frames(split_events(buffer, chunk)):
             if frame.raw.startswith(b"event: error"):
                 yield parse_problem(frame.raw.rpartition(b"data: ")[2])
                 return
             match delivery.accept(frame):
                 case FrameAction.DELIVER:
-                    data = orjson.loads(frame.raw.rpartition(b"data: ")[2])
-                    yield Token(frame.index, data["text"])
+                    undelivered = 0
+                    yield _parse_token(frame)
                 case FrameAction.END:
                     yield Whole(delivery.generation, delivery.next_index)
                     return
@@ -197,4 +212,15 @@
                     return
                 case FrameAction.DROP:
                     pass
+        if undelivered > UNDELIVERED_BYTES:
+            reason = f"no token in {undelivered} bytes"
+            yield Failure(FailureKind.UNREACHABLE, reason, Ran.PARTIAL)
+            return
     yield Failure(FailureKind.UNREACHABLE, "the stream ended early", Ran.PARTIAL)
+
+
+def _parse_token(frame: Frame) -> Token | Failure:
+    found = decode(Mapping[str, Any], frame.raw.rpartition(b"data: ")[2])
+    if isinstance(found, Failure) or not isinstance(found.get("text"), str):
+        return Failure(FailureKind.UPSTREAM_LOST, "an event that is no token", Ran.PARTIAL)
+    return Token(frame.index, found["text"])
--- a/src/daleroad/cli.py
+++ b/src/daleroad/cli.py
@@ -32,6 +32,7 @@
 from daleroad.explain import explain, parse_lines
 from daleroad.guardedmodel import CASES as GUARDED_CASES
 from daleroad.guardedmodel import format_cases as format_guarded_cases
+from daleroad.links import OWN_ANSWER_BYTES, read_body_now
 from daleroad.operating import OperatorClient
 from daleroad.pacecommands import PaceCommands
 from daleroad.placing import CASES, format_cases
@@ -306,7 +307,8 @@
             url: its base URL.
         """
         try:
-            print(httpx.get(f"{url}/status", timeout=5.0, trust_env=False).text)
+            with httpx.stream("GET", f"{url}/status", timeout=5.0, trust_env=False) as response:
+                print(read_body_now(response, OWN_ANSWER_BYTES).decode(errors="replace"))
         except httpx.HTTPError as error:
             print(repr(error), file=sys.stderr)
             sys.exit(_FAILED)
--- a/src/daleroad/delivery.py
+++ b/src/daleroad/delivery.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+UNDELIVERED_BYTES = 1_000_000
+"""A response in which so much comes between two tokens to deliver is given up."""
+
 
 @dataclass(frozen=True)
 class Frame:
--- a/src/daleroad/links.py
+++ b/src/daleroad/links.py
@@ -20,6 +20,10 @@
 SHORT_ANSWER_BYTES = 1_000_000
 """Largest answer to a call about a single upstream or request, and largest body of an error."""
 
+OWN_ANSWER_BYTES = 64_000_000
+"""Largest answer of one of our processes; a routing configuration with thousands of routes takes a
+hundredth."""
+
 _CONNECT_SECONDS = 2.0
 _REUSED = httpx.Limits(max_connections=None, max_keepalive_connections=64, keepalive_expiry=30)
 _SINGLE_USE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
@@ -62,6 +66,22 @@
     return bytes(body)
 
 
+def read_body_now(response: httpx.Response, most: int) -> bytes:
+    """Return what :func:`read_body` returns, of a response of a synchronous client.
+
+    :param response: the response.
+    :param most: bytes that it may have.
+    :raises BodyTooLargeError: when it has more.
+    :raises httpx.HTTPError: when it is cut.
+    """
+    body = bytearray()
+    for chunk in response.iter_raw():
+        body += chunk
+        if len(body) > most:
+            raise BodyTooLargeError(most)
+    return bytes(body)
+
+
 async def fetch(
     client: httpx.AsyncClient, method: str, url: str, most: int, seconds: float, **request: Any
 ) -> Fetched:
@@ -149,9 +169,10 @@
         packed = pack(body) if self._compress else None
         headers = self._headers | ({"content-encoding": ENCODING} if packed else {})
         try:
-            response = await self.short.post(
-                url, content=packed or body, headers=headers, timeout=timeout
-            )
+            async with self.short.stream(
+                "POST", url, content=packed or body, headers=headers, timeout=timeout
+            ) as response:
+                found = await read_body(response, OWN_ANSWER_BYTES)
         except httpx.HTTPError as error:
             return Failure(FailureKind.UNREACHABLE, f"{url}: {error!r}")
-        return read_answer(response.status_code, response.content, answer_type)
+        return read_answer(response.status_code, found, answer_type)
--- a/src/daleroad/operating.py
+++ b/src/daleroad/operating.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Sequence
+from http import HTTPStatus
 from typing import Any, TypeVar
 from uuid import uuid4
 
@@ -17,6 +18,8 @@
     ReadRequest,
 )
 from daleroad.errors import Failure, FailureKind, Ran
+from daleroad.links import OWN_ANSWER_BYTES, read_body_now
+from daleroad.publicmessages import read_message
 from daleroad.records import Record
 
 _SERVICE = "/daleroad.v1.Operators"
@@ -38,7 +41,11 @@
     def __init__(self, urls: Sequence[str], token: str, limit: float = 15.0) -> None:
         self._urls = list(urls)
         self._limit = limit
-        headers = {"authorization": f"Bearer {token}", "content-type": "application/json"}
+        headers = {
+            "authorization": f"Bearer {token}",
+            "content-type": "application/json",
+            "accept-encoding": "identity",
+        }
         self._client = httpx.Client(headers=headers, timeout=20.0, trust_env=False)
 
     def close(self) -> None:
@@ -77,14 +84,14 @@
             base=base,
             wait_seconds=wait,
         )
-        return self._call("Change", request, ChangeAnswer.from_json, _is_settled)
+        return self._call("Change", request, ChangeAnswer, _is_settled)
 
     def read(self, kind: str) -> ReadAnswer | Failure:
         """Read the records of a kind.
 
         :param kind: a record's class name, ``entries`` or ``upstreams``.
         """
-        return self._call("Read", ReadRequest(kind=kind), ReadAnswer.from_json, _is_anything)
+        return self._call("Read", ReadRequest(kind=kind), ReadAnswer, _is_anything)
 
     def audit(self, after: int = 0, most: int = 0) -> AuditAnswer | Failure:
         """Read the audit trail.
@@ -93,13 +100,13 @@
         :param most: how many rows at most.
         """
         request = AuditRequest(after=after, most=most)
-        return self._call("Audit", request, AuditAnswer.from_json, _is_anything)
+        return self._call("Audit", request, AuditAnswer, _is_anything)
 
     def _call(
         self,
         method: str,
         request: Any,
-        parse: Callable[[bytes], T],
+        shape: type[T],
         is_settled: Callable[[T], bool],
     ) -> T | Failure:
         """Ask one process after the other until one that leads answers."""
@@ -115,8 +122,10 @@
                 if failure.kind is not FailureKind.UNREACHABLE:
                     return failure
             else:
-                parsed = parse(answer)
-                if is_settled(parsed):
+                parsed = read_message(shape, answer)
+                if isinstance(parsed, Failure):
+                    failure = Failure(FailureKind.UNREACHABLE, parsed.reason, parsed.ran, 1.0)
+                elif is_settled(parsed):
                     return parsed
             if turn % len(self._urls) == 0:
                 time.sleep(_PAUSE_SECONDS)
@@ -124,14 +133,15 @@
 
     def _post(self, url: str, body: str) -> bytes | Failure:
         try:
-            response = self._client.post(url, content=body)
+            with self._client.stream("POST", url, content=body) as response:
+                found = read_body_now(response, OWN_ANSWER_BYTES)
         except httpx.HTTPError as error:
             return Failure(FailureKind.UNREACHABLE, f"{url}: {error!r}", Ran.UNKNOWN, 1.0)
-        if response.status_code == 200:
-            return response.content
+        if response.status_code == HTTPStatus.OK:
+            return found
         kinds = {400: FailureKind.BAD_REQUEST, 401: FailureKind.UNAUTHENTICATED}
         kind = kinds.get(response.status_code, FailureKind.UNREACHABLE)
-        return Failure(kind, f"{response.status_code}: {response.text[:300]}")
+        return Failure(kind, f"{response.status_code}: {found[:300].decode(errors='replace')}")
 
 
 def _is_settled(answer: ChangeAnswer) -> bool:
--- a/src/daleroad/relay.py
+++ b/src/daleroad/relay.py
@@ -16,16 +16,19 @@
 from daleroad.calls import parse_problem
 from daleroad.codec import decode, encode
 from daleroad.defaults import CALL_TIMEOUT_SECONDS, MAX_RESUME_TRIES
-from daleroad.delivery import FrameAction, TokenSequence, parse_frames, split_events
+from daleroad.delivery import (
+    UNDELIVERED_BYTES,
+    FrameAction,
+    TokenSequence,
+    parse_frames,
+    split_events,
+)
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
 from daleroad.links import SHORT_ANSWER_BYTES, Links, fetch, read_body
 from daleroad.messages import EngineCompletion, Forbidden
 from daleroad.retries import get_backoff
 
-UNDELIVERED_BYTES = 1_000_000
-"""A response in which so much comes between two tokens to deliver is given up."""
-
 
 @dataclass(frozen=True)
 class TokenChunk:
--- a/src/daleroad/standin.py
+++ b/src/daleroad/standin.py
@@ -1,6 +1,7 @@
 """What the stand-in upstreams share: announcing themselves and reporting to their steward."""
 
 from collections.abc import Callable, Sequence
+from http import HTTPStatus
 
 import anyio
 import httpx
@@ -11,12 +12,15 @@
     Report,
     ReportAnswer,
 )
-from daleroad.links import make_client
+from daleroad.errors import Failure
+from daleroad.links import SHORT_ANSWER_BYTES, fetch, make_client
+from daleroad.publicmessages import read_message
 from daleroad.settings import Tls
 
 _REGISTRY = "/daleroad.v1.Registry"
 _RETRY_SECONDS = 0.2
 _ANSWER_SECONDS = 1.0
+_EXCHANGE_SECONDS = 4.0
 
 
 class Announcer:
@@ -68,7 +72,8 @@
         body = await self._post(self.steward, "Tell", self._report())
         if body is None:
             return False
-        return not ReportAnswer.from_json(body).announce_again
+        answer = read_message(ReportAnswer, body)
+        return not (isinstance(answer, Failure) or answer.announce_again)
 
     async def _find_steward(self, first: str) -> float | None:
         url = first
@@ -76,7 +81,9 @@
             body = await self._post(url, "Announce", self._announce())
             if body is None:
                 return None
-            answer = AnnounceAnswer.from_json(body)
+            answer = read_message(AnnounceAnswer, body)
+            if isinstance(answer, Failure):
+                return None
             if answer.steward == url:
                 self.steward = url
                 return answer.report_seconds
@@ -85,9 +92,15 @@
 
     async def _post(self, url: str, method: str, message: Announcement | Report) -> bytes | None:
         try:
-            response = await self._client.post(
-                f"{url}{_REGISTRY}/{method}", content=message.to_json(), headers=self._headers
+            found = await fetch(
+                self._client,
+                "POST",
+                f"{url}{_REGISTRY}/{method}",
+                SHORT_ANSWER_BYTES,
+                _EXCHANGE_SECONDS,
+                content=message.to_json(),
+                headers=self._headers,
             )
-        except httpx.HTTPError:
+        except (httpx.HTTPError, TimeoutError):
             return None
-        return response.content if response.status_code == 200 else None
+        return found.body if found.status == HTTPStatus.OK else None
--- a/tests/test_owncalls.py
+++ b/tests/test_owncalls.py
@@ -8,24 +8,27 @@
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import aclosing
 from random import Random
+from typing import Any
 from unittest import mock
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
 from daleroad import records
+from daleroad.caller import Caller, CallerPart
 from daleroad.catalog import Catalog
 from daleroad.codec import encode
-from daleroad.delivery import TokenSequence
+from daleroad.daleroad_pb import Announcement, LocateAnswer, ReadAnswer, Report
+from daleroad.delivery import UNDELIVERED_BYTES, TokenSequence
 from daleroad.environment import Environment
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.links import Links
 from daleroad.loopback import make_site
 from daleroad.messages import EngineCompletion, EngineState, Forbidden
+from daleroad.operating import OperatorClient
 from daleroad.orderdelivery import OrderSender
 from daleroad.orders import DesiredModels
 from daleroad.relay import (
-    UNDELIVERED_BYTES,
     EngineStream,
     StreamEnded,
     StreamFailed,
@@ -37,6 +40,7 @@
 from daleroad.services import ANSWER_BYTES, PlainCalls
 from daleroad.serving import Answer, Request, make_response
 from daleroad.settings import Tls
+from daleroad.standin import Announcer
 
 LIMIT_SECONDS = 20.0
 ROUTE = records.Route("r", "p", "s", repeatable=True, deadline=4.0)
@@ -481,5 +485,102 @@
                 self.check_stream(Upstream(start, hangs=False))
 
 
+class OwnProcessTest(OwnCallsTest):
+    """Answers that are no answers of our processes end the calls to them typed."""
+
+    NO_MESSAGES = (b"", b"x", b"[]", b'{"steward":1}', b'{"more":1}', b"[" * 100_000)
+
+    def call_process(self, upstream: Upstream) -> Any:
+        async def body(url: str) -> None:
+            self.found = await self.links.call(f"{url}/a", b"{}", str)
+
+        self.play(upstream, body)
+        return self.found
+
+    def call_as_caller(self, upstream: Upstream) -> list[CallerPart]:
+        """Return the parts of an answer; the first answer of the upstream says where to call."""
+        parts: list[CallerPart] = []
+
+        async def body(url: str) -> None:
+            if not upstream.answers[0]:
+                place = LocateAnswer(addresses=[url], keep_seconds=9.0)
+                upstream.answers[0] = make_answer(place.to_json().encode())
+            caller = Caller([url], "token")
+            async with aclosing(caller.generate("r", "p", "k")) as found:
+                parts.extend([part async for part in found])
+            await caller.close()
+
+        with mock.patch("daleroad.caller._TRIES", 1):
+            self.play(upstream, body)
+        return parts
+
+    def call_as_operator(self, upstream: Upstream) -> ReadAnswer | Failure:
+        async def body(url: str) -> None:
+            client = OperatorClient([url], "token", limit=CALL_SECONDS)
+            self.found = await anyio.to_thread.run_sync(client.read, "Route")
+            client.close()
+
+        self.play(upstream, body)
+        return self.found
+
+    def announce(self, upstream: Upstream) -> float | None:
+        async def body(url: str) -> None:
+            announcer = Announcer([url], "token", Announcement, Report)
+            self.found = await announcer._find_steward(url)
+
+        self.play(upstream, body)
+        return self.found
+
+    def check_each_open(self, check: Callable[[Upstream], Any], *first: bytes) -> None:
+        for status in ("200 OK", "503 No"):
+            for name, (head, endless) in make_open_answers(status).items():
+                with self.subTest(name, status=status):
+                    upstream = Upstream(*first, head, endless=endless)
+                    check(upstream)
+                    self.assertLess(upstream.sent, ENDLESS_BYTES)
+
+    def test_a_call_between_our_processes_ends_though_its_answer_does_not(self) -> None:
+        def check(upstream: Upstream) -> None:
+            self.assertIs(self.call_process(upstream).kind, FailureKind.UNREACHABLE)
+
+        with mock.patch("daleroad.links.OWN_ANSWER_BYTES", 1_000_000):
+            self.check_each_open(check)
+
+    def test_a_caller_gives_up_an_answer_without_end(self) -> None:
+        def check(upstream: Upstream) -> None:
+            self.assertIsInstance(self.call_as_caller(upstream)[-1], Failure)
+
+        self.check_each_open(check)
+        self.check_each_open(check, b"")
+
+    def test_a_caller_gets_a_failure_for_what_is_no_address_or_token(self) -> None:
+        for body in self.NO_MESSAGES:
+            with self.subTest(body[:9]):
+                self.assertIsInstance(self.call_as_caller(Upstream(make_answer(body)))[-1], Failure)
+        for data in (b"{", b"[]", b"{}", b'{"text":1}'):
+            with self.subTest(data):
+                stream = make_answer(b"id: g:0\ndata: " + data + b"\n\n", "X-Generation: g")
+                self.assertIsInstance(self.call_as_caller(Upstream(b"", stream))[-1], Failure)
+
+    def test_an_operator_gives_up_an_answer_that_is_none(self) -> None:
+        def check(upstream: Upstream) -> None:
+            self.assertIsInstance(self.call_as_operator(upstream), Failure)
+
+        with mock.patch("daleroad.operating.OWN_ANSWER_BYTES", 1_000_000):
+            self.check_each_open(check)
+        for body in self.NO_MESSAGES:
+            with self.subTest(body[:9]):
+                check(Upstream(*[make_answer(body)] * 9))
+
+    def test_an_upstream_announces_itself_again_where_no_answer_comes(self) -> None:
+        def check(upstream: Upstream) -> None:
+            self.assertIsNone(self.announce(upstream))
+
+        self.check_each_open(check)
+        for body in self.NO_MESSAGES:
+            with self.subTest(body[:9]):
+                check(Upstream(make_answer(body)))
+
+
 if __name__ == "__main__":
     unittest.main()
