Refuse public messages that are nested too deep

What users would see: an entry or a control process that ends with all its requests. Anybody who reaches its port can do it, without a token: 50 KB of opening brackets as the JSON of any public call.

Cause: the protobuf library reads nested JSON by recursion without a limit, and overruns the stack (20,000 levels suffice, 5,000 do not). Found by a test of our clients, which read answers with the same library.

Change: servers read JSON by a parser with a limit of depth first.

--- a/src/daleroad/control.py
+++ b/src/daleroad/control.py
@@ -38,6 +38,7 @@
 )
 from daleroad.operators import OperatorService
 from daleroad.orderdelivery import OrderSender
+from daleroad.publicmessages import CODECS
 from daleroad.raftnode import RaftNode, decode_messages
 from daleroad.records import Operator
 from daleroad.roster import Roster
@@ -159,7 +160,10 @@
         router.add("GET", "/metrics", self._serve_metrics)
         router.add("GET", "/status", self._serve_status)
         service = OperatorService(self)
-        for app in (OperatorsASGIApplication(service), LocatorASGIApplication(service)):
+        for app in (
+            OperatorsASGIApplication(service, codecs=CODECS),
+            LocatorASGIApplication(service, codecs=CODECS),
+        ):
             router.mount(app.path, app)  # type: ignore[arg-type]
         return router
 
--- a/src/daleroad/entry.py
+++ b/src/daleroad/entry.py
@@ -42,6 +42,7 @@
     Suspicions,
 )
 from daleroad.organisationlimits import OrganisationLimits
+from daleroad.publicmessages import CODECS
 from daleroad.records import State, Upstream
 from daleroad.requestholds import RequestHolds
 from daleroad.security import check_peer, get_bearer, hash_token, is_token
@@ -141,7 +142,10 @@
         router.add("GET", "/metrics", self._serve_metrics)
         router.add("GET", "/status", self._serve_status)
         service = EntryRpcService(self)
-        for app in (LocatorASGIApplication(service), RegistryASGIApplication(service)):
+        for app in (
+            LocatorASGIApplication(service, codecs=CODECS),
+            RegistryASGIApplication(service, codecs=CODECS),
+        ):
             router.mount(app.path, app)  # type: ignore[arg-type]
         return router
 
--- a/tests/test_owncalls.py
+++ b/tests/test_owncalls.py
@@ -4,6 +4,9 @@
 """
 
 import gzip
+import subprocess
+import sys
+import tempfile
 import unittest
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import aclosing
@@ -582,5 +585,76 @@
                 check(Upstream(make_answer(body)))
 
 
+PUBLIC_CALL = """
+import sys
+from dataclasses import replace
+from random import Random
+
+import anyio
+
+from daleroad.control import Control, initialise_data_folder
+from daleroad.entry import Entry
+from daleroad.loopback import make_site
+
+async def main(process, method, folder):
+    site = make_site(folder)
+    if process == "entry":
+        router = Entry(site.entries[0], Random(1))._make_router()
+    else:
+        initialise_data_folder(site.control[0])
+        router = Control(site.control[0], Random(1))._make_router()
+    path = "/daleroad.v1." + method
+    headers = [(b"content-type", b"application/json")]
+    scope = {"type": "http", "method": "POST", "path": path, "headers": headers,
+             "query_string": b"", "http_version": "1.1", "root_path": "", "raw_path": path.encode()}
+
+    async def receive():
+        return {"type": "http.request", "body": sys.stdin.buffer.read(), "more_body": False}
+
+    async def send(event):
+        if event["type"] == "http.response.start":
+            print(event["status"])
+
+    await router(scope, receive, send)
+
+anyio.run(main, *sys.argv[1:])
+"""
+
+
+class PublicFaceTest(unittest.TestCase):
+    """What anybody sends must not end a process."""
+
+    METHODS = (
+        ("entry", "Locator/Locate"),
+        ("entry", "Registry/Announce"),
+        ("entry", "Registry/Tell"),
+        ("control", "Locator/Locate"),
+        ("control", "Operators/Change"),
+        ("control", "Operators/Read"),
+        ("control", "Operators/Audit"),
+    )
+
+    def call(self, process: str, method: str, body: bytes) -> subprocess.CompletedProcess:
+        with tempfile.TemporaryDirectory() as folder:
+            command = [sys.executable, "-c", PUBLIC_CALL, process, method, folder]
+            return subprocess.run(
+                command, input=body, capture_output=True, timeout=LIMIT_SECONDS, check=False
+            )
+
+    def test_brackets_without_end_do_not_end_a_process(self) -> None:
+        for process, method in self.METHODS:
+            with self.subTest(process, method=method):
+                called = self.call(process, method, b"[" * 50_000)
+                self.assertEqual(called.returncode, 0, called.stderr[-500:])
+                self.assertEqual(called.stdout.split()[-1:], [b"400"])
+
+    def test_a_proper_question_is_still_read(self) -> None:
+        # This process knows no entry yet, and says so once it has read the question.
+        for body, status in ((b'{"zone":"z","newer":[1]}', b"503"), (b'{"zone":1}', b"400")):
+            with self.subTest(body):
+                called = self.call("entry", "Locator/Locate", body)
+                self.assertEqual(called.stdout.split()[-1:], [status], called.stderr[-500:])
+
+
 if __name__ == "__main__":
     unittest.main()
