Don't carry one organisation's cookies to another's call

What callers would see: the session of somebody else. A plain service that set a cookie in its response to one organisation got it with the calls of all others, at the same host whatever the port.

Cause: the HTTP client keeps cookies for all requests that it makes.

Evidence: the new test fails before the change for service calls, generations and cancellations.

Change: our clients keep no cookies. Those that a caller sends are passed on as before.

--- a/src/daleroad/links.py
+++ b/src/daleroad/links.py
@@ -6,6 +6,7 @@
 
 import ssl
 from dataclasses import dataclass
+from http.cookiejar import CookieJar, DefaultCookiePolicy
 from typing import Any
 
 import anyio
@@ -106,7 +107,7 @@
 def make_client(
     tls: Tls, read_seconds: float | None, limits: httpx.Limits = _REUSED
 ) -> httpx.AsyncClient:
-    """Return a client without the library's default limits.
+    """Return a client without the library's default limits, which keeps no cookies.
 
     :param tls: key files; with an authority, servers are checked against it.
     :param read_seconds: longest silence of a response, or no limit.
@@ -124,6 +125,7 @@
         timeout=timeout,
         trust_env=False,
         headers={"accept-encoding": "identity"},
+        cookies=CookieJar(DefaultCookiePolicy(allowed_domains=())),
     )
 
 
--- a/tests/test_owncalls.py
+++ b/tests/test_owncalls.py
@@ -318,6 +318,20 @@
 
         self.check_each([make_answer(encode(state)) for state in states], check)
 
+    def test_a_call_does_not_carry_what_an_earlier_response_has_set(self) -> None:
+        answers = [make_answer(b"a", "Set-Cookie: session=of-another; Path=/")] * 2
+        for path in (self.call_service, self.generate, self.cancel):
+            upstream = Upstream(*answers)
+            with self.subTest(path.__name__):
+                path(upstream, 2)
+                self.assertGreater(len(upstream.heads), 1)
+                self.assertNotIn(b"of-another", b"".join(upstream.heads))
+
+    def test_a_call_carries_the_cookies_of_its_caller(self) -> None:
+        upstream = Upstream(make_answer(b"a"))
+        self.call_service(upstream, cookie="session=mine")
+        self.assertIn(b"session=mine", upstream.heads[0])
+
     def test_calls_at_a_time_get_their_own_answers_and_connections(self) -> None:
         rounds, count = 3, 20
         upstream = Upstream(*[make_answer(b"{}")] * rounds * count, surplus=repeat)
