Refuse what is no answer on a channel

What callers would see: a call between our processes that ends with an untyped error, or takes the second of two answers to its question, and a process whose memory grows while it waits for a channel's head.

Cause: an answer's status was taken for a number unseen. A second answer in the same bytes replaced the first. Of the 1xx responses before the head one was taken with each read, the others were kept.

Change: a label that is no number and a 1xx response end the channel; the first answer to a question stays. That answers are told apart by their question's number, and that nothing early, late or cut answers another question, held before and is tested now.

--- a/src/daleroad/channels.py
+++ b/src/daleroad/channels.py
@@ -163,7 +163,7 @@
             self._news = anyio.Event()
 
     def _take(self, data: bytes) -> None:
-        """Keep the answers in what arrived, but for those that nobody waits for any more."""
+        """Keep the first answer to each question, but for those that nobody waits for any more."""
         self._silent_since = None
         self._http.receive_data(data)
         while True:
@@ -173,8 +173,9 @@
                     raise h11.RemoteProtocolError(f"status {status}")
                 case h11.Data(data=part):
                     for frame in self._reader.feed(bytes(part)):
-                        if frame.number in self._answers:
-                            self._answers[frame.number] = frame
+                        self._keep(frame)
+                case h11.InformationalResponse(status_code=status):
+                    raise h11.RemoteProtocolError(f"status {status}")
                 case h11.EndOfMessage() | h11.ConnectionClosed():
                     raise anyio.EndOfStream
                 case h11.Response():
@@ -182,6 +183,12 @@
                 case _:
                     return
 
+    def _keep(self, frame: Frame) -> None:
+        if not frame.label.isdecimal():
+            raise BrokenFrameError(f"not a status: {frame.label!r}")
+        if self._answers.get(frame.number, frame) is None:
+            self._answers[frame.number] = frame
+
 
 class ChannelCalls:
     """Calls to other processes of ours, on one channel to each.
--- a/tests/test_owncalls.py
+++ b/tests/test_owncalls.py
@@ -20,11 +20,13 @@
 from daleroad import records
 from daleroad.caller import Caller, CallerPart
 from daleroad.catalog import Catalog
+from daleroad.channels import ChannelCalls
 from daleroad.codec import encode
 from daleroad.daleroad_pb import Announcement, LocateAnswer, ReadAnswer, Report
 from daleroad.delivery import UNDELIVERED_BYTES, TokenSequence
 from daleroad.environment import Environment
 from daleroad.errors import Failure, FailureKind, Ran
+from daleroad.frames import Frame, FrameWriter
 from daleroad.links import Links
 from daleroad.loopback import make_site
 from daleroad.messages import EngineCompletion, EngineState, Forbidden
@@ -49,6 +51,9 @@
 ROUTE = records.Route("r", "p", "s", repeatable=True, deadline=4.0)
 STALL_SECONDS = 0.5
 CALL_SECONDS = 0.5
+SOCKET_BYTES = 12_000_000
+"""The most that the buffers of two sockets take of what nobody reads."""
+
 ENDLESS_BYTES = 60_000_000
 """More than all bounds and the buffers of two sockets; who has sent as much was read on and on."""
 
@@ -599,6 +604,82 @@
                 check(Upstream(make_answer(body)))
 
 
+def make_frames(*answers: tuple[int, str, bytes], status: str = "200 OK") -> bytes:
+    """Return the response that begins a channel, with answers as one chunk."""
+    data = FrameWriter().pack([Frame(*answer) for answer in answers])
+    head = f"HTTP/1.1 {status}\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+    return head + f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+class ChannelAnswerTest(OwnCallsTest):
+    """Calls on a channel get the answers that bear their number, and end without one."""
+
+    def call(self, upstream: Upstream, count: int = 1) -> list[Any]:
+        """Return the answers to one call after the other; two channels are tried for each."""
+        found: list[Any] = []
+
+        async def body(url: str) -> None:
+            calls = ChannelCalls("secret")
+            for number in range(count):
+                found.append(await calls.call(f"{url}/{number}", b"{}", str, CALL_SECONDS))
+
+        self.play(upstream, body)
+        return found
+
+    def check_lost(self, start: bytes, endless: bytes = b"", hangs: bool = True) -> None:
+        upstream = Upstream(start, endless=endless, hangs=hangs)
+        found = self.call(upstream)[0]
+        self.assertIsInstance(found, Failure)
+        self.assertIs(found.kind, FailureKind.UNREACHABLE)
+        self.assertLess(upstream.sent, ENDLESS_BYTES)
+
+    def test_a_call_is_not_answered_by_another_copy_or_number(self) -> None:
+        first = make_frames((1, "200", b'"a"'), (1, "200", b'"b"'), (7, "200", b'"c"'))
+        self.assertEqual(self.call(Upstream(first))[0], "a")
+        self.check_lost(make_frames((2, "200", b'"early"')))
+
+    def test_a_second_call_is_not_answered_by_what_came_before_it(self) -> None:
+        early = make_frames((1, "200", b'"a"'), (2, "200", b'"early"'))
+        found = self.call(Upstream(early), 2)
+        self.assertEqual(found[0], "a")
+        self.assertIsInstance(found[1], Failure)
+
+    def test_a_channel_ends_with_what_follows_its_response(self) -> None:
+        whole = make_frames((1, "200", b'"a"')) + b"0\r\n\r\n"
+        for surplus in (repeat(whole), cut_in_head(whole), b"\x00\x01"):
+            with self.subTest(surplus[:9]):
+                self.assertEqual(self.call(Upstream(whole + surplus))[0], "a")
+
+    def test_calls_end_on_a_channel_without_end(self) -> None:
+        chunk = b"f000\r\n" + bytes(0xF000) + b"\r\n"
+        cases = make_open_answers()
+        cases["zeros"] = (cases["chunked"][0], chunk)
+        for name, (head, endless) in cases.items():
+            with self.subTest(name):
+                self.check_lost(head, endless)
+
+    def test_interim_responses_without_end_are_not_kept(self) -> None:
+        upstream = Upstream(b"", endless=b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000)
+        self.assertIsInstance(self.call(upstream)[0], Failure)
+        self.assertLess(upstream.sent, SOCKET_BYTES)
+
+    def test_calls_end_on_a_channel_that_is_cut_or_none(self) -> None:
+        whole = make_frames((1, "200", b'"a"'))
+        starts = {
+            "head": whole[:20],
+            "frame": whole[:-9],
+            "refused": make_frames(status="503 No"),
+            "empty": b"HTTP/1.1 204 No Content\r\n\r\n",
+            "other": b"\x00\x01\r\n\r\n",
+            "no status": make_frames((1, "x", b'"a"')),
+            "negative": make_frames((1, "-1", b'"a"')),
+        }
+        for name, start in starts.items():
+            for hangs in (False, True):
+                with self.subTest(name, hangs=hangs):
+                    self.check_lost(start, hangs=hangs)
+
+
 PUBLIC_CALL = """
 import sys
 from dataclasses import replace
