Test calls of upstreams whose responses are cut, or have no body

Nothing was found: responses cut in the head, the body, a chunk or before the last chunk's end count as lost, and the request may have run; so do a 101 or a 1xx response alone, two lengths, and bytes that are no response. HEAD, 204 and 304 end with their head, whatever follows. What ends with its connection can't be told from a cut one, and is taken as whole as before.

--- a/tests/test_owncalls.py
+++ b/tests/test_owncalls.py
@@ -10,6 +10,7 @@
 import unittest
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import aclosing
+from dataclasses import replace
 from random import Random
 from typing import Any
 from unittest import mock
@@ -49,6 +50,7 @@
 
 LIMIT_SECONDS = 20.0
 ROUTE = records.Route("r", "p", "s", repeatable=True, deadline=4.0)
+HASTY_ROUTE = replace(ROUTE, deadline=0.5)
 STALL_SECONDS = 0.5
 CALL_SECONDS = 0.5
 SOCKET_BYTES = 12_000_000
@@ -470,6 +472,50 @@
                 self.assertEqual(found.failure, Failure(FailureKind.UPSTREAM_REFUSED, "draining: "))
 
 
+class CutTest(OwnCallsTest):
+    """A cut response is a loss; one that has no body by its kind is none."""
+
+    CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    CUT = (
+        b"",
+        b"HTTP/1.1 2",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+        make_answer(b"{", length=2),
+        CHUNKED + b"2\r\n{",
+        CHUNKED + b"2\r\n{}\r\n",
+        CHUNKED + b"2\r\n{}\r\n0\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n{}",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n{}",
+        b"\x00\x01\x02\r\n\r\n",
+    )
+
+    def test_a_call_whose_response_is_cut_or_none_may_have_run(self) -> None:
+        for call in (self.call_service, self.cancel):
+            for start in self.CUT:
+                with self.subTest(call.__name__, start=start):
+                    found = call(Upstream(start, hangs=False))[0]
+                    self.assertIsInstance(found, Failure)
+                    self.assertIs(found.ran, Ran.UNKNOWN)
+
+    def test_a_call_whose_connection_hangs_may_have_run(self) -> None:
+        for start in (b"", make_answer(b"{", length=2), self.CHUNKED):
+            with self.subTest(start), mock.patch("tests.test_owncalls.ROUTE", HASTY_ROUTE):
+                found = self.call_service(Upstream(start))[0]
+                self.assertIsInstance(found, Failure)
+                self.assertEqual((found.kind, found.ran), (FailureKind.DEADLINE, Ran.UNKNOWN))
+
+    def test_responses_without_a_body_by_their_kind_are_whole(self) -> None:
+        empty = make_answer(b"", "Content-Encoding: gzip", length=5)
+        no_body = b"HTTP/1.1 %s\r\nContent-Length: 5\r\n\r\n"
+        cases = (("HEAD", empty, 200), ("GET", no_body % b"204 No Content", 204))
+        for method, start, status in (*cases, ("GET", no_body % b"304 Not Modified", 304)):
+            for surplus in (b"", b"12345"):
+                with self.subTest(method, status=status, surplus=surplus):
+                    found = self.call_service(Upstream(start + surplus), 1, method)[0]
+                    self.assertEqual((getattr(found, "status", 0), found.body), (status, b""))
+
+
 class StreamTest(OwnCallsTest):
     """A stream is read on only while it brings tokens."""
 
