Bound the interim responses before a response

What callers would see: an entry that is busy with one upstream until the call's deadline. The library bounds the head of each response, but passes over any number of 1xx responses.

Change: a transport of the HTTP client gives up a connection on which 128 KiB came without a whole head, interim responses included.

--- a/src/daleroad/links.py
+++ b/src/daleroad/links.py
@@ -12,6 +12,7 @@
 import anyio
 import httpx
 
+from daleroad.boundedheads import BoundedTransport
 from daleroad.calls import read_answer
 from daleroad.compression import ENCODING, pack
 from daleroad.defaults import CALL_TIMEOUT_SECONDS
@@ -116,12 +117,8 @@
     timeout = httpx.Timeout(
         connect=_CONNECT_SECONDS, read=read_seconds, write=_CONNECT_SECONDS, pool=None
     )
-    verify: ssl.SSLContext | bool = False
-    if tls.authority:
-        verify = ssl.create_default_context(cafile=tls.authority)
     return httpx.AsyncClient(
-        verify=verify,
-        limits=limits,
+        transport=BoundedTransport(_make_context(tls), limits),
         timeout=timeout,
         trust_env=False,
         headers={"accept-encoding": "identity"},
@@ -129,6 +126,12 @@
     )
 
 
+def _make_context(tls: Tls) -> ssl.SSLContext:
+    if tls.authority:
+        return ssl.create_default_context(cafile=tls.authority)
+    return httpx.create_ssl_context(verify=False)
+
+
 class Links:
     """The clients of one process.
 
--- a/tests/test_owncalls.py
+++ b/tests/test_owncalls.py
@@ -19,6 +19,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from daleroad import records
+from daleroad.boundedheads import HEAD_BYTES
 from daleroad.caller import Caller, CallerPart
 from daleroad.catalog import Catalog
 from daleroad.channels import ChannelCalls
@@ -422,6 +423,22 @@
                 self.assertIsInstance(found, Failure)
                 self.assertIs(found.ran, Ran.UNKNOWN)
 
+    def test_interim_responses_without_end_are_not_read_until_the_deadline(self) -> None:
+        for call in (self.call_service, self.generate, self.cancel, self.send_orders):
+            upstream = Upstream(b"", endless=b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000)
+            with self.subTest(call.__name__), mock.patch("daleroad.orderdelivery.log_event") as log:
+                found = call(upstream)[0]
+                found = getattr(found, "failure", found)
+                reason = found.reason if found else str(log.call_args)
+                self.assertIn("no whole head", reason)
+                self.assertIs(getattr(found, "ran", Ran.UNKNOWN), Ran.UNKNOWN)
+
+    def test_some_interim_responses_are_passed_over(self) -> None:
+        interim = b"HTTP/1.1 103 Early Hints\r\nX: " + b"x" * 1000 + b"\r\n\r\n"
+        upstream = Upstream(interim * 20 + make_answer(b"x" * HEAD_BYTES * 3))
+        found = self.call_service(upstream)[0]
+        self.assertEqual(len(getattr(found, "body", b"")), HEAD_BYTES * 3, found)
+
     def test_an_order_is_not_confirmed_by_a_state_without_end(self) -> None:
         def check(upstream: Upstream) -> None:
             upstream.answers.insert(0, make_answer(b"{}"))
