--- a/src/daleroad/relay.py
+++ b/src/daleroad/relay.py
@@ -16,10 +16,16 @@
 from daleroad.calls import parse_problem
 from daleroad.codec import decode, encode
 from daleroad.defaults import CALL_TIMEOUT_SECONDS, MAX_RESUME_TRIES
-from daleroad.delivery import FrameAction, TokenSequence, parse_frames, split_events
+from daleroad.delivery import (
+    UNDELIVERED_BYTES,
+    FrameAction,
+    TokenSequence,
+    parse_frames,
+    split_events,
+)
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.events import Event, log_event
-from daleroad.links import Links
+from daleroad.links import SHORT_ANSWER_BYTES, Links, fetch, read_body
 from daleroad.messages import EngineCompletion, Forbidden
 from daleroad.retries import get_backoff
 
@@ -139,11 +145,13 @@
     ) -> AsyncGenerator[TokenChunk | StreamEnded | _Interruption, None]:
         """Turn response chunks into parts for the caller, up to the end or the first gap."""
         buffer = bytearray()
+        undelivered = 0
         async with aclosing(source) as chunks:
             async for chunk in chunks:
                 if isinstance(chunk, _Interruption):
                     yield chunk
                     return
+                undelivered += len(chunk)
                 delivered: list[bytes] = []
                 verdict: FrameAction | None = None
                 end_event = b""
@@ -155,6 +163,7 @@
                         end_event = frame.raw
                         break
                 if delivered:
+                    undelivered = 0
                     yield TokenChunk(b"\n\n".join(delivered) + b"\n\n", len(delivered))
                 if verdict is FrameAction.END:
                     yield StreamEnded(end_event + b"\n\n", self.delivery.next_index)
@@ -164,6 +173,10 @@
                         Failure(FailureKind.UPSTREAM_LOST, "gap in the token indexes", Ran.UNKNOWN)
                     )
                     return
+                if undelivered > UNDELIVERED_BYTES:
+                    reason = f"no token in {undelivered} bytes"
+                    yield _Interruption(Failure(FailureKind.UPSTREAM_LOST, reason, Ran.UNKNOWN))
+                    return
 
     async def _stream_response(
         self, method: str, path: str, body: bytes | None
@@ -194,8 +207,9 @@
 
     async def _parse_error_response(self, response: httpx.Response, method: str) -> _Interruption:
         try:
-            problem = parse_problem(await response.aread())
-        except httpx.HTTPError as error:
+            with anyio.fail_after(self.stall_seconds):
+                problem = parse_problem(await read_body(response, SHORT_ANSWER_BYTES))
+        except (httpx.HTTPError, TimeoutError) as error:
             failure = Failure(FailureKind.UPSTREAM_LOST, f"{error!r}", Ran.UNKNOWN)
             return _Interruption(failure)
         ran = problem.ran if method == "POST" else Ran.UNKNOWN
@@ -234,11 +248,10 @@
     :param generation: id of the generation.
     """
     try:
-        response = await links.short.post(
-            f"{address}/v1/forbid/{generation}", timeout=CALL_TIMEOUT_SECONDS
-        )
-    except httpx.HTTPError as error:
+        url = f"{address}/v1/forbid/{generation}"
+        answer = await fetch(links.urgent, "POST", url, SHORT_ANSWER_BYTES, CALL_TIMEOUT_SECONDS)
+    except (httpx.HTTPError, TimeoutError) as error:
         return Failure(FailureKind.UNREACHABLE, f"{error!r}", Ran.UNKNOWN)
-    if response.status_code != 200:
-        return Failure(FailureKind.UNREACHABLE, f"HTTP status {response.status_code}", Ran.UNKNOWN)
-    return decode(Forbidden, response.content)
+    if answer.status != 200:
+        return Failure(FailureKind.UNREACHABLE, f"HTTP status {answer.status}", Ran.UNKNOWN)
+    return decode(Forbidden, answer.body)
