--- a/src/daleroad/exchanges.py
+++ b/src/daleroad/exchanges.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 exchanges with upstreams, on new connections or on idle ones that are reused.
 
-An upstream may send bytes that belong to no response: a second copy of one, also late, or a part of
+An upstream may send bytes that belong to no response: a duplicate of one, also late, or a part of
 it. So a connection is reused only while nothing follows its last response, and a head that was
 merged from two is rejected.
 """
@@ -40,7 +40,10 @@
 """Longest wait for the bytes of an idle connection that is readable."""
 
 _REMEMBERED_IDS = 32
-"""Requests of a connection whose ids it remembers; late copies are of its last responses."""
+"""Requests of a connection whose ids it remembers; late duplicates are of its last responses."""
+
+_EVENTS_AT_ONCE = 200
+"""Events, such as chunks, that are taken out of one read before other tasks have their turn."""
 
 _COALESCED_BYTES = 16_384
 """Bodies up to this size are written together with their heads."""
@@ -76,6 +79,7 @@
         self.request_ids: deque[str] = deque(maxlen=_REMEMBERED_IDS)
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._request_sent = False
+        self._events_at_once = 0
 
     async def exchange(self, request: HttpRequest) -> h11.Response:
         """Send a request and return the head of its response.
@@ -87,23 +91,20 @@
             await self._send(request)
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             head = await self._read_event()
-            if _is_merged(head):
-                raise httpcore.RemoteProtocolError("the head holds a second status line")
+            if not isinstance(head, h11.Response | h11.InformationalResponse):
+                raise httpcore.RemoteProtocolError("no response")
+            if _holds_status_line(head):
+                if self.responses:
+                    raise httpcore.RemoteProtocolError("the head holds a second status line")
+                # It is sound, but on a reused connection it would look merged.
+                self.kept = False
             if isinstance(head, h11.Response):
                 return head
         raise httpcore.RemoteProtocolError(f"more than {MAX_INTERIM_RESPONSES} interim responses")
 
     async def _send(self, request: HttpRequest) -> None:
         self._request_sent = False
-        head = h11.Request(
-            method=request.method, target=request.target, headers=list(request.headers)
-        )
-        try:
-            data = self._http.send(head) or b""
-            body = self._http.send(h11.Data(data=request.body)) or b""
-            self._http.send(h11.EndOfMessage())
-        except h11.LocalProtocolError as error:
-            raise httpcore.LocalProtocolError(str(error)) from error
+        data, body = self._pack(request)
         if len(body) <= _COALESCED_BYTES:
             data, body = data + body, b""
         await self.stream.write(data)
@@ -111,12 +112,29 @@
             await self.stream.write(body)
         self._request_sent = True
 
+    def _pack(self, request: HttpRequest) -> tuple[bytes, bytes]:
+        """Return the head and the body of a request as they are sent."""
+        try:
+            head = h11.Request(
+                method=request.method, target=request.target, headers=list(request.headers)
+            )
+            data = self._http.send(head) or b""
+            body = self._http.send(h11.Data(data=request.body)) or b""
+            self._http.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise httpcore.LocalProtocolError(str(error)) from error
+        return data, body
+
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the body of the response in pieces."""
         while isinstance(event := await self._read_event(), h11.Data):
             yield bytes(event.data)
 
     async def _read_event(self) -> Any:
+        self._events_at_once += 1
+        if self._events_at_once >= _EVENTS_AT_ONCE:
+            self._events_at_once = 0
+            await anyio.sleep(0)
         while True:
             try:
                 event = self._http.next_event()
@@ -124,6 +142,7 @@
                 raise httpcore.RemoteProtocolError(repr(error)) from error
             if event is not h11.NEED_DATA:
                 return event
+            self._events_at_once = 0
             data = await self.stream.read(READ_BYTES)
             if not data and self._http.their_state is h11.SEND_RESPONSE:
                 raise httpcore.RemoteProtocolError("disconnected without a complete head")
@@ -206,11 +225,13 @@
 
     async def discard(self) -> None:
         """Drop the body; the connection is reused only if its end comes soon."""
-        # Errors are ignored: what is left of the response is not used.
-        with suppress(httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
-            with anyio.move_on_after(DISCARD_SECONDS):
-                await self.read(DISCARDED_BYTES)
-        await self.close()
+        try:
+            # Errors are ignored: what is left of the response is not used.
+            with suppress(httpcore.NetworkError, httpcore.ProtocolError):
+                with anyio.move_on_after(DISCARD_SECONDS):
+                    await self.read(DISCARDED_BYTES)
+        finally:
+            await self.close()
 
     async def close(self) -> None:
         """Give the connection back; one whose response was not read to its end is closed."""
@@ -248,12 +269,12 @@
             idle connection if there is one.
         :raises httpcore.ConnectError: if no connection was made, so that nothing was sent.
         """
-        reuses = request_id and own_silence is None
-        connection = await self._take_idle(request_id) if reuses else None
+        may_reuse = bool(request_id) and own_silence is None
+        connection = await self._take_idle(request_id) if may_reuse else None
         if connection is None:
             silence = self._silence if own_silence is None else own_silence
             stream = await self._connect(silence)
-            connection = HttpConnection(stream, kept=bool(reuses))
+            connection = HttpConnection(stream, kept=may_reuse)
             self._open.add(connection)
         connection.request_ids.append(request_id)
         return connection
@@ -275,23 +296,31 @@
     async def _take_idle(self, request_id: str) -> HttpConnection | None:
         """Return the idle connection that was used last, if any can be used."""
         await self._close_expired()
-        while usable := [c for c in self._idle if request_id not in c.request_ids]:
-            connection = usable[-1]
+        while connection := self._find_idle(request_id):
             del self._idle[connection]
             if not connection.stream.get_extra_info("is_readable"):
                 return connection
             try:
-                self._note_surplus(await connection.read_surplus())
+                self._note_surplus(connection, await connection.read_surplus())
             finally:
                 await self._close(connection)
         return None
 
-    def _note_surplus(self, count: int) -> None:
+    def _find_idle(self, request_id: str) -> HttpConnection | None:
+        idle = reversed(self._idle)
+        return next((c for c in idle if request_id not in c.request_ids), None)
+
+    def _note_surplus(self, connection: HttpConnection, count: int) -> None:
         if count:
-            log_event(Event.SURPLUS_RECEIVED, address=self.address, bytes=count)
+            log_event(
+                Event.SURPLUS_RECEIVED,
+                address=self.address,
+                after=connection.request_ids[-1],
+                bytes=count,
+            )
 
     async def _release(self, connection: HttpConnection) -> None:
-        self._note_surplus(connection.count_surplus())
+        self._note_surplus(connection, connection.count_surplus())
         if self._retired or not connection.kept or not connection.recycle():
             await self._close(connection)
             return
@@ -300,12 +329,15 @@
 
     async def _close_expired(self) -> None:
         oldest = anyio.current_time() - self._idle_seconds
-        for connection in [c for c, since in self._idle.items() if since < oldest]:
-            await self._close(connection)
+        expired = [c for c, since in self._idle.items() if since < oldest]
+        for connection in expired:
+            del self._idle[connection]
+        async with anyio.create_task_group() as tasks:
+            for connection in expired:
+                tasks.start_soon(self._close, connection)
 
     async def _close(self, connection: HttpConnection) -> None:
         self._open.discard(connection)
-        self._idle.pop(connection, None)
         await connection.close()
 
     def retire(self) -> None:
@@ -317,11 +349,13 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        self._retired = True
+        self._idle.clear()
         for connection in list(self._open):
             await self._close(connection)
 
 
-def _is_merged(head: h11.Response | h11.InformationalResponse) -> bool:
-    """Return whether a head that was cut goes on with the next one, whose status line is inside."""
+def _holds_status_line(head: h11.Response | h11.InformationalResponse) -> bool:
+    """Return whether a status line is inside a head, as where one that was cut goes on with it."""
     texts = (head.reason, *(value for _, value in head.headers))
     return any(_STATUS_LINE.search(text) for text in texts)
