--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -454,13 +454,20 @@
             return StreamEnd.UPSTREAM
 
 
+def _order_decimal(text: str) -> tuple[int, str]:
+    """Return what sorts decimal numbers of any length."""
+    digits = text.lstrip("0")
+    return len(digits), digits
+
+
 def _record_event(run: StreamRun, piece: StreamEvent) -> bool:
     """Record an event; return whether it is new to the client.
 
     Only decimal ids are compared; they increase within a stream. Any other event counts as new.
     """
     last_id, event_id = run.last_event, piece.event
-    if last_id.isdecimal() and event_id.isdecimal() and int(event_id) <= int(last_id):
+    decimal = last_id.isdecimal() and event_id.isdecimal()
+    if decimal and _order_decimal(event_id) <= _order_decimal(last_id):
         log_event(Event.EVENT_DOUBLED, request=run.attempt.job.id, event_id=event_id, last=last_id)
         return False
     now = anyio.current_time()
