--- a/src/daleroad/exchanges.py
+++ b/src/daleroad/exchanges.py
@@ -34,7 +34,8 @@
 DISCARD_SECONDS = 0.25
 """Longest wait for the end of such a body."""
 
-_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+"""The beginning of a status line, wherever it is."""
 
 _SURPLUS_SECONDS = 0.01
 """Longest wait for the bytes of an idle connection that is readable."""
@@ -358,4 +359,4 @@
 def _holds_status_line(head: h11.Response | h11.InformationalResponse) -> bool:
     """Return whether a status line is inside a head, as where one that was cut goes on with it."""
     texts = (head.reason, *(value for _, value in head.headers))
-    return any(_STATUS_LINE.search(text) for text in texts)
+    return any(STATUS_LINE.search(text) for text in texts)
--- a/tests/test_foreignresponses.py
+++ b/tests/test_foreignresponses.py
@@ -181,6 +181,18 @@
         self.assertEqual(self.upstream.connections, 1)
 
 
+class UndelimitedTest(ClientTest):
+    """Responses that end with their connection."""
+
+    def test_a_duplicate_is_not_the_rest_of_the_body(self) -> None:
+        whole = "\r\n".join(["HTTP/1.1 200 OK", *SIGNED, "", "the body"]).encode()
+        (reply,) = self.exchange(CuttingUpstream(whole * 2))
+        self.assertIsInstance(reply, Lost)
+        quoting = whole + b" quotes HTTP/1.1 200 OK"
+        (reply,) = self.exchange(CuttingUpstream(quoting))
+        self.assertEqual(read(reply), (200, b"the body quotes HTTP/1.1 200 OK"))
+
+
 class SentAgainTest(ClientTest):
     def test_a_late_copy_is_not_the_response_to_a_resend_of_its_id(self) -> None:
         failure = make_response("abc", "500 Internal Server Error", b"what went wrong")
