--- a/src/daleroad/links.py
+++ b/src/daleroad/links.py
@@ -1,6 +1,6 @@
 """HTTP connections to other processes: reused ones to our own, single ones to upstreams.
 
-Nothing in an upstream's response says which request it answers, so a second copy of a response, or
+Nothing in an upstream's response says which request it answers, so a duplicate of a response, or
 bytes behind it, would answer the next request on its connection.
 """
 
--- a/tests/test_foreignresponses.py
+++ b/tests/test_foreignresponses.py
@@ -62,7 +62,7 @@
 
     def __init__(self, *answers: bytes) -> None:
         super().__init__(*answers)
-        self.copied = anyio.Event()
+        self.sent_again = anyio.Event()
 
     async def handle(self, stream: SocketStream) -> None:
         async with anyio.create_task_group() as tasks:
@@ -74,7 +74,7 @@
         await anyio.sleep(0.1)
         await stream.send(response)
         await anyio.sleep(0.05)
-        self.copied.set()
+        self.sent_again.set()
 
 
 class CuttingUpstream(Upstream):
@@ -166,7 +166,7 @@
         upstream = LateUpstream(FIRST, SECOND)
 
         async def wait(reply: Reply) -> None:
-            await upstream.copied.wait()
+            await upstream.sent_again.wait()
 
         with self.assertLogs() as logs:
             replies = self.exchange(upstream, 2, wait, ids=("abc", "def"))
@@ -194,7 +194,7 @@
 
 
 class SentAgainTest(ClientTest):
-    def test_a_late_copy_is_not_the_response_to_a_resend_of_its_id(self) -> None:
+    def test_a_late_duplicate_is_not_the_response_to_a_resend_of_its_id(self) -> None:
         failure = make_response("abc", "500 Internal Server Error", b"what went wrong")
         upstream = StutteringUpstream(FIRST, failure)
         first, second = self.exchange(upstream, 2, ids=("abc", "abc"))
@@ -212,7 +212,7 @@
         self.assertTrue(second.ambiguous)
         self.assertFalse(second.blames_upstream())
 
-    def test_a_late_copy_of_a_rejection_is_not_taken_for_the_next_response(self) -> None:
+    def test_a_late_duplicate_of_a_rejection_is_not_taken_for_the_next_response(self) -> None:
         for rejection in (FULL, MISDIRECTED):
             first, second = self.exchange_two(rejection, rejection + SECOND)
             assert isinstance(first, NotRun), first
@@ -258,11 +258,13 @@
 
         return anyio.run(main)
 
-    def test_a_late_copy_of_an_answer_does_not_name_the_memory_for_another_stream(self) -> None:
+    def test_a_late_duplicate_of_an_answer_does_not_name_the_memory_for_another_stream(
+        self,
+    ) -> None:
         upstream = StutteringUpstream(*(answer("200 OK", body=body) for body in COPIES))
         self.assertEqual(self.call(upstream, ask_copy, ask_copy), [Copied("1", 4), Copied("2", 5)])
 
-    def test_a_late_copy_of_a_report_is_not_the_next_report(self) -> None:
+    def test_a_late_duplicate_of_a_report_is_not_the_next_report(self) -> None:
         upstream = StutteringUpstream(*(answer("200 OK", body=body) for body in REPORTS))
         reports = self.call(upstream, ask_report, ask_report)
         self.assertEqual([report.stops_in_seconds for report in reports], [2.0, 1.0])
@@ -390,11 +392,13 @@
 
 
 class MergedHeadTest(ClientTest):
-    def test_a_copy_cut_in_its_head_does_not_give_its_status_to_the_next_response(self) -> None:
+    def test_a_duplicate_cut_in_its_head_does_not_give_its_status_to_the_next_response(
+        self,
+    ) -> None:
         found: Counter[int] = Counter()
         for cut in range(1, FIRST.index(b"\r\n\r\n")):
-            copy = FIRST[:cut]
-            for responses in ((FIRST + copy, FAILURE), (FIRST, copy + FAILURE)):
+            duplicate = FIRST[:cut]
+            for responses in ((FIRST + duplicate, FAILURE), (FIRST, duplicate + FAILURE)):
                 first, second = self.exchange_two(*responses)
                 assert isinstance(first, Whole), first
                 self.assertEqual((first.status, first.body), (200, b"the first body"))
