--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -34,7 +34,7 @@
 from engines import EngineClient, EventStream, make_socket_options  # noqa: E402
 from faces import read_body, send_failure  # noqa: E402
 from nodefile import read_node  # noqa: E402
-from ports import prepare_gateway  # noqa: E402
+from ports import prepare_gateway, wait_until_open  # noqa: E402
 
 from daleroad.callers import Caller  # noqa: E402
 from daleroad.copyschedule import RunSize  # noqa: E402
@@ -717,6 +717,17 @@
             self.assertIn(b"D100 STARTED", process.stdout.readline())
             self.assertIsNone(process.poll())
 
+    def test_sighup_during_shutdown_does_not_end_the_process(self) -> None:
+        with self.start_gateway("127.0.3.3") as process:
+            assert process.stdout is not None
+            self.assertIn(b"D100 STARTED", process.stdout.readline())
+            wait_until_open("127.0.3.3:18749", 10.0)
+            process.send_signal(signal.SIGTERM)
+            while process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+                time.sleep(0.001)
+            self.assertEqual(process.returncode, 0)
+
     def test_clients_wait_for_the_first_configuration_and_then_get_503(self) -> None:
         with self.start_gateway("127.0.3.2") as process:
             assert process.stdout is not None
