Log what a configuration in force means for routes and keys

Whether a gateway checks keys, and which routes another one replaced, could only be guessed from requests. D302 says how many routes and organisations its configuration has, and D308 ROUTE_OVERRIDDEN names each route whose host and prefix a later one has.

--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -84,6 +84,9 @@
     )
     ZONES_IN_FORCE = Kind(307, logging.WARNING, "A gateway goes by other evacuated zones.")
     CONFIG_IN_FORCE = Kind(302, logging.INFO, "A gateway serves by a newer configuration.")
+    ROUTE_OVERRIDDEN = Kind(
+        308, logging.WARNING, "A route gets no requests: a later one has its host and prefix."
+    )
     COORDINATOR_LOST = Kind(303, logging.WARNING, "A gateway's watch of a coordinator failed.")
     COORDINATOR_REGAINED = Kind(304, logging.INFO, "A coordinator answers a gateway again.")
     PLACING_LOST = Kind(
--- a/src/daleroad/routing.py
+++ b/src/daleroad/routing.py
@@ -221,6 +221,14 @@
                 return route
         return Failure(FailureKind.UNKNOWN_ROUTE, f"no route for {host}{path}")
 
+    def list_overridden_routes(self) -> tuple[RouteRule, ...]:
+        """Return the routes that get no requests, as a later one has the same host and prefix."""
+        return tuple(
+            route
+            for route in self.config.routes
+            if self._hosts[route.host.lower()][route.prefix] is not route
+        )
+
     def find_organisation(self, key: str) -> OrganisationRule | Failure:
         """Return the organisation that an API key belongs to.
 
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -33,7 +33,7 @@
 from daleroad.notices import Pace, WatchAnswer, WatchRequest
 from daleroad.paces import ReportedPaces
 from daleroad.patches import apply_patch
-from daleroad.routing import RoutingConfig
+from daleroad.routing import RoutingConfig, RoutingTable
 from daleroad.sitestate import Document
 
 Parse = Callable[[bytes], RoutingConfig | Failure]
@@ -333,8 +333,8 @@
         gateway.replace_config(config)
         self._document = document
         self._needs_full_document = False
-        if config.version > before:
-            log_event(Event.CONFIG_IN_FORCE, version=config.version, before=before, by=name)
+        if gateway.table is not None and config.version > before:
+            _log_config(gateway.table, before, name)
 
     def _log_change(self, instance_id: str, state: InstanceState, name: str) -> None:
         event = {
@@ -345,6 +345,27 @@
         log_event(event, id=instance_id, by=name, revision=self._gateway.fleet.revision)
 
 
+def _log_config(table: RoutingTable, before: int, name: str) -> None:
+    """Log the configuration that is now in force, and its routes that get no requests."""
+    config = table.config
+    log_event(
+        Event.CONFIG_IN_FORCE,
+        version=config.version,
+        before=before,
+        routes=len(config.routes),
+        organisations=len(config.organisations),
+        by=name,
+    )
+    for route in table.list_overridden_routes():
+        log_event(
+            Event.ROUTE_OVERRIDDEN,
+            version=config.version,
+            route=route.name,
+            host=route.host,
+            prefix=route.prefix,
+        )
+
+
 def _log_zones(zones: EvacuatedZones, name: str) -> None:
     """Log the evacuated zones that are now in force, and the time since the order."""
     age = round(time.time() - zones.at, 3)
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -1,6 +1,7 @@
 """Tests of a gateway's choice of coordinators to watch, and of the load exchange interval."""
 
 import unittest
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -16,8 +17,9 @@
 )
 from daleroad.errors import Failure, FailureKind
 from daleroad.notices import WatchAnswer
+from daleroad.routing import Repeat, RoutingConfig
 from daleroad.watching import Watcher, find_load_exchange_seconds
-from tests.fakes import FakeDispatcher, make_gateway
+from tests.fakes import FakeDispatcher, make_config, make_gateway
 from tests.test_coordinator import parse
 
 COORDINATORS = tuple(f"c{number}:1" for number in range(6))
@@ -43,13 +45,15 @@
     """Answers watches; the leader is unreachable at first.
 
     :param unreachable_seconds: seconds for which the leader is unreachable.
+    :param version: version of the routing configuration, or 0 for none.
     """
 
     token = "t"
 
-    def __init__(self, unreachable_seconds: float) -> None:
+    def __init__(self, unreachable_seconds: float, version: int = 0) -> None:
         self.reachable_at = anyio.current_time() + unreachable_seconds
         self.called: list[str] = []
+        self.version = version
 
     async def call(
         self, url: str, body: bytes, answer_type: Any, read_seconds: float | None = None
@@ -59,7 +63,8 @@
         if name == LEADER and anyio.current_time() < self.reachable_at:
             return Failure(FailureKind.UNREACHABLE, "refused")
         await anyio.sleep(0.5)
-        return WatchAnswer("e", 1, COORDINATORS, LEADER, 0, None, (), {}, None, 71)
+        document = "{}" if self.version else None
+        return WatchAnswer("e", 1, COORDINATORS, LEADER, self.version, document, (), {}, None, 71)
 
 
 class LeaderTest(unittest.TestCase):
@@ -93,3 +98,36 @@
         leader, calls = self.watch(1000.0, 20.0)
         self.assertIsNone(leader)
         self.assertLessEqual(calls.called.count(LEADER), 20.0 / LEADER_RETRY_SECONDS + 1)
+
+
+class ConfigLogTest(unittest.TestCase):
+    def watch(self, config: RoutingConfig) -> list[str]:
+        """Return the lines that a gateway logs about a configuration that takes effect."""
+
+        async def main() -> None:
+            gateway = make_gateway(FakeDispatcher(), None, anyio.current_time())
+            calls = FakeCoordinators(0.0, config.version)
+            watcher = Watcher(gateway, calls, lambda document: config)
+            watcher.replace_seeds(COORDINATORS)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(watcher.run)
+                await anyio.sleep(2.0)
+                tasks.cancel_scope.cancel()
+
+        with self.assertLogs() as logs:
+            trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return [line for line in logs.output if "CONFIG_IN_FORCE" in line or "ROUTE_" in line]
+
+    def test_configuration_in_force_tells_its_routes_and_organisations(self) -> None:
+        """Guards against review/6: no log told whether a gateway checks keys."""
+        (line,) = self.watch(make_config(Repeat.ONCE))
+        self.assertIn('"routes":1,"organisations":0', line)
+
+    def test_route_that_gets_no_requests_is_logged(self) -> None:
+        """Guards against review/7: no log told that a route had taken another one's place."""
+        config = make_config(Repeat.ONCE)
+        (route,) = config.routes
+        routes = (replace(route, name="first"), replace(route, name="second"))
+        _, line = self.watch(replace(config, routes=routes))
+        self.assertIn("D308 ROUTE_OVERRIDDEN", line)
+        self.assertIn('"route":"first","host":"h","prefix":"/"', line)
