Don't read an empty list of organisations as a missing one

A missing list and an empty one were both read as an empty one, for which gateways check no key. The gateways' log of the version in force tells 0 organisations. RoutingConfig.organisations is None if the list is left out, and an empty list means that no key is known. The same expression took null and empty values of other types for missing, in traffic_split, limits, engine, routes and services too; a field that is there is now read by its type, so these are refused. What is committed already is read by decode_stored_config as it was before.

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -105,9 +105,11 @@
 
     :param options: its start options.
     :param calls: client for calls to other processes.
-    :param parse: parses a routing configuration from its document.
+    :param parse: parses a new routing configuration from its document.
     :param random: source of election timeouts and identifiers, and for the choice of upstreams.
     :param refusals: decides which prompts are refused; nothing if none are.
+    :param parse_stored: parses a committed routing configuration from its document; ``parse`` if
+        it isn't given.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         parse: ConfigParser,
         random: Random,
         refusals: RefusalPolicy | None = None,
+        parse_stored: ConfigParser | None = None,
     ) -> None:
         self.options = options
         self.calls = calls
@@ -143,6 +146,7 @@
         self.waits = PromptWaits(self._place, self._may_place, refusals)
         self.epoch = uuid4().hex[:12]
         self._parse = parse
+        self._parse_stored = parse_stored or parse
         data_dir = Path(options.data_dir) if options.data_dir else None
         path = data_dir / f"{GROUP_NAME}.db" if data_dir else None
         self._fleet_keeper = (
@@ -610,7 +614,7 @@
     def _handle_document_change(self) -> None:
         document = self.record.document
         self._history.add(document)
-        config = self._parse(document.text.encode())
+        config = self._parse_stored(document.text.encode())
         if isinstance(config, Failure):
             log_event(Event.DOCUMENT_UNREADABLE, index=document.version, reason=config.reason)
         else:
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -165,7 +165,7 @@
         if isinstance(route, Failure):
             return route
         organisation, rank = "", route.rank
-        if table.config.organisations and not route.public:
+        if table.config.needs_key(route):
             identified = table.find_organisation(job.key)
             if isinstance(identified, Failure):
                 return identified
--- a/src/daleroad/routing.py
+++ b/src/daleroad/routing.py
@@ -138,14 +138,25 @@
 
 @dataclass(frozen=True)
 class RoutingConfig:
-    """One version of all routes, services and organisations."""
+    """One version of all routes, services and organisations.
+
+    :param organisations: the organisations, or None if requests need no API keys. If there are
+        none of them, no key is known, and only public routes can be used.
+    """
 
     version: int
     routes: tuple[RouteRule, ...]
     services: tuple[ServiceRule, ...]
-    organisations: tuple[OrganisationRule, ...]
+    organisations: tuple[OrganisationRule, ...] | None
     limits: RequestLimits = RequestLimits()
 
+    def needs_key(self, route: RouteRule) -> bool:
+        """Return whether the requests of a route need an API key.
+
+        :param route: the route.
+        """
+        return self.organisations is not None and not route.public
+
 
 def validate_config(config: RoutingConfig) -> Failure | None:
     """Return the first reason why a configuration is invalid, or nothing.
@@ -176,8 +187,9 @@
         for target in route.targets:
             if target.service not in services:
                 yield f"route {route.name}: unknown service {target.service}"
-    key_counts = Counter(key for org in config.organisations for key in set(org.keys))
-    for organisation in config.organisations:
+    organisations = config.organisations or ()
+    key_counts = Counter(key for org in organisations for key in set(org.keys))
+    for organisation in organisations:
         if any(key_counts[key] > 1 for key in organisation.keys):
             yield (
                 f"organisation {organisation.name}: one of its keys belongs to another "
@@ -202,7 +214,7 @@
         self.services = {service.name: service for service in self.config.services}
         for route in self.config.routes:
             self._hosts.setdefault(route.host.lower(), {})[route.prefix] = route
-        for organisation in self.config.organisations:
+        for organisation in self.config.organisations or ():
             self._keys.update(dict.fromkeys(organisation.keys, organisation))
 
     def match(self, host: str, path: str) -> RouteRule | Failure:
--- a/src/daleroad/watching.py
+++ b/src/daleroad/watching.py
@@ -81,7 +81,7 @@
 
     :param gateway: the gateway.
     :param calls: client for calls to coordinators.
-    :param parse: parses a routing configuration from its document.
+    :param parse: parses a committed routing configuration from its document.
     """
 
     def __init__(self, gateway: Gateway, calls: Calls, parse: Parse) -> None:
@@ -353,7 +353,7 @@
         version=config.version,
         before=before,
         routes=len(config.routes),
-        organisations=len(config.organisations),
+        organisations=None if config.organisations is None else len(config.organisations),
         by=name,
     )
     for route in table.list_overridden_routes():
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -169,6 +169,20 @@
         self.assertEqual(self.serve(dispatcher, config, key="k"), WHOLE)
         self.assertEqual(dispatcher.attempts[0].organisation, "o")
 
+    def test_no_key_is_known_if_the_list_of_organisations_is_empty(self) -> None:
+        """Guards against review/6: removing the last organisation let all requests run."""
+        config = make_config(Repeat.ONCE)
+        route = replace(config.routes[0], public=False)
+        closed = replace(config, routes=(route,), organisations=())
+        for key in ("k", ""):
+            outcome = self.serve(FakeDispatcher(WHOLE), closed, key=key)
+            assert isinstance(outcome, Failure)
+            self.assertIs(outcome.kind, FailureKind.UNAUTHENTICATED)
+        public = replace(closed, routes=config.routes)
+        self.assertEqual(self.serve(FakeDispatcher(WHOLE), public), WHOLE)
+        open_to_all = replace(closed, organisations=None)
+        self.assertEqual(self.serve(FakeDispatcher(WHOLE), open_to_all, key="k"), WHOLE)
+
     def test_leaving_upstreams_receive_no_requests(self) -> None:
         dispatcher = FakeDispatcher(WHOLE)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,6 +19,7 @@
 
 import anyio
 import orjson
+import trio
 from anyio.abc import SocketStream
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -37,6 +38,8 @@
 from ports import prepare_gateway  # noqa: E402
 
 from daleroad.callers import Caller  # noqa: E402
+from daleroad.channels import ChannelCalls  # noqa: E402
+from daleroad.codec import encode  # noqa: E402
 from daleroad.copyschedule import RunSize  # noqa: E402
 from daleroad.defaults import FIRST_CONFIG_SECONDS  # noqa: E402
 from daleroad.dispatch import (  # noqa: E402
@@ -57,6 +60,7 @@
 from daleroad.fingerprints import fingerprint_job  # noqa: E402
 from daleroad.instances import Instance, InstanceState  # noqa: E402
 from daleroad.routing import Repeat, RoutingConfig, validate_config  # noqa: E402
+from daleroad.sitestate import Document  # noqa: E402
 from daleroad.stalls import StallDetector  # noqa: E402
 from tests.fakes import FakeDispatcher, make_gateway  # noqa: E402
 
@@ -113,6 +117,10 @@
 }
 
 
+EMPTY_VALUES = (None, False, 0, "", {})
+"""Empty values of all types that aren't a list."""
+
+
 NODE = {
     "node_name": "n",
     "ip": "10.0.0.1",
@@ -148,6 +156,11 @@
     return wire.decode_config(orjson.dumps({**CONFIG, **changes}))
 
 
+def decode_without(field: str) -> RoutingConfig | Failure:
+    rest = {name: value for name, value in CONFIG.items() if name != field}
+    return wire.decode_config(orjson.dumps(rest))
+
+
 class ConfigTest(unittest.TestCase):
     def test_complete_config_is_decoded(self) -> None:
         config = decode()
@@ -195,6 +208,72 @@
             organisation = {"name": "t", "api_keys": keys}
             self.assertIsInstance(decode(tenants=[organisation]), Failure, keys)
 
+    def test_empty_list_of_organisations_is_not_a_missing_one(self) -> None:
+        """Guards against review/6: removing the last organisation let all keys in."""
+        empty, missing = decode(tenants=[]), decode_without("tenants")
+        assert isinstance(empty, RoutingConfig) and isinstance(missing, RoutingConfig)
+        self.assertEqual(empty.organisations, ())
+        self.assertIsNone(missing.organisations)
+        self.assertIsNone(validate_config(empty))
+
+    def test_field_that_is_no_list_is_not_read_as_a_missing_one(self) -> None:
+        """Guards against the class of review/6: empty values opened the site."""
+        for field in ("tenants", "routes", "services"):
+            for value in EMPTY_VALUES:
+                with self.subTest(f"{field} {value!r}"):
+                    self.assertIsInstance(decode(**{field: value}), Failure)
+
+    def test_empty_part_of_a_rule_is_not_read_as_a_missing_one(self) -> None:
+        """Guards against the class of review/6, in the fields of routes and services."""
+        route, service = CONFIG["routes"][1], CONFIG["services"][1]
+        for value in (*EMPTY_VALUES, []):
+            with self.subTest(value):
+                split = decode(routes=[{**route, "traffic_split": value}])
+                self.assertTrue(isinstance(split, Failure) or validate_config(split))
+                services = [CONFIG["services"][0], {**service, "engine": value}]
+                self.assertIsInstance(decode(services=services), Failure)
+                if value != {}:
+                    self.assertIsInstance(decode(limits=value), Failure)
+        self.assertEqual(decode(limits={}), decode_without("limits"))
+
+    def test_stored_config_is_applied_although_it_would_be_refused_now(self) -> None:
+        """Guards against gateways that forget what earlier versions had acknowledged."""
+        plain = [{**CONFIG["routes"][1], "traffic_split": []}]
+        services = [CONFIG["services"][0], {**CONFIG["services"][1], "engine": {}}]
+        for value in EMPTY_VALUES:
+            with self.subTest(value):
+                changes = {"tenants": value, "limits": value, "routes": plain, "services": services}
+                config = wire.decode_stored_config(dump({**CONFIG, **changes}))
+                assert isinstance(config, RoutingConfig)
+                self.assertIsNone(config.organisations)
+                self.assertEqual([t.service for t in config.routes[0].targets], ["s2"])
+                gateway = make_gateway(FakeDispatcher(), config, 0.0)
+                self.assertEqual(gateway.get_version(), CONFIG["version"])
+        emptied = wire.decode_stored_config(dump({**CONFIG, "routes": {}, "services": ""}))
+        assert isinstance(emptied, RoutingConfig)
+        self.assertEqual((emptied.routes, emptied.services), ((), ()))
+
+    def test_coordinator_reads_a_stored_config_that_would_be_refused_now(self) -> None:
+        """Guards against coordinators that forget what earlier versions had acknowledged."""
+
+        async def main() -> None:
+            node = replace(read_node(NODE), data_dir="")
+            process = coordinatorprocess.CoordinatorProcess(node, ChannelCalls("secret"), 0)
+            coordinator = process.coordinator
+            text = dump({**CONFIG, "tenants": None}).decode()
+            coordinator.record.apply_payload(1, encode(Document(7, text)).decode())
+            self.assertEqual(coordinator.record.document.version, 7)
+
+        with self.assertLogs() as logs:
+            trio.run(main)
+        self.assertEqual([line for line in logs.output if "DOCUMENT_UNREADABLE" in line], [])
+
+    def test_stored_config_that_is_valid_is_read_as_when_it_was_saved(self) -> None:
+        documents = (CONFIG, {**CONFIG, "tenants": []}, {**CONFIG, "limits": {}})
+        for document in documents:
+            body = dump(document)
+            self.assertEqual(wire.decode_stored_config(body), wire.decode_config(body))
+
     def test_only_a_boolean_makes_a_route_public(self) -> None:
         for value in ("false", 1, []):
             route = {**CONFIG["routes"][1], "public": value}
