Compare hosts in one place when routes are checked and matched

Validation compared hosts as they are written and the table compared them in lower case. Both go by RouteRule.get_location now, so such routes are refused. A test applies each pair of 14 spellings of a host that validation accepts, and found one more: a route of a host with a port was out of force if the host without it had any route. Routes with the port now precede those without it. Committed configurations are applied as before, without validation.

--- a/src/daleroad/routing.py
+++ b/src/daleroad/routing.py
@@ -28,6 +28,16 @@
     STREAM = "stream"
 
 
+def normalize_host(host: str) -> str:
+    """Return a host as hosts of routes and requests are compared: regardless of case.
+
+    A port and a trailing dot are kept, so hosts with and without them are different.
+
+    :param host: the host, with or without a port.
+    """
+    return host.lower()
+
+
 @dataclass(frozen=True)
 class Target:
     """A service that receives a share of a route's requests."""
@@ -65,6 +75,10 @@
     prompts: bool
     resumable: bool = False
 
+    def get_location(self) -> tuple[str, str]:
+        """Return the host and prefix by which requests are matched; they identify the route."""
+        return normalize_host(self.host), self.prefix
+
     def get_silence_timeout(self) -> float:
         """Return the seconds without any response after which an upstream is given up.
 
@@ -169,11 +183,11 @@
 
 def _list_errors(config: RoutingConfig) -> Iterator[str]:
     services = {service.name for service in config.services}
-    route_counts = Counter((route.host, route.prefix) for route in config.routes)
+    route_counts = Counter(route.get_location() for route in config.routes)
     for route in config.routes:
         if not route.prefix.startswith("/") or not route.prefix.endswith("/"):
             yield f"route {route.name}: prefix {route.prefix!r} must start and end with a slash"
-        if route_counts[route.host, route.prefix] > 1:
+        if route_counts[route.get_location()] > 1:
             yield (
                 f"route {route.name}: another route has the same host and prefix, "
                 f"{route.host}{route.prefix}"
@@ -207,38 +221,43 @@
 
     config: RoutingConfig
     services: dict[str, ServiceRule] = field(default_factory=dict)
-    _hosts: dict[str, dict[str, RouteRule]] = field(default_factory=dict)
+    _routes: dict[tuple[str, str], RouteRule] = field(default_factory=dict)
     _keys: dict[str, OrganisationRule] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.services = {service.name: service for service in self.config.services}
-        for route in self.config.routes:
-            self._hosts.setdefault(route.host.lower(), {})[route.prefix] = route
+        self._routes = {route.get_location(): route for route in self.config.routes}
         for organisation in self.config.organisations or ():
             self._keys.update(dict.fromkeys(organisation.keys, organisation))
 
     def match(self, host: str, path: str) -> RouteRule | Failure:
         """Return the route with the longest matching prefix.
 
+        Routes of the host with its port precede those of the host without it.
+
         :param host: host of the request, with or without a port.
         :param path: the path, without the query.
         """
-        prefixes = self._hosts.get(host.rpartition(":")[0].lower() or host.lower())
-        if prefixes is None:
-            prefixes = self._hosts.get(host.lower(), {})
+        name = normalize_host(host)
+        route = self._find_longest_prefix(name, path)
+        if route is None and (portless := name.rpartition(":")[0]):
+            route = self._find_longest_prefix(portless, path)
+        if route is None:
+            return Failure(FailureKind.UNKNOWN_ROUTE, f"no route for {host}{path}")
+        return route
+
+    def _find_longest_prefix(self, host: str, path: str) -> RouteRule | None:
         end = len(path)
         while (end := path.rfind("/", 0, end)) >= 0:
-            route = prefixes.get(path[: end + 1])
+            route = self._routes.get((host, path[: end + 1]))
             if route is not None:
                 return route
-        return Failure(FailureKind.UNKNOWN_ROUTE, f"no route for {host}{path}")
+        return None
 
     def list_overridden_routes(self) -> tuple[RouteRule, ...]:
         """Return the routes that get no requests, as a later one has the same host and prefix."""
         return tuple(
-            route
-            for route in self.config.routes
-            if self._hosts[route.host.lower()][route.prefix] is not route
+            route for route in self.config.routes if self._routes[route.get_location()] is not route
         )
 
     def find_organisation(self, key: str) -> OrganisationRule | Failure:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,6 +2,7 @@
 
 import unittest
 from dataclasses import replace
+from itertools import permutations
 
 from daleroad.errors import Failure, FailureKind
 from daleroad.routing import (
@@ -15,6 +16,23 @@
     validate_config,
 )
 
+HOSTS = (
+    "site.example",
+    "Site.Example",
+    "site.example.",
+    "site.example:",
+    "site.example:80",
+    "SITE.example:80",
+    "site.example:8740",
+    "site2.example",
+    "kite.example",
+    "\N{KELVIN SIGN}ite.example",
+    "[::1]",
+    "[::1]:80",
+    "",
+    ":80",
+)
+
 
 def make_route(name: str = "r", host: str = "h.example", prefix: str = "/a/") -> RouteRule:
     return RouteRule(
@@ -67,6 +85,16 @@
         assert found is not None
         self.assertIn("another route has the same host and prefix", found.reason)
 
+    def test_routes_whose_hosts_differ_in_case_are_rejected(self) -> None:
+        """Guards against review/7: the later route took over all requests of the other."""
+        first, second = make_route("a", "site.example"), make_route("b", "Site.Example")
+        found = validate_config(make_config(first, second))
+        assert found is not None
+        self.assertIs(found.kind, FailureKind.INVALID)
+        self.assertIn("another route has the same host and prefix", found.reason)
+        other_prefix = replace(second, prefix="/b/")
+        self.assertIsNone(validate_config(make_config(first, other_prefix)))
+
     def test_key_of_two_organisations_is_rejected(self) -> None:
         config = make_config()
         other = OrganisationRule("p", ("k2",), None)
@@ -103,6 +131,39 @@
         self.assertEqual(self.match("H.Example:8740", "/a/"), "short")
         self.assertEqual(self.match("other.example", "/a/"), FailureKind.UNKNOWN_ROUTE)
 
+    def test_accepted_routes_get_the_requests_of_their_host(self) -> None:
+        """Guards against the class of review/7: hosts that are checked and matched differently."""
+        for first, second in permutations(HOSTS, 2):
+            with self.subTest(f"{first!r} {second!r}"):
+                config = make_config(make_route("a", first), make_route("b", second))
+                if validate_config(config) is not None:
+                    continue
+                self.table = RoutingTable(config)
+                self.assertEqual(self.match(first, "/a/"), "a")
+                self.assertEqual(self.match(second, "/a/"), "b")
+                self.assertEqual(self.table.list_overridden_routes(), ())
+
+    def test_host_with_a_port_falls_back_to_the_routes_of_its_name(self) -> None:
+        routes = (make_route("name", prefix="/a/"), make_route("port", "h.example:80", "/b/"))
+        self.table = RoutingTable(make_config(*routes))
+        self.assertEqual(self.match("h.example:80", "/a/"), "name")
+        self.assertEqual(self.match("h.example:80", "/b/"), "port")
+        self.assertEqual(self.match("h.example:81", "/b/"), FailureKind.UNKNOWN_ROUTE)
+        self.assertEqual(self.match("h.example", "/b/"), FailureKind.UNKNOWN_ROUTE)
+
+    def test_stored_config_whose_hosts_differ_in_case_is_applied_as_before(self) -> None:
+        """Guards against gateways that forget what earlier versions had acknowledged."""
+        routes = (make_route("a", "site.example"), make_route("b", "Site.Example"))
+        self.table = RoutingTable(make_config(*routes))
+        self.assertEqual(self.match("site.example", "/a/"), "b")
+        self.assertEqual(self.table.list_overridden_routes(), routes[:1])
+
+    def test_route_without_a_host_gets_no_requests_of_other_hosts(self) -> None:
+        self.table = RoutingTable(make_config(make_route(host="")))
+        for host in ("h.example", "h.example:80"):
+            self.assertEqual(self.match(host, "/a/"), FailureKind.UNKNOWN_ROUTE)
+        self.assertEqual(self.match("", "/a/"), "r")
+
     def test_keys_identify_their_organisation(self) -> None:
         found = self.table.find_organisation("k2")
         assert not isinstance(found, Failure)
