Look for a route by no more of a path than its longest prefix

A path of 16,000 slashes, which the default limit of a header allows, kept a gateway's only thread busy for 53 ms, or 106 ms since hosts with a port are looked up twice, as each slash began a lookup of all that precedes it. The test fails before.

--- a/src/daleroad/routing.py
+++ b/src/daleroad/routing.py
@@ -223,10 +223,12 @@
     services: dict[str, ServiceRule] = field(default_factory=dict)
     _routes: dict[tuple[str, str], RouteRule] = field(default_factory=dict)
     _keys: dict[str, OrganisationRule] = field(default_factory=dict)
+    _longest: int = 0
 
     def __post_init__(self) -> None:
         self.services = {service.name: service for service in self.config.services}
         self._routes = {route.get_location(): route for route in self.config.routes}
+        self._longest = max((len(route.prefix) for route in self.config.routes), default=0)
         for organisation in self.config.organisations or ():
             self._keys.update(dict.fromkeys(organisation.keys, organisation))
 
@@ -247,7 +249,7 @@
         return route
 
     def _find_longest_prefix(self, host: str, path: str) -> RouteRule | None:
-        end = len(path)
+        end = min(len(path), self._longest)
         while (end := path.rfind("/", 0, end)) >= 0:
             route = self._routes.get((host, path[: end + 1]))
             if route is not None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,5 +1,6 @@
 """Tests of routing: validation of configurations, and matching of requests."""
 
+import time
 import unittest
 from dataclasses import replace
 from itertools import permutations
@@ -16,6 +17,11 @@
     validate_config,
 )
 
+MAX_PATH_CHARACTERS = 16_000
+"""About as long as the default limit of a request's header allows."""
+
+MAX_MATCH_SECONDS = 0.02
+
 HOSTS = (
     "site.example",
     "Site.Example",
@@ -164,6 +170,13 @@
             self.assertEqual(self.match(host, "/a/"), FailureKind.UNKNOWN_ROUTE)
         self.assertEqual(self.match("", "/a/"), "r")
 
+    def test_long_path_is_matched_in_little_time(self) -> None:
+        """Guards against a path of slashes that keeps all requests of a gateway waiting."""
+        path = "/a/" + "/" * MAX_PATH_CHARACTERS
+        began = time.process_time()
+        self.assertEqual(self.match("h.example:80", path), "short")
+        self.assertLess(time.process_time() - began, MAX_MATCH_SECONDS)
+
     def test_keys_identify_their_organisation(self) -> None:
         found = self.table.find_organisation("k2")
         assert not isinstance(found, Failure)
