--- a/src/daleroad/routing.py
+++ b/src/daleroad/routing.py
@@ -265,9 +265,9 @@
     def find_organisation(self, key: str) -> OrganisationRule | Failure:
         """Return the organisation that an API key belongs to.
 
-        :param key: the API key.
+        :param key: the API key; empty if the request has none, which belongs to nobody.
         """
-        found = self._keys.get(key)
+        found = self._keys.get(key) if key else None
         if found is None:
             return Failure(FailureKind.UNAUTHENTICATED, "unknown API key")
         return found
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -183,6 +183,17 @@
         open_to_all = replace(closed, organisations=None)
         self.assertEqual(self.serve(FakeDispatcher(WHOLE), open_to_all, key="k"), WHOLE)
 
+    def test_request_without_a_key_belongs_to_no_organisation(self) -> None:
+        """Guards against the class of review/6: an empty key in the list let in who had none."""
+        config = make_config(Repeat.ONCE)
+        route = replace(config.routes[0], public=False)
+        organisation = OrganisationRule("o", ("", "k"), None)
+        config = replace(config, routes=(route,), organisations=(organisation,))
+        outcome = self.serve(FakeDispatcher(WHOLE), config, key="")
+        assert isinstance(outcome, Failure)
+        self.assertIs(outcome.kind, FailureKind.UNAUTHENTICATED)
+        self.assertEqual(self.serve(FakeDispatcher(WHOLE), config, key="k"), WHOLE)
+
     def test_leaving_upstreams_receive_no_requests(self) -> None:
         dispatcher = FakeDispatcher(WHOLE)
 
