--- a/src/daleroad/routing.py
+++ b/src/daleroad/routing.py
@@ -28,6 +28,16 @@
     STREAM = "stream"
 
 
+def normalize_host(host: str) -> str:
+    """Return a host as hosts of routes and requests are compared: regardless of case.
+
+    A port and a trailing dot are kept, so hosts with and without them are different.
+
+    :param host: the host, with or without a port.
+    """
+    return host.lower()
+
+
 @dataclass(frozen=True)
 class Target:
     """A service that receives a share of a route's requests."""
@@ -65,6 +75,10 @@
     prompts: bool
     resumable: bool = False
 
+    def get_location(self) -> tuple[str, str]:
+        """Return the host and prefix by which requests are matched; they identify the route."""
+        return normalize_host(self.host), self.prefix
+
     def get_silence_timeout(self) -> float:
         """Return the seconds without any response after which an upstream is given up.
 
@@ -138,14 +152,25 @@
 
 @dataclass(frozen=True)
 class RoutingConfig:
-    """One version of all routes, services and organisations."""
+    """One version of all routes, services and organisations.
+
+    :param organisations: the organisations, or None if requests need no API keys. If there are
+        none of them, no key is known, and only public routes can be used.
+    """
 
     version: int
     routes: tuple[RouteRule, ...]
     services: tuple[ServiceRule, ...]
-    organisations: tuple[OrganisationRule, ...]
+    organisations: tuple[OrganisationRule, ...] | None
     limits: RequestLimits = RequestLimits()
 
+    def needs_key(self, route: RouteRule) -> bool:
+        """Return whether the requests of a route need an API key.
+
+        :param route: the route.
+        """
+        return self.organisations is not None and not route.public
+
 
 def validate_config(config: RoutingConfig) -> Failure | None:
     """Return the first reason why a configuration is invalid, or nothing.
@@ -158,11 +183,11 @@
 
 def _list_errors(config: RoutingConfig) -> Iterator[str]:
     services = {service.name for service in config.services}
-    route_counts = Counter((route.host, route.prefix) for route in config.routes)
+    route_counts = Counter(route.get_location() for route in config.routes)
     for route in config.routes:
         if not route.prefix.startswith("/") or not route.prefix.endswith("/"):
             yield f"route {route.name}: prefix {route.prefix!r} must start and end with a slash"
-        if route_counts[route.host, route.prefix] > 1:
+        if route_counts[route.get_location()] > 1:
             yield (
                 f"route {route.name}: another route has the same host and prefix, "
                 f"{route.host}{route.prefix}"
@@ -176,8 +201,9 @@
         for target in route.targets:
             if target.service not in services:
                 yield f"route {route.name}: unknown service {target.service}"
-    key_counts = Counter(key for org in config.organisations for key in set(org.keys))
-    for organisation in config.organisations:
+    organisations = config.organisations or ()
+    key_counts = Counter(key for org in organisations for key in set(org.keys))
+    for organisation in organisations:
         if any(key_counts[key] > 1 for key in organisation.keys):
             yield (
                 f"organisation {organisation.name}: one of its keys belongs to another "
@@ -195,38 +221,53 @@
 
     config: RoutingConfig
     services: dict[str, ServiceRule] = field(default_factory=dict)
-    _hosts: dict[str, dict[str, RouteRule]] = field(default_factory=dict)
+    _routes: dict[tuple[str, str], RouteRule] = field(default_factory=dict)
     _keys: dict[str, OrganisationRule] = field(default_factory=dict)
+    _longest: int = 0
 
     def __post_init__(self) -> None:
         self.services = {service.name: service for service in self.config.services}
-        for route in self.config.routes:
-            self._hosts.setdefault(route.host.lower(), {})[route.prefix] = route
-        for organisation in self.config.organisations:
+        self._routes = {route.get_location(): route for route in self.config.routes}
+        self._longest = max((len(route.prefix) for route in self.config.routes), default=0)
+        for organisation in self.config.organisations or ():
             self._keys.update(dict.fromkeys(organisation.keys, organisation))
 
     def match(self, host: str, path: str) -> RouteRule | Failure:
         """Return the route with the longest matching prefix.
 
+        Routes of the host with its port precede those of the host without it.
+
         :param host: host of the request, with or without a port.
         :param path: the path, without the query.
         """
-        prefixes = self._hosts.get(host.rpartition(":")[0].lower() or host.lower())
-        if prefixes is None:
-            prefixes = self._hosts.get(host.lower(), {})
-        end = len(path)
+        name = normalize_host(host)
+        route = self._find_longest_prefix(name, path)
+        if route is None and (portless := name.rpartition(":")[0]):
+            route = self._find_longest_prefix(portless, path)
+        if route is None:
+            return Failure(FailureKind.UNKNOWN_ROUTE, f"no route for {host}{path}")
+        return route
+
+    def _find_longest_prefix(self, host: str, path: str) -> RouteRule | None:
+        end = min(len(path), self._longest)
         while (end := path.rfind("/", 0, end)) >= 0:
-            route = prefixes.get(path[: end + 1])
+            route = self._routes.get((host, path[: end + 1]))
             if route is not None:
                 return route
-        return Failure(FailureKind.UNKNOWN_ROUTE, f"no route for {host}{path}")
+        return None
+
+    def list_overridden_routes(self) -> tuple[RouteRule, ...]:
+        """Return the routes that get no requests, as a later one has the same host and prefix."""
+        return tuple(
+            route for route in self.config.routes if self._routes[route.get_location()] is not route
+        )
 
     def find_organisation(self, key: str) -> OrganisationRule | Failure:
         """Return the organisation that an API key belongs to.
 
-        :param key: the API key.
+        :param key: the API key; empty if the request has none, which belongs to nobody.
         """
-        found = self._keys.get(key)
+        found = self._keys.get(key) if key else None
         if found is None:
             return Failure(FailureKind.UNAUTHENTICATED, "unknown API key")
         return found
