--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -20,9 +20,10 @@
 from daleroad.dispatch import Dispatcher
 from daleroad.evacuations import EvacuatedZones
 from daleroad.events import Event, log_event
-from daleroad.fleet import BRITTLE_KEPT_SECONDS, GONE_KEPT_SECONDS, Fleet
+from daleroad.fleet import BRITTLE_KEPT_SECONDS, Fleet
 from daleroad.guarding import Guard, GuardedDispatcher
 from daleroad.instances import Instance, InstanceState
+from daleroad.leavenotices import LeaveNotices
 from daleroad.limitedsends import list_upstream_notices
 from daleroad.loads import GatewayLoads
 from daleroad.notices import GatewayNotice, Pace, UpstreamNotice
@@ -70,9 +71,9 @@
     tunnel_address: str = ""
     get_reach: Callable[[], Reach] = lambda: Reach.FULL
     tunnel_peers: TunnelPeers = field(default_factory=TunnelPeers)
+    leave_notices: LeaveNotices = field(default_factory=LeaveNotices)
     request_trial: TrialCallback | None = None
     _attempt_scopes: set[anyio.CancelScope] = field(default_factory=set)
-    _leaving_since: dict[str, float] = field(default_factory=dict)
     _tasks: TaskGroup | None = None
     _contentions: Mapping[str, Contention] = field(default_factory=dict)
 
@@ -244,7 +245,16 @@
 
         :param instance: the instance.
         """
-        return self._leaving_since.get(instance.id, anyio.current_time())
+        noticed_at = self.leave_notices.get_noticed_at(instance.id)
+        return anyio.current_time() if noticed_at is None else noticed_at
+
+    def get_leave_age(self, instance: Instance) -> float | None:
+        """Return the seconds since this gateway learnt that an instance is leaving, if it has.
+
+        :param instance: the instance.
+        """
+        age = self.leave_notices.get_age(instance.id, anyio.current_time())
+        return None if age is None else round(age, 3)
 
     def get_contention(self, service: str) -> Contention:
         """Return how the prompt routes of a service compete in the current configuration.
@@ -412,9 +422,5 @@
         self.paces.forget(instance.id)
 
     def _handle_leaving(self, instance: Instance) -> None:
-        now = anyio.current_time()
-        expired = [i for i, at in self._leaving_since.items() if now - at > GONE_KEPT_SECONDS]
-        for instance_id in expired:
-            del self._leaving_since[instance_id]
-        self._leaving_since.setdefault(instance.id, now)
+        self.leave_notices.record(instance.id, anyio.current_time())
         self.on_leaving(instance)
--- a/src/daleroad/migration.py
+++ b/src/daleroad/migration.py
@@ -346,6 +346,7 @@
             notice_age=round(anyio.current_time() - plan.noticed_at, 3),
             runs=len(plan.runs),
             slots=len(plan.slots),
+            chosen={run_id: slot.destination_id for run_id, slot in plan.slots.items()},
             rooms=[(room.id, room.same_zone, int(room.free_tokens)) for room in plan.destinations],
         )
 
@@ -399,6 +400,7 @@
                 origin=origin.id,
                 to=destination.id,
                 zones=f"{origin.zone}>{destination.zone}",
+                leaving_for=self._gateway.get_leave_age(destination),
                 backup=run.backup is not None and run.backup.id == destination.id,
                 final=final,
                 made=result.events_generated,
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -387,6 +387,7 @@
             to=attempt.instance.id,
             after=run.last_event,
             copied=attempt.source is not None,
+            leaving_for=self._gateway.get_leave_age(attempt.instance),
             pause=round(anyio.current_time() - cut_at, 3),
         )
         self._migrate_if_leaving(run)
