Judge the destination of a moved stream again when it is used

Cause: a destination was chosen before the wait for the run's slot and not looked at again, and the dispatch guard let a request with a copy reach an engine that leaves at any time.

The guard now has times in place of the exception: copies to an engine that leaves begin until 1.0 s after its notice, streams are resumed there until 1.7 s after it. The migrator judges the destination when the slot comes and uses the slot for another one that has room. Where the guard refuses to resume a stream, its stopped run is copied to another engine or resumes at its own; before, a refusal (no grant, a back-off) cut the stream. Leaving engines get no backups.

--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -345,6 +345,14 @@
 NOTICE_SECONDS = 1.52
 """Time from an engine's notice to its end unless it says more; the shortest seen is 1.54 s."""
 
+HAND_OVER_SECONDS = 1.7
+"""How long after its notice an engine that leaves may still be sent a stream whose memory it has.
+Requests are due there for 2 s; notices reach gateways within 0.1 s."""
+
+LAST_COPY_SECONDS = 1.0
+"""How long after its notice a copy to an engine that leaves may still begin. Copies queue, and the
+stream has to leave again before the engine ends."""
+
 LATE_PLAN_SECONDS = 0.25
 """How long after a notice a schedule still agrees with those of the other gateways."""
 
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -85,7 +85,7 @@
         self.suspicion_outbox: Outbox[Suspicion] = Outbox()
         self.upstream_outbox: Outbox[str] = Outbox()
         evidence = CrashEvidence(self.suspects, self.fleet, self.publish_suspicion)
-        self.guard = Guard(evidence, self.fleet)
+        self.guard = Guard(evidence, self.fleet, self.leave_notices)
         self.dispatcher = GuardedDispatcher(self.dispatcher, self.guard)
         self.budget = WindowBudget(options.retry_ratio, options.retry_slack, options.retry_window)
         self.configured = anyio.Event()
--- a/src/daleroad/guarding.py
+++ b/src/daleroad/guarding.py
@@ -6,10 +6,10 @@
 a grant to rate-limited upstreams, even where a caller has not checked these itself. It also records
 which requests were running when an upstream crashed.
 
-Some things are not refused here. A generation with a source may resume on an upstream that is
-leaving, and its source is not checked. For a request on its last try or a trial
-(:class:`Standing`), the caller chooses the upstream and claims the trial. For a copy and for a
-backup, only the destination's availability zone and its backing off are checked.
+Some things are not refused here. A generation with a source may be copied to an upstream that is
+leaving until LAST_COPY_SECONDS after its notice, and resume there until HAND_OVER_SECONDS after it;
+the source is not checked. For a request on its last try or a trial (:class:`Standing`), the caller
+chooses the upstream and claims the trial.
 """
 
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -20,6 +20,7 @@
 from daleroad.backpressure import UpstreamBackoffs
 from daleroad.clientstalls import ClientStall
 from daleroad.crashevidence import CrashEvidence
+from daleroad.defaults import HAND_OVER_SECONDS, LAST_COPY_SECONDS
 from daleroad.dispatch import (
     Attempt,
     ClientRequest,
@@ -40,6 +41,7 @@
 from daleroad.evacuations import EvacuatedZones
 from daleroad.fleet import Fleet
 from daleroad.instances import Instance, InstanceState
+from daleroad.leavenotices import LeaveNotices
 from daleroad.onsets import Onset, Progress
 from daleroad.sendlimits import Grants
 from daleroad.suspects import Standing
@@ -48,6 +50,7 @@
 """Requests a grant to send to a rate-limited upstream; returns whether it was given."""
 
 _NO_EVENT = "the stream ended before its first event"
+_LEAVING = "the upstream is leaving or gone"
 _NOT_GRANTED = "the upstream is rate-limited and no grant was given"
 
 
@@ -57,6 +60,7 @@
 
     :param evidence: what is suspected of crashing upstreams.
     :param fleet: the known upstreams.
+    :param leave_notices: when the gateway learnt that upstreams leave.
     :param zones: the evacuated availability zones.
     :param backoffs: the upstreams that asked this gateway to back off.
     :param cold_limited_services: services whose upstreams are rate-limited while they are cold.
@@ -68,6 +72,7 @@
 
     evidence: CrashEvidence
     fleet: Fleet
+    leave_notices: LeaveNotices = field(default_factory=LeaveNotices)
     zones: EvacuatedZones = EvacuatedZones()
     backoffs: UpstreamBackoffs = field(default_factory=UpstreamBackoffs)
     cold_limited_services: frozenset[str] = frozenset()
@@ -133,14 +138,62 @@
             return "the upstream asked this gateway to back off"
         return ""
 
+    def is_leaving(self, instance: Instance) -> bool:
+        """Return whether an upstream is leaving or gone; one that is unknown counts as ready.
+
+        :param instance: the upstream.
+        """
+        known = self.fleet.get(instance.id)
+        return known is not None and known.state is not InstanceState.READY
+
+    def accepts_resumed(self, instance: Instance, time: float) -> bool:
+        """Return whether a stream whose memory an upstream has may be sent there at some time.
+
+        :param instance: the upstream.
+        :param time: the time, on the event loop's clock.
+        """
+        return self._get_leaving_seconds(instance, time) <= HAND_OVER_SECONDS
+
+    def accepts_copy(self, instance: Instance, time: float) -> bool:
+        """Return whether a copy to an upstream may begin at some time.
+
+        :param instance: the upstream.
+        :param time: the time, on the event loop's clock.
+        """
+        return self._get_leaving_seconds(instance, time) <= LAST_COPY_SECONDS
+
+    def _get_leaving_seconds(self, instance: Instance, time: float) -> float:
+        """Return the seconds since the notice of an upstream; infinity if that is not known.
+
+        Negative infinity for one that is not leaving.
+        """
+        if not self.is_leaving(instance):
+            return float("-inf")
+        age = self.leave_notices.get_age(instance.id, time)
+        return float("inf") if age is None else age
+
+    def find_copy_refusal_reason(self, destination: Instance) -> str:
+        """Return why a generation must not be copied to an upstream, or an empty string.
+
+        :param destination: the upstream.
+        """
+        closed = self.find_unavailable_reason(destination)
+        accepts = self.accepts_copy(destination, anyio.current_time())
+        return closed or ("" if accepts else _LEAVING)
+
     def _find_leaving_reason(self, attempt: Attempt) -> str:
-        """Return a reason if the upstream is leaving or gone and the attempt has no source, or "".
+        """Return a reason if an attempt must not be sent as its upstream leaves, or ""."""
+        if attempt.source is not None:
+            accepts = self.accepts_resumed(attempt.instance, anyio.current_time())
+            return "" if accepts else _LEAVING
+        return _LEAVING if self.is_leaving(attempt.instance) else ""
 
-        An attempt with a source may still resume there. An unknown upstream counts as ready.
+    def accepts_backup(self, instance: Instance) -> bool:
+        """Return whether an upstream may keep the backup of a generation.
+
+        :param instance: the upstream.
         """
-        known = self.fleet.get(attempt.instance.id)
-        ready = known is None or known.state is InstanceState.READY
-        return "" if ready or attempt.source is not None else "the upstream is leaving or gone"
+        return not (self.is_leaving(instance) or self.find_unavailable_reason(instance))
 
     def consume_grant(self, attempt: Attempt) -> bool:
         """Use up a grant if there is one; return whether there was one or none is needed.
@@ -237,7 +290,7 @@
             reason = self._guard.find_refusal_reason(attempt) if granted else _NOT_GRANTED
         if reason:
             return NotRun(reason, sent=False, held=True)
-        if attempt.backup is not None and self._guard.find_unavailable_reason(attempt.backup):
+        if attempt.backup is not None and not self._guard.accepts_backup(attempt.backup):
             attempt = replace(attempt, backup=None)
         reply = await self._inner.send(attempt)
         evidence = self._guard.evidence
@@ -261,7 +314,7 @@
         self, job: ClientRequest, source: Instance, destination: Instance, final: bool
     ) -> Copied | NotCopied:
         """Copy a running generation's memory; a final copy stops the generation first."""
-        closed = self._guard.find_unavailable_reason(destination)
+        closed = self._guard.find_copy_refusal_reason(destination)
         if closed:
             # This fault is also that of a destination that can't be reached.
             reason = f"cannot copy to the destination: {closed}"
--- a/src/daleroad/migration.py
+++ b/src/daleroad/migration.py
@@ -35,6 +35,8 @@
 """A copy that is refused so soon left the link idle, so the run's slot can be used for another
 destination. Later, its copy would delay the next run's final copy by a quarter of its pause."""
 
+_DESTINATION_LEFT = NotCopied("the destination has left", CopyFault.NO_ROOM, sent=False)
+
 
 class EngineMigrator:
     """Migrates the generations of one gateway.
@@ -84,6 +86,35 @@
         copied = await self._copy_finally(run, destination) if destination is not None else None
         return copied if isinstance(copied, ResumePoint) else None
 
+    async def find_other_resume_point(
+        self, run: StreamRun, refused: ResumePoint
+    ) -> ResumePoint | None:
+        """Copy a stopped run to another engine, as this gateway refuses to resume it on the first.
+
+        :param run: the run; its engine keeps its memory.
+        :param refused: the engine with the copy, and where that was made from.
+        :return: an engine with another copy, or the engine that ran it. None if there is neither.
+        """
+        origin = run.attempt.instance
+        if refused.source.address != origin.address:
+            # Its engine had crashed; only the engine with the backup has its memory.
+            return None
+        excluded = {origin.id, *run.refused_ids}
+        while not run.ended:
+            destination = self._pick_destination(run, excluded)
+            if destination is None:
+                break
+            copied = await self._copy_finally(run, destination)
+            if isinstance(copied, ResumePoint):
+                return copied
+            if copied.fault is not CopyFault.NO_ROOM:
+                break
+            excluded.add(destination.id)
+        is_open = self._gateway.guard.accepts_resumed(origin, anyio.current_time())
+        if origin.id in run.refused_ids or not is_open:
+            return None
+        return ResumePoint(origin, refused.source)
+
     async def _recover_cut_run(self, run: StreamRun) -> ResumePoint | None:
         """Find an engine to resume on after a cut without notice.
 
@@ -142,7 +173,7 @@
                 case Copied():
                     run.resume_point = self._make_continuation(run, destination, result)
                     return
-                case NotCopied(reason, fault):
+                case NotCopied(reason, fault, sent):
                     self._log_copy_failure(run, destination.id, reason)
                     if fault is CopyFault.UNREACHABLE:
                         return
@@ -150,7 +181,7 @@
                         # Another engine may have enough memory, but the run's slot has passed: a
                         # copy now would delay the others, so it goes into the late plan.
                         excluded.add(destination.id)
-                        if not self._keeps_slot(run, plan, destination, excluded):
+                        if not self._keeps_slot(run, plan, destination, excluded, sent):
                             plan = await self._find_late_plan(plan, origin)
                         continue
             await anyio.sleep(MOVE_RETRY_SECONDS)
@@ -169,8 +200,10 @@
             if plan.staggered:
                 return await self._copy_in_own_turn(run, destination, plan)
             slot = plan.slots.get(job.id)
+            await anyio.sleep_until(plan.get_first_copy(job.id))
+            if not self._is_still_suitable(run, destination, plan):
+                return _DESTINATION_LEFT
             if slot is None or slot.start is not None:
-                await anyio.sleep_until(plan.get_start(job.id))
                 pre_copy = await self._copy(run, destination, final=False)
                 if isinstance(pre_copy, NotCopied):
                     return pre_copy
@@ -193,6 +226,8 @@
             with anyio.CancelScope(deadline=plan.get_first_copy(run_id)):
                 await plan.extended.wait()
             await anyio.sleep_until(plan.get_first_copy(run_id))
+            if not self._is_ready(destination):
+                return _DESTINATION_LEFT
             slot = plan.slots.get(run_id)
             if slot is None or slot.start is not None:
                 if run.ended:
@@ -203,26 +238,36 @@
                 await plan.extended.wait()
                 await anyio.sleep_until(plan.get_stop(run_id))
             if not self._is_ready(destination):
-                return NotCopied("the destination has left", CopyFault.NO_ROOM)
+                return _DESTINATION_LEFT
         if run.ended:
             return None
         plan.stopped.add(run_id)
         return await self._copy(run, destination, final=True)
 
     def _keeps_slot(
-        self, run: StreamRun, plan: MigrationPlan, refused: Instance, excluded: set[str]
+        self,
+        run: StreamRun,
+        plan: MigrationPlan,
+        refused: Instance,
+        excluded: set[str],
+        was_sent: bool,
     ) -> bool:
         """Return whether a run is copied elsewhere at once after its copy was refused.
 
         :param refused: the destination that refused.
         :param excluded: ids of the engines that can't be its destination, with that one.
+        :param was_sent: whether the destination refused it, not this gateway.
         """
         run_id = run.attempt.job.id
         if run_id in plan.stopped:
             # Its client waits already.
             return True
         used = anyio.current_time() - plan.get_first_copy(run_id)
-        if not plan.staggered or run_id not in plan.slots or used >= EARLY_REFUSAL_SECONDS:
+        if run_id not in plan.slots or used >= EARLY_REFUSAL_SECONDS:
+            return False
+        if not was_sent:
+            return self._has_alternative(run, refused, excluded)
+        if not plan.staggered:
             return False
         # A copy to another zone would take twice the slot and delay the others' final copies.
         origin = run.attempt.instance
@@ -231,6 +276,36 @@
             return False
         return following.zone == origin.zone or refused.zone != origin.zone
 
+    def _is_still_suitable(
+        self, run: StreamRun, destination: Instance, plan: MigrationPlan
+    ) -> bool:
+        """Return whether a run is copied to the destination that was chosen before its wait.
+
+        One that leaves meanwhile is kept only if no other has room and the stream gets there soon.
+        """
+        if self._is_ready(destination):
+            return True
+        if self._has_alternative(run, destination, {run.attempt.instance.id, destination.id}):
+            return False
+        stop = max(anyio.current_time(), plan.get_stop(run.attempt.job.id))
+        return self._gateway.guard.accepts_copy(destination, stop)
+
+    def _has_alternative(
+        self, run: StreamRun, destination: Instance, excluded: Container[str]
+    ) -> bool:
+        """Return whether an engine with room for a run is no farther than its destination."""
+        origin = run.attempt.instance
+        service = self._gateway.get_service(origin.service)
+        if service is None:
+            return False
+        candidates = self._gateway.selector.list_candidates(service, run.tokens, excluded)
+        is_far = destination.zone != origin.zone
+        return any(
+            not (c.lacks_memory or c.unhealthy or c.overdue)
+            and (is_far or c.instance.zone == origin.zone)
+            for c in candidates
+        )
+
     def _is_ready(self, instance: Instance) -> bool:
         known = self._gateway.fleet.get(instance.id)
         return known is not None and known.state is InstanceState.READY
--- a/src/daleroad/runs.py
+++ b/src/daleroad/runs.py
@@ -89,6 +89,8 @@
     :param resume_point: set once the generation was stopped and its memory copied elsewhere.
     :param migration_done: set when the migration has ended, successfully or not, or the stream is
         closed.
+    :param refused_ids: ids of the engines that this gateway refused to resume it on, since it left
+        the engine that ran it last.
     :param ended: whether the stream was closed.
     :param outcome: how the stream ended. A client disconnect only cancels the delivery, so it is
         assumed until another end is known.
@@ -119,6 +121,7 @@
     stop_order: StopOrder | None = None
     resume_point: ResumePoint | None = None
     migration_done: anyio.Event = field(default_factory=anyio.Event)
+    refused_ids: set[str] = field(default_factory=set)
     ended: bool = False
     outcome: StreamEnd = StreamEnd.CLIENT
     reason: str = ""
@@ -154,6 +157,11 @@
     async def copy_cut_off(self, run: StreamRun) -> ResumePoint | None:
         """Stop a run whose stream hangs, and return the engine that can resume it, if any."""
 
+    async def find_other_resume_point(
+        self, run: StreamRun, refused: ResumePoint
+    ) -> ResumePoint | None:
+        """Return another engine that can resume a run, as this gateway refused the one found."""
+
 
 class StreamRegistry:
     """The open streams of one gateway.
@@ -288,7 +296,7 @@
         cut_at = anyio.current_time()
         continuation = await self._mover.find_resume_point(run)
         if continuation is not None:
-            failure = await self._resume_at(run, continuation.instance, continuation.source, cut_at)
+            failure = await self._resume_from_copy(run, continuation, cut_at)
         else:
             if cut.blames_upstream():
                 self._gateway.selector.record_result(run.attempt.instance, False)
@@ -300,6 +308,30 @@
             failure = await self._resume_at(run, instance, None, cut_at)
         return failure
 
+    async def _resume_from_copy(
+        self, run: StreamRun, point: ResumePoint, cut_at: float
+    ) -> Failure | None:
+        """Resume a stream where its copy is, or elsewhere if it may no longer be sent there.
+
+        Since the copy was made, its engine may have begun to leave or become rate-limited.
+        """
+        while True:
+            failure = await self._resume_at(run, point.instance, point.source, cut_at)
+            was_sent = point.instance.id not in run.refused_ids
+            if failure is None or was_sent or not self._is_clear(run):
+                return failure
+            other = await self._mover.find_other_resume_point(run, point)
+            if other is None:
+                return failure
+            point = other
+
+    def _is_clear(self, run: StreamRun) -> bool:
+        """Return whether no upstream crashed while running the request of a stream."""
+        verdict = self._gateway.guard.evidence.find_verdict(
+            run.attempt.job, run.attempt.organisation, run.attempt.instance.service
+        )
+        return verdict.standing is Standing.CLEAR
+
     def _pick_restart_instance(self, run: StreamRun) -> Instance | None:
         """Return an upstream on which a stream may be restarted after its last event, if any."""
         gateway = self._gateway
@@ -307,10 +339,7 @@
         service = gateway.get_service(run.attempt.instance.service)
         if service is None or tries.ran >= tries.max_runs:
             return None
-        verdict = gateway.guard.evidence.find_verdict(
-            run.attempt.job, run.attempt.organisation, service.name
-        )
-        if verdict.standing is not Standing.CLEAR:
+        if not self._is_clear(run):
             # Upstreams crashed while running the request, so it is not restarted here. If its
             # client sends it again, the forwarder decides whether it may run.
             return None
@@ -356,6 +385,8 @@
         reply = await self._gateway.dispatcher.send(attempt)
         if source is None and not isinstance(reply, NotRun):
             run.tries.ran += 1
+        if isinstance(reply, NotRun) and reply.held:
+            run.refused_ids.add(instance.id)
         if isinstance(reply, NotRun | Lost | Whole):
             return self._make_resume_failure(run, instance, reply)
         if source is not None:
@@ -401,6 +432,7 @@
         run.migrating = False
         run.stop_order = None
         run.resume_point = None
+        run.refused_ids.clear()
         run.ready_at = float("inf")
         run.answering_since = anyio.current_time()
         run.migration_done = anyio.Event()
--- a/tests/test_guarding.py
+++ b/tests/test_guarding.py
@@ -9,7 +9,18 @@
 import trio
 import trio.testing
 
-from daleroad.dispatch import Attempt, CopySource, Lost, NotRun, Reply, Whole
+from daleroad.defaults import HAND_OVER_SECONDS, LAST_COPY_SECONDS
+from daleroad.dispatch import (
+    Attempt,
+    Copied,
+    CopyFault,
+    CopySource,
+    Lost,
+    NotCopied,
+    NotRun,
+    Reply,
+    Whole,
+)
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.gateway import Gateway
 from daleroad.instances import Instance, InstanceState, Sighting
@@ -262,3 +273,63 @@
                 self.assertEqual(await gateway.dispatcher.send(attempt), WHOLE)
 
         run(main)
+
+
+class LeavingUpstreamTest(unittest.TestCase):
+    """What still reaches an upstream that leaves: streams with a copy there, for a while."""
+
+    SOURCE = CopySource("10.0.0.1:1", "handle", "7")
+
+    def leave(self, state: InstanceState, wait: float) -> tuple[FakeDispatcher, list[Any]]:
+        """Send and copy to an upstream some seconds after its notice; return the replies."""
+
+        async def main() -> tuple[FakeDispatcher, list[Any]]:
+            dispatcher = FakeDispatcher(WHOLE, WHOLE)
+            dispatcher.copied = Copied("handle", 7)
+            config = make_config(Repeat.STREAM, engine=True)
+            gateway = make_gateway(dispatcher, config, anyio.current_time())
+            leaving = replace(make_instance(2), state=state)
+            changed = gateway.fleet.note(Sighting(leaving, 0.0), anyio.current_time())
+            gateway.apply_instance_changes(changed)
+            await anyio.sleep(wait)
+            job = make_job(anyio.current_time())
+            replies = [
+                await gateway.dispatcher.send(make_attempt(2, source=self.SOURCE)),
+                await gateway.dispatcher.copy(job, make_instance(1), make_instance(2), True),
+                await gateway.dispatcher.send(make_attempt(2)),
+            ]
+            return dispatcher, replies
+
+        return run(main)
+
+    def test_a_stream_with_a_copy_there_is_not_lost_by_a_notice_in_between(self) -> None:
+        for state in (InstanceState.LEAVING, InstanceState.GONE):
+            _, (_, copied, _) = self.leave(state, LAST_COPY_SECONDS - 0.01)
+            self.assertEqual(copied, Copied("handle", 7))
+            _, (resumed, _, fresh) = self.leave(state, HAND_OVER_SECONDS - 0.01)
+            self.assertEqual(resumed, WHOLE)
+            assert isinstance(fresh, NotRun)
+            self.assertTrue(fresh.held)
+
+    def test_no_stream_or_copy_reaches_it_long_after_its_notice(self) -> None:
+        for state in (InstanceState.LEAVING, InstanceState.GONE):
+            dispatcher, (_, copied, _) = self.leave(state, LAST_COPY_SECONDS + 0.01)
+            assert isinstance(copied, NotCopied)
+            self.assertEqual((copied.fault, copied.sent), (CopyFault.NO_ROOM, False))
+            self.assertEqual(dispatcher.copies, [])
+            dispatcher, (resumed, _, _) = self.leave(state, HAND_OVER_SECONDS + 0.01)
+            assert isinstance(resumed, NotRun)
+            self.assertTrue(resumed.held)
+            self.assertEqual(dispatcher.attempts, [])
+
+    def test_it_keeps_no_backups(self) -> None:
+        async def main() -> None:
+            dispatcher = FakeDispatcher(WHOLE)
+            config = make_config(Repeat.STREAM, engine=True)
+            gateway = make_gateway(dispatcher, config, anyio.current_time())
+            leaving = make_instance(2, InstanceState.LEAVING)
+            gateway.apply_instance_changes(gateway.fleet.note(Sighting(leaving, 0.0), 0.0))
+            await gateway.dispatcher.send(make_attempt(1, backup=make_instance(2)))
+            self.assertEqual([a.backup for a in dispatcher.attempts], [None])
+
+        run(main)
