--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -346,7 +346,7 @@
 """Time from an engine's notice to its end unless it says more; the shortest seen is 1.54 s."""
 
 HAND_OVER_SECONDS = 1.7
-"""How long after its notice an engine that leaves may still be sent a stream whose memory it has."""
+"""How long after its notice a leaving engine may still be sent a stream whose memory it has."""
 
 LAST_COPY_SECONDS = 1.0
 """How long after its notice a copy to an engine that leaves may still begin. Copies queue, and the
