--- a/tests/test_undelimited.py
+++ b/tests/test_undelimited.py
@@ -90,6 +90,11 @@
         _, pieces = self.receive(b"id: 1\ndata: a\n\nid: 2\nda")
         self.assertEqual([type(piece) for piece in pieces], [StreamEvent, Lost])
 
+    def test_a_duplicate_behind_a_stream_is_not_its_next_event(self) -> None:
+        whole = make_answer(STREAM_HEAD, b"data: a\n\n")
+        _, pieces = self.receive(b"data: a\n\n" + whole)
+        self.assertEqual([type(piece) for piece in pieces], [StreamEvent, Lost])
+
     def test_a_plain_response_is_whole_and_its_connection_not_reused(self) -> None:
         upstream = Upstream(*[make_answer(PLAIN_HEAD, b"a whole body")] * 2)
         first, second = self.send_requests(upstream, 2)
