Bound the log lines of libraries

Callers saw nothing; operators got a line for each write to a connection that its client had closed: 27,150 lines "socket.send() raised exception." in 8 s from a coordinator whose 40 clients had sent requests ahead and left.

Cause: only our own events have a budget; what a library logs went straight to the output. Each logger now has the budget of one event. The test fails on the code before for want of the filter.

--- a/src/daleroad/logs.py
+++ b/src/daleroad/logs.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from logging import Formatter, LogRecord, StreamHandler, getLogger
+from logging import Filter, Formatter, LogRecord, StreamHandler, getLogger
 
 import orjson
 from absl import logging
@@ -99,6 +99,25 @@
             self._waiting.clear()
 
 
+_EVENT_LOGGER = "absl"
+
+
+class LibraryFilter(Filter):
+    """Limits the lines of each library, as those of each event are."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._budget = LineBudget()
+
+    def filter(self, record: LogRecord) -> bool:
+        if record.name == _EVENT_LOGGER:
+            return True
+        dropped = self._budget.take(record.name, time.monotonic())
+        if dropped:
+            record.msg = f"{record.msg} ({dropped} lines left out before)"
+        return dropped is not None
+
+
 class _PlainFormatter(Formatter):
     """Leaves lines that are JSON already as they are; wraps what libraries log."""
 
@@ -122,6 +141,7 @@
     output = BoundedOutput(sys.stdout.fileno())
     handler: StreamHandler[BoundedOutput] = StreamHandler(output)
     handler.setFormatter(_PlainFormatter())
+    handler.addFilter(LibraryFilter())
     root = getLogger()
     root.handlers = [handler]
     logging.set_verbosity(logging.INFO)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,8 +3,17 @@
 import json
 import os
 import unittest
+from logging import makeLogRecord
 
-from daleroad.logs import BUFFER_BYTES, BoundedOutput, LineBudget, make_line
+from daleroad.logs import (
+    BUFFER_BYTES,
+    LINES_BURST,
+    LINES_SECOND,
+    BoundedOutput,
+    LibraryFilter,
+    LineBudget,
+    make_line,
+)
 
 
 class LineTest(unittest.TestCase):
@@ -31,6 +40,18 @@
         self.assertLessEqual(kept, 3600 + 30)
 
 
+class LibraryFilterTest(unittest.TestCase):
+    def test_lines_of_a_library_are_bounded_and_those_of_events_have_their_own_bound(self) -> None:
+        lines = LibraryFilter()
+        kept = {
+            name: sum(lines.filter(makeLogRecord({"name": name, "msg": "x"})) for _ in range(5000))
+            for name in ("asyncio", "absl", "httpcore")
+        }
+        self.assertEqual(kept["absl"], 5000)
+        for name in ("asyncio", "httpcore"):
+            self.assertLess(kept[name], LINES_BURST + LINES_SECOND)
+
+
 class BlockedOutputTest(unittest.TestCase):
     def setUp(self) -> None:
         self.reader, self.writer = os.pipe()
