Bound the receive buffers of connections to upstreams

An answer that waits at its upstream for room waits in the kernel's receive buffer, which grows to megabytes if the client does not read. The platform counts these bytes as memory of the process. The buffers are now 128 KiB each.

--- a/src/daleroad/sockets.py
+++ b/src/daleroad/sockets.py
@@ -9,10 +9,16 @@
 """How much shorter than the allowed silence unacknowledged data may wait. On Linux this limit also
 decides when keep-alive probes give up, whatever their count."""
 
+_RECEIVE_BUFFER_BYTES = 131_072
+"""Without a size the kernel lets a buffer that is not read grow to megabytes, which count as memory
+of the process: an answer waits there while its client does not read."""
+
 
 def make_socket_options(silence: float) -> list[tuple[int, int, int]]:
     """Return socket options that end a connection once the peer's TCP acknowledges nothing.
 
+    They also bound what the kernel receives ahead of the process.
+
     :param silence: seconds without an acknowledgement, of data or of keep-alive probes, after which
         the connection ends.
     """
@@ -25,4 +31,5 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes),
         (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacked_ms),
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES),
     ]
