--- a/src/daleroad/defaults.py
+++ b/src/daleroad/defaults.py
@@ -115,6 +115,12 @@
 BODY_BYTES = 1_000_000
 """Largest request body."""
 
+CONNECTIONS_MOST = 2_000
+"""Connections of clients to one process; beyond it idle ones are closed for new ones."""
+
+CONNECTION_HELD_BYTES = 32_000_000
+"""Bytes that connections of clients may hold in buffers; beyond it those that hold most are cut."""
+
 REQUESTS_MOST = 2_000
 """Requests one entry serves at a time."""
 
