--- a/src/daleroad/logs.py
+++ b/src/daleroad/logs.py
@@ -110,6 +110,7 @@
         self._budget = LineBudget()
 
     def filter(self, record: LogRecord) -> bool:
+        """Return whether a line is kept."""
         if record.name == _EVENT_LOGGER:
             return True
         dropped = self._budget.take(record.name, time.monotonic())
