Bound what connections of clients hold, on every listener

What callers saw: processes that ran out of memory, and then nothing. In the crowds a coordinator grew to 587 MB and a gateway to 438, 112 allowed; idle connections took all descriptors of an entry, which answered nobody; 37 requests were still served 4 s after their clients had gone.

Cause: the server library bounds neither connections nor what it reads ahead nor, with the kernel's growing buffers, what waits unread; while a request is under way and others are read ahead it does not look for the close behind them; a closed connection stays until its idle timeout; HTTP/2 and WebSocket are spoken whether or not the application serves them.

Change: our own listeners and connections below the library's HTTP/1.1 protocol. They admit connections by the process's table, read ahead 64 KiB, bound the sockets' buffers, count what a client leaves unread, notice that it has left while reading is paused, and end with it what it has sent. HTTP/2 ends with HTTP_1_1_REQUIRED before its first request; requests to upgrade are served in HTTP/1.1, as RFC 9110 allows. The head of a request has the time that the configuration's limits say, at most the idle timeout.

--- a/src/daleroad/control.py
+++ b/src/daleroad/control.py
@@ -43,7 +43,7 @@
 from daleroad.records import Operator
 from daleroad.roster import Roster
 from daleroad.security import check_peer
-from daleroad.serving import Answer, Request, Response, Router, serve_app
+from daleroad.serving import Answer, Request, Response, Router, make_client_table, serve_app
 from daleroad.settings import Settings
 from daleroad.storage import Storage
 
@@ -140,7 +140,14 @@
             settings = self.settings
             bind = settings.bind or settings.address
             grace = min(_MAX_GRACE_SECONDS, settings.stop - STOP_KEPT_SECONDS)
-            await serve_app(self._make_router(), bind, settings.tls, self._stop.wait, grace)
+            await serve_app(
+                self._make_router(),
+                bind,
+                settings.tls,
+                self._stop.wait,
+                grace,
+                make_client_table(settings),
+            )
             tasks.cancel_scope.cancel()
         await self.links.close()
 
--- a/src/daleroad/entry.py
+++ b/src/daleroad/entry.py
@@ -47,7 +47,7 @@
 from daleroad.requestholds import RequestHolds
 from daleroad.security import check_peer, get_bearer, hash_token, is_token
 from daleroad.services import PlainCalls
-from daleroad.serving import Answer, Request, Response, Router, Stream, serve_app
+from daleroad.serving import Answer, Request, Response, Router, Stream, make_client_table, serve_app
 from daleroad.settings import OnLostControl, Settings
 from daleroad.stewardship import Stewardship
 
@@ -89,7 +89,14 @@
             tasks.start_soon(self.stewardship.run)
             tasks.start_soon(self.limits.run)
             bind = settings.bind or settings.address
-            await serve_app(self._make_router(), bind, settings.tls, self._stop.wait, 0.0)
+            await serve_app(
+                self._make_router(),
+                bind,
+                settings.tls,
+                self._stop.wait,
+                grace=0.0,
+                table=make_client_table(settings),
+            )
             await self._leave()
             tasks.cancel_scope.cancel()
         await self.env.links.close()
--- a/src/daleroad/events.py
+++ b/src/daleroad/events.py
@@ -154,6 +154,9 @@
     ORDER_FAILED = Kind(332, logging.WARNING, "An engine did not answer an order.")
     ENDED_UNANSWERED = Kind(401, logging.WARNING, "A process ended with a request open.")
     CHANNEL_BROKEN = Kind(402, logging.WARNING, "What came on a channel can't be read.")
+    CONNECTION_CUT = Kind(403, logging.WARNING, "A client's connection was cut.")
+    CONNECTION_REFUSED = Kind(404, logging.WARNING, "There was no place for a client's connection.")
+    ACCEPT_FAILED = Kind(405, logging.ERROR, "The system had nothing left for a new connection.")
     HANDLER_FAILED = Kind(400, logging.ERROR, "A request handler failed unexpectedly.")
 
 
--- a/src/daleroad/serving.py
+++ b/src/daleroad/serving.py
@@ -1,24 +1,30 @@
-"""The HTTP face: a small router as an ASGI application, served by hypercorn."""
+"""The HTTP face: a small router as an ASGI application, and the server's settings."""
 
 from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
 from contextlib import aclosing
 from dataclasses import dataclass, field, replace
 from functools import partial
 from http import HTTPStatus
-from importlib import import_module
 from typing import Any, TypeAlias, TypeVar
 
 import anyio
 import orjson
-import sniffio
-from hypercorn.config import Config
 
 from daleroad.channelserver import CHANNEL_PATH, ChannelAnswer, ChannelServer
+from daleroad.clienttable import (
+    ClientTable,
+    ConnectionLimits,
+    bound_connections,
+    find_limits,
+)
 from daleroad.compression import ENCODING, pack, unpack
 from daleroad.ending import ShutdownScopes, make_shutdown_failure
 from daleroad.errors import DaleroadError, Failure, FailureKind, Ran
+from daleroad.httpconnections import ServerConfig
+from daleroad.httpserver import HttpServer
+from daleroad.listeners import find_descriptor_limit
 from daleroad.requeststate import Receive, RequestState, SendEvent
-from daleroad.settings import Tls
+from daleroad.settings import Settings, Tls
 
 _STATUS: dict[FailureKind, int] = {
     FailureKind.BAD_REQUEST: 400,
@@ -127,11 +133,6 @@
 
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: SendEvent) -> None:
         """Answer one ASGI connection."""
-        if scope["type"] == "lifespan":
-            await _answer_lifespan(receive, send)
-            return
-        if scope["type"] != "http":
-            return
         state = RequestState(receive, send)
         await self._serve(scope, state.receive, state.send)
 
@@ -264,14 +265,6 @@
     return b"event: error\ndata: " + orjson.dumps(make_problem(partial)) + b"\n\n"
 
 
-async def _answer_lifespan(receive: Receive, send: SendEvent) -> None:
-    while True:
-        event = await receive()
-        await send({"type": f"{event['type']}.complete"})
-        if event["type"] == "lifespan.shutdown":
-            return
-
-
 def _make_channel_answer(answer: Answer) -> ChannelAnswer:
     """Return an answer in the form that channels carry."""
     match answer:
@@ -381,19 +374,18 @@
     return headers
 
 
-def make_config(binds: list[str], tls: Tls) -> Config:
+def make_config(binds: list[str], tls: Tls) -> ServerConfig:
     """Return the server's settings without the library's default limits.
 
     :param binds: each IP:PORT to listen on.
     :param tls: key files.
     """
-    config = Config()
+    config = ServerConfig()
     config.bind = binds
     config.accesslog = None
     config.errorlog = None
     config.keep_alive_timeout = 75.0
     config.keep_alive_max_requests = 1_000_000
-    config.h2_max_concurrent_streams = 1000
     config.backlog = 1024
     config.include_server_header = False
     if tls.certificate:
@@ -402,10 +394,13 @@
     return config
 
 
-def _get_server() -> Any:
-    """Return the server for the event loop that runs; only that one is imported."""
-    name = sniffio.current_async_library()
-    return import_module(f"hypercorn.{name}").serve
+def make_client_table(settings: Settings) -> ClientTable:
+    """Return the table for the connections of a process's clients.
+
+    :param settings: the settings of the process.
+    """
+    connections = bound_connections(settings.connections_most, find_descriptor_limit())
+    return ClientTable(ConnectionLimits(connections, settings.connection_bytes))
 
 
 async def serve_app(
@@ -414,6 +409,7 @@
     tls: Tls,
     wait_stop: Callable[[], Awaitable[None]],
     grace: float = _GRACE_SECONDS,
+    table: ClientTable | None = None,
 ) -> None:
     """Serve a router until told to stop, then until open requests ended.
 
@@ -424,6 +420,7 @@
     :param tls: key files.
     :param wait_stop: returns when serving should stop; it is called twice.
     :param grace: seconds that open requests get to end.
+    :param table: the connections of the process's clients, by default a table of its own.
     """
     config = make_config([bind], tls)
     config.graceful_timeout = grace + ENDING_SECONDS
@@ -439,15 +436,17 @@
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(end_late)
-        await serve_config(app, config, wait_stop, ENDING_SECONDS)
+        await serve_config(app, config, wait_stop, ENDING_SECONDS, table)
         tasks.cancel_scope.cancel()
 
 
 async def serve_config(
     app: AsgiApp,
-    config: Config,
+    config: ServerConfig,
     wait_stop: Callable[[], Awaitable[None]],
     cancelled_grace: float = _CANCELLED_SECONDS,
+    table: ClientTable | None = None,
+    uncounted: frozenset[str] = frozenset(),
 ) -> None:
     """Serve an application by the server's settings until told to stop.
 
@@ -455,7 +454,12 @@
     :param config: the settings; the idle timeout may change while it serves.
     :param wait_stop: returns when serving should stop.
     :param cancelled_grace: seconds that open requests get to end when this is cancelled.
+    :param table: the connections of the process's clients, by default a table of its own.
+    :param uncounted: IP:PORT of the listeners whose application counts the bodies itself.
     """
+    if table is None:
+        table = ClientTable(find_limits(None, find_descriptor_limit()))
+    server = HttpServer(app, config, table, uncounted)
     stopping = anyio.Event()
 
     async def watch() -> None:
@@ -468,12 +472,11 @@
             stopping.set()
 
     async def serve() -> None:
-        # The server does not bear cancellation: a cancelled one is told to stop at once instead.
+        # A cancelled server is told to stop instead, so that open requests end within the grace.
         with anyio.CancelScope(shield=True):
-            await _get_server()(app, config, shutdown_trigger=stopping.wait)
+            await server.run(stopping.wait)
         tasks.cancel_scope.cancel()
 
-    # In a task of its own, since the server leaves its task's count of cancellations changed.
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch)
         tasks.start_soon(serve)
--- a/src/daleroad/settings.py
+++ b/src/daleroad/settings.py
@@ -79,6 +79,8 @@
     body_bytes: int = defaults.BODY_BYTES
     requests_most: int = defaults.REQUESTS_MOST
     queue_most: int = defaults.MAX_QUEUED_REQUESTS
+    connections_most: int = defaults.CONNECTIONS_MOST
+    connection_bytes: int = defaults.CONNECTION_HELD_BYTES
     load_rate: float = defaults.LOAD_RATE
     load_burst: float = defaults.LOAD_BURST
     stall: float = defaults.STALL_SECONDS
@@ -133,6 +135,8 @@
         "body_bytes": _COUNT,
         "requests_most": _COUNT,
         "queue_most": _COUNT,
+        "connections_most": "connections of clients, above 0; fewer where descriptors are scarce",
+        "connection_bytes": "bytes that connections of clients may hold in buffers, above 0",
         "load_rate": "loads from the weight store a second, above 0",
         "load_burst": "loads from the weight store at once, above 0",
         "stall": _SECONDS,
@@ -273,6 +277,10 @@
         load_rate=reader.get_number("limits", "load_rate", defaults.LOAD_RATE),
         load_burst=reader.get_number("limits", "load_burst", defaults.LOAD_BURST),
         queue_most=reader.get_count("limits", "queue_most", defaults.MAX_QUEUED_REQUESTS),
+        connections_most=reader.get_count("limits", "connections_most", defaults.CONNECTIONS_MOST),
+        connection_bytes=reader.get_count(
+            "limits", "connection_bytes", defaults.CONNECTION_HELD_BYTES
+        ),
         stall=reader.get_number("limits", "stall", defaults.STALL_SECONDS),
         stop=reader.get_number("limits", "stop", defaults.STOP_SECONDS),
         tls=Tls(
