Refuse strangers at the coordinators' internal listener by their head

Callers saw nothing. A client without the site's token could open a channel, which began before any check and was kept for 30 s, or send 64 MB of body that was read before its token was looked at.

Cause: each handler checks the token, but a channel has no handler, and a handler is called with the whole body. The router now checks the head, after it has found a path. The test of both hangs on the code before.

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -312,7 +312,11 @@
 
     def make_router(self) -> Router:
         """Return the router for calls from gateways, other coordinators and the command line."""
-        router = Router(_MAX_BODY_BYTES, channels=ChannelServer(_MAX_BODY_BYTES))
+        router = Router(
+            _MAX_BODY_BYTES,
+            channels=ChannelServer(_MAX_BODY_BYTES),
+            authorize=lambda headers: check_peer(headers, self.calls.token),
+        )
         router.add("POST", "/peer/", self._serve_peer)
         router.add("POST", "/site/identify", self._serve_identify)
         router.add("POST", "/site/join", self._serve_join)
--- a/src/daleroad/serving.py
+++ b/src/daleroad/serving.py
@@ -105,6 +105,7 @@
     :param shutdown_scopes: cuts off what is still answered at the process's end;
         :func:`serve_app` gives it.
     :param channels: serves channels; without it calls come one in a request.
+    :param authorize: returns why a request is refused, by its headers; nothing more is read then.
     """
 
     body_bytes: int
@@ -113,6 +114,7 @@
     mounts: dict[str, AsgiApp] = field(default_factory=dict)
     shutdown_scopes: ShutdownScopes | None = None
     channels: ChannelServer | None = None
+    authorize: Callable[[Mapping[str, str]], Failure | None] = field(default=lambda headers: None)
 
     def add(self, method: str, path: str, handler: Handler) -> None:
         """Add a handler.
@@ -143,7 +145,11 @@
                 return
         headers = {k.decode("latin-1").lower(): v.decode("latin-1") for k, v in scope["headers"]}
         if self.channels is not None and scope["path"] == CHANNEL_PATH:
-            await self.channels.serve(partial(self._answer_call, headers), receive, send)
+            refusal = self.authorize(headers)
+            if refusal is None:
+                await self.channels.serve(partial(self._answer_call, headers), receive, send)
+            else:
+                await _send_response(make_response(refusal), scope["method"], send)
             return
         answer = await self._answer(scope, headers, receive)
         if self.compress and ENCODING in headers.get("accept-encoding", ""):
@@ -157,6 +163,9 @@
         if isinstance(found, Failure):
             return found
         handler, tail = found
+        refusal = self.authorize(headers)
+        if refusal is not None:
+            return refusal
         if self.shutdown_scopes is None:
             body = await self._read_body(receive)
         else:
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -16,6 +16,7 @@
 from daleroad.channelserver import ChannelServer
 from daleroad.errors import Failure, FailureKind, Ran
 from daleroad.frames import BrokenFrameError, Frame, FrameReader, FrameWriter
+from daleroad.security import check_peer
 from daleroad.serving import Answer, Request, Response, Router, serve_app
 from daleroad.settings import Tls
 
@@ -106,6 +107,38 @@
         return found.getsockname()[1]
 
 
+class UnauthorizedTest(unittest.TestCase):
+    """Strangers are refused by their head, before they can let the process hold more."""
+
+    def ask(self, path: str) -> bytes:
+        async def main() -> bytes:
+            peer = Peer()
+            router = peer.make_router()
+            router.authorize = lambda headers: check_peer(headers, "a secret of the cluster")
+            found = b""
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(peer.run, router, anyio.sleep_forever)
+                await anyio.sleep(0.1)
+                head = f"POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n"
+                async with await anyio.connect_tcp("127.0.0.1", peer.port) as stream:
+                    await stream.send(head.encode())
+                    with anyio.fail_after(LIMIT), suppress(anyio.EndOfStream):
+                        while True:
+                            found += await stream.receive()
+                tasks.cancel_scope.cancel()
+            self.assertEqual(peer.asked, [])
+            return found
+
+        return anyio.run(main)
+
+    def test_call_and_channel_are_refused_before_their_body(self) -> None:
+        for path in ("/echo", "/channel"):
+            self.assertTrue(self.ask(path).startswith(b"HTTP/1.1 401 "), path)
+
+    def test_unknown_path_is_told_to_be_unknown(self) -> None:
+        self.assertTrue(self.ask("/nowhere").startswith(b"HTTP/1.1 404 "))
+
+
 class ChannelTest(unittest.TestCase):
     def play(self, body: Callable[[Peer, ChannelCalls, TaskGroup], Awaitable[None]]) -> None:
         async def main() -> None:
