--- a/src/daleroad/tunnelserver.py
+++ b/src/daleroad/tunnelserver.py
@@ -1,6 +1,7 @@
 """The far end of tunnels: connects other gateways of the site to upstreams."""
 
 import hmac
+import socket
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -9,9 +10,11 @@
 import orjson
 from anyio.abc import SocketAttribute, SocketStream
 
+from daleroad.clienttable import ClientConnection, ClientTable, Stage, find_limits
 from daleroad.dialing import Target
 from daleroad.errors import Failure, FailureKind
 from daleroad.events import Event, log_event
+from daleroad.listeners import Acceptor
 from daleroad.security import get_bearer
 from daleroad.serving import make_problem
 from daleroad.sockets import make_socket_options
@@ -30,6 +33,7 @@
 BUSY_SECONDS = 0.5
 """A tunnel on which an upstream sent nothing for so long carries no answer at the moment."""
 
+_LISTEN_BACKLOG = 128
 _CHUNK_BYTES = 65_536
 _MAX_HEAD_BYTES = 8_192
 
@@ -50,11 +54,19 @@
 
     :param token: what they must show.
     :param find_refusal: returns why an upstream is not connected to for them, or an empty string.
+    :param clients: the connections of the process's clients, which reach this listener too; by
+        default a table of its own.
     """
 
-    def __init__(self, token: str, find_refusal: Callable[[str], str]) -> None:
+    def __init__(
+        self,
+        token: str,
+        find_refusal: Callable[[str], str],
+        clients: ClientTable | None = None,
+    ) -> None:
         self._token = token
         self._find_refusal = find_refusal
+        self._clients = ClientTable(find_limits(None, None)) if clients is None else clients
         self._open: set[_Carried] = set()
 
     def count(self) -> int:
@@ -72,18 +84,30 @@
         :param address: IP:PORT to listen on.
         """
         host, _, port = address.partition(":")
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
-        async with listener:
-            await listener.serve(self._serve)
+        listener = socket.create_server((host, int(port)), backlog=_LISTEN_BACKLOG)
+        async with anyio.create_task_group() as tasks:
 
-    async def _serve(self, stream: SocketStream) -> None:
-        async with stream:
-            try:
-                await self._answer(stream, h11.Connection(h11.SERVER, _MAX_HEAD_BYTES))
-            except (*NETWORK_ERRORS, BaseExceptionGroup) as error:
-                _raise_unless_network_error(error)
+            def serve(client: socket.socket, connection: ClientConnection) -> None:
+                tasks.start_soon(self._serve, client, connection)
+
+            with Acceptor([listener], self._clients, serve).accept():
+                await anyio.sleep_forever()
 
-    async def _answer(self, stream: SocketStream, http: h11.Connection) -> None:
+    async def _serve(self, client: socket.socket, connection: ClientConnection) -> None:
+        try:
+            with anyio.CancelScope() as scope:
+                connection.cut = lambda reason: scope.cancel()
+                async with await SocketStream.from_socket(client) as stream:
+                    http = h11.Connection(h11.SERVER, _MAX_HEAD_BYTES)
+                    await self._answer(stream, http, connection)
+        except (*NETWORK_ERRORS, BaseExceptionGroup) as error:
+            _raise_unless_network_error(error)
+        finally:
+            self._clients.remove(connection)
+
+    async def _answer(
+        self, stream: SocketStream, http: h11.Connection, connection: ClientConnection
+    ) -> None:
         request: h11.Request | None = None
         with anyio.move_on_after(HEAD_SECONDS):
             request = await _read_head(stream, http)
@@ -91,8 +115,9 @@
             return
         target = self._check(request)
         if isinstance(target, Failure):
-            await stream.send(_make_refusal(http, target))
+            await _refuse(stream, http, target)
             return
+        connection.stage = Stage.SERVING
         tunnel = _Carried()
         # Before its upstream is dialed, or tunnels that are opened at once would exceed the bound.
         self._open.add(tunnel)
@@ -140,7 +165,7 @@
     """Connect to the upstream and carry what both ends send, or refuse the tunnel."""
     upstream = await _dial(target)
     if isinstance(upstream, Failure):
-        await stream.send(_make_refusal(http, upstream))
+        await _refuse(stream, http, upstream)
         return
     _limit_silence(stream, target.silence)
     begun = anyio.current_time()
@@ -172,6 +197,12 @@
         raw.setsockopt(*option)
 
 
+async def _refuse(stream: SocketStream, http: h11.Connection, failure: Failure) -> None:
+    """Send a refusal, unless the other end does not read it."""
+    with anyio.move_on_after(HEAD_SECONDS):
+        await stream.send(_make_refusal(http, failure))
+
+
 def _make_refusal(http: h11.Connection, failure: Failure) -> bytes:
     body = orjson.dumps(make_problem(failure))
     headers = [("content-length", str(len(body))), ("connection", "close")]
