Make room for requests at the cost of clients that stall

What callers saw: 503 for every request, while 40 other clients left answers of 4 MB unread on a gateway with 112 MB.

Cause: the account of held bytes gave its room to whoever came first and kept it until the deadline. Small requests were refused above 0.8 of the bound, which large answers could fill to the last byte.

Change: before a request is refused or a large answer waits, the client that has let the gateway wait longest, half a second or more, to read its answer or send its body, is cut. Large answers wait above 0.9 of the bound, small requests are accepted up to all of it.

--- a/src/daleroad/heldbytes.py
+++ b/src/daleroad/heldbytes.py
@@ -24,7 +24,12 @@
 """Smallest bound, so that a gateway with little memory still serves ordinary requests."""
 
 ADMIT_SHARE = 0.8
-"""Part of the bound up to which new requests are accepted; the rest is for answers to them."""
+"""Part of the bound up to which new requests with large bodies are accepted; the rest is for
+answers, and for requests with small ones."""
+
+ANSWER_SHARE = 0.9
+"""Part of the bound up to which large answers are read; the rest is for small requests, which many
+large answers must not shut out."""
 
 OVER_SHARE = 0.6
 """Part of the bound below which a reached bound counts as over, so that it does not flap."""
@@ -46,10 +51,17 @@
 FREE_BODY_BYTES = 64_000
 """A body up to this size is sent whatever else is under way to its upstream."""
 
+SMALL_BYTES = REQUEST_BYTES + FREE_BODY_BYTES
+"""What a small request holds at most before it runs."""
+
 UPSTREAM_BYTES = 8_000_000
 """Bodies that this gateway may have under way to one upstream, which holds them in its own memory:
 two of the largest. A single larger body is still sent."""
 
+ROOM_SECONDS = 0.5
+"""How long bytes may take to be released once their client was cut, and how often those that wait
+for room look for a client to cut."""
+
 MEMORY_RETRY_SECONDS = 0.5
 """When to come back to a gateway without room; other gateways mostly have some at once."""
 
@@ -77,6 +89,8 @@
     :ivar held: bytes that it holds.
     :ivar refusals: requests refused since the start.
     :ivar on_bound: called with True when the bound is reached, and with False when that is over.
+    :ivar relieve: called to make room; cuts a client that lets the process wait, and returns False
+        if there is none.
     :ivar waiting: bytes held by requests whose answers wait for room.
     :ivar overdrawn: the request whose answer may go beyond the bound, if there is one.
     """
@@ -86,6 +100,7 @@
         self.held = 0
         self.refusals = 0
         self.on_bound: Callable[[bool], None] = lambda reached: None
+        self.relieve: Callable[[], bool] = lambda: False
         self.waiting = 0
         self.overdrawn: RequestBytes | None = None
         self._reached = False
@@ -129,6 +144,17 @@
             self._reached = True
             self.on_bound(True)
 
+    async def make_room(self) -> bool:
+        """Let a client that stalled lose its connection; return False if none did.
+
+        What it held is mostly released when this returns.
+        """
+        if not self.relieve():
+            return False
+        with anyio.move_on_after(ROOM_SECONDS):
+            await self.wait_freed()
+        return True
+
     async def wait_freed(self) -> None:
         """Wait until some bytes are released."""
         self.note_reached()
@@ -173,16 +199,34 @@
         self.starved = False
         self.waited = 0.0
 
+    async def admit(self, size: int) -> bool:
+        """Reserve bytes of a request that has not run, as :meth:`try_reserve`.
+
+        Before it is refused, clients that stalled lose what is held for them.
+
+        :param size: the bytes.
+        """
+        account = self._account
+        while self._fits_alone(size) and not self._has_room(size):
+            if not await account.make_room():
+                break
+        return self.try_reserve(size)
+
+    def _fits_alone(self, size: int) -> bool:
+        return self.held + size <= self._account.get_share(REQUEST_SHARE)
+
+    def _has_room(self, size: int) -> bool:
+        share = 1.0 if self.held + size <= SMALL_BYTES else ADMIT_SHARE
+        return self._account.held + size <= self._account.get_share(share)
+
     def try_reserve(self, size: int) -> bool:
         """Reserve bytes of a request that has not run; return False if it must be refused.
 
         :param size: the bytes.
         """
-        account = self._account
-        fits = self.held + size <= account.get_share(REQUEST_SHARE)
-        if not fits or account.held + size > account.get_share(ADMIT_SHARE):
-            account.refusals += 1
-            account.note_reached()
+        if not self._fits_alone(size) or not self._has_room(size):
+            self._account.refusals += 1
+            self._account.note_reached()
             return False
         self.reserve(size)
         return True
@@ -215,14 +259,16 @@
 
     async def _wait_for_room(self, size: int) -> None:
         account = self._account
-        while account.held + size > account.get_share(1.0):
+        while account.held + size > account.get_share(ANSWER_SHARE):
             account.waiting += self.held
             try:
                 if self._may_overdraw(size):
                     account.overdrawn = self
                     break
                 self.starved = True
-                await account.wait_freed()
+                if not await account.make_room():
+                    with anyio.move_on_after(ROOM_SECONDS):
+                        await account.wait_freed()
             finally:
                 account.waiting -= self.held
         self.starved = False
@@ -236,7 +282,7 @@
         account = self._account
         if account.overdrawn is not None:
             return account.overdrawn is self
-        return account.waiting + size > account.get_share(1.0)
+        return account.waiting + size > account.get_share(ANSWER_SHARE)
 
     def release(self, size: int) -> None:
         """Release bytes, at most those that are held.
