Read a body no longer than the longest timeout of a route

A client names its own deadline, up to 31 years. What is reserved for its body was held as long if it sent a byte now and then. After the longest timeout of all routes no route has time left for the request, so it gets 504 then, and did not run. The test fails on the code before: still read after four seconds.

--- a/src/daleroad/routing.py
+++ b/src/daleroad/routing.py
@@ -217,10 +217,12 @@
 
     :param config: the configuration.
     :param services: the services by name.
+    :param longest_timeout: the longest timeout of a route, in seconds.
     """
 
     config: RoutingConfig
     services: dict[str, ServiceRule] = field(default_factory=dict)
+    longest_timeout: float = 0.0
     _routes: dict[tuple[str, str], RouteRule] = field(default_factory=dict)
     _keys: dict[str, OrganisationRule] = field(default_factory=dict)
     _longest: int = 0
@@ -228,6 +230,7 @@
     def __post_init__(self) -> None:
         self.services = {service.name: service for service in self.config.services}
         self._routes = {route.get_location(): route for route in self.config.routes}
+        self.longest_timeout = max((route.timeout for route in self.config.routes), default=0.0)
         self._longest = max((len(route.prefix) for route in self.config.routes), default=0)
         for organisation in self.config.organisations or ():
             self._keys.update(dict.fromkeys(organisation.keys, organisation))
--- a/tests/test_clientconnections.py
+++ b/tests/test_clientconnections.py
@@ -637,6 +637,26 @@
         self.assertEqual((found[0].status, found[0].headers["connection"]), (504, "close"))
         self.assertEqual((self.jobs, self.held.held), ([], 0))
 
+    def test_body_has_no_longer_than_the_longest_timeout_of_a_route(self) -> None:
+        found: list[Answer | None] = []
+        self.gateway.table.longest_timeout = 0.3
+
+        async def body(client: Client) -> None:
+            head = make_request(
+                "/x", "Content-Length: 90000", "X-Daleroad-Deadline-Ms: 999999999", method="POST"
+            )
+            await client.stream.send(head)
+            with anyio.move_on_after(4.0), suppress(*_BROKEN):
+                while not found:
+                    await client.stream.send(b"part")
+                    with anyio.move_on_after(0.1):
+                        found.append(await client.read())
+
+        self.talk(serve_path, body)
+        assert found and found[0], "still read"
+        self.assertEqual((found[0].status, found[0].headers["connection"]), (504, "close"))
+        self.assertEqual((self.jobs, self.held.held), ([], 0))
+
     def test_head_is_bounded_in_size_and_time(self) -> None:
         found: list[Answer | None] = []
 
