--- a/src/daleroad/httpconnections.py
+++ b/src/daleroad/httpconnections.py
@@ -70,6 +70,7 @@
     """
 
     head_timeout = 10.0
+    ssl_handshake_timeout = 10.0
     alpn_protocols = ["http/1.1"]
     max_app_queue_size = 2
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -10,7 +10,8 @@
 connections, in series that overlap. Beside these faults gateways are stopped in turn, as at an
 update, while clients ask for streams that last up to longer than a gateway may drain, and operators
 evacuate one zone after the other. Upstreams name limits, ask for rest, say that they leave, and
-stutter. A seed fixes the plan. Ends only what it started.
+stutter. A few clients misbehave on all listeners; no process may exceed its memory for them. A seed
+fixes the plan. Ends only what it started.
 
 Two requests end each upstream that begins them and come again all the time; from the third end on
 they must reach none. The others' requests are the same to the letter, and must not be held for it.
@@ -41,6 +42,7 @@
 
 from tools.cutnetwork import Cut  # noqa: E402
 from tools.faultylink import LinkFault  # noqa: E402
+from tools.soakcrowd import DESCRIPTORS, MEMORY_MB, CrowdClient  # noqa: E402
 from tools.soakledger import (  # noqa: E402
     GRACE_SECONDS,
     HELD_BACK,
@@ -97,6 +99,7 @@
 CLIENT_PORT, READY_PORT, CONTROL_PORT, OUR_PORT, METRICS_PORT = 18740, 18749, 18748, 17200, 19464
 CLIENTS = 6
 STREAM_CLIENTS = 16
+CROWD_CLIENTS = 3
 
 STOP_GAP_SECONDS = (0.3, 1.5)
 """Time between two gateways that are stopped in turn; shorter than they drain."""
@@ -271,6 +274,7 @@
             ],
             "bootstrap": self._founding,
             "heartbeat_ms": int(HEARTBEAT_SECONDS * 1000),
+            "limits": {"memory_mb": MEMORY_MB, "max_fds": DESCRIPTORS},
             "bounds": {"grace_s": GRACE_SECONDS, "ttl_max_s": 1, "retry_budget_ratio": 0.2},
         }
         if role == "coordinator":
@@ -316,6 +320,17 @@
         """Return the numbers of the processes of a role."""
         return [p.pid for name, p in self._running.items() if name.startswith(role)]
 
+    def measure_memory(self) -> dict[str, int]:
+        """Return the most memory that each process has had since its start, in bytes."""
+        found = {}
+        for name, process in self._running.items():
+            # It may have ended.
+            with suppress(OSError, StopIteration):
+                lines = Path(f"/proc/{process.pid}/status").read_text().splitlines()
+                peak = next(line for line in lines if line.startswith("VmHWM:"))
+                found[name] = 1024 * int(peak.split()[1])
+        return found
+
     def end_all(self) -> None:
         """End all processes."""
         for process in self._running.values():
@@ -371,6 +386,14 @@
             )
             for number in range(STREAM_CLIENTS)
         ]
+        ips = sorted({address.split(":")[0] for address in (*gateways.values(), *entries)})
+        listeners = [*gateways.values(), *(f"{ip}:{READY_PORT}" for ip in ips[:GATEWAYS])]
+        listeners += [f"{ip}:{OUR_PORT + 1}" for ip in ips[:GATEWAYS]]
+        listeners += [*entries, *(f"{entry.split(':')[0]}:{OUR_PORT}" for entry in entries)]
+        self._crowd = [
+            CrowdClient(f"crowd{n}", Random(f"{seed} crowd {n}"), listeners, self.idempotent)
+            for n in range(CROWD_CLIENTS)
+        ]
         self._number = 0
         self._late_served = 0
 
@@ -431,8 +454,11 @@
                 for path in ("/stream/x", "/again/x"):
                     tasks.start_soon(self._ask_crashing, path)
                 tasks.start_soon(self._ask_crashing, "/stream/x", CRASHING_PARTS[0])
+                for misbehaving in self._crowd:
+                    tasks.start_soon(misbehaving.run)
                 await self._hurt(processes, began, tasks)
                 await anyio.sleep_until(began + self.seconds)
+                self._check_memory(processes)
                 self._check_upstreams()
                 tasks.cancel_scope.cancel()
             await self._check_reads(client)
@@ -512,6 +538,11 @@
             if answer.status_code == 200:
                 self.ledger.broken.append(f"an entry from another writer counted: {body}")
 
+    def _check_memory(self, processes: Processes) -> None:
+        for name, size in processes.measure_memory().items():
+            if size > MEMORY_MB * 1_000_000:
+                self.ledger.broken.append(f"{name} had {size} bytes of memory")
+
     def _check_upstreams(self) -> None:
         """Note upstreams that started again and got no request since."""
         now = anyio.current_time()
