Refuse heads above the limit also if they come in one read

The parser compares the size of a head with the limit only while it is incomplete, so a head of up to 128 KiB that came at once was served. The test got 200 for a head of 16,600 bytes on the code before, 16,384 allowed.

Also: a client that has gone before its connection is served has no address; that ended the connection with an error in the log.

--- a/src/daleroad/httpconnections.py
+++ b/src/daleroad/httpconnections.py
@@ -56,11 +56,23 @@
     b"\x00\x00\x08\x07\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x0d"
 )
 
+_HEAD_REFUSAL = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+
 AsgiApp = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
 
 
-class _OtherProtocolError(Exception):
-    """A client speaks another protocol than HTTP/1."""
+class _RefusedError(Exception):
+    """A connection ends before a request of it is served.
+
+    :param answer: what its client is sent.
+    """
+
+    def __init__(self, answer: bytes) -> None:
+        super().__init__(answer)
+        self.answer = answer
 
 
 class ServerConfig(Config):
@@ -88,7 +100,7 @@
     """
 
     app: AsgiApp
-    config: "ServerConfig"
+    config: ServerConfig
     worker: WorkerContext
     table: ClientTable
     tls: ssl.SSLContext | None
@@ -159,7 +171,10 @@
 
     async def _check_protocol(self, event: h11.Request) -> None:
         if event.method == b"PRI" and event.http_version == b"2.0":
-            raise _OtherProtocolError("HTTP/2")
+            raise _RefusedError(_HTTP2_REFUSAL)
+        # The parser checks the size of incomplete heads only.
+        if _measure_head(event) > self.config.h11_max_incomplete_size:
+            raise _RefusedError(_HEAD_REFUSAL)
 
     async def _create_stream(self, request: h11.Request) -> None:
         # Requests to upgrade are served in HTTP/1.1, as RFC 9110 allows (7.8).
@@ -187,6 +202,13 @@
         self.keep_alive_requests += 1
 
 
+def _measure_head(request: h11.Request) -> int:
+    """Return the size of a head without optional white space, in bytes."""
+    line = len(request.method) + len(request.target) + len("  HTTP/1.1\r\n")
+    fields = sum(len(name) + len(value) + len(":\r\n") for name, value in request.headers)
+    return line + fields + len("\r\n")
+
+
 class HttpConnection(asyncio.BufferedProtocol):
     """One connection of an HTTP client.
 
@@ -265,7 +287,8 @@
             self,  # type: ignore[arg-type]
             ConnectionState({}),
             context.tls is not None,
-            transport.get_extra_info("peername")[:2],
+            # A client that has gone already has no address.
+            (transport.get_extra_info("peername") or ("", 0))[:2],
             server,
             self._send,  # type: ignore[arg-type]
         )
@@ -290,8 +313,8 @@
                 if not self._serving and http.connection.trailing_data[0]:
                     self._head_since = self._head_since or self._loop.time()
                 self._note_state()
-        except _OtherProtocolError:
-            self._write(_HTTP2_REFUSAL)
+        except _RefusedError as error:
+            self._write(error.answer)
 
     async def spawn_app(
         self, app: AsgiApp, config: Config, scope: dict[str, Any], send: Any
--- a/tests/test_clientconnections.py
+++ b/tests/test_clientconnections.py
@@ -679,6 +679,18 @@
         self.assertIsNone(found[1])
         self.assertEqual(self.jobs, [])
 
+    def test_head_above_the_limit_is_refused_also_if_it_comes_at_once(self) -> None:
+        found: list[Answer | None] = []
+
+        async def body(client: Client) -> None:
+            found.append(await client.ask(make_request("/x", "X-Long: " + "v" * 16_500)))
+            found.append(await client.read())
+
+        self.talk(serve_path, body)
+        assert found[0] is not None
+        self.assertEqual((found[0].status, found[0].whole, found[1]), (431, True, None))
+        self.assertEqual(self.jobs, [])
+
     def test_body_in_many_small_chunks_takes_no_more_room_than_in_one(self) -> None:
         size = 1_000_000
         part = bytearray(b"xy")
