--- a/src/daleroad/httpconnections.py
+++ b/src/daleroad/httpconnections.py
@@ -12,7 +12,6 @@
 import ssl
 import struct
 import termios
-from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -24,13 +23,11 @@
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
 from hypercorn.events import Closed, RawData, Updated
-from hypercorn.protocol.events import Request as RequestEvent
-from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
-from hypercorn.protocol.http_stream import HTTPStream
 from hypercorn.typing import ConnectionState
 
 from daleroad.clienttable import ClientConnection, ClientTable, Cut, Stage
 from daleroad.events import Event, log_event
+from daleroad.http1protocol import Http1Protocol, RefusedError, RequestEvents, ServerConfig
 from daleroad.listeners import KERNEL_FACTOR, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES
 
 READ_AHEAD_BYTES = 65_536
@@ -50,43 +47,9 @@
 _KERNEL_RECEIVE_BYTES = KERNEL_FACTOR * RECEIVE_BUFFER_BYTES
 _KERNEL_SEND_BYTES = KERNEL_FACTOR * SEND_BUFFER_BYTES
 
-_HTTP2_REFUSAL = (
-    # An empty SETTINGS frame, and GOAWAY with HTTP_1_1_REQUIRED for no stream (RFC 9113).
-    b"\x00\x00\x00\x04\x00\x00\x00\x00\x00"
-    b"\x00\x00\x08\x07\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x0d"
-)
-
-_HEAD_REFUSAL = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
-
 AsgiApp = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
 
 
-class _RefusedError(Exception):
-    """A connection ends before a request of it is served.
-
-    :param answer: what its client is sent.
-    """
-
-    def __init__(self, answer: bytes) -> None:
-        super().__init__(answer)
-        self.answer = answer
-
-
-class ServerConfig(Config):
-    """The library's settings, and one that it lacks.
-
-    :ivar head_timeout: seconds from the first byte of a request until its head is complete.
-    """
-
-    head_timeout = 10.0
-    ssl_handshake_timeout = 10.0
-    alpn_protocols = ["http/1.1"]
-    max_app_queue_size = 2
-
-
 @dataclass(frozen=True)
 class HttpContext:
     """What the connections of a server share.
@@ -107,108 +70,6 @@
     uncounted: frozenset[str] = frozenset()
 
 
-class RequestEvents:
-    """The ASGI events of one request, on their way from the protocol to the application.
-
-    :param size: events that wait at most.
-    :ivar waiting_bytes: bytes of bodies that wait.
-    :ivar taken_bytes: bytes of bodies that the application has taken.
-    """
-
-    def __init__(self, size: int) -> None:
-        self._size = size
-        self._events: deque[dict[str, Any]] = deque()
-        self._changed = asyncio.Event()
-        self._closed = False
-        self.is_complete = False
-        self.waiting_bytes = 0
-        self.taken_bytes = 0
-
-    async def put(self, event: dict[str, Any]) -> None:
-        """Add an event once there is room, or drop it if the application has ended.
-
-        :param event: the event; after a disconnect none is added.
-        """
-        if event["type"] == "http.disconnect":
-            self.close()
-            return
-        while len(self._events) >= self._size and not self._closed:
-            await self._wait()
-        if self._closed:
-            return
-        self._events.append(event)
-        self.waiting_bytes += len(event["body"])
-        self.is_complete = not event["more_body"]
-        self._notify()
-
-    async def get(self) -> dict[str, Any]:
-        """Return the next event; behind the last it is always a disconnect."""
-        while not self._events and not self._closed:
-            await self._wait()
-        if not self._events:
-            return {"type": "http.disconnect"}
-        event = self._events.popleft()
-        self.waiting_bytes -= len(event["body"])
-        self.taken_bytes += len(event["body"])
-        self._notify()
-        return event
-
-    def close(self) -> None:
-        """Add no more events; the application still gets those that wait."""
-        self._closed = True
-        self._notify()
-
-    async def _wait(self) -> None:
-        self._changed.clear()
-        await self._changed.wait()
-
-    def _notify(self) -> None:
-        self._changed.set()
-
-
-class _Http1Protocol(H11Protocol):
-    """The library's HTTP/1.1 protocol without its ways into other protocols."""
-
-    async def _check_protocol(self, event: h11.Request) -> None:
-        if event.method == b"PRI" and event.http_version == b"2.0":
-            raise _RefusedError(_HTTP2_REFUSAL)
-        # The parser checks the size of incomplete heads only.
-        if _measure_head(event) > self.config.h11_max_incomplete_size:
-            raise _RefusedError(_HEAD_REFUSAL)
-
-    async def _create_stream(self, request: h11.Request) -> None:
-        # Requests to upgrade are served in HTTP/1.1, as RFC 9110 allows (7.8).
-        self.stream = HTTPStream(
-            self.app,
-            self.config,
-            self.context,
-            self.task_group,
-            self.ssl,
-            self.client,
-            self.server,
-            self.stream_send,
-            STREAM_ID,
-        )
-        await self.stream.handle(
-            RequestEvent(
-                stream_id=STREAM_ID,
-                headers=list(request.headers),
-                http_version=request.http_version.decode(),
-                method=request.method.decode("ascii").upper(),
-                raw_path=request.target,
-                state=self.connection_state,
-            )
-        )
-        self.keep_alive_requests += 1
-
-
-def _measure_head(request: h11.Request) -> int:
-    """Return the size of a head without optional white space, in bytes."""
-    line = len(request.method) + len(request.target) + len("  HTTP/1.1\r\n")
-    fields = sum(len(name) + len(value) + len(":\r\n") for name, value in request.headers)
-    return line + fields + len("\r\n")
-
-
 class HttpConnection(asyncio.BufferedProtocol):
     """One connection of an HTTP client.
 
@@ -224,7 +85,7 @@
         self._record = record
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._http: _Http1Protocol | None = None
+        self._http: Http1Protocol | None = None
         self._tasks: TaskGroup | None = None
         self._reading = anyio.CancelScope()
         self._handshake = anyio.CancelScope()
@@ -280,7 +141,7 @@
         context = self._context
         server = transport.get_extra_info("sockname")[:2]
         self._counts_bodies = f"{server[0]}:{server[1]}" not in context.uncounted
-        self._http = _Http1Protocol(
+        self._http = Http1Protocol(
             context.app,  # type: ignore[arg-type]
             context.config,
             context.worker,
@@ -298,7 +159,7 @@
         await self._http.handle(Closed())
         self._end()
 
-    async def _read(self, http: _Http1Protocol) -> None:
+    async def _read(self, http: Http1Protocol) -> None:
         try:
             while True:
                 while not self._ahead:
@@ -313,7 +174,7 @@
                 if not self._serving and http.connection.trailing_data[0]:
                     self._head_since = self._head_since or self._loop.time()
                 self._note_state()
-        except _RefusedError as error:
+        except RefusedError as error:
             self._write(error.answer)
 
     async def spawn_app(
--- a/src/daleroad/httpserver.py
+++ b/src/daleroad/httpserver.py
@@ -9,7 +9,8 @@
 
 from daleroad.clienttable import ClientConnection, ClientTable
 from daleroad.events import Event, log_event
-from daleroad.httpconnections import AsgiApp, HttpConnection, HttpContext, ServerConfig
+from daleroad.http1protocol import ServerConfig
+from daleroad.httpconnections import AsgiApp, HttpConnection, HttpContext
 from daleroad.listeners import Acceptor
 
 SWEEP_SECONDS = 0.25
--- a/src/daleroad/serving.py
+++ b/src/daleroad/serving.py
@@ -20,7 +20,7 @@
 from daleroad.compression import ENCODING, pack, unpack
 from daleroad.ending import ShutdownScopes, make_shutdown_failure
 from daleroad.errors import DaleroadError, Failure, FailureKind, Ran
-from daleroad.httpconnections import ServerConfig
+from daleroad.http1protocol import ServerConfig
 from daleroad.httpserver import HttpServer
 from daleroad.listeners import find_descriptor_limit
 from daleroad.requeststate import Receive, RequestState, SendEvent
