Split the bytes of a client's connection from its requests

No change of behaviour: the stream reads ahead, writes and counts; the HTTP connection knows what is under way. Bodies of requests and tests as before.

--- a/tests/test_ordinaryclients.py
+++ b/tests/test_ordinaryclients.py
@@ -8,10 +8,10 @@
 
 import anyio
 
+from daleroad.clientstream import READ_AHEAD_BYTES
 from daleroad.clienttable import ClientTable, ConnectionLimits, Cut
 from daleroad.dispatch import ClientRequest, Whole
 from daleroad.forwarding import Outcome
-from daleroad.httpconnections import READ_AHEAD_BYTES
 from daleroad.routing import RequestLimits
 from tests.test_clientconnections import Answer, Client, ConnectionCase, make_request, serve_path
 
