--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -247,11 +247,11 @@
     """A coordinator, a gateway and an upstream, with the limits of small VMs.
 
     :param folder: where settings and logs are kept.
-    :param network: begins their addresses.
+    :param network: begins their addresses; others in other processes, which may run beside.
     """
 
     folder: Path
-    network: str = "127.9"
+    network: str = field(default_factory=lambda: f"127.{32 + os.getpid() % 200}")
     running: dict[str, subprocess.Popen] = field(default_factory=dict)
     ledger: Ledger = field(default_factory=Ledger)
     upstream: Upstream = field(init=False)
