Keep no answer for a client that reads it byte by byte for as long as it likes

A client that names a deadline of years and reads a byte now and then kept an answer of up to 16 MB in memory, and what it held was not seen as stalled.

--- a/tests/test_ordinaryclients.py
+++ b/tests/test_ordinaryclients.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from unittest.mock import patch
 
 import anyio
 
@@ -212,6 +213,26 @@
         self.serve_beside(self.answer_by_path, make_request("/large"), 12)
         self.assertEqual(set(self.clients.cuts), {Cut.STALLED})
 
+    def test_answer_read_byte_by_byte_is_not_kept_for_as_long_as_its_client_likes(self) -> None:
+        self.gateway.table.longest_timeout = 0.2
+        size = 200 * 1024
+
+        async def serve(job: ClientRequest) -> Outcome:
+            return Whole(200, (), bytes(40 * size))
+
+        async def body(client: Client) -> None:
+            with patch("clientface._SLOWEST_READ_RATE", 40.0 * size):
+                deadline = "X-Daleroad-Deadline-Ms: 999999999"
+                await client.stream.send(make_request("/x", deadline))
+                with suppress(anyio.EndOfStream, anyio.BrokenResourceError), anyio.fail_after(10):
+                    while True:
+                        await client.stream.receive(1)
+                        await anyio.sleep(0.1)
+                        if not self.gateway.open_requests:
+                            break
+
+        self.talk(serve, body)
+
     def test_idle_connections_make_place(self) -> None:
         self.serve_beside(serve_path, b"", 8)
         self.assertEqual(set(self.clients.cuts), {Cut.PLACE})
