--- a/src/daleroad/clientstream.py
+++ b/src/daleroad/clientstream.py
@@ -11,6 +11,8 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
+from anyio.lowlevel import checkpoint_if_cancelled
+
 from daleroad.listeners import KERNEL_FACTOR, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES
 
 READ_AHEAD_BYTES = 65_536
@@ -119,6 +121,7 @@
         while not self._ahead:
             self._arrived.clear()
             await self._arrived.wait()
+            await checkpoint_if_cancelled()
         data = bytes(self._ahead)
         self._ahead.clear()
         if self._paused and self._transport is not None:
@@ -134,6 +137,7 @@
         for start in range(0, len(data), WRITE_AHEAD_BYTES):
             self.write(data[start : start + WRITE_AHEAD_BYTES])
             await self._writable.wait()
+            await checkpoint_if_cancelled()
 
     def write(self, data: bytes) -> None:
         """Send a few bytes without waiting.
--- a/src/daleroad/http1protocol.py
+++ b/src/daleroad/http1protocol.py
@@ -1,10 +1,10 @@
 """The server library's HTTP/1.1 protocol without its ways into other protocols."""
 
 import asyncio
-from collections import deque
 from typing import Any
 
 import h11
+from anyio.lowlevel import checkpoint_if_cancelled
 from hypercorn.config import Config
 from hypercorn.protocol.events import Request as RequestEvent
 from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
@@ -22,6 +22,13 @@
 )
 
 
+BODY_AHEAD_BYTES = 65_536
+"""Bytes of a body that wait for the application; one more part may exceed it."""
+
+_TURN_EVENTS = 64
+"""Parts of a body that are parsed before other connections have a turn."""
+
+
 class RefusedError(Exception):
     """A connection ends before a request of it is served.
 
@@ -42,7 +49,6 @@
     head_timeout = 10.0
     ssl_handshake_timeout = 10.0
     alpn_protocols = ["http/1.1"]
-    max_app_queue_size = 2
 
 
 class Http1Protocol(H11Protocol):
@@ -94,20 +100,27 @@
 class RequestEvents:
     """The ASGI events of one request, on their way from the protocol to the application.
 
-    :param size: events that wait at most.
-    :ivar waiting_bytes: bytes of bodies that wait.
-    :ivar taken_bytes: bytes of bodies that the application has taken.
+    Parts of the body that wait are joined: a client may send it byte by byte.
+
+    :ivar is_complete: whether the request has come to its end.
+    :ivar waiting_bytes: bytes of the body that wait.
+    :ivar taken_bytes: bytes of the body that the application has taken.
     """
 
-    def __init__(self, size: int) -> None:
-        self._size = size
-        self._events: deque[dict[str, Any]] = deque()
+    def __init__(self) -> None:
+        self._body = bytearray()
         self._changed = asyncio.Event()
+        self._puts = 0
+        self._end_taken = False
         self._closed = False
         self.is_complete = False
-        self.waiting_bytes = 0
         self.taken_bytes = 0
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes of the body that wait."""
+        return len(self._body)
+
     async def put(self, event: dict[str, Any]) -> None:
         """Add an event once there is room, or drop it if the application has ended.
 
@@ -116,35 +129,37 @@
         if event["type"] == "http.disconnect":
             self.close()
             return
-        while len(self._events) >= self._size and not self._closed:
+        self._puts += 1
+        if self._puts % _TURN_EVENTS == 0:
+            await asyncio.sleep(0)
+        while len(self._body) >= BODY_AHEAD_BYTES and not self._closed:
             await self._wait()
         if self._closed:
             return
-        self._events.append(event)
-        self.waiting_bytes += len(event["body"])
+        self._body += event["body"]
         self.is_complete = not event["more_body"]
-        self._notify()
+        self._changed.set()
 
     async def get(self) -> dict[str, Any]:
         """Return the next event; behind the last it is always a disconnect."""
-        while not self._events and not self._closed:
+        while not self._body and not self._closed and (self._end_taken or not self.is_complete):
             await self._wait()
-        if not self._events:
+        if not self._body and (self._end_taken or not self.is_complete):
             return {"type": "http.disconnect"}
-        event = self._events.popleft()
-        self.waiting_bytes -= len(event["body"])
-        self.taken_bytes += len(event["body"])
-        self._notify()
-        return event
+        body = bytes(self._body)
+        self._body.clear()
+        self._end_taken = self.is_complete
+        self.taken_bytes += len(body)
+        self._changed.set()
+        return {"type": "http.request", "body": body, "more_body": not self.is_complete}
 
     def close(self) -> None:
         """Add no more events; the application still gets those that wait."""
         self._closed = True
-        self._notify()
+        self._changed.set()
 
     async def _wait(self) -> None:
         self._changed.clear()
         await self._changed.wait()
-
-    def _notify(self) -> None:
-        self._changed.set()
+        # Tasks that wake each other up leave no moment in which a time limit could end one.
+        await checkpoint_if_cancelled()
--- a/src/daleroad/httpconnections.py
+++ b/src/daleroad/httpconnections.py
@@ -145,13 +145,14 @@
         self._field_bytes = sum(
             FIELD_BYTES + len(name) + len(value) for name, value in scope["headers"]
         )
-        self._events = events = RequestEvents(config.max_app_queue_size)
+        self._events = events = RequestEvents()
         self._note_state()
         self._tasks.start_soon(self._run_app, app, scope, events, send)
 
         async def put(event: dict[str, Any]) -> None:
             await events.put(event)
-            self._note_state()
+            if not event.get("more_body", False):
+                self._note_state()
 
         return put
 
