Count what an application holds of an answer that is not read

What callers saw: nothing yet; found by reading the change again. A coordinator, a router or the metrics hand their answer to the connection whole. It counted 64 KiB of it and what the kernel held, not the rest, so clients that leave large answers unread could hold the rest of each beside the bound. The gateways' client port hands out 64,000 bytes at a time, counted by HeldBytes, and is not concerned.

One may exceed the bound, and the sockets take a part of each.

--- a/src/daleroad/clientstream.py
+++ b/src/daleroad/clientstream.py
@@ -63,6 +63,7 @@
         self._writable.set()
         self._lost = asyncio.Event()
         self.has_left = False
+        self._unsent = 0
         self.sent_at = self.read_at = self._loop.time()
         self.unread = 0
 
@@ -104,7 +105,7 @@
     def held(self) -> int:
         """Bytes held for the connection, here and in the kernel."""
         kernel = _KERNEL_RECEIVE_BYTES if self._paused else 0
-        return len(self._ahead) + kernel + self.unread
+        return len(self._ahead) + kernel + self._unsent + self.unread
 
     @property
     def has_arrived(self) -> bool:
@@ -134,10 +135,15 @@
 
         :param data: the bytes.
         """
-        for start in range(0, len(data), WRITE_AHEAD_BYTES):
-            self.write(data[start : start + WRITE_AHEAD_BYTES])
-            await self._writable.wait()
-            await checkpoint_if_cancelled()
+        try:
+            for start in range(0, len(data), WRITE_AHEAD_BYTES):
+                part = data[start : start + WRITE_AHEAD_BYTES]
+                self._unsent = len(data) - start - len(part)
+                self.write(part)
+                await self._writable.wait()
+                await checkpoint_if_cancelled()
+        finally:
+            self._unsent = 0
 
     def write(self, data: bytes) -> None:
         """Send a few bytes without waiting.
--- a/tests/test_ordinaryclients.py
+++ b/tests/test_ordinaryclients.py
@@ -14,12 +14,14 @@
 from daleroad.dispatch import ClientRequest, Whole
 from daleroad.forwarding import Outcome
 from daleroad.routing import RequestLimits
+from daleroad.serving import Request, Response, Router
 from tests.test_clientconnections import Answer, Client, ConnectionCase, make_request, serve_path
 
 LIMITS = RequestLimits()
 IDLE_SECONDS = 2.0
 LARGE_ANSWER = bytes(range(256)) * (LIMITS.body_bytes // 256)
 MANY = 3000
+SOCKET_BYTES = 512_000
 
 
 async def echo(job: ClientRequest) -> Outcome:
@@ -244,5 +246,33 @@
         self.assertLessEqual(set(self.clients.cuts), {Cut.STALLED})
 
 
+class HeldAnswerTest(LimitsCase):
+    """Answers that an application holds whole while their clients do not read them."""
+
+    COUNT = 20
+
+    def test_whole_answers_left_unread_are_counted_and_bounded(self) -> None:
+        router = Router(1000)
+
+        async def serve(request: Request) -> Response:
+            return Response(200, bytes(LIMITS.body_bytes // 2))
+
+        async def body(port: int) -> None:
+            crowd = [await anyio.connect_tcp("127.0.0.1", port) for _ in range(self.COUNT)]
+            for stream in crowd:
+                await stream.send(make_request("/x"))
+            await anyio.sleep(0.5)
+            # The sockets of both ends take a part of each, and one connection may exceed the bound.
+            size = LIMITS.body_bytes // 2 - SOCKET_BYTES
+            self.assertLessEqual(len(self.clients) - 1, self.clients.limits.held_bytes // size)
+            for stream in crowd:
+                await anyio.aclose_forcefully(stream)
+
+        router.add("*", "/x", serve)
+        self.clients.limits = ConnectionLimits(2 * self.COUNT, 4_000_000)
+        self.play(router, body)
+        self.assertEqual(set(self.clients.cuts), {Cut.HELD_BYTES})
+
+
 if __name__ == "__main__":
     unittest.main()
