Cut clients that stalled before those that read

What callers would see: when connections hold too many bytes, the largest of an address was cut, also one whose client was reading its answer, while others beside it had stalled with nearly as much.

Cause: the table compared bytes only, and estimates were corrected for one of the two reasons to cut.

--- a/src/daleroad/clienttable.py
+++ b/src/daleroad/clienttable.py
@@ -36,6 +36,11 @@
 """A client that lets the process wait for so long may be cut to make room for others' requests."""
 
 
+STALLED_SHARE = 0.5
+"""A client that stalled is cut before others if it holds so large a part of the most that one
+connection holds; cutting it frees little otherwise."""
+
+
 class Stage(IntEnum):
     """What is under way on a connection, in the order in which connections are cut."""
 
@@ -207,6 +212,7 @@
 
         :param now: the time.
         """
+        self.measure()
         stalled = (
             (c.waits_since, number, c)
             for number, c in enumerate(self._connections)
@@ -224,12 +230,23 @@
             self.cut(found, Cut.HELD_BYTES)
 
     def _find_holder(self) -> ClientConnection | None:
-        """Return the connection to cut for what it holds, or None if all may stay."""
+        """Return the connection to cut for what it holds, or None if all may stay.
+
+        What an answer cost is lost to a client that does not read before one that does.
+        """
         largest = max((c.held for c in self._connections), default=0)
         if self.held - largest <= self.limits.held_bytes:
             return None
         totals = self._sum_by_address()
-        return max(self._connections, key=lambda c: (totals[c.address], c.held, -c.active_at))
+        newest = max(c.active_at for c in self._connections)
+
+        def rank(connection: ClientConnection) -> tuple[int, bool, int]:
+            progress_at = connection.waits_since or connection.active_at
+            stalled = newest - progress_at >= STALLED_SECONDS
+            is_large = connection.held >= STALLED_SHARE * largest
+            return totals[connection.address], stalled and is_large, connection.held
+
+        return max(self._connections, key=rank)
 
     def _sum_by_address(self) -> Counter[str]:
         totals: Counter[str] = Counter()
--- a/tests/test_clienttable.py
+++ b/tests/test_clienttable.py
@@ -88,6 +88,31 @@
         self.assertEqual(self.cut, [(crowd[0], Cut.HELD_BYTES)])
         self.assertEqual(self.table.held, HELD - 1 + HELD // 2)
 
+    def test_client_that_reads_is_cut_after_those_that_stalled(self) -> None:
+        reading = self.add(stage=Stage.SERVING, at=9.0, held=HELD)
+        reading.waits_since = 9.0
+        stalled = self.add(stage=Stage.SERVING, at=8.0, held=HELD // 2)
+        stalled.waits_since = 8.0
+        self.add(stage=Stage.RECEIVING, at=9.2, held=HELD * 3 // 4)
+        self.assertEqual(self.cut, [(stalled, Cut.HELD_BYTES)])
+
+    def test_client_that_stalled_and_holds_little_is_not_cut_for_a_large_one(self) -> None:
+        small = self.add(stage=Stage.RECEIVING, at=1.0, held=HELD // 10)
+        small.waits_since = 1.0
+        large = [self.add(stage=Stage.RECEIVING, at=9.0, held=HELD) for _ in range(2)]
+        self.assertEqual(self.cut, [(large[0], Cut.HELD_BYTES)])
+
+    def test_progress_is_measured_before_a_client_counts_as_stalled(self) -> None:
+        client = self.add(stage=Stage.SERVING)
+        client.waits_since = 1.0
+
+        def measure() -> None:
+            client.waits_since = 2.0
+
+        self.table.measure = measure
+        self.assertFalse(self.table.cut_stalled(2.0 + STALLED_SECONDS / 2))
+        self.assertTrue(self.table.cut_stalled(2.0 + STALLED_SECONDS))
+
     def test_estimates_are_corrected_before_anything_is_cut(self) -> None:
         first, second = self.add(held=HELD - 1), self.add(held=HELD - 1)
 
