Accept and wait by anyio; count heads that are incomplete

The house style wants anyio: listeners are tasks that wait until theirs is readable, events are those of anyio. Only the stream keeps a protocol of asyncio, and says why. The half-close is skipped where TLS has none instead of passing over its error. No change of behaviour, but one: the part of a head that waits in the parser counts as held (16 KB a connection at most; it was counted only while it was parsed).

--- a/src/daleroad/clientstream.py
+++ b/src/daleroad/clientstream.py
@@ -1,4 +1,7 @@
-"""The bytes of a client's connection: read ahead and left unread within bounds."""
+"""The bytes of a client's connection: read ahead and left unread within bounds.
+
+A protocol of asyncio, as the streams of anyio don't tell how much was read ahead and is unsent.
+"""
 
 import asyncio
 import fcntl
@@ -178,8 +181,10 @@
         """Receive no more, and close once the client has what was sent."""
         self._leave()
         if self._transport is not None and not self._transport.is_closing():
-            with suppress(OSError, NotImplementedError, RuntimeError):
-                self._transport.write_eof()
+            # TLS has no half-close; the client may have gone meanwhile.
+            if self._transport.can_write_eof():
+                with suppress(OSError):
+                    self._transport.write_eof()
             self._transport.close()
 
     def abort(self) -> None:
--- a/src/daleroad/http1protocol.py
+++ b/src/daleroad/http1protocol.py
@@ -1,10 +1,10 @@
 """The server library's HTTP/1.1 protocol without its ways into other protocols."""
 
-import asyncio
 from typing import Any
 
+import anyio
 import h11
-from anyio.lowlevel import checkpoint_if_cancelled
+from anyio.lowlevel import checkpoint, checkpoint_if_cancelled
 from hypercorn.config import Config
 from hypercorn.protocol.events import Request as RequestEvent
 from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
@@ -109,7 +109,7 @@
 
     def __init__(self) -> None:
         self._body = bytearray()
-        self._changed = asyncio.Event()
+        self._changed = anyio.Event()
         self._puts = 0
         self._end_taken = False
         self._closed = False
@@ -131,7 +131,7 @@
             return
         self._puts += 1
         if self._puts % _TURN_EVENTS == 0:
-            await asyncio.sleep(0)
+            await checkpoint()
         while len(self._body) >= BODY_AHEAD_BYTES and not self._closed:
             await self._wait()
         if self._closed:
@@ -159,7 +159,8 @@
         self._changed.set()
 
     async def _wait(self) -> None:
-        self._changed.clear()
+        if self._changed.is_set():
+            self._changed = anyio.Event()
         await self._changed.wait()
-        # Tasks that wake each other up leave no moment in which a time limit could end one.
+        # Two tasks that wake each other up are never idle, so a deadline would end neither.
         await checkpoint_if_cancelled()
--- a/src/daleroad/httpconnections.py
+++ b/src/daleroad/httpconnections.py
@@ -4,7 +4,6 @@
 holds and for what it waits is told to the process's table, and ends with the connection.
 """
 
-import asyncio
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
@@ -63,7 +62,6 @@
     def __init__(self, context: HttpContext, record: ClientConnection) -> None:
         self._context = context
         self._record = record
-        self._loop = asyncio.get_running_loop()
         self._stream = ClientStream(StreamEvents(self._handle_change, self._handle_left))
         self._http: Http1Protocol | None = None
         self._tasks: TaskGroup | None = None
@@ -74,7 +72,7 @@
         self._counts_bodies = False
         self._field_bytes = 0
         self._parsing = 0
-        self._idle_since = self._loop.time()
+        self._idle_since = anyio.current_time()
         self._head_since: float | None = None
         record.cut = self._cut
 
@@ -127,9 +125,10 @@
                 data = await self._stream.receive()
                 self._parsing = len(data)
                 await http.handle(RawData(data))
-                self._parsing = 0
-                if not self._serving and http.connection.trailing_data[0]:
-                    self._head_since = self._head_since or self._loop.time()
+                rest = b"" if self._serving else http.connection.trailing_data[0]
+                self._parsing = len(rest)
+                if rest and self._head_since is None:
+                    self._head_since = anyio.current_time()
                 self._note_state()
         except RefusedError as error:
             self._stream.write(error.answer)
@@ -178,7 +177,7 @@
             case Updated(idle=idle):
                 self._serving = not idle
                 self._head_since = None
-                self._idle_since = self._loop.time()
+                self._idle_since = anyio.current_time()
                 if idle:
                     self._events = None
                     self._field_bytes = 0
--- a/src/daleroad/httpserver.py
+++ b/src/daleroad/httpserver.py
@@ -57,7 +57,7 @@
             def serve(client: socket.socket, record: ClientConnection) -> None:
                 self._start(tasks, client, record)
 
-            with Acceptor(listeners, self._table, serve).accept():
+            async with Acceptor(self._table, serve).accept(listeners):
                 await wait_stop()
             await self._end()
             tasks.cancel_scope.cancel()
--- a/src/daleroad/listeners.py
+++ b/src/daleroad/listeners.py
@@ -1,11 +1,12 @@
 """Accepts the connections of every listener of a process, within the limits of its table."""
 
-import asyncio
 import errno
 import resource
 import socket
-from collections.abc import Callable, Iterable, Iterator
-from contextlib import contextmanager, suppress
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager, suppress
+
+import anyio
 
 from daleroad.clienttable import ClientConnection, ClientTable
 from daleroad.events import Event, log_event
@@ -53,64 +54,58 @@
 class Acceptor:
     """Accepts the connections of some listeners.
 
-    :param listeners: listening sockets; closed at the end.
     :param table: admits the connections.
     :param serve: starts to serve an admitted connection, and removes it from the table at its end.
     """
 
-    def __init__(
-        self, listeners: Iterable[socket.socket], table: ClientTable, serve: Serve
-    ) -> None:
-        self._loop = asyncio.get_running_loop()
-        self._listeners = list(listeners)
+    def __init__(self, table: ClientTable, serve: Serve) -> None:
         self._table = table
         self._serve = serve
 
-    @contextmanager
-    def accept(self) -> Iterator[None]:
-        """Accept connections until the block ends."""
-        for listener in self._listeners:
-            bound_buffers(listener)
-            listener.setblocking(False)
-            self._resume(listener)
+    @asynccontextmanager
+    async def accept(self, listeners: Sequence[socket.socket]) -> AsyncIterator[None]:
+        """Accept connections until the block ends.
+
+        :param listeners: listening sockets; closed at the end.
+        """
         try:
-            yield
+            async with anyio.create_task_group() as tasks:
+                for listener in listeners:
+                    bound_buffers(listener)
+                    listener.setblocking(False)
+                    tasks.start_soon(self._run, listener)
+                yield
+                tasks.cancel_scope.cancel()
         finally:
-            for listener in self._listeners:
-                self._loop.remove_reader(listener)
+            for listener in listeners:
                 listener.close()
 
-    def _resume(self, listener: socket.socket) -> None:
-        # It may have been closed during a pause.
-        if listener.fileno() >= 0:
-            self._loop.add_reader(listener, self._accept_batch, listener)
+    async def _run(self, listener: socket.socket) -> None:
+        while True:
+            await anyio.wait_readable(listener)
+            try:
+                self._accept_batch(listener)
+            except OSError as error:
+                if error.errno in _EXHAUSTED:
+                    log_event(Event.ACCEPT_FAILED, reason=repr(error), connections=len(self._table))
+                    self._table.cut_for_place()
+                    await anyio.sleep(_PAUSE_SECONDS)
+                # Others are errors of the network that were pending on a connection (accept(2)).
 
     def _accept_batch(self, listener: socket.socket) -> None:
         for _ in range(_ACCEPT_BATCH):
             try:
                 client, address = listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as error:
-                self._handle_error(listener, error)
+            except BlockingIOError:
                 return
             client.setblocking(False)
             self._admit(client, str(address[0]))
 
     def _admit(self, client: socket.socket, address: str) -> None:
-        connection = ClientConnection(address, self._loop.time())
+        connection = ClientConnection(address, anyio.current_time())
         if self._table.admit(connection):
             self._serve(client, connection)
             return
         log_event(Event.CONNECTION_REFUSED, address=address, connections=len(self._table))
         with client, suppress(OSError):
             client.send(_REFUSAL)
-
-    def _handle_error(self, listener: socket.socket, error: OSError) -> None:
-        if error.errno not in _EXHAUSTED:
-            # Errors of the network that were pending on the new connection (accept(2)).
-            return
-        log_event(Event.ACCEPT_FAILED, reason=repr(error), connections=len(self._table))
-        self._table.cut_for_place()
-        self._loop.remove_reader(listener)
-        self._loop.call_later(_PAUSE_SECONDS, self._resume, listener)
--- a/src/daleroad/tunnelserver.py
+++ b/src/daleroad/tunnelserver.py
@@ -90,7 +90,7 @@
             def serve(client: socket.socket, connection: ClientConnection) -> None:
                 tasks.start_soon(self._serve, client, connection)
 
-            with Acceptor([listener], self._clients, serve).accept():
+            async with Acceptor(self._clients, serve).accept([listener]):
                 await anyio.sleep_forever()
 
     async def _serve(self, client: socket.socket, connection: ClientConnection) -> None:
--- a/tests/test_http1protocol.py
+++ b/tests/test_http1protocol.py
@@ -12,7 +12,7 @@
 
 
 class RequestEventsTest(unittest.TestCase):
-    def test_time_limit_ends_reading_a_body_that_keeps_coming(self) -> None:
+    def test_deadline_ends_reading_a_body_that_keeps_coming(self) -> None:
         events = RequestEvents()
         taken = 0
 
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -43,7 +43,7 @@
         found: list[bytes] = []
 
         async def main() -> None:
-            with Acceptor([self.listener], self.table, self.serve).accept():
+            async with Acceptor(self.table, self.serve).accept([self.listener]):
                 for _ in range(count):
                     async with await anyio.connect_tcp(*self.address) as stream:
                         sent = b""
