Crowds: connections and their bytes are back some seconds after them

The tests looked at descriptors and open requests once a crowd had gone. They now also ask the process what its clients' connections are and hold.

--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -34,6 +34,12 @@
 """Descriptors beyond those before a crowd that may be open after it: idle connections to the
 upstream, and a few more."""
 
+OWN_CONNECTIONS = 10
+"""Connections that the site's own processes, its upstream and this test may have to a process."""
+
+OWN_BYTES = 10_000
+"""What each of these may hold; their requests are small."""
+
 UNLIMITED_BYTES = 128_000_000
 """What clients may add to a process whose settings state no memory limit."""
 
@@ -82,17 +88,21 @@
         self.assertLessEqual(usage.memory, MEMORY_MB * 1_000_000)
         self.assertLessEqual(usage.descriptors, DESCRIPTORS)
         self.assertLessEqual(count_descriptors(process.pid), before + SPARE_DESCRIPTORS)
-        self.assertEqual(await self.count_open_requests(), 0)
+        self.assertEqual(await self.read_gauge("gateway", "daleroad_open_requests"), 0)
+        own = await self.read_gauge(listener.process, "daleroad_client_connections")
+        self.assertLessEqual(own, OWN_CONNECTIONS)
+        held = await self.read_gauge(listener.process, "daleroad_client_bytes")
+        self.assertLessEqual(held, OWN_CONNECTIONS * OWN_BYTES)
         allowed = LINES_BURST + LINES_SECOND * (anyio.current_time() - begun + 1)
         for source, count in self.site.count_lines(listener.process).items():
             self.assertLessEqual(count, allowed, source)
 
-    async def count_open_requests(self) -> float:
-        """Return how many requests are open at the gateway."""
-        address = self.site.list_listeners()["gateway-metrics"].address
+    async def read_gauge(self, process: str, name: str) -> float:
+        """Return the value of a metric of a process."""
+        address = self.site.list_listeners()[f"{process}-metrics"].address
         async with httpx.AsyncClient(timeout=10.0, trust_env=False) as client:
             text = (await client.get(f"http://{address}/metrics")).text
-        lines = (line for line in text.splitlines() if line.startswith("daleroad_open_requests "))
+        lines = (line for line in text.splitlines() if line.startswith(f"{name} "))
         return float(next(lines).split()[1])
 
 
