Refuse CONNECT on every listener before it is served

What callers saw: readiness and metrics answered CONNECT with 200 and the length of a body that never came; an error went to the log each time.

Cause: the library takes what follows a success to CONNECT for a tunnel's bytes and refuses to frame a body. Only the client port refused it. The protocol of the connection now does, for all, with 400 as there. The test of three applications got an incomplete 200 from readiness on the code before.

--- a/src/daleroad/http1protocol.py
+++ b/src/daleroad/http1protocol.py
@@ -16,11 +16,9 @@
     b"\x00\x00\x08\x07\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x0d"
 )
 
-_HEAD_REFUSAL = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
-
+_CLOSE = b"content-length: 0\r\nconnection: close\r\n\r\n"
+_HEAD_REFUSAL = b"HTTP/1.1 431 Request Header Fields Too Large\r\n" + _CLOSE
+_CONNECT_REFUSAL = b"HTTP/1.1 400 Bad Request\r\n" + _CLOSE
 
 BODY_AHEAD_BYTES = 65_536
 """Bytes of a body that wait for the application; one more part may exceed it."""
@@ -54,12 +52,14 @@
 class Http1Protocol(H11Protocol):
     """The HTTP/1.1 protocol of one connection.
 
-    Other protocols, and heads above the limit, raise :class:`RefusedError`.
+    Other protocols, tunnels, and heads above the limit raise :class:`RefusedError`.
     """
 
     async def _check_protocol(self, event: h11.Request) -> None:
         if event.method == b"PRI" and event.http_version == b"2.0":
             raise RefusedError(_HTTP2_REFUSAL)
+        if event.method == b"CONNECT":
+            raise RefusedError(_CONNECT_REFUSAL)
         # The parser checks the size of incomplete heads only.
         if _measure_head(event) > self.config.h11_max_incomplete_size:
             raise RefusedError(_HEAD_REFUSAL)
--- a/tests/test_clientconnections.py
+++ b/tests/test_clientconnections.py
@@ -469,6 +469,23 @@
         answers = [event for event in events if isinstance(event, h2.events.ResponseReceived)]
         self.assertEqual(answers, [])
 
+    def test_request_for_a_tunnel_is_refused_on_any_listener(self) -> None:
+        """The library would take the rest of the connection for the tunnel's bytes."""
+        for app in (self.make_app(serve_path), ReadinessApp(self.gateway), Router(BODY_LIMIT)):
+            found: list[Answer | None] = []
+
+            async def body(port: int, found: list[Answer | None] = found) -> None:
+                async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                    client = Client(stream)
+                    await stream.send(b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n")
+                    found.append(await client.read())
+                    found.append(await client.read())
+
+            self.play(app, body)
+            assert found[0] is not None
+            self.assertEqual((found[0].status, found[0].whole, found[1]), (400, True, None))
+        self.assertEqual(self.jobs, [])
+
     def test_request_to_upgrade_is_served_in_http1(self) -> None:
         """As if it had not asked (RFC 9110, 7.8)."""
         websocket = ("Connection: Upgrade", "Upgrade: websocket", "Sec-WebSocket-Version: 13")
