--- a/src/daleroad/listeners.py
+++ b/src/daleroad/listeners.py
@@ -20,7 +20,7 @@
 KERNEL_FACTOR = 2
 """The kernel takes up to so many times the size of a buffer for it."""
 
-_ACCEPT_BATCH = 64
+_ACCEPT_BATCH = 8
 """Connections accepted before other tasks have a turn."""
 
 _PAUSE_SECONDS = 0.2
