Refuse configurations that can't be applied as they stand

Callers saw 503, 413 or 404 for all requests of an organisation or route under a configuration that had been acknowledged: an organisation's name that can't be a header's value, a host, prefix or key that no request can carry, limits of 0, a timeout below the resolution of the header that tells it, two services of one name. Others were applied as something else: 0 attempts as 1, 24.7 slots as 24, a service with TLS was called in the clear.

Validation has a module of its own and checks each field by how it is applied. Stored documents are read as before, also those that would be refused now, so nothing that was acknowledged goes out of force with an upgrade. Left as they are: names outside ASCII (sent as UTF-8), two organisations of one name (each key counts), a body limit of 0 (requests without a body are served).

tests/test_configurations.py sends each value to a coordinator and, if it is acknowledged, a request of that configuration through a gateway to an upstream.

--- a/src/daleroad/routing.py
+++ b/src/daleroad/routing.py
@@ -1,4 +1,4 @@
-"""Routing configuration of a gateway, its validation, and the table that matches requests.
+"""Routing configuration of a gateway, and the table that matches requests.
 
 A configuration is replaced as a whole, under a higher version. The table finds a request's route,
 the organisation that sent it and the service that receives it.
@@ -6,8 +6,6 @@
 Does no I/O.
 """
 
-from collections import Counter
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -172,45 +170,6 @@
         return self.organisations is not None and not route.public
 
 
-def validate_config(config: RoutingConfig) -> Failure | None:
-    """Return the first reason why a configuration is invalid, or nothing.
-
-    :param config: the configuration.
-    """
-    reason = next(_list_errors(config), None)
-    return Failure(FailureKind.INVALID, reason) if reason else None
-
-
-def _list_errors(config: RoutingConfig) -> Iterator[str]:
-    services = {service.name for service in config.services}
-    route_counts = Counter(route.get_location() for route in config.routes)
-    for route in config.routes:
-        if not route.prefix.startswith("/") or not route.prefix.endswith("/"):
-            yield f"route {route.name}: prefix {route.prefix!r} must start and end with a slash"
-        if route_counts[route.get_location()] > 1:
-            yield (
-                f"route {route.name}: another route has the same host and prefix, "
-                f"{route.host}{route.prefix}"
-            )
-        if route.timeout <= 0:
-            yield f"route {route.name}: the timeout must be above 0"
-        if any(target.weight < 0 for target in route.targets):
-            yield f"route {route.name}: a target has a negative weight"
-        if sum(target.weight for target in route.targets) <= 0:
-            yield f"route {route.name}: the sum of the target weights must be above 0"
-        for target in route.targets:
-            if target.service not in services:
-                yield f"route {route.name}: unknown service {target.service}"
-    organisations = config.organisations or ()
-    key_counts = Counter(key for org in organisations for key in set(org.keys))
-    for organisation in organisations:
-        if any(key_counts[key] > 1 for key in organisation.keys):
-            yield (
-                f"organisation {organisation.name}: one of its keys belongs to another "
-                "organisation too"
-            )
-
-
 @dataclass
 class RoutingTable:
     """Indexes one configuration by host, prefix and API key.
--- a/src/daleroad/siteclient.py
+++ b/src/daleroad/siteclient.py
@@ -25,8 +25,9 @@
 from daleroad.evacuations import ZoneOrder, ZoneOutcome
 from daleroad.notices import ReadAnswer, SaveAnswer, SaveRequest
 from daleroad.raftnode import RaftNode
-from daleroad.routing import RoutingConfig, validate_config
+from daleroad.routing import RoutingConfig
 from daleroad.sitestate import Document, SiteStateMachine
+from daleroad.validation import validate_config
 
 ConfigParser = Callable[[bytes], RoutingConfig | Failure]
 
--- /dev/null
+++ b/tests/test_configurations.py
@@ -0,0 +1,257 @@
+"""Tests, through the processes, that what a configuration says is applied or refused."""
+
+import sys
+import tempfile
+import unittest
+from copy import deepcopy
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import anyio
+import httpx
+import orjson
+
+from daleroad.errors import Failure
+from daleroad.routing import RouteRule, RoutingConfig, RoutingTable
+from tests.crowds import ROOT, AnsweringUpstream, CrowdSite
+from tools.soakstutter import StutteringStream
+from tools.soakupstreams import UpstreamRequest
+
+sys.path.insert(0, str(ROOT / "platform"))
+
+import wire  # noqa: E402
+
+IN_FORCE_SECONDS = 5.0
+
+ROUTE: dict[str, Any] = {
+    "name": "r",
+    "host": "site.example",
+    "path_prefix": "/a/",
+    "route_kind": "idempotent",
+    "service": "s",
+    "timeout_ms": 20_000,
+    "max_attempts": 2,
+}
+ENGINE: dict[str, Any] = {"slots": 24, "kv_capacity_tokens": 34_305, "stride": 4}
+CONFIG: dict[str, Any] = {
+    "version": 1,
+    "routes": [ROUTE],
+    "services": [
+        {"name": "s", "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": False},
+        {"name": "e", "max_conns": 110, "engine": ENGINE},
+    ],
+    "limits": {"max_header_bytes": 16_384, "max_body_bytes": 4_194_304},
+    "tenants": [{"name": "org", "api_keys": ["key"]}],
+}
+
+REFUSED: dict[str, tuple[Any, ...]] = {
+    "tenants.0.name": ("a\r\nb: c", "a\0", "a\t", " a", "a ", ""),
+    "tenants.0.api_keys.0": ("", " key", "key ", "a key", "ключ", "k\r\n", "k\0"),
+    "routes.0.host": (" site.example", "site.example ", "sité.example", "a b", "a\r\nb", "a\0"),
+    "routes.0.path_prefix": ("/é/", "/a b/", "/a?b/", "/a#b/", "/a\r\n/", "a/", "/a", ""),
+    "routes.0.timeout_ms": (0, -1, 1e-7, 0.999, None, "20", True),
+    "routes.0.max_attempts": (0, -1, 1.5, None, "2", True),
+    "routes.0.target_latency_ms": (-1,),
+    "routes.0.target_itl_ms": (-1,),
+    "routes.0.priority": (1.5,),
+    "services.0.name": ("", "s" * 257),
+    "services.0.health_path": ("", "healthz", "/a\r\nb: c", "/ä"),
+    "services.0.max_conns": (-1, 1.5),
+    "services.0.cold_per_s": (-1, "", [], False),
+    "services.0.protocol": ("h2", "", 1),
+    "services.0.tls": (True, "no"),
+    "services.1.name": ("s",),
+    "services.1.engine.slots": (0, -1, 24.5),
+    "services.1.engine.kv_capacity_tokens": (0, -1),
+    "services.1.engine.stride": (0, -1, 1.5),
+    "services.1.engine.kv_token_bytes": (-1,),
+    "limits.max_header_bytes": (0, -1, 1.5),
+    "limits.max_body_bytes": (-1, 0.5),
+    "limits.header_timeout_ms": (0, -1, 0.5),
+    "limits.idle_timeout_ms": (0, -1, 0.5),
+    "version": (0, -1, "1", True, 2**60),
+}
+"""Values that can't be applied as they stand."""
+
+ACCEPTED: dict[str, tuple[Any, ...]] = {
+    "tenants.0.name": ("an org", "Übersee", "組織", "a" * 1000),
+    "tenants.0.api_keys.0": ("a:b/c+d=", "k" * 200),
+    "routes.0.host": ("Site.Example", "site.example:8740", "[::1]", "site.example."),
+    "routes.0.path_prefix": ("/", "/a%20b/", "/a/b/", "//"),
+    "routes.0.timeout_ms": (20_000.5,),
+    "routes.0.max_attempts": (1, 2.0),
+    "routes.0.priority": (0, None.__class__),
+    "services.0.cold_per_s": (0, None, 100.5),
+    "services.0.tls": (None,),
+    "services.0.protocol": (None,),
+    "limits.max_body_bytes": (0, 1),
+}
+"""Values that are applied; a class stands for a field that is left out."""
+
+
+def change_config(place: str, value: object) -> dict[str, Any]:
+    """Return the configuration with another value in one place, or without that place."""
+    config = deepcopy(CONFIG)
+    *path, last = (int(part) if part.isdigit() else part for part in place.split("."))
+    holder: Any = config
+    for part in path:
+        holder = holder[part]
+    if isinstance(value, type):
+        holder.pop(last, None)
+    else:
+        holder[last] = value
+    return config
+
+
+def list_cases(values: dict[str, tuple[Any, ...]]) -> list[tuple[str, Any]]:
+    return [(place, value) for place, found in values.items() for value in found]
+
+
+class RecordingUpstream(AnsweringUpstream):
+    """Keeps the headers of the last request that it answered."""
+
+    last: dict[str, str]
+
+    async def _answer(self, stream: StutteringStream, asked: UpstreamRequest) -> None:
+        self.last = asked.headers
+        await super()._answer(stream, asked)
+
+
+@dataclass
+class ConfiguredSite(CrowdSite):
+    """A coordinator, a gateway and an upstream, with configurations that the test saves."""
+
+    version: int = 0
+    recording: RecordingUpstream = field(init=False)
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        control = self.list_listeners()["control"].address
+        self.upstream = self.recording = RecordingUpstream(
+            0, self.ledger, Random(0), [control], self.network, linked=False
+        )
+
+    async def _configure(self, client: httpx.AsyncClient) -> None:
+        await super()._configure(client)
+        self.version = 1
+
+    async def save(self, config: dict[str, Any]) -> int:
+        """Save a configuration under the next version, unless it has one; return the status."""
+        if config["version"] is CONFIG["version"]:
+            self.version += 1
+            config = config | {"version": self.version}
+        return await self.save_text(orjson.dumps(config))
+
+    async def save_text(self, document: bytes) -> int:
+        control = self.list_listeners()["control"].address
+        async with httpx.AsyncClient(trust_env=False, timeout=10.0) as client:
+            answer = await client.put(f"http://{control}/-/config", content=document)
+        return answer.status_code
+
+    async def wait_in_force(self, version: int) -> None:
+        address = self.list_listeners()["gateway-metrics"].address
+        with anyio.fail_after(IN_FORCE_SECONDS):
+            async with httpx.AsyncClient(trust_env=False) as client:
+                wanted = f"daleroad_config_version {version:g}\n"
+                while wanted not in (await client.get(f"http://{address}/metrics")).text.replace(
+                    ".0\n", "\n"
+                ):
+                    await anyio.sleep(0.02)
+
+    async def fetch(self, config: dict[str, Any], target: str = "", host: str = "") -> int:
+        """Send the request that a configuration's first route and key allow; return the status."""
+        route = config["routes"][0]
+        key = config["tenants"][0]["api_keys"][0]
+        lines = [
+            f"GET {target or route['path_prefix'] + 'x'} HTTP/1.1",
+            f"Host: {host or route['host']}",
+            "X-Daleroad-Attempt-Id: i1",
+            f"Authorization: Bearer {key}",
+            "Connection: close",
+        ]
+        address = self.list_listeners()["clients"].address.split(":")
+        async with await anyio.connect_tcp(address[0], int(address[1])) as stream:
+            await stream.send("\r\n".join([*lines, "", ""]).encode())
+            with anyio.fail_after(10.0):
+                return int((await stream.receive()).split(b" ")[1])
+
+
+class SiteCase(unittest.TestCase):
+    """A site of real processes."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory(prefix="daleroad-config-")
+        self.addCleanup(folder.cleanup)
+        self.site = ConfiguredSite(Path(folder.name))
+        self.addCleanup(self.site.end_all)
+
+    def play(self, body: Any) -> None:
+        async def main() -> None:
+            self.site.start_all()
+            async with self.site.serve():
+                await body()
+            self.assertEqual(self.site.describe_ended(), "")
+
+        anyio.run(main)
+
+
+class ConfigurationTest(SiteCase):
+    def test_value_that_cannot_be_applied_is_refused(self) -> None:
+        """Guards against the class of review/7: acknowledged, and all requests refused."""
+
+        async def body() -> None:
+            for place, value in list_cases(REFUSED):
+                with self.subTest(f"{place} {value!r}"):
+                    self.assertEqual(await self.site.save(change_config(place, value)), 400)
+
+        self.play(body)
+
+    def test_value_that_is_acknowledged_reaches_the_upstream(self) -> None:
+        """Guards against the class of review/7: what is checked differs from what is applied."""
+
+        async def body() -> None:
+            for place, value in list_cases(ACCEPTED):
+                with self.subTest(f"{place} {value!r}"):
+                    config = change_config(place, value)
+                    self.assertEqual(await self.site.save(config), 200)
+                    await self.site.wait_in_force(self.site.version)
+                    self.assertEqual(await self.site.fetch(config), 200)
+                    sent = self.site.recording.last["x-daleroad-tenant"]
+                    self.assertEqual(sent, config["tenants"][0]["name"])
+
+        self.play(body)
+
+
+class StoredConfigurationTest(unittest.TestCase):
+    def test_value_that_an_earlier_version_accepted_is_still_applied(self) -> None:
+        """Guards against gateways that forget what earlier versions had acknowledged."""
+        for place, value in list_cases(REFUSED):
+            with self.subTest(f"{place} {value!r}"):
+                document = orjson.dumps(change_config(place, value))
+                config = wire.decode_stored_config(document)
+                if isinstance(config, Failure):
+                    # Earlier versions refused values of another type, too.
+                    self.assertIsInstance(wire.decode_config(document), Failure)
+                    continue
+                table = RoutingTable(config)
+                for route in config.routes:
+                    self.assertIsInstance(
+                        table.match(route.host, route.prefix), RouteRule | Failure
+                    )
+                for service in config.services:
+                    if service.engine is not None:
+                        self.assertGreater(service.engine.event_tokens, 0)
+
+    def test_value_that_is_accepted_means_the_same_once_it_is_stored(self) -> None:
+        for place, value in list_cases(ACCEPTED):
+            with self.subTest(f"{place} {value!r}"):
+                document = orjson.dumps(change_config(place, value))
+                config = wire.decode_config(document)
+                self.assertIsInstance(config, RoutingConfig)
+                self.assertEqual(config, wire.decode_stored_config(document))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -59,9 +59,10 @@
 from daleroad.evacuations import EvacuatedZones, ZoneOutcome  # noqa: E402
 from daleroad.fingerprints import fingerprint_job  # noqa: E402
 from daleroad.instances import Instance, InstanceState  # noqa: E402
-from daleroad.routing import Repeat, RoutingConfig, validate_config  # noqa: E402
+from daleroad.routing import Repeat, RoutingConfig  # noqa: E402
 from daleroad.sitestate import Document  # noqa: E402
 from daleroad.stalls import StallDetector  # noqa: E402
+from daleroad.validation import validate_config  # noqa: E402
 from tests.fakes import FakeDispatcher, make_gateway  # noqa: E402
 
 CONFIG = {
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -14,8 +14,8 @@
     RoutingTable,
     ServiceRule,
     Target,
-    validate_config,
 )
+from daleroad.validation import validate_config
 
 MAX_PATH_CHARACTERS = 16_000
 """About as long as the default limit of a request's header allows."""
