Acknowledge what is in force also if a new document like it is refused

And a document that a coordinator of the earlier version had accepted came in by the new leader, which decoded but did not validate what was forwarded to it.

A refused document is compared with the one in force, which a coordinator that may lag reads from the leader. The leader checks forwarded documents whole.

Both tests fail before: the first with a refusal, the second as the document is committed.

--- a/src/daleroad/coordinator.py
+++ b/src/daleroad/coordinator.py
@@ -47,6 +47,7 @@
     QueueAnswer,
     ReadAnswer,
     ReleaseRequest,
+    SaveAnswer,
     SaveRequest,
     ShareAnswer,
     ShareRequest,
@@ -145,7 +146,6 @@
         )
         self.waits = PromptWaits(self._place, self._may_place, refusals)
         self.epoch = uuid4().hex[:12]
-        self._parse = parse
         self._parse_stored = parse_stored or parse
         data_dir = Path(options.data_dir) if options.data_dir else None
         path = data_dir / f"{GROUP_NAME}.db" if data_dir else None
@@ -157,7 +157,15 @@
         self.group = RaftNode(
             GROUP_NAME, options.name, {}, self._storage, self.record, calls, random, make_url
         )
-        self.log = SiteClient(options.name, self.group, self.record, calls, parse, options.zones)
+        self.log = SiteClient(
+            options.name,
+            self.group,
+            self.record,
+            calls,
+            parse,
+            self._parse_stored,
+            options.zones,
+        )
         self._ready = False
         # By name: whether the coordinator has a disk, and when it last asked to join.
         self._standbys: dict[str, tuple[bool, float]] = {}
@@ -526,10 +534,13 @@
             return message
         if not self.group.is_leading():
             return self.group.make_redirect()
-        config = self._parse(message.document.encode())
+        # The other coordinator may run another version of the program.
+        config = self.log.check(message.document.encode())
+        answer: SaveAnswer | Failure
         if isinstance(config, Failure):
-            return config
-        answer = await self.log.save_once(config.version, message.document)
+            answer = await self.log.find_held(message.document.encode()) or config
+        else:
+            answer = await self.log.save_once(config.version, message.document)
         return answer if isinstance(answer, Failure) else Response(200, encode(answer))
 
     async def _serve_zone_order(self, request: Request) -> Answer:
--- a/src/daleroad/siteclient.py
+++ b/src/daleroad/siteclient.py
@@ -41,7 +41,8 @@
     :param group: the coordinator's member of the replicated log.
     :param record: the replicated state.
     :param links: calls to the other coordinators.
-    :param parse: parses a routing configuration document.
+    :param parse: parses a new routing configuration document.
+    :param parse_stored: parses a committed document.
     :param zones: the site's availability zones; empty if they are not known.
     """
 
@@ -52,6 +53,7 @@
         record: SiteStateMachine,
         links: Calls,
         parse: ConfigParser,
+        parse_stored: ConfigParser,
         zones: tuple[str, ...] = (),
     ) -> None:
         self._name = name
@@ -59,6 +61,7 @@
         self._record = record
         self._links = links
         self._parse = parse
+        self._parse_stored = parse_stored
         self._zones = zones
 
     async def save(self, document: bytes) -> SaveAnswer | Failure:
@@ -66,15 +69,43 @@
 
         :param document: the configuration document.
         """
-        config = self._parse(document)
+        config = self.check(document)
         if isinstance(config, Failure):
-            return config
-        fault = validate_config(config)
-        if fault is not None:
-            return fault
+            held = await self.find_held(document)
+            return config if held is None else held
         version, text = config.version, document.decode()
         return await _retry_until_answered(lambda: self.save_once(version, text), Ran.UNKNOWN)
 
+    def check(self, document: bytes) -> RoutingConfig | Failure:
+        """Return the routing configuration in a new document, or why it is refused.
+
+        :param document: the configuration document.
+        """
+        config = self._parse(document)
+        if isinstance(config, Failure):
+            return config
+        return validate_config(config) or config
+
+    async def find_held(self, document: bytes) -> SaveAnswer | Failure | None:
+        """Return the answer to a document that an earlier version of the program committed.
+
+        It may have accepted what is refused now, and what was acknowledged is never refused when it
+        is sent again. None if it is not the document in force.
+
+        :param document: the configuration document.
+        """
+        config = self._parse_stored(document)
+        if isinstance(config, Failure):
+            return None
+        known = self._record.document
+        if known.version < config.version:
+            # This coordinator may lag behind the leader.
+            answer = await self.read()
+            if isinstance(answer, Failure):
+                return answer
+            known = Document(answer.version, answer.document)
+        return SaveAnswer(known.version) if known.text.encode() == document else None
+
     async def save_once(self, version: int, text: str) -> SaveAnswer | Failure:
         """Commit a routing configuration, or forward it to the leader; one attempt.
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -35,23 +35,27 @@
     WatchAnswer,
     WatchRequest,
 )
-from daleroad.routing import RoutingConfig, ServiceRule
+from daleroad.routing import RequestLimits, RoutingConfig, ServiceRule
 from daleroad.serving import serve_app
 from daleroad.settings import Tls
+from daleroad.sitestate import Document
 from daleroad.watching import Watcher
 from tests.fakes import FakeDispatcher
 
 MAX_WAIT_SECONDS = 15.0
 GATHER_SECONDS = 0.6
 SERVICE = "s"
+REFUSED = "refused"
 INSTANCE = Instance("i-1", "s", "10.0.0.1:80", "z", 4, InstanceState.READY, 3)
 
 
 def parse(document: bytes) -> RoutingConfig | Failure:
-    """Parse a test document; only its version is used."""
+    """Parse a test document; only its version is used, and whether it is refused."""
     try:
+        raw = orjson.loads(document)
         services = (ServiceRule(SERVICE, "/", 10, None),)
-        return RoutingConfig(orjson.loads(document)["version"], (), services, ())
+        limits = RequestLimits(header_bytes=0) if raw.get("note") == REFUSED else RequestLimits()
+        return RoutingConfig(raw["version"], (), services, (), limits)
     except (orjson.JSONDecodeError, KeyError) as error:
         return Failure(FailureKind.INVALID, repr(error))
 
@@ -173,6 +177,40 @@
 
         run_site(body)
 
+    def test_document_that_an_earlier_version_accepted_is_acknowledged_again(self) -> None:
+        """Guards against an upgrade after which what was acknowledged is refused."""
+
+        async def body(site: Site, names: list[str]) -> None:
+            leader = await site.wait_for_leader()
+            held = make_document(9, REFUSED)
+            await leader.group.propose(encode(Document(9, held.decode())).decode())
+            for name in names[:3]:
+                coordinator = site.get(name)
+                if coordinator is not leader:
+                    # It lags.
+                    coordinator.record.document = Document(0, "")
+                self.assertEqual(await coordinator.log.save(held), SaveAnswer(9))
+                coordinator.record.document = Document(9, held.decode())
+                self.assertEqual(await coordinator.log.save(held), SaveAnswer(9))
+                for other in (held + b" ", make_document(8, REFUSED), make_document(10, REFUSED)):
+                    refusal = await coordinator.log.save(other)
+                    assert isinstance(refusal, Failure)
+                    self.assertIs(refusal.kind, FailureKind.INVALID)
+
+        run_site(body)
+
+    def test_leader_checks_a_document_that_another_coordinator_accepted(self) -> None:
+        """Guards against an upgrade in which what one version refuses comes in by another."""
+
+        async def body(site: Site, names: list[str]) -> None:
+            leader = await site.wait_for_leader()
+            other = next(site.get(n) for n in names[:3] if site.get(n) is not leader)
+            refusal = await other.log.save_once(3, make_document(3, REFUSED).decode())
+            assert isinstance(refusal, Failure), refusal
+            self.assertIs(refusal.kind, FailureKind.INVALID)
+
+        run_site(body)
+
     def test_saved_configuration_survives_restart_of_all_coordinators(self) -> None:
         async def body(site: Site, names: list[str]) -> None:
             await self.save(site.get(names[0]), 5, "kept")
