--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -223,6 +223,22 @@
 
         self.play(body)
 
+    def test_document_that_names_a_field_twice_is_refused(self) -> None:
+        """Guards against the class of review/6: the last of two lists of organisations counted."""
+
+        async def body() -> None:
+            for place in ('"version"', '"name":"r"', '"slots"', '"max_body_bytes"'):
+                name = place.partition(":")[0]
+                whole = orjson.dumps(CONFIG | {"version": 50}).decode()
+                at = whole.index(place)
+                text = f"{whole[:at]}{name}:7,{whole[at:]}"
+                with self.subTest(place):
+                    self.assertEqual(await self.site.save_text(text.encode()), 400)
+            text = whole[:-1] + ',"tenants":[]}'
+            self.assertEqual(await self.site.save_text(text.encode()), 400)
+
+        self.play(body)
+
 
 class StoredConfigurationTest(unittest.TestCase):
     def test_value_that_an_earlier_version_accepted_is_still_applied(self) -> None:
