Accept request targets in absolute form

Callers that send http://HOST/PATH as the target, as every server must accept (RFC 9112, 3.2.2), got 404 though their route exists: the whole target was matched as a path. The authority now takes the place of the Host header, and path and query go on as the target in origin form. A target with user information is left as it is, and finds no route.

The test fails before with 404, through the processes.

--- a/src/daleroad/http1protocol.py
+++ b/src/daleroad/http1protocol.py
@@ -1,5 +1,6 @@
 """The server library's HTTP/1.1 protocol without its ways into other protocols."""
 
+import re
 from typing import Any
 
 import anyio
@@ -23,6 +24,8 @@
 BODY_AHEAD_BYTES = 65_536
 """Bytes of a body that wait for the application; one more part may exceed it."""
 
+_ABSOLUTE_FORM = re.compile(rb"https?://([^/?#@]+)(/[^?]*)?(\?.*)?", re.IGNORECASE)
+
 _TURN_EVENTS = 64
 """Parts of a body that are parsed before other connections have a turn."""
 
@@ -65,6 +68,7 @@
             raise RefusedError(_HEAD_REFUSAL)
 
     async def _create_stream(self, request: h11.Request) -> None:
+        target, headers = _read_target(request)
         # Requests to upgrade are served in HTTP/1.1, as RFC 9110 allows (7.8).
         self.stream = HTTPStream(
             self.app,
@@ -80,16 +84,30 @@
         await self.stream.handle(
             RequestEvent(
                 stream_id=STREAM_ID,
-                headers=list(request.headers),
+                headers=headers,
                 http_version=request.http_version.decode(),
                 method=request.method.decode("ascii").upper(),
-                raw_path=request.target,
+                raw_path=target,
                 state=self.connection_state,
             )
         )
         self.keep_alive_requests += 1
 
 
+def _read_target(request: h11.Request) -> tuple[bytes, list[tuple[bytes, bytes]]]:
+    """Return the path and query of a request, and its headers with the host that it is for.
+
+    A target in absolute form names the host; the header counts no more (RFC 9112, 3.2.2).
+    """
+    headers = list(request.headers)
+    found = _ABSOLUTE_FORM.fullmatch(request.target)
+    if found is None:
+        return request.target, headers
+    host, path, query = found.groups(default=b"")
+    others = [(name, value) for name, value in headers if name != b"host"]
+    return (path or b"/") + query, [(b"host", host), *others]
+
+
 def _measure_head(request: h11.Request) -> int:
     """Return the size of a head without optional white space, in bytes."""
     line = len(request.method) + len(request.target) + len("  HTTP/1.1\r\n")
--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -239,6 +239,21 @@
 
         self.play(body)
 
+    def test_request_in_absolute_form_gets_its_route(self) -> None:
+        async def body() -> None:
+            self.assertEqual(await self.site.save(CONFIG), 200)
+            await self.site.wait_in_force(self.site.version)
+            for target in ("http://site.example/a/x", "HTTP://Site.Example/a/x?y=/z"):
+                with self.subTest(target):
+                    found = await self.site.fetch(CONFIG, target, "other.example")
+                    self.assertEqual(found, 200)
+                    host = self.site.recording.last["host"]
+                    self.assertEqual(host.lower(), "site.example")
+            self.assertEqual(await self.site.fetch(CONFIG, "http://other.example/a/x"), 404)
+            self.assertEqual(await self.site.fetch(CONFIG, "http://site.example"), 404)
+
+        self.play(body)
+
 
 class StoredConfigurationTest(unittest.TestCase):
     def test_value_that_an_earlier_version_accepted_is_still_applied(self) -> None:
