Refuse records of the own catalog that can't be used

Organisations of two partners with one token: the later one was acknowledged, and the calls of the first ran for it; once it was removed, the token was unknown. Operators with any text as the hash of their token were accepted; one outside ASCII raised in the login of every operator listed after it. Token hashes in upper case, a second share of a partner, routes to plain services whose name holds a slash or that name models, and services or models that are changed under their routes were acknowledged and could not be used.

The leader checks a change against the other records before it proposes it, one at a time. Not in daleroad.rules: replicas apply those to the log, and ones of two versions, or after a restart, would come to different states. The index of tokens falls back to a record that has the token, too.

--- a/src/daleroad/catalog.py
+++ b/src/daleroad/catalog.py
@@ -321,14 +321,22 @@
         self.changed_revision = index
         records = self.records.setdefault(type_name, {})
         known = records.get(name)
-        if known is not None and isinstance(known.record, Organisation):
-            self.organisations_by_token_hash.pop(known.record.token_hash, None)
-        if isinstance(record, Organisation):
-            self.organisations_by_token_hash[record.token_hash] = record
         if record is None:
             records.pop(name, None)
         else:
             records[name] = Versioned(record, index)
+        if known is not None and isinstance(known.record, Organisation):
+            self._index_token_hash(known.record.token_hash)
+        if isinstance(record, Organisation):
+            self.organisations_by_token_hash[record.token_hash] = record
+
+    def _index_token_hash(self, token_hash: str) -> None:
+        """Find the organisation of a token hash anew; another record may have the same."""
+        self.organisations_by_token_hash.pop(token_hash, None)
+        for versioned in self.list_records("Organisation"):
+            found = versioned.record
+            if isinstance(found, Organisation) and found.token_hash == token_hash:
+                self.organisations_by_token_hash[token_hash] = found
 
     def _repeat_outcome(self, known: CompletedOperation, text: str) -> Outcome:
         if known.change == text:
--- a/src/daleroad/control.py
+++ b/src/daleroad/control.py
@@ -21,6 +21,7 @@
     SetUpstream,
 )
 from daleroad.catalogstate import CatalogMachine
+from daleroad.changechecks import find_change_fault
 from daleroad.claimjournal import ClaimCommand, ClaimJournal, ClaimOutcome, Look
 from daleroad.codec import decode, encode
 from daleroad.daleroad_connect import LocatorASGIApplication, OperatorsASGIApplication
@@ -108,6 +109,7 @@
         self.group = self.groups[_CATALOG_GROUP]
         self.group.on_applied = self._wake_followers
         self.roster: Roster | None = None
+        self._change_lock = anyio.Lock()
         self._change_event = anyio.Event()
         self._removing: set[str] = set()
         self.random = random
@@ -330,6 +332,20 @@
         command = by or Command("", "", "", 0, time.time(), change)
         return await self.group.propose(encode(command).decode())
 
+    async def propose_checked(self, command: Command) -> Outcome | Failure:
+        """Append an operator's change unless it conflicts with other records; return its outcome.
+
+        :param command: the change; if it was made before, its first outcome is returned.
+        """
+        catalog = self.machine.catalog
+        # One at a time, so that each is checked against the records after the one before.
+        async with self._change_lock:
+            if command.operation not in catalog.answered:
+                fault = find_change_fault(catalog, command.change)
+                if fault is not None:
+                    return fault
+            return await self.propose(command.change, command)
+
     async def wait_in_force(self, revision: int, seconds: float) -> bool:
         """Wait until a revision is in force on all entries; return whether it is.
 
--- a/src/daleroad/operators.py
+++ b/src/daleroad/operators.py
@@ -24,6 +24,7 @@
     ReadRequest,
 )
 from daleroad.errors import Failure, FailureKind, Ran
+from daleroad.jsonnames import find_repeated_name
 from daleroad.location import pick_addresses
 from daleroad.records import RECORD_TYPES, Operator, Record
 from daleroad.security import get_bearer, is_token
@@ -82,7 +83,7 @@
             change,
         )
         self._control.changes.inc()
-        outcome = await self._control.propose(change, command)
+        outcome = await self._control.propose_checked(command)
         if isinstance(outcome, Failure):
             return _make_refusal(outcome)
         return await self._make_change_answer(outcome, request.wait_seconds)
@@ -169,6 +170,9 @@
     if record_type is None or not kind.startswith(action):
         known = ", ".join(f"Put{name}, Remove{name}" for name in RECORD_TYPES)
         return Failure(FailureKind.INVALID, f"unknown change {kind}; known changes are {known}")
+    repeated = _find_repeated_name(body)
+    if repeated is not None:
+        return Failure(FailureKind.INVALID, f"an object has two members {repeated!r}")
     if action == "Remove":
         name = decode(dict[str, str], body)
         if isinstance(name, Failure):
@@ -176,3 +180,11 @@
         return Remove(type_name, name.get("name", ""))
     record = decode(record_type, body)
     return record if isinstance(record, Failure) else Put(record)
+
+
+def _find_repeated_name(body: str) -> str | None:
+    try:
+        return find_repeated_name(body)
+    except (ValueError, RecursionError):
+        # No JSON, which the decoder describes.
+        return None
--- a/src/daleroad/security.py
+++ b/src/daleroad/security.py
@@ -2,12 +2,14 @@
 
 import hashlib
 import hmac
+import re
 import secrets
 from collections.abc import Mapping
 
 from daleroad.errors import Failure, FailureKind
 
 _MAC_HEX = 16
+_TOKEN_HASH = re.compile(r"[0-9a-f]{64}")
 
 
 def hash_token(token: str) -> str:
@@ -18,13 +20,21 @@
     return hashlib.sha256(token.encode()).hexdigest()
 
 
+def is_token_hash(text: str) -> bool:
+    """Return whether a text is a hash as :func:`hash_token` makes them.
+
+    :param text: the text.
+    """
+    return _TOKEN_HASH.fullmatch(text) is not None
+
+
 def is_token(token: str, token_hash: str) -> bool:
     """Return whether a token has a hash, in constant time.
 
     :param token: the token that was shown.
     :param token_hash: the hash that is known.
     """
-    return hmac.compare_digest(hash_token(token), token_hash)
+    return hmac.compare_digest(hash_token(token).encode(), token_hash.encode())
 
 
 def get_bearer(value: str) -> str:
--- a/src/daleroad/settings.py
+++ b/src/daleroad/settings.py
@@ -8,6 +8,7 @@
 
 from daleroad import defaults
 from daleroad.errors import Failure, FailureKind, SettingsError
+from daleroad.security import is_token_hash
 
 
 class NodeRole(StrEnum):
@@ -297,8 +298,8 @@
         return
     for name, value in reader.parser["operators"].items():
         partner, _, token_hash = value.partition(" ")
-        if not partner or len(token_hash.strip()) != 64:
-            expected = "PARTNER and the token's SHA-256 in hex"
+        if not partner or not is_token_hash(token_hash.strip()):
+            expected = "PARTNER and the token's SHA-256 in lower-case hex"
             reader.faults.append(Fault("operators", name, value, expected))
             continue
         yield OperatorSeed(name, partner, token_hash.strip())
--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -13,9 +13,12 @@
 import httpx
 import orjson
 
+from daleroad.daleroad_pb import ChangeAnswer
 from daleroad.errors import Failure
 from daleroad.routing import RouteRule, RoutingConfig, RoutingTable
+from daleroad.security import hash_token
 from tests.crowds import ROOT, AnsweringUpstream, CrowdSite
+from tests.harness import SiteTest
 from tools.soakstutter import StutteringStream
 from tools.soakupstreams import UpstreamRequest
 
@@ -284,5 +287,63 @@
                 self.assertEqual(config, wire.decode_stored_config(document))
 
 
+class OwnFaceTest(SiteTest):
+    """Records of the product's own catalog."""
+
+    ENTRIES = 1
+
+    def change(self, kind: str, body: dict[str, Any] | str, partner: str = "stoyanov") -> Any:
+        text = body if isinstance(body, str) else orjson.dumps(body).decode()
+        return self.make_operator(partner).change(kind, text, 0)
+
+    def refuse(self, kind: str, body: dict[str, Any] | str, partner: str = "stoyanov") -> None:
+        answer = self.change(kind, body, partner)
+        assert isinstance(answer, ChangeAnswer), answer
+        self.assertFalse(answer.accepted, f"{kind} {body}")
+        self.assertIn(answer.failure, ("invalid-change", "bad-request"))
+
+    def test_record_that_cannot_be_used_is_refused(self) -> None:
+        mine = {"partner": "stoyanov", "name": "n"}
+        taken = hash_token("taken")
+        organisation = mine | {"token_hash": taken}
+        answer = self.change("PutOrganisation", organisation)
+        self.assertTrue(answer.accepted, answer)
+        with self.subTest("a token of two organisations"):
+            self.refuse("PutOrganisation", organisation | {"name": "m"})
+            other = organisation | {"partner": "tamarack", "name": "m"}
+            self.refuse("PutOrganisation", other, "tamarack")
+        hashes = ("", "é" * 64, taken.upper(), "x" * 64, taken[:-1], f" {taken[1:]}")
+        for number, token_hash in enumerate(hashes):
+            for kind in ("PutOrganisation", "PutOperator"):
+                with self.subTest(f"{kind} {token_hash!r}"):
+                    self.refuse(kind, mine | {"name": f"o{number}", "token_hash": token_hash})
+        with self.subTest("a token of two operators"):
+            shown = hash_token("operator-tamarack-token")
+            self.refuse("PutOperator", mine | {"token_hash": shown})
+        with self.subTest("a share beside the partner's share"):
+            self.refuse("PutShare", mine | {"share": 0.01})
+        with self.subTest("a member twice"):
+            text = '{"name":"n2","partner":"stoyanov","partner":"stoyanov","token_hash":"%s"}'
+            self.refuse("PutOrganisation", text % hash_token("n2"))
+        with self.subTest("operators still work"):
+            self.assertTrue(
+                self.change(
+                    "PutOrganisation", mine | {"name": "late", "token_hash": hash_token("late")}
+                ).accepted
+            )
+
+    def test_route_that_cannot_be_used_is_refused(self) -> None:
+        operator = self.make_operator("stoyanov")
+        service = self.site.plain[0].service
+        route = {"name": "p", "partner": "stoyanov", "service": service}
+        self.refuse("PutRoute", route | {"name": "a/b"})
+        model = {"name": "m-plain", "partner": "stoyanov", "service": service}
+        self.assertTrue(self.change("PutModelVersion", model).accepted)
+        split = {"models": [{"model": "m-plain", "weight": 1.0}]}
+        self.refuse("PutRoute", route | split)
+        answer = operator.change("PutRoute", orjson.dumps(route).decode(), 0)
+        self.assertTrue(answer.accepted, answer)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -10,6 +10,10 @@
 
 
 class SecurityTest(unittest.TestCase):
+    def test_hash_that_is_no_text_of_ascii_is_no_tokens_hash(self) -> None:
+        """Guards against a stored record that lets the login of other operators fail."""
+        self.assertFalse(is_token("token", "é" * 64))
+
     def test_tokens(self) -> None:
         self.assertTrue(is_token("t", hash_token("t")))
         self.assertFalse(is_token("u", hash_token("t")))
