Refuse while draining what won't be answered before the exit

Cause: the time that a request needs was taken to be two objectives, whatever its service did. And a body that was still arriving at the exit had no answer.

A gateway keeps, for each route and service, the longest answer of the last half minute and the age of what is under way. A draining one expects the next answer to take as long; requests that are all under way for longer than any answer took count as half done, a few that hang do not. Known durations also let requests through that fit though their objective says otherwise. What doesn't fit is refused before its body is read, and a body is waited for until just before the exit.

With mixed answers those are refused, too, that would have been short: their callers go to another gateway at once.

--- a/src/daleroad/draining.py
+++ b/src/daleroad/draining.py
@@ -15,8 +15,12 @@
     LOOKUP_TTL_SECONDS,
 )
 from daleroad.dispatch import Prompt
+from daleroad.durations import RecentDuration
 from daleroad.routing import Repeat, RouteRule
 
+NO_DURATION = RecentDuration(0, 0.0)
+"""Nothing is known of the answers on a route."""
+
 _MIN_ESTIMATE_RATIO = 2.0
 """Both parts of an estimate are at least so many times what most requests take."""
 
@@ -56,10 +60,16 @@
 
 
 def estimate_duration(
-    route: RouteRule, prompt: Prompt | None, event_tokens: int
+    route: RouteRule,
+    prompt: Prompt | None,
+    event_tokens: int,
+    recent: RecentDuration = NO_DURATION,
 ) -> DurationEstimate:
     """Return the estimated duration of a request; a part without any basis is infinite.
 
+    It is what answers have taken lately, for a stream up to its start. Before there were many, and
+    for a stream, the start takes DRAIN_OBJECTIVES at least.
+
     A stream may pause before each event for as long as its route allows. A fixed time per token is
     used only without such a limit, because engines differ in speed: at 18 ms per token, streams of
     20 to 50 ms per token were accepted and then cut.
@@ -67,10 +77,13 @@
     :param route: the request's route.
     :param prompt: the request's prompt and output limit, if it states them.
     :param event_tokens: tokens in one event of a stream.
+    :param recent: how long answers on the route have taken lately.
     """
     begin = DRAIN_OBJECTIVES * route.objective if route.objective else float("inf")
     if route.repeat is not Repeat.STREAM:
-        return DurationEstimate(begin, 0.0)
+        known = recent.seconds if recent.is_certain() else max(begin, recent.seconds)
+        return DurationEstimate(known, 0.0)
+    begin = max(begin, recent.seconds)
     if prompt is None:
         return DurationEstimate(begin, float("inf"))
     token_seconds = route.pause / event_tokens if route.pause else DRAIN_SECONDS_PER_TOKEN
--- a/src/daleroad/forwarding.py
+++ b/src/daleroad/forwarding.py
@@ -113,6 +113,10 @@
     is_waiting: bool = False
     held_by: str = ""
 
+    def get_kind(self) -> tuple[str, str]:
+        """Return the route and the service, which together tell how long an answer takes."""
+        return self.route.name, self.service.name
+
 
 class Forwarder:
     """Forwards a gateway's requests to upstreams.
@@ -147,6 +151,26 @@
         self._log_outcome(job, state, outcome)
         return outcome
 
+    def refuse_if_draining(self, job: ClientRequest) -> Failure | None:
+        """Return a refusal if a draining gateway should not read the body of a request.
+
+        :param job: the request, without its body.
+        """
+        if self._gateway.serving:
+            return None
+        state = self._resolve_request(job)
+        if isinstance(state, Failure):
+            return None
+        return self._refuse_if_draining(state, anyio.current_time())
+
+    def make_unread_failure(self) -> Failure:
+        """Return the failure of a request whose body did not arrive before this gateway exits."""
+        gateway = self._gateway
+        left = gateway.exits_at - anyio.current_time()
+        retry_after = find_retry_after(left, gateway.other_gateways, gateway.selector.gateways)
+        reason = "the gateway is shutting down before the request was read"
+        return Failure(FailureKind.DRAINING, reason, Ran.NO, retry_after)
+
     def note_refusal(self, job: ClientRequest, failure: Failure) -> None:
         """Log and count a request that was refused before it was read completely.
 
@@ -174,7 +198,8 @@
         service = table.services[table.pick_service(route, gateway.random.random())]
         deadline = min(job.deadline, job.received_at + route.timeout)
         event_tokens = service.engine.event_tokens if service.engine else 1
-        need = estimate_duration(route, job.prompt, event_tokens)
+        recent = gateway.durations.get((route.name, service.name), anyio.current_time())
+        need = estimate_duration(route, job.prompt, event_tokens, recent)
         response_deadline = deadline - SPARE_SECONDS
         return _RequestState(
             job, table, route, service, organisation, rank, deadline, response_deadline, need
@@ -323,8 +348,13 @@
         streaming = False
         try:
             start_by = self._find_start_deadline(state)
-            with gateway.limit_attempt(start_by) as scope:
+            begun = anyio.current_time()
+            kind = state.get_kind()
+            with gateway.limit_attempt(start_by) as scope, gateway.durations.watch(kind, begun):
                 reply = await gateway.dispatcher.send(attempt)
+                if not isinstance(reply, NotRun | Lost):
+                    now = anyio.current_time()
+                    gateway.durations.note(kind, now - begun, now)
                 if isinstance(reply, NotRun | Lost | Whole):
                     return self._handle_reply(state, instance, reply)
                 streaming = True
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -18,6 +18,7 @@
 from daleroad.crashevidence import CrashEvidence
 from daleroad.defaults import LAST_ANSWER_SECONDS, LATE_HEARTBEATS
 from daleroad.dispatch import Dispatcher
+from daleroad.durations import RecentDurations
 from daleroad.evacuations import EvacuatedZones
 from daleroad.events import Event, log_event
 from daleroad.fleet import BRITTLE_KEPT_SECONDS, Fleet
@@ -90,6 +91,7 @@
         self.budget = WindowBudget(options.retry_ratio, options.retry_slack, options.retry_window)
         self.configured = anyio.Event()
         self.loads = GatewayLoads()
+        self.durations = RecentDurations()
         self.selector = UpstreamSelector(
             options, self.fleet, self.guard, self.loads, self.random, self.get_service
         )
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -248,10 +248,12 @@
 
     :param folder: where settings and logs are kept.
     :param network: begins their addresses; others in other processes, which may run beside.
+    :param grace_seconds: time that a process has to stop.
     """
 
     folder: Path
     network: str = field(default_factory=lambda: f"127.{32 + os.getpid() % 200}")
+    grace_seconds: float = 4
     running: dict[str, subprocess.Popen] = field(default_factory=dict)
     ledger: Ledger = field(default_factory=Ledger)
     upstream: Upstream = field(init=False)
@@ -294,30 +296,35 @@
         self._start("coordinator", {"control_plane": 18748, "directory": 18746})
         self._start("gateway", {"frontend": 18740, "readiness": 18749})
 
-    def _start(self, role: str, ports: dict[str, int]) -> None:
-        ip = f"{self.network}.0.1"
+    def start_other_gateway(self) -> None:
+        """Start a second gateway, on another VM."""
+        self._start("gateway", {"frontend": 18740, "readiness": 18749}, 2)
+
+    def _start(self, role: str, ports: dict[str, int], vm: int = 1) -> None:
+        ip = f"{self.network}.0.{vm}"
+        name = role if vm == 1 else f"{role}-{vm}"
         settings = {
-            "node_name": role,
+            "node_name": name,
             "ip": ip,
             "zone": "z0",
             "zones": {"z0": "r"},
             "region": "r",
             "listen": {name: f"{ip}:{port}" for name, port in ports.items()},
             "internal_ports": [17200, 17215],
-            "seeds": [f"{ip}:18748"],
+            "seeds": [f"{self.network}.0.1:18748"],
             "bootstrap": True,
             "heartbeat_ms": 500,
             "limits": {"memory_mb": MEMORY_MB, "max_fds": DESCRIPTORS},
-            "bounds": {"grace_s": 4, "ttl_max_s": 1, "retry_budget_ratio": 0.2},
+            "bounds": {"grace_s": self.grace_seconds, "ttl_max_s": 1, "retry_budget_ratio": 0.2},
             "data_dir": str(self.folder / role) if role == "coordinator" else "",
         }
-        path = self.folder / f"{role}.json"
+        path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         environment = {"PATH": os.environ["PATH"], "DALEROAD_NODE_FILE": str(path)}
         port = "19464" if role == "gateway" else "19465"
         command = [sys.executable, str(ROOT / "platform" / "node.py"), role, port]
-        with (self.folder / f"{role}.log").open("ab") as log:
-            self.running[role] = subprocess.Popen(
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.running[name] = subprocess.Popen(
                 command, stdout=log, stderr=log, env=environment, cwd=ROOT
             )
 
@@ -346,13 +353,17 @@
             yield
             tasks.cancel_scope.cancel()
 
+    def make_route(self) -> dict[str, object]:
+        """Return the route of ordinary requests."""
+        route = {"name": "r", "host": "h", "path_prefix": "/again/", "route_kind": "idempotent"}
+        route |= {"service": PLAIN_SERVICE, "timeout_ms": 20_000, "max_attempts": 2}
+        return route | {"public": True}
+
     async def _configure(self, client: httpx.AsyncClient) -> None:
         limits = {"max_header_bytes": HEADER_BYTES, "max_body_bytes": BODY_BYTES}
         limits |= {"header_timeout_ms": int(1000 * HEADER_SECONDS)}
         limits |= {"idle_timeout_ms": int(1000 * IDLE_SECONDS)}
-        route = {"name": "r", "host": "h", "path_prefix": "/again/", "route_kind": "idempotent"}
-        route |= {"service": PLAIN_SERVICE, "timeout_ms": 20_000, "max_attempts": 2}
-        config = {"version": 1, "routes": [route | {"public": True}], "limits": limits}
+        config = {"version": 1, "routes": [self.make_route()], "limits": limits}
         config["services"] = [{"name": PLAIN_SERVICE}]
         while True:
             with contextlib.suppress(httpx.HTTPError):
