--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,6 +2,8 @@
 
 from collections.abc import AsyncIterator, Callable
 from random import Random
+from types import SimpleNamespace
+from typing import Any
 
 import anyio
 
@@ -148,3 +150,18 @@
     """Return what serves requests for a gateway."""
     runs = StreamRegistry(gateway, EngineMigrator(gateway))
     return Forwarder(gateway, runs, RequestMetrics(Metrics()))
+
+
+def make_serving_gateway(table: Any = None) -> Any:
+    """Return what the client application needs of a gateway that serves.
+
+    :param table: the routing table.
+    """
+    return SimpleNamespace(
+        open_requests=0,
+        serving=True,
+        table=table,
+        is_ready=lambda: True,
+        exits_at=float("inf"),
+        limit_attempt=lambda time: anyio.CancelScope(deadline=time),
+    )
--- a/tests/test_clientconnections.py
+++ b/tests/test_clientconnections.py
@@ -33,7 +33,7 @@
 from daleroad.serving import Request, Response, Router, serve_config  # noqa: E402
 from daleroad.serving import make_config as make_server_config  # noqa: E402
 from daleroad.settings import Tls  # noqa: E402
-from tests.fakes import make_instance, make_job  # noqa: E402
+from tests.fakes import make_instance, make_job, make_serving_gateway  # noqa: E402
 from tests.test_platform import SIGNED  # noqa: E402
 from tests.test_platform import answer as make_answer  # noqa: E402
 
@@ -117,9 +117,7 @@
     def setUp(self) -> None:
         limits = SimpleNamespace(body_bytes=BODY_LIMIT)
         table = SimpleNamespace(config=SimpleNamespace(limits=limits), longest_timeout=30.0)
-        self.gateway: Any = SimpleNamespace(
-            open_requests=0, serving=True, table=table, is_ready=lambda: True
-        )
+        self.gateway: Any = make_serving_gateway(table)
         self.held = HeldBytes()
         self.clients: ClientTable | None = None
         self.jobs: list[ClientRequest] = []
--- a/tests/test_heldbytes.py
+++ b/tests/test_heldbytes.py
@@ -6,7 +6,6 @@
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
-from types import SimpleNamespace
 from typing import Any
 from unittest.mock import Mock
 
@@ -53,6 +52,7 @@
     make_gateway,
     make_instance,
     make_job,
+    make_serving_gateway,
 )
 from tests.test_platform import NODE, SIGNED, Upstream, answer  # noqa: E402
 
@@ -333,7 +333,7 @@
         self.held = HeldBytes(BOUND)
         self.forwarder = FakeForwarder(serve_whole)
         self.sent: list[dict[str, Any]] = []
-        self.gateway = SimpleNamespace(open_requests=0, serving=True, table=None)
+        self.gateway = make_serving_gateway()
 
     def make_app(self) -> ClientApp:
         return ClientApp(self.gateway, self.forwarder, self.held)  # type: ignore[arg-type]
--- a/tests/test_reviewfindings.py
+++ b/tests/test_reviewfindings.py
@@ -18,7 +18,7 @@
 from daleroad.runs import _record_event
 from daleroad.tunnelpeers import TunnelPeers
 from daleroad.tunnels import TunnelClient, TunnelStream
-from tests.fakes import make_job
+from tests.fakes import make_job, make_serving_gateway
 from tests.test_foreignresponses import FIRST, NOT_EXECUTED, ClientTest, make_response
 from tests.test_heldbytes import ClientApp, HeldBytes
 from tests.test_platform import SIGNED, EngineClient, EventStream, Upstream, answer
@@ -198,7 +198,7 @@
             return {"type": "http.request", "body": b"", "more_body": False}
 
         async def main() -> None:
-            app = ClientApp(Mock(open_requests=0, serving=True, table=None), Mock(), HeldBytes())
+            app = ClientApp(make_serving_gateway(), Mock(), HeldBytes())
             scope = {"method": "CONNECT", "headers": [], "http_version": "1.1"}
             await app.handle(scope | {"raw_path": b"h:1", "type": "http"}, receive, send)
 
