Return the memory of a crowd to the system

After a crowd had left, a gateway stayed at 75 (bodies of 200 kB) or 88 MB (answers read slowly), a coordinator at 88 (bodies of 60 MB), of 41 before: the C library keeps what is freed below memory in use.

tests/test_crowds.py, ReturningClientsTest: 175 MB where 112 are allowed on; holds now, and 10 MB at most are kept.

--- a/src/daleroad/process.py
+++ b/src/daleroad/process.py
@@ -13,6 +13,7 @@
 from daleroad.control import Control
 from daleroad.entry import Entry
 from daleroad.events import Event, log_event
+from daleroad.freememory import MemoryTrimmer
 from daleroad.logs import set_up_logs
 from daleroad.settings import NodeRole, Settings
 
@@ -50,6 +51,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_watch_signals, drain, stop, tasks)
         tasks.start_soon(watch_clock, _do_nothing)
+        tasks.start_soon(MemoryTrimmer().run)
         await run()
         tasks.cancel_scope.cancel()
 
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -159,6 +159,16 @@
         yield b"\0" + frame[1:]
 
 
+def send_chunks_of_one_byte(listener: Listener, number: int) -> Iterator[bytes]:
+    """Yield a body in the smallest chunks, without end."""
+    yield listener.make_head("POST", "Transfer-Encoding: chunked", number=number) + b"\r\n"
+    while True:
+        yield b"1\r\nx\r\n" * 2000
+
+
+RETURNING = Crowd(100, send_chunks_of_one_byte)
+"""Clients that come again as soon as they are cut."""
+
 CROWDS = {
     "requests-ahead": Crowd(40, send_requests_ahead),
     "large-answers": Crowd(40, send_requests_for_large_answers),
@@ -433,6 +443,23 @@
         yield
 
 
+async def return_again(crowd: Crowd, listener: Listener, seconds: float) -> None:
+    """Let the clients of a crowd send for some seconds, each on one connection after the other."""
+    host, port = listener.address.split(":")
+
+    async def send(number: int) -> None:
+        while True:
+            with contextlib.suppress(OSError, anyio.BrokenResourceError):
+                async with await anyio.connect_tcp(host, int(port)) as stream:
+                    for part in crowd.make_bytes(listener, number):
+                        await stream.send(part)
+
+    with anyio.move_on_after(seconds):
+        async with anyio.create_task_group() as tasks:
+            for number in range(crowd.count):
+                tasks.start_soon(send, number)
+
+
 async def _send_all(client: socket.socket, listener: Listener, parts: Iterator[bytes]) -> None:
     """Connect and send until all is sent, the other end closes, or takes no more for a while."""
     host, port = listener.address.split(":")
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -14,6 +14,7 @@
     DESCRIPTORS,
     GONE_SECONDS,
     MEMORY_MB,
+    RETURNING,
     CrowdSite,
     Listener,
     Sockets,
@@ -22,6 +23,7 @@
     count_descriptors,
     format_address,
     gather,
+    return_again,
     watch_process,
 )
 from tests.harness import SiteTest
@@ -40,6 +42,13 @@
 OWN_BYTES = 10_000
 """What each of these may hold; their requests are small."""
 
+RETURNING_SECONDS = 15.0
+BACK_SECONDS = 60.0
+"""Time in which the memory of a crowd comes back."""
+
+KEPT_BYTES = 10_000_000
+"""What a process may keep of it: caches and partly used pages."""
+
 UNLIMITED_BYTES = 128_000_000
 """What clients may add to a process whose settings state no memory limit."""
 
@@ -140,6 +149,37 @@
         self.play("clients", *CROWDS)
 
 
+class ReturningClientsTest(CrowdCase):
+    """Clients that come again whenever they are cut."""
+
+    def test_memory_of_connections_that_were_cut_comes_back(self) -> None:
+        """Guards against connections that stay in memory, as their parts refer to each other."""
+
+        async def main() -> None:
+            self.site.start_all()
+            async with self.site.serve():
+                await self._play_returning(self.site.list_listeners()["clients"])
+
+        anyio.run(main)
+
+    async def _play_returning(self, listener: Listener) -> None:
+        before = await self._read_memory()
+        async with self.site.watch(listener.process) as usage:
+            await return_again(RETURNING, listener, RETURNING_SECONDS)
+        self.assertEqual(await ask_again(listener), listener.status)
+        self.assertEqual(self.site.describe_ended(), "")
+        self.assertLessEqual(usage.memory, MEMORY_MB * 1_000_000)
+        with anyio.move_on_after(BACK_SECONDS):
+            while await self._read_memory() > before + KEPT_BYTES:
+                await anyio.sleep(1.0)
+        self.assertLessEqual(await self._read_memory(), before + KEPT_BYTES)
+
+    async def _read_memory(self) -> int:
+        usage = Usage()
+        usage.note(self.site.running["gateway"].pid, Sockets())
+        return usage.memory
+
+
 class OtherListenersTest(CrowdCase):
     """All crowds at once at each of the other listeners, which clients reach too."""
 
