Bound the responses of plain services that an entry reads at a time

An upstream of a plain service that sends without end took an entry's memory up by 164 MB with 20 calls at once, and by 64 more with the next 20: each response is read whole, up to 8 MB, and their sum had no bound.

An entry counts what it reads, as gateways do, and lets responses beyond 32 MB wait at their upstreams; a call whose deadline passes meanwhile doesn't blame its upstream.

--- a/src/daleroad/environment.py
+++ b/src/daleroad/environment.py
@@ -12,6 +12,7 @@
 from daleroad.catalogfollower import CatalogFollower
 from daleroad.directory import Directory
 from daleroad.health import Ejector
+from daleroad.heldbytes import HeldBytes
 from daleroad.lengths import OutputLengths
 from daleroad.links import Links
 from daleroad.messages import Work
@@ -22,6 +23,11 @@
 _LATENCY_BUCKETS = (0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)
 
 
+ANSWERS_BYTES = 32_000_000
+"""Bytes of plain services' responses that an entry reads at a time; others wait at their
+upstreams."""
+
+
 @dataclass
 class Inflight:
     """A generation that this entry delivers."""
@@ -64,6 +70,7 @@
 class Environment:
     """Settings and shared parts of one entry; parts reach each other only through it.
 
+    :param answers: the responses of plain services that are being read.
     :param ends_at: when the entry cuts off what it still answers; never until it is told to stop.
     """
 
@@ -78,6 +85,7 @@
     metrics: Metrics = field(default_factory=Metrics)
     inflight: dict[str, Inflight] = field(default_factory=dict)
     loads: dict[str, float] = field(default_factory=dict)
+    answers: HeldBytes = field(default_factory=lambda: HeldBytes(ANSWERS_BYTES))
     tasks: TaskGroup | None = None
     ends_at: float = float("inf")
 
--- a/src/daleroad/links.py
+++ b/src/daleroad/links.py
@@ -17,6 +17,7 @@
 from daleroad.compression import ENCODING, pack
 from daleroad.defaults import CALL_TIMEOUT_SECONDS
 from daleroad.errors import Failure, FailureKind
+from daleroad.heldbytes import RequestBytes
 from daleroad.settings import Tls
 
 SHORT_ANSWER_BYTES = 1_000_000
@@ -52,19 +53,23 @@
     body: bytes
 
 
-async def read_body(response: httpx.Response, most: int) -> bytes:
+async def read_body(response: httpx.Response, most: int, held: RequestBytes | None = None) -> bytes:
     """Return the rest of a response's body as it was sent.
 
     :param response: the response.
     :param most: bytes that it may have.
+    :param held: where the body is counted; it is read on once there is room.
     :raises BodyTooLargeError: when it has more.
     :raises httpx.HTTPError: when it is cut.
     """
     body = bytearray()
     async for chunk in response.aiter_raw():
-        body += chunk
-        if len(body) > most:
+        before = len(body)
+        if before + len(chunk) > most:
             raise BodyTooLargeError(most)
+        if held is not None and not await held.reserve_answer(len(chunk), before):
+            raise BodyTooLargeError(before)
+        body += chunk
     return bytes(body)
 
 
@@ -85,7 +90,13 @@
 
 
 async def fetch(
-    client: httpx.AsyncClient, method: str, url: str, most: int, seconds: float, **request: Any
+    client: httpx.AsyncClient,
+    method: str,
+    url: str,
+    most: int,
+    seconds: float,
+    held: RequestBytes | None = None,
+    **request: Any,
 ) -> Fetched:
     """Make a request and return its whole response.
 
@@ -94,6 +105,7 @@
     :param url: the whole URL.
     :param most: bytes that the response's body may have.
     :param seconds: limit of the whole exchange.
+    :param held: where the response's body is counted.
     :param request: its ``content`` and ``headers``.
     :raises BodyTooLargeError: when the body has more.
     :raises httpx.HTTPError: when there is no whole response.
@@ -101,7 +113,7 @@
     """
     with anyio.fail_after(seconds):
         async with client.stream(method, url, **request) as response:
-            body = await read_body(response, most)
+            body = await read_body(response, most, held)
             return Fetched(response.status_code, response.headers, body)
 
 
--- a/src/daleroad/services.py
+++ b/src/daleroad/services.py
@@ -217,28 +217,33 @@
         timeout = max(0.05, deadline - anyio.current_time())
         failure: Failure
         env.ejector.take_trial(upstream.name, anyio.current_time())
-        try:
-            fetched = await fetch(
-                env.links.urgent,
-                request.method,
-                url,
-                ANSWER_BYTES,
-                timeout,
-                content=request.body,
-                headers=headers,
-            )
-            self._record_result(upstream, fetched.status < HTTPStatus.INTERNAL_SERVER_ERROR)
-            return _make_response(fetched)
-        except BodyTooLargeError as error:
-            # The upstream works; that it sends so much is a matter of this call.
-            self._record_result(upstream, True)
-            return Failure(FailureKind.UPSTREAM_REFUSED, str(error), Ran.UNKNOWN)
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-            failure = Failure(FailureKind.UPSTREAM_LOST, f"{error!r}", Ran.NO, 1.0)
-        except TimeoutError:
-            failure = self._make_timeout_failure()
-        except httpx.HTTPError as error:
-            failure = Failure(FailureKind.UPSTREAM_LOST, f"{error!r}", Ran.UNKNOWN, 1.0)
+        with env.answers.open_request() as held:
+            try:
+                fetched = await fetch(
+                    env.links.urgent,
+                    request.method,
+                    url,
+                    ANSWER_BYTES,
+                    timeout,
+                    held,
+                    content=request.body,
+                    headers=headers,
+                )
+                self._record_result(upstream, fetched.status < HTTPStatus.INTERNAL_SERVER_ERROR)
+                return _make_response(fetched)
+            except BodyTooLargeError as error:
+                # The upstream works; that it sends so much is a matter of this call.
+                self._record_result(upstream, True)
+                return Failure(FailureKind.UPSTREAM_REFUSED, str(error), Ran.UNKNOWN)
+            except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+                failure = Failure(FailureKind.UPSTREAM_LOST, f"{error!r}", Ran.NO, 1.0)
+            except TimeoutError:
+                failure = self._make_timeout_failure()
+                if held.starved:
+                    # The response waited for room here.
+                    return failure
+            except httpx.HTTPError as error:
+                failure = Failure(FailureKind.UPSTREAM_LOST, f"{error!r}", Ran.UNKNOWN, 1.0)
         self._record_result(upstream, False)
         return failure
 
