--- a/src/daleroad/httpconnections.py
+++ b/src/daleroad/httpconnections.py
@@ -4,6 +4,7 @@
 holds and for what it waits is told to the process's table, and ends with the connection.
 """
 
+import re
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
@@ -27,6 +28,11 @@
 FIELD_BYTES = 250
 """Memory of a header field beside its text, as it is parsed, kept and passed on."""
 
+MANY_FIELDS = 100
+"""Header fields from which on they are counted before they are parsed."""
+
+_HEAD_END = re.compile(rb"\n\r?\n")
+
 SILENT_SECONDS = 60.0
 """How long a client may neither send the rest of a body nor read any of its answer."""
 
@@ -135,7 +141,7 @@
                 data = await self._stream.receive()
                 self._parsing = len(data)
                 if not self._serving:
-                    await self._admit_fields(data)
+                    await self._admit_fields(http, data)
                 await http.handle(RawData(data))
                 rest = b"" if self._serving else http.connection.trailing_data[0]
                 self._parsing = len(rest)
@@ -145,14 +151,18 @@
         except RefusedError as error:
             self._stream.write(error.answer)
 
-    async def _admit_fields(self, data: bytes) -> None:
-        """Count the header fields in bytes that begin a request before they are parsed.
+    async def _admit_fields(self, http: Http1Protocol, data: bytes) -> None:
+        """Count the fields of a head that is complete with some bytes, if it has many.
 
-        Many heads that come at once would all be parsed before the first connection is cut.
+        Heads that come at once would all be parsed before the first connection is cut.
         """
-        self._field_bytes = FIELD_BYTES * data.count(b"\n")
-        self._note_state()
-        await checkpoint()
+        head = http.connection.trailing_data[0] + data
+        end = _HEAD_END.search(head)
+        fields = head.count(b"\n", 0, end.start()) if end is not None else 0
+        if fields > MANY_FIELDS:
+            self._field_bytes = FIELD_BYTES * fields
+            self._note_state()
+            await checkpoint()
 
     async def spawn_app(
         self, app: AsgiApp, config: Config, scope: dict[str, Any], send: Any
