Refuse configurations that are nested too deep for the second parser

A document with an unknown field of 1,000 nested lists got 500 instead of 400: the check for members of one name reads it by a parser that gives up with RecursionError, where the first one (orjson) doesn't.

The test fails before at 1,000 and 1,020 levels.

--- a/src/daleroad/jsonnames.py
+++ b/src/daleroad/jsonnames.py
@@ -15,12 +15,15 @@
 def find_repeated_name(document: bytes | str) -> str | None:
     """Return a name that an object in a JSON document has twice, or None.
 
-    :param document: a document that has been parsed before; others raise ValueError.
+    :param document: the document.
+    :raises ValueError: if it is no JSON, or nested too deep for the parser.
     """
     try:
         json.loads(document, object_pairs_hook=_check_names)
     except _RepeatedNameError as error:
         return str(error)
+    except RecursionError as error:
+        raise ValueError("nested too deep") from error
     return None
 
 
--- a/src/daleroad/operators.py
+++ b/src/daleroad/operators.py
@@ -185,6 +185,6 @@
 def _find_repeated_name(body: str) -> str | None:
     try:
         return find_repeated_name(body)
-    except (ValueError, RecursionError):
-        # No JSON, which the decoder describes.
+    except ValueError:
+        # The decoder describes it.
         return None
--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -259,6 +259,13 @@
 
 
 class StoredConfigurationTest(unittest.TestCase):
+    def test_document_that_is_nested_too_deep_is_refused(self) -> None:
+        for depth in (100, 1_000, 1_020, 2_000, 100_000):
+            with self.subTest(depth):
+                deep = f'{{"x":{"[" * depth}{"]" * depth},{orjson.dumps(CONFIG).decode()[1:]}'
+                found = wire.decode_config(deep.encode())
+                self.assertIsInstance(found, RoutingConfig if depth == 100 else Failure)
+
     def test_value_that_an_earlier_version_accepted_is_still_applied(self) -> None:
         """Guards against gateways that forget what earlier versions had acknowledged."""
         for place, value in list_cases(REFUSED):
