--- a/src/daleroad/durations.py
+++ b/src/daleroad/durations.py
@@ -4,7 +4,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -102,6 +102,15 @@
         buckets[-1].answers += 1
         buckets[-1].longest = max(buckets[-1].longest, seconds)
 
+    def retain(self, routes: Collection[str]) -> None:
+        """Forget what is known of other routes, except while requests are under way.
+
+        :param routes: names of the routes that there are.
+        """
+        self._kinds = {
+            kind: found for kind, found in self._kinds.items() if kind[0] in routes or found.begun
+        }
+
     def get(self, kind: tuple[str, str], now: float) -> RecentDuration:
         """Return how long the requests of a kind have taken lately.
 
--- a/src/daleroad/gateway.py
+++ b/src/daleroad/gateway.py
@@ -184,6 +184,7 @@
         if self.table is None or config.version > self.table.config.version:
             self.table = RoutingTable(config)
             self._contentions = find_contentions(config)
+            self.durations.retain({route.name for route in config.routes})
             self.guard.cold_limited_services = frozenset(
                 s.name for s in config.services if s.cold_rate
             )
--- a/tests/test_durations.py
+++ b/tests/test_durations.py
@@ -66,6 +66,16 @@
                 self.assertLess(self.get(2.0), 0.06)
         self.assertLess(self.get(2.0), 0.06)
 
+    def test_routes_that_are_gone_are_forgotten(self) -> None:
+        self.answer(100, 4.0)
+        self.durations.retain({KIND[0]})
+        self.assertGreater(self.get(), 4.0)
+        self.durations.retain(set())
+        self.assertEqual(self.get(), 0.0)
+        with self.durations.watch(KIND, 0.0):
+            self.durations.retain(set())
+            self.assertGreater(self.get(1.0), 1.0)
+
     def test_other_kinds_of_requests_do_not_count(self) -> None:
         self.answer(100, 4.0)
         self.assertEqual(self.durations.get(("route", "other"), 0.0).seconds, 0.0)
