Let entries read 20 MB of plain responses at a time

The bound of the test stays; the entry reads 20 MB at a time, twice its largest response of 8 MB and more.

--- a/src/daleroad/environment.py
+++ b/src/daleroad/environment.py
@@ -23,7 +23,7 @@
 _LATENCY_BUCKETS = (0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)
 
 
-ANSWERS_BYTES = 32_000_000
+ANSWERS_BYTES = 20_000_000
 """Bytes of plain services' responses that an entry reads at a time; others wait at their
 upstreams."""
 
